--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Two commands do all set-up: `make deps` and `make build`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: deps build test format lint fuzz bench demo capacity
+
+deps:
+	tools/install_packages
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	tools/run_tests $(BUILD)
+
+format:
+	tools/check_format --fix
+
+lint:
+	tools/check_format
+	tools/check_layers
+	tools/check_lint $(BUILD)
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
