--- /dev/null
+++ b/src/replication/append.cpp
@@ -0,0 +1,295 @@
+#include "replication/replica_steps.hpp"
+
+#include <algorithm>
+
+namespace bulrush {
+namespace {
+
+append_reply
+ReplyTo(const replica_tables& aTables, const append_request& aRequest)
+{
+  append_reply reply;
+  reply.header = HeaderTo(aTables, aRequest.header.from);
+  reply.previous = aRequest.previous.index;
+  reply.sentAt = aRequest.sentAt;
+  return reply;
+}
+
+// Entries of a request follow its previous position without a gap. Requests
+// come from the network: what does not hold is refused, not trusted.
+bool
+IsWellFormed(const append_request& aRequest)
+{
+  log_position at = aRequest.previous;
+  for (const log_entry& entry : aRequest.entries) {
+    if (entry.index != at.index + 1 || entry.term < at.term ||
+        entry.term > aRequest.header.term) {
+      return false;
+    }
+    at = { entry.index, entry.term };
+  }
+  return true;
+}
+
+// Skips a whole term for each refusal, so that a leader needs one round trip
+// for each term in which the logs differ, not one for each entry.
+log_index
+HintBefore(const replica_tables& aTables, log_index aPrevious)
+{
+  const log_index last = LastPosition(aTables).index;
+  if (aPrevious > last) {
+    return last;
+  }
+  const log_term term = TermAt(aTables, aPrevious);
+  log_index index = aPrevious;
+  while (index > aTables.commit && TermAt(aTables, index) == term) {
+    --index;
+  }
+  return index;
+}
+
+// Repeated and reordered requests may hold entries that are here already. Only
+// an entry of another term cuts the log: cutting for an old request would
+// take back entries that were acknowledged.
+void
+TakeEntries(replica_tables& aTables, std::vector<log_entry> aEntries)
+{
+  std::size_t known = 0;
+  const log_index last = LastPosition(aTables).index;
+  while (known < aEntries.size() && aEntries[known].index <= last &&
+         TermAt(aTables, aEntries[known].index) == aEntries[known].term) {
+    ++known;
+  }
+  if (known == aEntries.size()) {
+    return;
+  }
+  const log_index first = aEntries[known].index;
+  if (first <= aTables.commit) {
+    Stop(aTables,
+         { "append entries",
+           aTables.settings.name,
+           "the leader contradicts a committed entry" });
+    return;
+  }
+  if (first <= last) {
+    TruncateFrom(aTables, first);
+  }
+  aEntries.erase(aEntries.begin(),
+                 aEntries.begin() + static_cast<std::ptrdiff_t>(known));
+  AppendEntries(aTables, std::move(aEntries));
+}
+
+std::size_t
+SizeOf(const log_entry& aEntry)
+{
+  constexpr std::size_t kEntryOverheadBytes = 32;
+  return aEntry.payload.size() + aEntry.members.size() * kEntryOverheadBytes +
+         kEntryOverheadBytes;
+}
+
+// Several entries go in one request, up to the bound; a larger entry goes
+// alone.
+std::vector<log_entry>
+BatchFrom(const replica_tables& aTables, log_index aFirst)
+{
+  std::vector<log_entry> batch;
+  std::size_t bytes = 0;
+  const log_index last = LastPosition(aTables).index;
+  for (log_index index = aFirst; index <= last; ++index) {
+    const log_entry& entry = EntryAt(aTables, index);
+    bytes += SizeOf(entry);
+    if (!batch.empty() && bytes > aTables.settings.maxBatchBytes) {
+      break;
+    }
+    batch.push_back(entry);
+  }
+  return batch;
+}
+
+void
+SendAppend(replica_tables& aTables,
+           peer_row& aPeer,
+           steady_time aNow,
+           std::vector<log_entry> aEntries)
+{
+  append_request request;
+  request.header = HeaderTo(aTables, aPeer.id);
+  request.previous = { aPeer.next - 1, TermAt(aTables, aPeer.next - 1) };
+  request.commit = aTables.commit;
+  request.sentAt = aNow;
+  request.entries = std::move(aEntries);
+  aPeer.lastSent = aNow;
+  aPeer.sentCommit = aTables.commit;
+  ++aPeer.inFlight;
+  aTables.unsent.emplace_back(std::move(request));
+}
+
+bool
+IsSilent(const replica_tables& aTables,
+         const peer_row& aPeer,
+         steady_time aNow)
+{
+  return aPeer.answeredSentAt == steady_time::min() ||
+         aNow - aPeer.answeredSentAt > aTables.settings.electionTimeout;
+}
+
+// Looks for the place where the logs meet, one request at a time. A peer that
+// is silent gets no entries until it answers.
+void
+SendProbe(replica_tables& aTables,
+          peer_row& aPeer,
+          steady_time aNow,
+          bool aIsDue)
+{
+  if (aPeer.awaitsReply && !aIsDue) {
+    return;
+  }
+  aPeer.awaitsReply = true;
+  aPeer.inFlight = 0;
+  SendAppend(aTables,
+             aPeer,
+             aNow,
+             IsSilent(aTables, aPeer, aNow) ? std::vector<log_entry>()
+                                            : BatchFrom(aTables, aPeer.next));
+}
+
+// Sends on without waiting for answers, a few requests ahead. The heartbeat
+// names the position before the next entry, so that a lost request shows.
+void
+SendStream(replica_tables& aTables,
+           peer_row& aPeer,
+           steady_time aNow,
+           bool aIsDue)
+{
+  if (aIsDue) {
+    aPeer.inFlight = 0;
+  }
+  bool sent = false;
+  while (aPeer.next <= LastPosition(aTables).index &&
+         aPeer.inFlight < kMaxInFlightRequests) {
+    std::vector<log_entry> batch = BatchFrom(aTables, aPeer.next);
+    const log_index count = batch.size();
+    SendAppend(aTables, aPeer, aNow, std::move(batch));
+    aPeer.next += count;
+    sent = true;
+  }
+  if (!sent && (aIsDue || aPeer.sentCommit < aTables.commit)) {
+    SendAppend(aTables, aPeer, aNow, {});
+  }
+}
+
+void
+SendToPeer(replica_tables& aTables, peer_row& aPeer, steady_time aNow)
+{
+  const bool isDue = aPeer.lastSent == steady_time::min() ||
+                     aNow - aPeer.lastSent >= aTables.settings.heartbeat;
+  if (aPeer.state != peer_state::eSnapshot &&
+      aPeer.next <= aTables.base.index) {
+    StartSnapshot(aTables, aPeer);
+  }
+  if (aPeer.state == peer_state::eSnapshot) {
+    if (isDue || !aPeer.awaitsReply) {
+      SendChunk(aTables, aPeer, aNow);
+    }
+    return;
+  }
+  if (aPeer.state == peer_state::eStream && IsSilent(aTables, aPeer, aNow)) {
+    aPeer.state = peer_state::eProbe;
+    aPeer.next = aPeer.match + 1;
+    if (aPeer.next <= aTables.base.index) {
+      StartSnapshot(aTables, aPeer);
+      return;
+    }
+  }
+  if (aPeer.state == peer_state::eProbe) {
+    SendProbe(aTables, aPeer, aNow, isDue);
+  } else {
+    SendStream(aTables, aPeer, aNow, isDue);
+  }
+}
+
+} // namespace
+
+void
+HandleAppendRequest(replica_tables& aTables,
+                    append_request aRequest,
+                    steady_time aNow)
+{
+  append_reply reply = ReplyTo(aTables, aRequest);
+  if (aRequest.header.term < aTables.vote.term || !IsWellFormed(aRequest)) {
+    reply.hint = LastPosition(aTables).index;
+    aTables.unsent.emplace_back(std::move(reply));
+    return;
+  }
+  FollowLeader(aTables, aRequest.header.from, aNow);
+  const log_index previous = aRequest.previous.index;
+  if (previous < aTables.base.index) {
+    reply.accepted = true;
+    reply.match = aTables.commit;
+  } else if (!HoldsPosition(aTables, aRequest.previous)) {
+    reply.hint = HintBefore(aTables, previous);
+  } else {
+    reply.accepted = true;
+    reply.match = previous + aRequest.entries.size();
+    TakeEntries(aTables, std::move(aRequest.entries));
+    SetCommit(aTables, std::min(aRequest.commit, reply.match));
+  }
+  aTables.unsent.emplace_back(std::move(reply));
+}
+
+// An answer counts from the time its request was sent: whatever the peer
+// promised, it promised after that.
+void
+NoteAnswer(peer_row& aPeer, steady_time aSentAt, steady_time aNow)
+{
+  if (aSentAt <= aNow) {
+    aPeer.answeredSentAt = std::max(aPeer.answeredSentAt, aSentAt);
+  }
+}
+
+void
+HandleAppendReply(replica_tables& aTables,
+                  const append_reply& aReply,
+                  steady_time aNow)
+{
+  peer_row* peer = aTables.peers.Find(aReply.header.from);
+  if (aTables.role != replica_role::eLeader || peer == nullptr ||
+      aReply.header.term != aTables.vote.term) {
+    return;
+  }
+  NoteAnswer(*peer, aReply.sentAt, aNow);
+  if (peer->state == peer_state::eSnapshot) {
+    return;
+  }
+  peer->inFlight -= peer->inFlight > 0 ? 1 : 0;
+  const log_index last = LastPosition(aTables).index;
+  if (aReply.accepted) {
+    peer->match = std::max(peer->match, std::min(aReply.match, last));
+    peer->next = std::max(peer->next, peer->match + 1);
+    peer->state = peer_state::eStream;
+    peer->awaitsReply = false;
+    return;
+  }
+  if (aReply.previous <= peer->match || aReply.previous >= peer->next) {
+    return; // An answer to an older request, which says nothing new.
+  }
+  const log_index tried = std::min(aReply.previous, aReply.hint + 1);
+  peer->next = std::max(peer->match + 1, tried);
+  peer->state = peer_state::eProbe;
+  peer->awaitsReply = false;
+}
+
+void
+RunSendEntries(replica_tables& aTables,
+               steady_time aNow,
+               replica_outbox& /*aOutbox*/)
+{
+  if (aTables.role != replica_role::eLeader) {
+    return;
+  }
+  for (peer_row& peer : aTables.peers) {
+    SendToPeer(aTables, peer, aNow);
+  }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/replication/election.cpp
@@ -0,0 +1,296 @@
+#include "replication/replica_steps.hpp"
+
+#include <algorithm>
+
+namespace bulrush {
+namespace {
+
+bool
+IsUpToDate(const replica_tables& aTables, log_position aCandidate)
+{
+  const log_position own = LastPosition(aTables);
+  if (aCandidate.term != own.term) {
+    return aCandidate.term > own.term;
+  }
+  return aCandidate.index >= own.index;
+}
+
+// A replica that heard its leader lately refuses to elect another one. This
+// keeps a returning or removed replica from unseating a leader that works, and
+// the leader's lease to read rests on it. A start counts as hearing the
+// leader, since a replica forgets over a restart what it had heard.
+bool
+KeepsLeader(const replica_tables& aTables, steady_time aNow)
+{
+  if (aTables.role == replica_role::eLeader) {
+    return true;
+  }
+  return aNow < aTables.leaderHeardAt + aTables.settings.electionTimeout;
+}
+
+void
+SendVoteRequests(replica_tables& aTables, bool aPreVote, bool aHandOver)
+{
+  for (const log_member& member : aTables.members) {
+    if (member.id == aTables.self || member.kind != member_kind::eVoter) {
+      continue;
+    }
+    vote_request request;
+    request.header = HeaderTo(aTables, member.id);
+    request.header.term += aPreVote ? 1 : 0;
+    request.preVote = aPreVote;
+    request.handOver = aHandOver;
+    request.last = LastPosition(aTables);
+    aTables.unsent.emplace_back(std::move(request));
+  }
+}
+
+bool
+HasWon(const replica_tables& aTables)
+{
+  std::size_t granted = 0;
+  for (const vote_row& vote : aTables.votes) {
+    granted += IsVoter(aTables, vote.id) ? 1 : 0;
+  }
+  return granted >= QuorumOf(aTables.members);
+}
+
+// A new leader knows nothing of its peers. Its first entry commits what
+// earlier terms left: entries of those are never counted by themselves.
+void
+BecomeLeader(replica_tables& aTables, steady_time aNow)
+{
+  aTables.role = replica_role::eLeader;
+  aTables.leader = aTables.self;
+  aTables.leaderSince = aNow;
+  aTables.handOver.reset();
+  aTables.replacement.reset();
+  const log_index next = LastPosition(aTables).index + 1;
+  for (peer_row& peer : aTables.peers) {
+    const replica_id id = peer.id;
+    peer = peer_row{};
+    peer.id = id;
+    peer.next = next;
+  }
+  aTables.termStart = AppendOwn(aTables, log_entry{}).index;
+}
+
+void
+BecomeCandidate(replica_tables& aTables, steady_time aNow, bool aHandOver)
+{
+  aTables.role = replica_role::eCandidate;
+  aTables.leader = {};
+  aTables.votes.Clear();
+  aTables.votes.Insert({ aTables.self });
+  SaveBallot(aTables, { aTables.vote.term + 1, aTables.self });
+  ResetElectionDeadline(aTables, aNow);
+  if (HasWon(aTables)) {
+    BecomeLeader(aTables, aNow);
+    return;
+  }
+  SendVoteRequests(aTables, false, aHandOver);
+}
+
+// Asks whether an election could be won before a term is spent on it: a
+// replica that was cut off does not come back with a term that unseats the
+// leader.
+void
+BecomePreCandidate(replica_tables& aTables, steady_time aNow)
+{
+  aTables.role = replica_role::ePreCandidate;
+  aTables.leader = {};
+  aTables.votes.Clear();
+  aTables.votes.Insert({ aTables.self });
+  ResetElectionDeadline(aTables, aNow);
+  if (HasWon(aTables)) {
+    BecomeCandidate(aTables, aNow, false);
+    return;
+  }
+  SendVoteRequests(aTables, true, false);
+}
+
+} // namespace
+
+message_header
+HeaderTo(const replica_tables& aTables, replica_id aTo)
+{
+  return { aTables.settings.log, aTables.self, aTo, aTables.vote.term };
+}
+
+// Random timeouts keep candidates from splitting the votes again and again.
+void
+ResetElectionDeadline(replica_tables& aTables, steady_time aNow)
+{
+  const auto least = aTables.settings.electionTimeout;
+  std::uniform_int_distribution<std::int64_t> spread(0, least.count());
+  aTables.electionDeadline =
+    aNow + least + std::chrono::milliseconds(spread(aTables.random));
+}
+
+void
+StepDown(replica_tables& aTables, steady_time aNow)
+{
+  aTables.role = replica_role::eFollower;
+  aTables.leader = {};
+  aTables.handOver.reset();
+  aTables.replacement.reset();
+  aTables.votes.Clear();
+  ResetElectionDeadline(aTables, aNow);
+}
+
+void
+AdoptTerm(replica_tables& aTables, log_term aTerm, steady_time aNow)
+{
+  const bool led = aTables.role != replica_role::eFollower;
+  SaveBallot(aTables, { aTerm, {} });
+  aTables.leader = {};
+  if (led) {
+    StepDown(aTables, aNow);
+  }
+}
+
+void
+FollowLeader(replica_tables& aTables, replica_id aLeader, steady_time aNow)
+{
+  if (aTables.role != replica_role::eFollower) {
+    StepDown(aTables, aNow);
+  }
+  aTables.leader = aLeader;
+  aTables.leaderHeardAt = aNow;
+  ResetElectionDeadline(aTables, aNow);
+}
+
+void
+HandleVoteRequest(replica_tables& aTables,
+                  const vote_request& aRequest,
+                  steady_time aNow)
+{
+  if (!aRequest.handOver && KeepsLeader(aTables, aNow)) {
+    return;
+  }
+  const log_term asked = aRequest.header.term;
+  if (!aRequest.preVote && asked > aTables.vote.term) {
+    AdoptTerm(aTables, asked, aNow);
+  }
+  vote_reply reply;
+  reply.preVote = aRequest.preVote;
+  if (aRequest.preVote) {
+    reply.granted =
+      asked > aTables.vote.term && IsUpToDate(aTables, aRequest.last);
+  } else {
+    const bool isFree = !aTables.vote.votedFor ||
+                        aTables.vote.votedFor == aRequest.header.from;
+    reply.granted = asked == aTables.vote.term && isFree &&
+                    IsUpToDate(aTables, aRequest.last);
+  }
+  if (reply.granted && !aRequest.preVote) {
+    SaveBallot(aTables, { asked, aRequest.header.from });
+    ResetElectionDeadline(aTables, aNow);
+  }
+  reply.header = HeaderTo(aTables, aRequest.header.from);
+  if (reply.granted) {
+    reply.header.term = asked;
+  }
+  aTables.unsent.emplace_back(std::move(reply));
+}
+
+void
+HandleVoteReply(replica_tables& aTables,
+                const vote_reply& aReply,
+                steady_time aNow)
+{
+  const log_term term = aReply.header.term;
+  if (!aReply.granted) {
+    if (term > aTables.vote.term) {
+      AdoptTerm(aTables, term, aNow);
+    }
+    return;
+  }
+  const auto expected =
+    aReply.preVote ? replica_role::ePreCandidate : replica_role::eCandidate;
+  const log_term asked = aTables.vote.term + (aReply.preVote ? 1 : 0);
+  if (aTables.role != expected || term != asked) {
+    return;
+  }
+  aTables.votes.Insert({ aReply.header.from });
+  if (!HasWon(aTables)) {
+    return;
+  }
+  if (aReply.preVote) {
+    BecomeCandidate(aTables, aNow, false);
+  } else {
+    BecomeLeader(aTables, aNow);
+  }
+}
+
+void
+HandleTimeOutNow(replica_tables& aTables,
+                 const time_out_now& aMessage,
+                 steady_time aNow)
+{
+  if (aMessage.header.term != aTables.vote.term ||
+      aTables.role == replica_role::eLeader ||
+      !IsVoter(aTables, aTables.self)) {
+    return;
+  }
+  BecomeCandidate(aTables, aNow, true);
+}
+
+// Only a voter stands for election: a new identity waits until the log makes
+// it one, and the leader does that once it has caught up.
+void
+RunElection(replica_tables& aTables,
+            steady_time aNow,
+            replica_outbox& /*aOutbox*/)
+{
+  if (aTables.role == replica_role::eLeader ||
+      aNow < aTables.electionDeadline) {
+    return;
+  }
+  if (!IsVoter(aTables, aTables.self)) {
+    ResetElectionDeadline(aTables, aNow);
+    return;
+  }
+  BecomePreCandidate(aTables, aNow);
+}
+
+steady_time
+QuorumAnsweredAt(const replica_tables& aTables, steady_time aNow)
+{
+  std::vector<steady_time> times;
+  for (const log_member& member : aTables.members) {
+    if (member.kind != member_kind::eVoter) {
+      continue;
+    }
+    if (member.id == aTables.self) {
+      times.push_back(aNow);
+    } else {
+      times.push_back(aTables.peers.Find(member.id)->answeredSentAt);
+    }
+  }
+  const std::size_t quorum = QuorumOf(aTables.members);
+  if (times.size() < quorum) {
+    return steady_time::min();
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[quorum - 1];
+}
+
+// A leader without a quorum can commit nothing. It says so by stepping down,
+// so that its callers go elsewhere.
+void
+RunCheckQuorum(replica_tables& aTables,
+               steady_time aNow,
+               replica_outbox& /*aOutbox*/)
+{
+  if (aTables.role != replica_role::eLeader) {
+    return;
+  }
+  const steady_time heard =
+    std::max(QuorumAnsweredAt(aTables, aNow), aTables.leaderSince);
+  if (aNow - heard >= aTables.settings.electionTimeout) {
+    StepDown(aTables, aNow);
+  }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/replication/membership.cpp
@@ -0,0 +1,331 @@
+#include "replication/replica_steps.hpp"
+
+#include <algorithm>
+
+namespace bulrush {
+namespace {
+
+std::string
+IdText(replica_id aId)
+{
+  return std::to_string(aId.value);
+}
+
+// Changes go one at a time, and only once the leader has committed an entry of
+// its own term: before that, an older leader's change may still be under way,
+// and the quorums of two lists that differ by two members need not overlap.
+std::optional<stored>
+CheckMayChange(const replica_tables& aTables, last_reason& aReason)
+{
+  const char* const step = "change members";
+  if (aTables.role != replica_role::eLeader || aTables.fatal) {
+    return Fail(aReason, step, aTables.settings.name, "not the leader");
+  }
+  if (aTables.commit < aTables.termStart) {
+    return Fail(
+      aReason, step, aTables.settings.name, "the term has no commit yet");
+  }
+  if (aTables.membersIndex > aTables.commit) {
+    return Fail(
+      aReason, step, aTables.settings.name, "another change is under way");
+  }
+  return stored{};
+}
+
+bool
+IsHeard(const replica_tables& aTables, replica_id aId, steady_time aNow)
+{
+  if (aId == aTables.self) {
+    return true;
+  }
+  const peer_row* peer = aTables.peers.Find(aId);
+  return peer != nullptr && peer->answeredSentAt != steady_time::min() &&
+         aNow - peer->answeredSentAt <= aTables.settings.electionTimeout;
+}
+
+// A list whose quorum does not answer would stop the log for good.
+std::optional<stored>
+CheckQuorumAnswers(const replica_tables& aTables,
+                   const membership& aMembers,
+                   steady_time aNow,
+                   last_reason& aReason)
+{
+  std::size_t heard = 0;
+  for (const log_member& member : aMembers) {
+    if (member.kind == member_kind::eVoter) {
+      heard += IsHeard(aTables, member.id, aNow) ? 1 : 0;
+    }
+  }
+  if (heard < QuorumOf(aMembers)) {
+    return Fail(aReason,
+                "change members",
+                aTables.settings.name,
+                "the new voters would have no quorum that answers");
+  }
+  return stored{};
+}
+
+std::optional<log_position>
+AppendMembers(replica_tables& aTables,
+              membership aMembers,
+              last_reason& aReason)
+{
+  std::sort(aMembers.begin(),
+            aMembers.end(),
+            [](const log_member& aLeft, const log_member& aRight) {
+              return aLeft.id < aRight.id;
+            });
+  log_entry entry;
+  entry.kind = entry_kind::eMembership;
+  entry.members = std::move(aMembers);
+  const log_position position = AppendOwn(aTables, std::move(entry));
+  if (aTables.fatal) {
+    aReason = *aTables.fatal;
+    return std::nullopt;
+  }
+  return position;
+}
+
+// A learner that holds every committed entry can vote without weakening what
+// the log has promised.
+bool
+HasCaughtUp(const replica_tables& aTables, replica_id aId, steady_time aNow)
+{
+  const peer_row* peer = aTables.peers.Find(aId);
+  return peer != nullptr && peer->match >= aTables.commit &&
+         IsHeard(aTables, aId, aNow);
+}
+
+void
+NextReplacementStep(replica_tables& aTables, steady_time aNow)
+{
+  const log_member& newcomer = aTables.replacement->newcomer;
+  const replica_id oldId = aTables.replacement->oldId;
+  last_reason reason;
+  const log_member* current = FindMember(aTables.members, newcomer.id);
+  if (current == nullptr) {
+    log_member learner = newcomer;
+    learner.kind = member_kind::eLearner;
+    ChangeMember(aTables, learner, aNow, reason);
+  } else if (current->kind == member_kind::eLearner) {
+    log_member voter = newcomer;
+    voter.kind = member_kind::eVoter;
+    ChangeMember(aTables, voter, aNow, reason);
+  } else if (oldId == aTables.self) {
+    HandOver(aTables, aNow, reason);
+  } else if (FindMember(aTables.members, oldId) != nullptr) {
+    RemoveMember(aTables, oldId, aNow, reason);
+  } else {
+    aTables.replacement.reset();
+  }
+}
+
+} // namespace
+
+const log_member*
+FindMember(const membership& aMembers, replica_id aId)
+{
+  for (const log_member& member : aMembers) {
+    if (member.id == aId) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsVoter(const replica_tables& aTables, replica_id aId)
+{
+  const log_member* member = FindMember(aTables.members, aId);
+  return member != nullptr && member->kind == member_kind::eVoter;
+}
+
+std::size_t
+VoterCount(const membership& aMembers)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aMembers.begin(), aMembers.end(), [](const log_member& aMember) {
+      return aMember.kind == member_kind::eVoter;
+    }));
+}
+
+std::size_t
+QuorumOf(const membership& aMembers)
+{
+  return VoterCount(aMembers) / 2 + 1;
+}
+
+bool
+IsEmpty(const replica_tables& aTables)
+{
+  return aTables.members.empty() && LastPosition(aTables).index == 0;
+}
+
+std::optional<log_position>
+FoundLog(replica_tables& aTables, membership aMembers, last_reason& aReason)
+{
+  const char* const step = "found log";
+  if (!IsEmpty(aTables) || aTables.vote.term != 0) {
+    return Fail(aReason, step, aTables.settings.name, "the log is not empty");
+  }
+  if (!FindMember(aMembers, aTables.self)) {
+    return Fail(aReason, step, aTables.settings.name, "is not a member itself");
+  }
+  SaveBallot(aTables, { 1, {} });
+  return AppendMembers(aTables, std::move(aMembers), aReason);
+}
+
+std::optional<log_position>
+ChangeMember(replica_tables& aTables,
+             log_member aMember,
+             steady_time aNow,
+             last_reason& aReason)
+{
+  const char* const step = "change members";
+  if (!CheckMayChange(aTables, aReason)) {
+    return std::nullopt;
+  }
+  const log_member* current = FindMember(aTables.members, aMember.id);
+  if (aMember.kind == member_kind::eLearner && current != nullptr) {
+    return Fail(aReason, step, IdText(aMember.id), "is a member already");
+  }
+  if (aMember.kind == member_kind::eVoter &&
+      (current == nullptr || current->kind != member_kind::eLearner)) {
+    return Fail(aReason, step, IdText(aMember.id), "is not a learner");
+  }
+  if (aMember.kind == member_kind::eVoter &&
+      !HasCaughtUp(aTables, aMember.id, aNow)) {
+    return Fail(aReason, step, IdText(aMember.id), "has not caught up");
+  }
+  membership members = aTables.members;
+  std::erase_if(members, [&](const log_member& aOther) {
+    return aOther.id == aMember.id;
+  });
+  members.push_back(std::move(aMember));
+  if (!CheckQuorumAnswers(aTables, members, aNow, aReason)) {
+    return std::nullopt;
+  }
+  return AppendMembers(aTables, std::move(members), aReason);
+}
+
+std::optional<log_position>
+RemoveMember(replica_tables& aTables,
+             replica_id aMember,
+             steady_time aNow,
+             last_reason& aReason)
+{
+  const char* const step = "remove member";
+  if (!CheckMayChange(aTables, aReason)) {
+    return std::nullopt;
+  }
+  if (!FindMember(aTables.members, aMember)) {
+    return Fail(aReason, step, IdText(aMember), "is not a member");
+  }
+  if (aMember == aTables.self) {
+    return Fail(
+      aReason, step, IdText(aMember), "leads; hand leadership over first");
+  }
+  membership members = aTables.members;
+  std::erase_if(members, [&](const log_member& aOther) {
+    return aOther.id == aMember;
+  });
+  if (!CheckQuorumAnswers(aTables, members, aNow, aReason)) {
+    return std::nullopt;
+  }
+  return AppendMembers(aTables, std::move(members), aReason);
+}
+
+std::optional<stored>
+ReplaceMember(replica_tables& aTables,
+              replica_id aOld,
+              log_member aNewcomer,
+              last_reason& aReason)
+{
+  if (aTables.role != replica_role::eLeader || aTables.fatal) {
+    return Fail(
+      aReason, "replace member", aTables.settings.name, "not the leader");
+  }
+  if (aOld == aNewcomer.id || !aNewcomer.id) {
+    return Fail(aReason,
+                "replace member",
+                IdText(aNewcomer.id),
+                "the newcomer needs an id of its own");
+  }
+  aTables.replacement = member_replacement{ aOld, std::move(aNewcomer) };
+  return stored{};
+}
+
+// The newcomer votes before the old member leaves, so that the number of
+// voters never falls below what it was.
+void
+RunReplacement(replica_tables& aTables,
+               steady_time aNow,
+               replica_outbox& /*aOutbox*/)
+{
+  if (aTables.role != replica_role::eLeader || !aTables.replacement ||
+      aTables.handOver) {
+    return;
+  }
+  last_reason reason;
+  if (CheckMayChange(aTables, reason)) {
+    NextReplacementStep(aTables, aNow);
+  }
+}
+
+std::optional<replica_id>
+HandOver(replica_tables& aTables, steady_time aNow, last_reason& aReason)
+{
+  const char* const step = "hand over";
+  if (aTables.role != replica_role::eLeader || aTables.fatal) {
+    return Fail(aReason, step, aTables.settings.name, "not the leader");
+  }
+  if (aTables.handOver) {
+    return aTables.handOver->target;
+  }
+  const peer_row* best = nullptr;
+  for (const peer_row& peer : aTables.peers) {
+    if (IsVoter(aTables, peer.id) && IsHeard(aTables, peer.id, aNow) &&
+        (best == nullptr || peer.match > best->match)) {
+      best = &peer;
+    }
+  }
+  if (best == nullptr) {
+    return Fail(
+      aReason, step, aTables.settings.name, "no other voter answers");
+  }
+  aTables.handOver = leadership_hand_over{
+    best->id, aNow + aTables.settings.electionTimeout, false
+  };
+  return best->id;
+}
+
+// Once the target was told to stand, it may win at any later time, so this
+// leader never again trusts its lease in this term: it steps down instead.
+void
+RunHandOver(replica_tables& aTables,
+            steady_time aNow,
+            replica_outbox& /*aOutbox*/)
+{
+  if (aTables.role != replica_role::eLeader || !aTables.handOver) {
+    return;
+  }
+  leadership_hand_over& handOver = *aTables.handOver;
+  if (aNow >= handOver.deadline) {
+    if (handOver.asked) {
+      StepDown(aTables, aNow);
+    } else {
+      aTables.handOver.reset();
+    }
+    return;
+  }
+  const peer_row* target = aTables.peers.Find(handOver.target);
+  if (!handOver.asked && target != nullptr &&
+      target->match == LastPosition(aTables).index) {
+    handOver.asked = true;
+    time_out_now message;
+    message.header = HeaderTo(aTables, target->id);
+    aTables.unsent.emplace_back(std::move(message));
+  }
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/replication/replication.hpp
@@ -0,0 +1,459 @@
+#ifndef BULRUSH_REPLICATION_REPLICATION_HPP
+#define BULRUSH_REPLICATION_REPLICATION_HPP
+
+/// Public header of the replicated log: one leader for each term, entries that
+/// a quorum of voters has synced, members that change one at a time, snapshots
+/// that bound the log. Nothing here sends, encodes, waits or reads a clock.
+
+#include "core/core.hpp"
+
+#include <filesystem>
+#include <memory>
+#include <variant>
+
+namespace bulrush {
+
+/// Position of an entry, counted from 1. Zero stands before the first entry.
+using log_index = std::uint64_t;
+
+/// Number of an election. At most one replica leads in a term.
+using log_term = std::uint64_t;
+
+/// An index with the term of the entry that stands there.
+struct log_position
+{
+  log_index index = 0;
+  log_term term = 0;
+
+  bool operator==(const log_position&) const = default;
+};
+
+enum class member_kind : std::uint8_t
+{
+  eLearner = 1, ///< receives the log, counts in no quorum
+  eVoter = 2,
+};
+
+/// One replica of the log. The id belongs to a data folder, not to a host: a
+/// host whose folder was wiped comes back under the same name with another id.
+struct log_member
+{
+  replica_id id;
+  member_kind kind = member_kind::eLearner;
+  std::string name;
+
+  bool operator==(const log_member&) const = default;
+};
+
+/// The replicas of a log, in order of their ids.
+using membership = std::vector<log_member>;
+
+enum class entry_kind : std::uint8_t
+{
+  eNoOp = 1,       ///< opens a term
+  ePayload = 2,    ///< bytes of the embedding program
+  eMembership = 3, ///< replaces the list of members
+};
+
+struct log_entry
+{
+  log_index index = 0;
+  log_term term = 0;
+  entry_kind kind = entry_kind::eNoOp;
+  std::string payload; ///< for ePayload
+  membership members;  ///< for eMembership
+
+  bool operator==(const log_entry&) const = default;
+};
+
+/// The embedding program's state after every entry up to `at`.
+struct log_snapshot
+{
+  log_position at;
+  membership members;
+  std::string state;
+};
+
+/// What a replica promised in its latest term.
+struct ballot
+{
+  log_term term = 0;
+  replica_id votedFor;
+
+  bool operator==(const ballot&) const = default;
+};
+
+// ---- messages ---------------------------------------------------------------
+
+/// Starts every message. Receivers drop what is not for their log and id.
+struct message_header
+{
+  std::string log;
+  replica_id from;
+  replica_id to;
+  log_term term = 0;
+};
+
+struct vote_request
+{
+  message_header header;
+  bool preVote = false;  ///< asks without opening a term
+  bool handOver = false; ///< the leader itself asked for this election
+  log_position last;
+};
+
+struct vote_reply
+{
+  message_header header;
+  bool preVote = false;
+  bool granted = false;
+};
+
+struct append_request
+{
+  message_header header;
+  log_position previous;
+  log_index commit = 0;
+  steady_time sentAt; ///< leader's clock; only echoed by the follower
+  std::vector<log_entry> entries;
+};
+
+struct append_reply
+{
+  message_header header;
+  bool accepted = false;
+  log_index previous = 0; ///< echo of append_request::previous.index
+  log_index match = 0;    ///< accepted: synced and equal to the leader's log
+  log_index hint = 0;     ///< refused: the last index worth trying
+  steady_time sentAt;
+};
+
+struct snapshot_chunk
+{
+  message_header header;
+  log_position at;
+  membership members;
+  std::uint64_t totalBytes = 0;
+  std::uint64_t checksum = 0; ///< StableHash of the whole state
+  std::uint64_t offset = 0;
+  std::string bytes;
+  steady_time sentAt;
+};
+
+struct snapshot_reply
+{
+  message_header header;
+  log_index index = 0;
+  std::uint64_t nextOffset = 0;
+  bool installed = false;
+  steady_time sentAt;
+};
+
+/// Tells a follower to stand for election at once.
+struct time_out_now
+{
+  message_header header;
+};
+
+using replica_message = std::variant<vote_request,
+                                     vote_reply,
+                                     append_request,
+                                     append_reply,
+                                     snapshot_chunk,
+                                     snapshot_reply,
+                                     time_out_now>;
+
+const message_header& HeaderOf(const replica_message& aMessage);
+
+// ---- storage ----------------------------------------------------------------
+
+/// The value of a storage step that succeeded.
+struct stored
+{};
+
+/// Where a replica keeps what it promises. Writes need not be durable before
+/// `sync` returns; `saveSnapshot` is durable when it returns. After a failure
+/// the replica stops for good: see replica_outbox::fatal.
+struct storage_hooks
+{
+  std::function<std::optional<stored>(std::span<const log_entry>, last_reason&)>
+    append;
+  /// Drops every entry from the given index on.
+  std::function<std::optional<stored>(log_index, last_reason&)> truncate;
+  std::function<std::optional<stored>(const ballot&, last_reason&)> saveVote;
+  std::function<std::optional<stored>(log_index, last_reason&)> saveCommit;
+  /// Replaces the snapshot, and drops the entries up to the given index. Where
+  /// the log does not hold the snapshot's position, every entry is dropped.
+  std::function<std::optional<stored>(const log_snapshot&,
+                                      log_index,
+                                      last_reason&)>
+    saveSnapshot;
+  std::function<std::optional<stored>(last_reason&)> sync;
+};
+
+/// What a data folder held when it was opened.
+struct recovered_log
+{
+  replica_id identity;
+  ballot vote;
+  log_index commit = 0;
+  log_snapshot snapshot;
+  log_position base; ///< stands before the first of `entries`
+  std::vector<log_entry> entries;
+  std::uint64_t cutBytes = 0; ///< length of a torn tail that was removed
+};
+
+/// The system calls that can fail, so that tests can make them fail.
+struct disk_hooks
+{
+  std::function<int(int)> sync;
+  std::function<long(int, const char*, std::size_t)> write;
+};
+
+/// fsync(2) and write(2).
+disk_hooks PosixDisk();
+
+/// A log in a data folder: a journal of checked records and one snapshot.
+/// Locks the folder against a second process until it is destroyed.
+class disk_log
+{
+public:
+  /// Opens or creates aFolder. aNewIdentity is taken only by a folder without
+  /// a journal. A torn tail is cut; damage before it is a failure.
+  static std::optional<disk_log> Open(const std::filesystem::path& aFolder,
+                                      const std::string& aLog,
+                                      replica_id aNewIdentity,
+                                      disk_hooks aDisk,
+                                      recovered_log& aRecovered,
+                                      last_reason& aReason);
+  ~disk_log();
+  disk_log(disk_log&&) noexcept;
+  disk_log& operator=(disk_log&&) noexcept;
+  disk_log(const disk_log&) = delete;
+  disk_log& operator=(const disk_log&) = delete;
+
+  /// Hooks that write here; they may not outlive the log.
+  storage_hooks Hooks();
+
+  /// Length of the journal, in bytes.
+  std::uint64_t JournalBytes() const;
+
+private:
+  struct state;
+  explicit disk_log(std::unique_ptr<state> aState);
+  std::unique_ptr<state> mState;
+};
+
+// ---- replica ----------------------------------------------------------------
+
+struct replica_settings
+{
+  std::string log = "fleet";
+  std::string name; ///< of this host, for reasons of failures
+  std::chrono::milliseconds heartbeat{ 100 };
+  /// A follower waits between one and two of these for its leader. A leader
+  /// without a quorum for one of these steps down.
+  std::chrono::milliseconds electionTimeout{ 700 };
+  /// Part of the election timeout that a lease to read leaves out, for clocks
+  /// that run at different speeds.
+  std::chrono::milliseconds leaseMargin{ 70 };
+  std::size_t maxBatchBytes = 256 * 1024;
+  std::size_t maxEntryBytes = 4 * 1024 * 1024;
+  std::size_t maxSnapshotBytes = 32 * 1024 * 1024;
+  log_index maxUncommittedEntries = 4096;
+  log_index snapshotAfterEntries = 1000;
+  /// Entries kept behind a snapshot for followers that lag a little.
+  log_index keptEntries = 200;
+  std::uint64_t seed = 1; ///< of the election timeouts
+};
+
+enum class replica_role : std::uint8_t
+{
+  eFollower,
+  ePreCandidate,
+  eCandidate,
+  eLeader,
+};
+
+enum class peer_state : std::uint8_t
+{
+  eProbe,    ///< one request at a time, until the logs meet
+  eStream,   ///< several requests under way
+  eSnapshot, ///< lags behind the log; gets the snapshot in chunks
+};
+
+/// What the leader knows of another member.
+struct peer_row
+{
+  replica_id id;
+  peer_state state = peer_state::eProbe;
+  log_index next = 1;
+  log_index match = 0;
+  log_index sentCommit = 0;
+  std::uint32_t inFlight = 0;
+  bool awaitsReply = false;
+  log_index snapshotIndex = 0;
+  std::uint64_t snapshotOffset = 0;
+  steady_time lastSent = steady_time::min();
+  /// Send time of the latest request that the peer has answered.
+  steady_time answeredSentAt = steady_time::min();
+};
+
+struct vote_row
+{
+  replica_id id;
+};
+
+/// A snapshot that arrives in chunks.
+struct incoming_snapshot
+{
+  replica_id from;
+  log_term term = 0;
+  log_position at;
+  std::string bytes;
+};
+
+struct leadership_hand_over
+{
+  replica_id target;
+  steady_time deadline;
+  bool asked = false;
+};
+
+/// A member that takes the place of another, step by step.
+struct member_replacement
+{
+  replica_id oldId;
+  log_member newcomer;
+};
+
+/// All state of one replica of one log. Owned by the control thread.
+struct replica_tables
+{
+  replica_settings settings;
+  replica_id self;
+  storage_hooks storage;
+  random_engine random;
+
+  std::vector<replica_message> inbox;
+  std::uint64_t droppedMessages = 0; ///< the inbox was full
+  /// Messages that wait for the sync that makes their promise true.
+  std::vector<replica_message> unsent;
+  bool unsynced = false;
+
+  log_position base;
+  std::vector<log_entry> entries;
+  log_snapshot snapshot;
+  log_index synced = 0;
+  log_index commit = 0;
+  log_index released = 0; ///< last index handed to the embedding program
+  std::optional<log_snapshot> toInstall;
+  incoming_snapshot incoming;
+
+  membership members; ///< the latest in the log, committed or not
+  log_index membersIndex = 0;
+
+  ballot vote;
+  replica_role role = replica_role::eFollower;
+  replica_id leader;
+  steady_time electionDeadline;
+  steady_time leaderHeardAt;
+  table<replica_id, vote_row> votes;
+
+  table<replica_id, peer_row> peers;
+  steady_time leaderSince;
+  log_index termStart = 0; ///< index of the leader's first entry of its term
+  std::optional<leadership_hand_over> handOver;
+  std::optional<member_replacement> replacement;
+
+  std::optional<last_reason> fatal;
+};
+
+/// What a tick wants done, in this order.
+struct replica_outbox
+{
+  /// Replace the program's state by this one.
+  std::optional<log_snapshot> install;
+  /// Then apply these, each exactly once.
+  std::vector<log_entry> committed;
+  /// Then call SaveSnapshot with the program's state.
+  bool snapshotDue = false;
+  std::vector<replica_message> messages;
+  wake_time wake;
+  /// The replica has stopped and the process must exit.
+  std::optional<last_reason> fatal;
+};
+
+/// A replica on what its folder held. The first tick installs the snapshot.
+replica_tables StartReplica(replica_settings aSettings,
+                            recovered_log aRecovered,
+                            storage_hooks aStorage,
+                            steady_time aNow);
+
+/// True when neither log nor snapshot names any member.
+bool IsEmpty(const replica_tables& aTables);
+
+/// Writes the first list of members into an empty log. Exactly one replica of
+/// a new log may do this, once it has seen that all others are empty.
+std::optional<log_position> FoundLog(replica_tables& aTables,
+                                     membership aMembers,
+                                     last_reason& aReason);
+
+/// Queues aMessage for the next tick.
+void Deliver(replica_tables& aTables,
+             replica_message aMessage,
+             steady_time aNow);
+
+/// Runs the systems of the replica once.
+void RunReplica(replica_tables& aTables,
+                steady_time aNow,
+                replica_outbox& aOutbox);
+
+/// Appends aPayload, on the leader only. It is accepted when an entry with the
+/// returned index and term is committed, and lost when another one is.
+std::optional<log_position> Propose(replica_tables& aTables,
+                                    std::string aPayload,
+                                    last_reason& aReason);
+
+/// The index up to which the program must have applied the log to answer a
+/// read that started now. Fails unless this replica holds the lease.
+std::optional<log_index> ReadIndex(const replica_tables& aTables,
+                                   steady_time aNow,
+                                   last_reason& aReason);
+
+/// True while no other replica can have become leader.
+bool IsLeaseHeld(const replica_tables& aTables, steady_time aNow);
+
+/// Saves the program's state as of replica_tables::released and drops the
+/// entries that it covers.
+std::optional<stored> SaveSnapshot(replica_tables& aTables,
+                                   std::string aState,
+                                   last_reason& aReason);
+
+/// Adds a learner, or makes a learner that has caught up a voter.
+std::optional<log_position> ChangeMember(replica_tables& aTables,
+                                         log_member aMember,
+                                         steady_time aNow,
+                                         last_reason& aReason);
+
+std::optional<log_position> RemoveMember(replica_tables& aTables,
+                                         replica_id aMember,
+                                         steady_time aNow,
+                                         last_reason& aReason);
+
+/// Starts to replace aOld by aNewcomer: learner, voter, then aOld leaves. Gets
+/// forgotten when the leader changes; asking again goes on where it stopped.
+std::optional<stored> ReplaceMember(replica_tables& aTables,
+                                    replica_id aOld,
+                                    log_member aNewcomer,
+                                    last_reason& aReason);
+
+/// Hands leadership to the voter that is furthest, for a graceful stop. The
+/// leader takes no proposals meanwhile.
+std::optional<replica_id> HandOver(replica_tables& aTables,
+                                   steady_time aNow,
+                                   last_reason& aReason);
+
+} // namespace bulrush
+
+#endif
--- /dev/null
+++ b/src/replication/snapshot.cpp
@@ -0,0 +1,190 @@
+#include "replication/replica_steps.hpp"
+
+#include <algorithm>
+
+namespace bulrush {
+namespace {
+
+bool
+IsSameTransfer(const incoming_snapshot& aIncoming, const snapshot_chunk& aChunk)
+{
+  return aIncoming.from == aChunk.header.from &&
+         aIncoming.term == aChunk.header.term && aIncoming.at == aChunk.at;
+}
+
+void
+Install(replica_tables& aTables, log_snapshot aSnapshot)
+{
+  last_reason reason;
+  const log_position at = aSnapshot.at;
+  if (!aTables.storage.saveSnapshot(aSnapshot, at.index, reason)) {
+    Stop(aTables, reason);
+    return;
+  }
+  aTables.entries.clear();
+  aTables.base = at;
+  aTables.commit = at.index;
+  aTables.released = at.index;
+  aTables.synced = at.index;
+  aTables.snapshot = aSnapshot;
+  aTables.toInstall = std::move(aSnapshot);
+  RefreshMembers(aTables);
+}
+
+// Takes the next chunk in order. True once the log holds the snapshot's
+// position; a replica that holds it already installs nothing.
+bool
+TakeChunk(replica_tables& aTables, const snapshot_chunk& aChunk)
+{
+  if (aChunk.at.index <= aTables.commit) {
+    return true;
+  }
+  if (HoldsPosition(aTables, aChunk.at)) {
+    SetCommit(aTables, aChunk.at.index);
+    return true;
+  }
+  incoming_snapshot& incoming = aTables.incoming;
+  if (!IsSameTransfer(incoming, aChunk)) {
+    incoming = { aChunk.header.from, aChunk.header.term, aChunk.at, {} };
+  }
+  if (aChunk.totalBytes > aTables.settings.maxSnapshotBytes ||
+      aChunk.offset != incoming.bytes.size() ||
+      aChunk.offset + aChunk.bytes.size() > aChunk.totalBytes) {
+    return false;
+  }
+  incoming.bytes += aChunk.bytes;
+  if (incoming.bytes.size() < aChunk.totalBytes) {
+    return false;
+  }
+  log_snapshot snapshot{ aChunk.at,
+                         aChunk.members,
+                         std::move(incoming.bytes) };
+  incoming = {};
+  if (StableHash(snapshot.state) != aChunk.checksum) {
+    return false;
+  }
+  Install(aTables, std::move(snapshot));
+  return !aTables.fatal;
+}
+
+} // namespace
+
+void
+HandleSnapshotChunk(replica_tables& aTables,
+                    const snapshot_chunk& aChunk,
+                    steady_time aNow)
+{
+  snapshot_reply reply;
+  reply.sentAt = aChunk.sentAt;
+  reply.index = aChunk.at.index;
+  if (aChunk.header.term == aTables.vote.term) {
+    FollowLeader(aTables, aChunk.header.from, aNow);
+    reply.installed = TakeChunk(aTables, aChunk);
+    reply.nextOffset = aTables.incoming.bytes.size();
+  }
+  reply.header = HeaderTo(aTables, aChunk.header.from);
+  aTables.unsent.emplace_back(std::move(reply));
+}
+
+void
+HandleSnapshotReply(replica_tables& aTables,
+                    const snapshot_reply& aReply,
+                    steady_time aNow)
+{
+  peer_row* peer = aTables.peers.Find(aReply.header.from);
+  if (aTables.role != replica_role::eLeader || peer == nullptr ||
+      aReply.header.term != aTables.vote.term) {
+    return;
+  }
+  NoteAnswer(*peer, aReply.sentAt, aNow);
+  if (peer->state != peer_state::eSnapshot ||
+      aReply.index != peer->snapshotIndex) {
+    return;
+  }
+  peer->awaitsReply = false;
+  if (aReply.installed) {
+    peer->match = std::max(peer->match, aReply.index);
+    peer->next = peer->match + 1;
+    peer->inFlight = 0;
+    peer->state = peer_state::eProbe;
+    return;
+  }
+  peer->snapshotOffset =
+    std::min<std::uint64_t>(aReply.nextOffset, aTables.snapshot.state.size());
+}
+
+void
+StartSnapshot(replica_tables& aTables, peer_row& aPeer)
+{
+  aPeer.state = peer_state::eSnapshot;
+  aPeer.snapshotIndex = aTables.snapshot.at.index;
+  aPeer.snapshotOffset = 0;
+  aPeer.awaitsReply = false;
+}
+
+// One chunk is under way at a time: the follower's answer names the next one,
+// so a lost or repeated chunk costs a heartbeat and nothing else. A snapshot
+// that was replaced meanwhile starts again.
+void
+SendChunk(replica_tables& aTables, peer_row& aPeer, steady_time aNow)
+{
+  const log_snapshot& snapshot = aTables.snapshot;
+  if (aPeer.snapshotIndex != snapshot.at.index) {
+    StartSnapshot(aTables, aPeer);
+  }
+  snapshot_chunk chunk;
+  chunk.header = HeaderTo(aTables, aPeer.id);
+  chunk.at = snapshot.at;
+  chunk.members = snapshot.members;
+  chunk.totalBytes = snapshot.state.size();
+  chunk.checksum = StableHash(snapshot.state);
+  chunk.offset = aPeer.snapshotOffset;
+  chunk.bytes =
+    snapshot.state.substr(chunk.offset, aTables.settings.maxBatchBytes);
+  chunk.sentAt = aNow;
+  aPeer.awaitsReply = true;
+  aPeer.lastSent = aNow;
+  aTables.unsent.emplace_back(std::move(chunk));
+}
+
+std::optional<stored>
+SaveSnapshot(replica_tables& aTables, std::string aState, last_reason& aReason)
+{
+  const log_index index = aTables.released;
+  if (aTables.fatal || index <= aTables.snapshot.at.index) {
+    return Fail(aReason,
+                "save snapshot",
+                aTables.settings.name,
+                "no entry was applied since the last one");
+  }
+  log_snapshot snapshot;
+  snapshot.at = { index, TermAt(aTables, index) };
+  snapshot.members = MembersAt(aTables, index).first;
+  snapshot.state = std::move(aState);
+  const log_index kept = std::min(index, aTables.settings.keptEntries);
+  const log_index base = std::max(aTables.base.index, index - kept);
+  if (!aTables.storage.saveSnapshot(snapshot, base, aReason)) {
+    Stop(aTables, aReason);
+    return std::nullopt;
+  }
+  const log_position newBase{ base, TermAt(aTables, base) };
+  aTables.entries.erase(
+    aTables.entries.begin(),
+    aTables.entries.begin() +
+      static_cast<std::ptrdiff_t>(base - aTables.base.index));
+  aTables.base = newBase;
+  aTables.snapshot = std::move(snapshot);
+  return stored{};
+}
+
+void
+RunSnapshotDue(replica_tables& aTables,
+               steady_time /*aNow*/,
+               replica_outbox& aOutbox)
+{
+  aOutbox.snapshotDue = aTables.released >= aTables.snapshot.at.index +
+                                              aTables.settings
+                                                .snapshotAfterEntries;
+}
+
+} // namespace bulrush
