--- a/src/replication/journal.cpp
+++ b/src/replication/journal.cpp
@@ -334,8 +334,7 @@
     }
     offset = next->end;
   }
-  if (offset < header->wholeBytes ||
-      WasSynced(aFile, offset, aSeed, header->wholeBytes)) {
+  if (WasSynced(aFile, offset, aSeed, header->wholeBytes)) {
     return Fail(aReason, step, aPath, OffsetText("a damaged record", offset));
   }
   log.cutBytes = aFile.size() - offset;
--- a/src/replication/log.cpp
+++ b/src/replication/log.cpp
@@ -106,7 +106,6 @@
   }
   aTables.unsynced = true;
   aTables.entries.resize(aIndex - aTables.base.index - 1);
-  aTables.synced = std::min(aTables.synced, aIndex - 1);
   if (aTables.membersIndex >= aIndex) {
     RefreshMembers(aTables);
   }
--- a/tests/replication/cluster_test.cpp
+++ b/tests/replication/cluster_test.cpp
@@ -106,6 +106,8 @@
                  "Leader_WhenOneLinkOfThreeIsCut_StaysInPlace",
                  "[replication]")
 {
+  REQUIRE(cluster.ProposeAndAwait(3));
+  cluster.Run(milliseconds(200));
   const std::size_t leader = cluster.AwaitLeader();
   const std::size_t follower = AnyFollower(leader);
   const log_term term = TermOf(leader);
--- a/tests/replication/disk_test.cpp
+++ b/tests/replication/disk_test.cpp
@@ -288,6 +288,25 @@
   CHECK(recovered.base == log_position{ 8, 5 });
 }
 
+TEST_CASE_METHOD(data_folder_fixture,
+                 "Snapshot_AheadOfAJournalThatDidNotFollow_WinsOverIt",
+                 "[replication][disk]")
+{
+  std::string journalBefore;
+  {
+    auto log = Open();
+    AddSynced(*log, 1, 10);
+    journalBefore = ReadBytes(Journal());
+    const log_snapshot snapshot{ { 30, 5 }, {}, "state" };
+    REQUIRE(log->Hooks().saveSnapshot(snapshot, 30, reason));
+  }
+  WriteBytes(Journal(), journalBefore);
+  REQUIRE(Open());
+  CHECK(recovered.entries.empty());
+  CHECK(recovered.base == log_position{ 30, 5 });
+  CHECK(recovered.commit == 30);
+}
+
 TEST_CASE_METHOD(data_folder_fixture,
                  "DataFolder_HeldByAnotherProcess_IsRefused",
                  "[replication][disk]")
