--- a/src/replication/append.cpp
+++ b/src/replication/append.cpp
@@ -125,9 +125,7 @@
 }
 
 bool
-IsSilent(const replica_tables& aTables,
-         const peer_row& aPeer,
-         steady_time aNow)
+IsSilent(const replica_tables& aTables, const peer_row& aPeer, steady_time aNow)
 {
   return aPeer.answeredSentAt == steady_time::min() ||
          aNow - aPeer.answeredSentAt > aTables.settings.electionTimeout;
--- a/src/replication/commit.cpp
+++ b/src/replication/commit.cpp
@@ -101,9 +101,7 @@
 }
 
 std::optional<log_index>
-ReadIndex(const replica_tables& aTables,
-          steady_time aNow,
-          last_reason& aReason)
+ReadIndex(const replica_tables& aTables, steady_time aNow, last_reason& aReason)
 {
   if (!IsLeaseHeld(aTables, aNow)) {
     return Fail(aReason,
--- a/src/replication/disk.cpp
+++ b/src/replication/disk.cpp
@@ -98,9 +98,8 @@
             last_reason& aReason)
 {
   const std::string temporary = aPath.string() + ".tmp";
-  descriptor file(::open(temporary.c_str(),
-                         O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-                         kFileMode));
+  descriptor file(::open(
+    temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode));
   if (file.value < 0) {
     return FailErrno(aReason, "open", temporary);
   }
@@ -130,8 +129,7 @@
   const log_entry& last = aLog.entries[count - 1];
   aLog.base = { last.index, last.term };
   aLog.entries.erase(aLog.entries.begin(),
-                     aLog.entries.begin() +
-                       static_cast<std::ptrdiff_t>(count));
+                     aLog.entries.begin() + static_cast<std::ptrdiff_t>(count));
 }
 
 std::optional<std::string>
@@ -206,8 +204,8 @@
 disk_log::state::Lock(last_reason& aReason)
 {
   const std::filesystem::path path = folder / kLockName;
-  lock = descriptor(
-    ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode));
+  lock =
+    descriptor(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode));
   if (lock.value < 0) {
     return FailErrno(aReason, "open", path);
   }
@@ -220,8 +218,7 @@
 
 // Remembers the first failure: later calls must not succeed by luck.
 std::optional<stored>
-disk_log::state::Keep(std::optional<stored> aResult,
-                      const last_reason& aReason)
+disk_log::state::Keep(std::optional<stored> aResult, const last_reason& aReason)
 {
   if (!aResult) {
     failed = aReason;
@@ -283,8 +280,7 @@
 disk_log::state::OpenJournal(last_reason& aReason)
 {
   const std::filesystem::path path = JournalPath();
-  journal =
-    descriptor(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+  journal = descriptor(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
   if (journal.value < 0) {
     return FailErrno(aReason, "open", path);
   }
@@ -333,8 +329,7 @@
     return stored{};
   }
   const off_t whole = static_cast<off_t>(size - aLog.cutBytes);
-  if (::ftruncate(journal.value, whole) != 0 ||
-      disk.sync(journal.value) != 0) {
+  if (::ftruncate(journal.value, whole) != 0 || disk.sync(journal.value) != 0) {
     return FailErrno(aReason, "cut torn tail", JournalPath());
   }
   size = static_cast<std::uint64_t>(whole);
@@ -421,8 +416,7 @@
 
 disk_log::~disk_log() = default;
 disk_log::disk_log(disk_log&&) noexcept = default;
-disk_log&
-disk_log::operator=(disk_log&&) noexcept = default;
+disk_log& disk_log::operator=(disk_log&&) noexcept = default;
 
 std::optional<disk_log>
 disk_log::Open(const std::filesystem::path& aFolder,
@@ -458,8 +452,7 @@
     return disk->Append(aEntries, aReason);
   };
   hooks.truncate = [disk](log_index aFrom, last_reason& aReason) {
-    return disk->AddOne(
-      record_kind::eTruncate, EncodeTruncate(aFrom), aReason);
+    return disk->AddOne(record_kind::eTruncate, EncodeTruncate(aFrom), aReason);
   };
   hooks.saveVote = [disk](const ballot& aVote, last_reason& aReason) {
     return disk->AddOne(record_kind::eVote, EncodeVote(aVote), aReason);
--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -178,8 +178,8 @@
     reply.granted =
       asked > aTables.vote.term && IsUpToDate(aTables, aRequest.last);
   } else {
-    const bool isFree = !aTables.vote.votedFor ||
-                        aTables.vote.votedFor == aRequest.header.from;
+    const bool isFree =
+      !aTables.vote.votedFor || aTables.vote.votedFor == aRequest.header.from;
     reply.granted = asked == aTables.vote.term && isFree &&
                     IsUpToDate(aTables, aRequest.last);
   }
--- a/src/replication/journal.cpp
+++ b/src/replication/journal.cpp
@@ -118,8 +118,7 @@
   found.body = reader.Take(length);
   found.end = aOffset + kRecordHeaderBytes + length;
   const std::string_view head = aFile.substr(aOffset, kChecksumOffset);
-  if (reader.failed ||
-      Checksum(head, found.body, aSeed, aOffset) != checksum) {
+  if (reader.failed || Checksum(head, found.body, aSeed, aOffset) != checksum) {
     return std::nullopt;
   }
   return found;
--- a/src/replication/membership.cpp
+++ b/src/replication/membership.cpp
@@ -73,7 +73,7 @@
   std::sort(aMembers.begin(),
             aMembers.end(),
             [](const log_member& aLeft, const log_member& aRight) {
-              return aLeft.id < aRight.id;
+              return aLeft.id.value < aRight.id.value;
             });
   log_entry entry;
   entry.kind = entry_kind::eMembership;
@@ -198,9 +198,8 @@
     return Fail(aReason, step, IdText(aMember.id), "has not caught up");
   }
   membership members = aTables.members;
-  std::erase_if(members, [&](const log_member& aOther) {
-    return aOther.id == aMember.id;
-  });
+  std::erase_if(
+    members, [&](const log_member& aOther) { return aOther.id == aMember.id; });
   members.push_back(std::move(aMember));
   if (!CheckQuorumAnswers(aTables, members, aNow, aReason)) {
     return std::nullopt;
@@ -226,9 +225,8 @@
       aReason, step, IdText(aMember), "leads; hand leadership over first");
   }
   membership members = aTables.members;
-  std::erase_if(members, [&](const log_member& aOther) {
-    return aOther.id == aMember;
-  });
+  std::erase_if(members,
+                [&](const log_member& aOther) { return aOther.id == aMember; });
   if (!CheckQuorumAnswers(aTables, members, aNow, aReason)) {
     return std::nullopt;
   }
@@ -290,8 +288,7 @@
     }
   }
   if (best == nullptr) {
-    return Fail(
-      aReason, step, aTables.settings.name, "no other voter answers");
+    return Fail(aReason, step, aTables.settings.name, "no other voter answers");
   }
   aTables.handOver = leadership_hand_over{
     best->id, aNow + aTables.settings.electionTimeout, false
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -6,8 +6,8 @@
 message_header&
 HeaderOf(replica_message& aMessage)
 {
-  return std::visit(
-    [](auto& aAny) -> message_header& { return aAny.header; }, aMessage);
+  return std::visit([](auto& aAny) -> message_header& { return aAny.header; },
+                    aMessage);
 }
 
 // Elections settle their own terms: a pre-vote carries the term that would
@@ -77,9 +77,7 @@
 }
 
 void
-RunInbox(replica_tables& aTables,
-         steady_time aNow,
-         replica_outbox& /*aOutbox*/)
+RunInbox(replica_tables& aTables, steady_time aNow, replica_outbox& /*aOutbox*/)
 {
   std::vector<replica_message> inbox;
   inbox.swap(aTables.inbox);
@@ -122,8 +120,8 @@
 
 // The order of a tick. Nothing before RunSync leaves the replica, and nothing
 // after it writes what a message promises.
-constexpr std::array<named_system<replica_tables, replica_outbox>, 12>
-  kSystems{ {
+constexpr std::array<named_system<replica_tables, replica_outbox>, 12> kSystems{
+  {
     { "inbox", RunInbox },
     { "election", RunElection },
     { "check_quorum", RunCheckQuorum },
@@ -136,7 +134,8 @@
     { "snapshot_due", RunSnapshotDue },
     { "send_out", RunSendOut },
     { "wake", RunWake },
-  } };
+  }
+};
 
 } // namespace
 
@@ -194,9 +193,7 @@
 }
 
 void
-RunReplica(replica_tables& aTables,
-           steady_time aNow,
-           replica_outbox& aOutbox)
+RunReplica(replica_tables& aTables, steady_time aNow, replica_outbox& aOutbox)
 {
   if (!aTables.fatal) {
     RunTick(kSystems, aTables, aNow, aOutbox);
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -184,9 +184,8 @@
   std::function<std::optional<stored>(log_index, last_reason&)> saveCommit;
   /// Replaces the snapshot, and drops the entries up to the given index. Where
   /// the log does not hold the snapshot's position, every entry is dropped.
-  std::function<std::optional<stored>(const log_snapshot&,
-                                      log_index,
-                                      last_reason&)>
+  std::function<
+    std::optional<stored>(const log_snapshot&, log_index, last_reason&)>
     saveSnapshot;
   std::function<std::optional<stored>(last_reason&)> sync;
 };
@@ -257,9 +256,9 @@
   /// Part of the election timeout that a lease to read leaves out, for clocks
   /// that run at different speeds.
   std::chrono::milliseconds leaseMargin{ 70 };
-  std::size_t maxBatchBytes = 256 * 1024;
-  std::size_t maxEntryBytes = 4 * 1024 * 1024;
-  std::size_t maxSnapshotBytes = 32 * 1024 * 1024;
+  std::size_t maxBatchBytes = 256UL * 1024;
+  std::size_t maxEntryBytes = 4UL * 1024 * 1024;
+  std::size_t maxSnapshotBytes = 32UL * 1024 * 1024;
   log_index maxUncommittedEntries = 4096;
   log_index snapshotAfterEntries = 1000;
   /// Entries kept behind a snapshot for followers that lag a little.
--- a/src/replication/snapshot.cpp
+++ b/src/replication/snapshot.cpp
@@ -56,9 +56,7 @@
   if (incoming.bytes.size() < aChunk.totalBytes) {
     return false;
   }
-  log_snapshot snapshot{ aChunk.at,
-                         aChunk.members,
-                         std::move(incoming.bytes) };
+  log_snapshot snapshot{ aChunk.at, aChunk.members, std::move(incoming.bytes) };
   incoming = {};
   if (StableHash(snapshot.state) != aChunk.checksum) {
     return false;
@@ -168,10 +166,9 @@
     return std::nullopt;
   }
   const log_position newBase{ base, TermAt(aTables, base) };
-  aTables.entries.erase(
-    aTables.entries.begin(),
-    aTables.entries.begin() +
-      static_cast<std::ptrdiff_t>(base - aTables.base.index));
+  aTables.entries.erase(aTables.entries.begin(),
+                        aTables.entries.begin() + static_cast<std::ptrdiff_t>(
+                                                    base - aTables.base.index));
   aTables.base = newBase;
   aTables.snapshot = std::move(snapshot);
   return stored{};
@@ -182,9 +179,9 @@
                steady_time /*aNow*/,
                replica_outbox& aOutbox)
 {
-  aOutbox.snapshotDue = aTables.released >= aTables.snapshot.at.index +
-                                              aTables.settings
-                                                .snapshotAfterEntries;
+  aOutbox.snapshotDue =
+    aTables.released >=
+    aTables.snapshot.at.index + aTables.settings.snapshotAfterEntries;
 }
 
 } // namespace bulrush
--- a/tests/replication/cluster_test.cpp
+++ b/tests/replication/cluster_test.cpp
@@ -309,8 +309,8 @@
   REQUIRE(cluster.ProposeAndAwait(5));
   const std::size_t leader = *cluster.Leader();
   last_reason reason;
-  const auto target = HandOver(
-    *cluster.hosts[leader].tables, cluster.ClockOf(leader), reason);
+  const auto target =
+    HandOver(*cluster.hosts[leader].tables, cluster.ClockOf(leader), reason);
   REQUIRE(target.has_value());
   CHECK_FALSE(cluster.ProposeAt(leader).has_value());
   cluster.RunHost(leader);
--- a/tests/replication/disk_test.cpp
+++ b/tests/replication/disk_test.cpp
@@ -477,11 +477,11 @@
   replica_tables tables = StartReplica({}, recovered, log->Hooks(), start);
   apply(tables, start);
   const auto took = clock::now() - before;
-  std::cout << "restart from " << kChanges << " changes of " << kChangeBytes
-            << " bytes: "
-            << std::chrono::duration_cast<std::chrono::microseconds>(took)
-                 .count()
-            << " us, journal " << log->JournalBytes() << " bytes\n";
+  std::cout
+    << "restart from " << kChanges << " changes of " << kChangeBytes
+    << " bytes: "
+    << std::chrono::duration_cast<std::chrono::microseconds>(took).count()
+    << " us, journal " << log->JournalBytes() << " bytes\n";
   CHECK(state == expected);
   CHECK(log->JournalBytes() < kChanges * (kChangeBytes + 200));
 }
--- a/tests/replication/fuzz_test.cpp
+++ b/tests/replication/fuzz_test.cpp
@@ -40,7 +40,7 @@
 NameOf(fuzz_action aAction)
 {
   static constexpr std::array<const char*, 13> kNames{
-    "run",  "propose", "crash", "start",   "pause",    "cut",      "isolate",
+    "run",  "propose", "crash", "start",   "pause",     "cut",      "isolate",
     "heal", "disturb", "wipe",  "replace", "hand over", "fail sync"
   };
   return kNames[static_cast<std::size_t>(aAction)];
@@ -74,20 +74,20 @@
   int amount = 0;
 
   explicit fuzz_step(const fuzz_model& aModel)
-    : action(static_cast<fuzz_action>(
-        *rc::gen::weightedElement<int>({ { 8, 0 },
-                                         { 10, 1 },
-                                         { 3, 2 },
-                                         { 4, 3 },
-                                         { 2, 4 },
-                                         { 2, 5 },
-                                         { 2, 6 },
-                                         { 3, 7 },
-                                         { 2, 8 },
-                                         { 1, 9 },
-                                         { 2, 10 },
-                                         { 1, 11 },
-                                         { 1, 12 } })))
+    : action(
+        static_cast<fuzz_action>(*rc::gen::weightedElement<int>({ { 8, 0 },
+                                                                  { 10, 1 },
+                                                                  { 3, 2 },
+                                                                  { 4, 3 },
+                                                                  { 2, 4 },
+                                                                  { 2, 5 },
+                                                                  { 2, 6 },
+                                                                  { 3, 7 },
+                                                                  { 2, 8 },
+                                                                  { 1, 9 },
+                                                                  { 2, 10 },
+                                                                  { 1, 11 },
+                                                                  { 1, 12 } })))
     , host(*rc::gen::inRange<std::size_t>(0, aModel.hosts))
     , other(*rc::gen::inRange<std::size_t>(0, aModel.hosts))
     , amount(*rc::gen::inRange(1, 100))
@@ -238,8 +238,7 @@
       // rc::state::check calls itself without end in C++20, so its two steps
       // stand here.
       const auto steps = *rc::state::gen::commands(
-        [&] { return model; },
-        rc::state::gen::execOneOfWithArgs<fuzz_step>());
+        [&] { return model; }, rc::state::gen::execOneOfWithArgs<fuzz_step>());
       rc::state::runAll(steps, model, cluster);
       cluster.Settle();
     } catch (const broken_promise& broken) {
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -268,8 +268,8 @@
   host.disk->failsWrite = false;
   replica_settings own = settings;
   own.name = host.name;
-  host.tables = StartReplica(
-    own, host.disk->Durable(), host.disk->Hooks(), ClockOf(aHost));
+  host.tables =
+    StartReplica(own, host.disk->Durable(), host.disk->Hooks(), ClockOf(aHost));
   host.wake = now;
 }
 
@@ -329,7 +329,7 @@
 }
 
 void
-simulated_cluster::Send(std::size_t aFrom, replica_message aMessage)
+simulated_cluster::Send(std::size_t aFrom, const replica_message& aMessage)
 {
   const auto to = HostOf(HeaderOf(aMessage).to);
   if (!to || mCuts.contains({ std::min(aFrom, *to), std::max(aFrom, *to) })) {
@@ -417,15 +417,14 @@
     oracle.Led(host.tables->vote.term, host.Id());
   }
   Apply(aHost, outbox);
-  for (replica_message& message : outbox.messages) {
-    Send(aHost, std::move(message));
+  for (const replica_message& message : outbox.messages) {
+    Send(aHost, message);
   }
   const double wait = static_cast<double>(
     std::chrono::duration_cast<microseconds>(outbox.wake.at - ClockOf(aHost))
       .count());
-  host.wake =
-    now + microseconds(std::max<std::int64_t>(
-            1, static_cast<std::int64_t>(wait / host.clockRate) + 2));
+  host.wake = now + microseconds(std::max<std::int64_t>(
+                      1, static_cast<std::int64_t>(wait / host.clockRate) + 2));
   CheckReads();
 }
 
--- a/tests/replication/simulated_cluster.hpp
+++ b/tests/replication/simulated_cluster.hpp
@@ -131,7 +131,7 @@
   std::uint64_t deliveredChunks = 0;
 
 private:
-  void Send(std::size_t aFrom, replica_message aMessage);
+  void Send(std::size_t aFrom, const replica_message& aMessage);
   void Apply(std::size_t aHost, replica_outbox& aOutbox);
   void Acknowledge(simulated_replica& aHost, const log_entry& aEntry);
   void CheckReads();
