--- /dev/null
+++ b/src/fleet/manifest.cpp
@@ -0,0 +1,453 @@
+#include "fleet/fleet.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <limits>
+#include <set>
+
+namespace bulrush {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxNameBytes = 128;
+constexpr double kMaxTokens = 1e12;
+constexpr std::uint64_t kMaxBytes = 1ULL << 50U;
+constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
+constexpr std::int64_t kMaxGraceSeconds = 7 * 86'400;
+
+// Reads one JSON object field by field. Faults are collected instead of
+// thrown, so that an operator sees all of them at once.
+class object_reader
+{
+public:
+  object_reader(const json& aObject,
+                std::string aPath,
+                std::vector<manifest_fault>& aFaults)
+    : mObject(aObject)
+    , mPath(std::move(aPath))
+    , mFaults(aFaults)
+    , mIsObject(aObject.is_object())
+  {
+    if (!mIsObject) {
+      Add("", "expected an object");
+    }
+  }
+
+  void Add(const std::string& aKey, const std::string& aText)
+  {
+    mFaults.push_back({ aKey.empty() ? mPath : mPath + "/" + aKey, aText });
+  }
+
+  std::string Name(const char* aKey)
+  {
+    const std::string name = Text(aKey, "");
+    if (name.empty() || name.size() > kMaxNameBytes) {
+      Add(aKey, "expected a name of 1 to 128 bytes");
+    }
+    return name;
+  }
+
+  std::string Text(const char* aKey, const std::string& aDefault)
+  {
+    const json* field = Take(aKey);
+    if (field == nullptr) {
+      return aDefault;
+    }
+    if (!field->is_string()) {
+      Add(aKey, "expected a string");
+      return aDefault;
+    }
+    return field->get<std::string>();
+  }
+
+  bool Flag(const char* aKey, bool aDefault)
+  {
+    const json* field = Take(aKey);
+    if (field == nullptr) {
+      return aDefault;
+    }
+    if (!field->is_boolean()) {
+      Add(aKey, "expected true or false");
+      return aDefault;
+    }
+    return field->get<bool>();
+  }
+
+  double Number(const char* aKey, double aDefault, double aMin, double aMax)
+  {
+    const json* field = Take(aKey);
+    if (field == nullptr) {
+      return aDefault;
+    }
+    const double value = field->is_number()
+                           ? field->get<double>()
+                           : std::numeric_limits<double>::quiet_NaN();
+    if (!(value >= aMin && value <= aMax)) {
+      Add(aKey, "expected a number from " + Print(aMin) + " to " + Print(aMax));
+      return aDefault;
+    }
+    return value;
+  }
+
+  std::int64_t Integer(const char* aKey,
+                       std::int64_t aDefault,
+                       std::int64_t aMin,
+                       std::int64_t aMax)
+  {
+    const json* field = Take(aKey);
+    if (field == nullptr) {
+      return aDefault;
+    }
+    if (!field->is_number_integer() || *field < aMin || *field > aMax) {
+      Add(aKey,
+          "expected a whole number from " + std::to_string(aMin) + " to " +
+            std::to_string(aMax));
+      return aDefault;
+    }
+    return field->get<std::int64_t>();
+  }
+
+  // The elements of a list; empty when the field is missing.
+  const json& List(const char* aKey)
+  {
+    static const json sEmpty = json::array();
+    const json* field = Take(aKey);
+    if (field == nullptr) {
+      return sEmpty;
+    }
+    if (!field->is_array()) {
+      Add(aKey, "expected a list");
+      return sEmpty;
+    }
+    return *field;
+  }
+
+  const json* Object(const char* aKey) { return Take(aKey); }
+
+  // A misspelt key would otherwise be a setting silently not in force.
+  void RefuseUnknownKeys()
+  {
+    if (!mIsObject) {
+      return;
+    }
+    for (const auto& [key, value] : mObject.items()) {
+      if (!mTaken.contains(key)) {
+        Add(key, "unknown key");
+      }
+    }
+  }
+
+  const std::string& Path() const { return mPath; }
+
+private:
+  static std::string Print(double aValue) { return json(aValue).dump(); }
+
+  const json* Take(const char* aKey)
+  {
+    mTaken.insert(aKey);
+    if (!mIsObject) {
+      return nullptr;
+    }
+    const auto found = mObject.find(aKey);
+    return found == mObject.end() ? nullptr : &*found;
+  }
+
+  const json& mObject;
+  std::string mPath;
+  std::vector<manifest_fault>& mFaults;
+  std::set<std::string> mTaken;
+  bool mIsObject;
+};
+
+// Adds a row unless its name is taken; names share one id space per table.
+template<class id_type, class row_type>
+void
+InsertOnce(table<id_type, row_type>& aTable,
+           row_type aRow,
+           object_reader& aReader)
+{
+  if (aTable.Find(aRow.id) != nullptr) {
+    aReader.Add("", "declared twice");
+    return;
+  }
+  aTable.Insert(std::move(aRow));
+}
+
+model_row
+ReadModel(object_reader& aReader)
+{
+  model_row row;
+  row.name = aReader.Name("name");
+  row.id = IdOf<model_id>(row.name);
+  row.version = aReader.Text("version", "1");
+  row.bytes = static_cast<std::uint64_t>(
+    aReader.Integer("bytes", 0, 1, static_cast<std::int64_t>(kMaxBytes)));
+  if (row.bytes == 0) {
+    aReader.Add("bytes", "is required");
+  }
+  row.deadline = std::chrono::milliseconds(
+    aReader.Integer("deadline_ms", 30'000, 1, kMaxDeadlineMs));
+  row.minCopies =
+    static_cast<std::uint32_t>(aReader.Integer("min_copies", 1, 1, 1'000));
+  row.isOpen = aReader.Flag("open", false);
+  return row;
+}
+
+adapter_row
+ReadAdapter(object_reader& aReader, const manifest& aManifest)
+{
+  adapter_row row;
+  row.name = aReader.Name("name");
+  row.id = IdOf<adapter_id>(row.name);
+  row.model = IdOf<model_id>(aReader.Name("model"));
+  if (aManifest.models.Find(row.model) == nullptr) {
+    aReader.Add("model", "no such model is declared");
+  }
+  if (aManifest.models.Find(IdOf<model_id>(row.name)) != nullptr) {
+    aReader.Add("name", "a model has this name");
+  }
+  row.bytes = static_cast<std::uint64_t>(
+    aReader.Integer("bytes", 0, 0, static_cast<std::int64_t>(kMaxBytes)));
+  return row;
+}
+
+workspace_row
+ReadWorkspace(object_reader& aReader, manifest& aManifest)
+{
+  workspace_row row;
+  row.name = aReader.Name("name");
+  row.id = IdOf<workspace_id>(row.name);
+  row.weight = aReader.Number("weight", 1.0, 0.001, 1'000.0);
+  row.tokensPerSecond = aReader.Number("tokens_per_s", 0.0, 0.001, kMaxTokens);
+  row.burstTokens = aReader.Number("burst_tokens", 0.0, 1.0, kMaxTokens);
+  if (row.tokensPerSecond == 0.0) {
+    aReader.Add("tokens_per_s", "is required");
+  }
+  if (row.burstTokens == 0.0) {
+    aReader.Add("burst_tokens", "is required");
+  }
+  for (const json& name : aReader.List("models")) {
+    const auto id =
+      IdOf<model_id>(name.is_string() ? name.get<std::string>() : "");
+    if (aManifest.models.Find(id) == nullptr) {
+      aReader.Add("models", "no such model is declared: " + name.dump());
+    }
+    row.models.push_back(id);
+  }
+  for (const json& hex : aReader.List("key_hashes")) {
+    const auto hash =
+      ParseHash(hex.is_string() ? hex.get<std::string>() : std::string());
+    if (!hash) {
+      aReader.Add("key_hashes", "expected SHA-256 as 64 lower-case hex digits");
+      continue;
+    }
+    aManifest.keys.emplace_back(*hash, row.id);
+  }
+  return row;
+}
+
+domain_row
+ReadDomain(object_reader& aReader)
+{
+  domain_row row;
+  row.name = aReader.Name("name");
+  row.id = IdOf<domain_id>(row.name);
+  row.region = aReader.Text("region", "");
+  return row;
+}
+
+route_row
+ReadRoute(object_reader& aReader)
+{
+  route_row row;
+  row.path = aReader.Name("path");
+  row.id = IdOf<route_id>(row.path);
+  if (!row.path.starts_with("/") || row.path.starts_with("/v1/")) {
+    aReader.Add("path", "expected a path that starts with / and not with /v1/");
+  }
+  row.service = aReader.Name("service");
+  row.deadline = std::chrono::milliseconds(
+    aReader.Integer("deadline_ms", 10'000, 1, kMaxDeadlineMs));
+  row.tokens = aReader.Number("tokens", 1.0, 0.0, kMaxTokens);
+  row.isIdempotent = aReader.Flag("idempotent", true);
+  row.isOpen = aReader.Flag("open", false);
+  return row;
+}
+
+void
+ReadStore(object_reader& aReader, store_limits& aStore)
+{
+  aStore.loadsPerSecond =
+    aReader.Number("loads_per_s", aStore.loadsPerSecond, 0.01, 10'000.0);
+  aStore.loadsAtFullSpeed = static_cast<std::uint32_t>(
+    aReader.Integer("loads_at_full_speed", aStore.loadsAtFullSpeed, 1, 10'000));
+  aStore.adapterLoadsAtFullSpeed = static_cast<std::uint32_t>(aReader.Integer(
+    "adapter_loads_at_full_speed", aStore.adapterLoadsAtFullSpeed, 1, 100'000));
+  aReader.RefuseUnknownKeys();
+}
+
+// Calls aRead with a reader for each element of a list and inserts the row.
+template<class table_type, class read_function>
+void
+ReadList(object_reader& aRoot,
+         const char* aKey,
+         std::vector<manifest_fault>& aFaults,
+         table_type& aTable,
+         read_function aRead)
+{
+  std::size_t position = 0;
+  for (const json& element : aRoot.List(aKey)) {
+    object_reader reader(element,
+                         "/" + std::string(aKey) + "/" +
+                           std::to_string(position++),
+                         aFaults);
+    auto row = aRead(reader);
+    reader.RefuseUnknownKeys();
+    InsertOnce(aTable, std::move(row), reader);
+  }
+}
+
+policy_goal
+ReadGoal(object_reader& aRoot)
+{
+  const std::string goal = aRoot.Text("goal", "worst_workspace");
+  if (goal == "attainment") {
+    return policy_goal::eAttainment;
+  }
+  if (goal != "worst_workspace") {
+    aRoot.Add("goal", "expected worst_workspace or attainment");
+  }
+  return policy_goal::eWorstWorkspace;
+}
+
+void
+ReadAll(object_reader& aRoot,
+        manifest& aManifest,
+        std::vector<manifest_fault>& aFaults)
+{
+  aManifest.name = aRoot.Name("name");
+  aManifest.version = aRoot.Name("version");
+  aManifest.goal = ReadGoal(aRoot);
+  aManifest.cutOffGrace = std::chrono::seconds(
+    aRoot.Integer("cut_off_grace_s", 3'600, 1, kMaxGraceSeconds));
+  aManifest.claimWindow = std::chrono::seconds(
+    aRoot.Integer("claim_window_s", 86'400, 60, kMaxGraceSeconds));
+  if (const json* store = aRoot.Object("store")) {
+    object_reader reader(*store, "/store", aFaults);
+    ReadStore(reader, aManifest.store);
+  }
+  ReadList(aRoot, "failure_domains", aFaults, aManifest.domains, ReadDomain);
+  ReadList(aRoot, "models", aFaults, aManifest.models, ReadModel);
+  ReadList(
+    aRoot,
+    "adapters",
+    aFaults,
+    aManifest.adapters,
+    [&](object_reader& aReader) { return ReadAdapter(aReader, aManifest); });
+  ReadList(
+    aRoot,
+    "workspaces",
+    aFaults,
+    aManifest.workspaces,
+    [&](object_reader& aReader) { return ReadWorkspace(aReader, aManifest); });
+  ReadList(aRoot, "routes", aFaults, aManifest.routes, ReadRoute);
+  aRoot.RefuseUnknownKeys();
+}
+
+// A key that two workspaces declare would run requests for whichever came
+// first.
+void
+RefuseSharedKeys(const manifest& aManifest,
+                 std::vector<manifest_fault>& aFaults)
+{
+  std::set<key_hash> seen;
+  for (const auto& [hash, workspace] : aManifest.keys) {
+    if (!seen.insert(hash).second) {
+      aFaults.push_back(
+        { "/workspaces", "key hash declared twice: " + ToHex(hash) });
+    }
+  }
+}
+
+template<class table_type>
+void
+CompareNames(const char* aKind,
+             const table_type& aFrom,
+             const table_type& aTo,
+             std::vector<std::string>& aLines)
+{
+  for (const auto& row : aTo) {
+    if (aFrom.Find(row.id) == nullptr) {
+      aLines.push_back(std::string("+ ") + aKind + " " + row.name);
+    }
+  }
+  for (const auto& row : aFrom) {
+    if (aTo.Find(row.id) == nullptr) {
+      aLines.push_back(std::string("- ") + aKind + " " + row.name);
+    }
+  }
+}
+
+} // namespace
+
+std::optional<manifest>
+ParseManifest(std::string_view aText, std::vector<manifest_fault>& aFaults)
+{
+  const std::size_t faultsBefore = aFaults.size();
+  json document;
+  try {
+    document = json::parse(aText);
+  } catch (const json::exception& error) {
+    aFaults.push_back({ "", error.what() });
+    return std::nullopt;
+  }
+  manifest result;
+  object_reader root(document, "", aFaults);
+  ReadAll(root, result, aFaults);
+  RefuseSharedKeys(result, aFaults);
+  if (result.domains.Empty()) {
+    aFaults.push_back({ "/failure_domains", "expected at least one" });
+  }
+  if (aFaults.size() != faultsBefore) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+std::string
+Describe(const std::vector<manifest_fault>& aFaults)
+{
+  std::string text;
+  for (const manifest_fault& fault : aFaults) {
+    text += (fault.path.empty() ? "/" : fault.path) + ": " + fault.text + "\n";
+  }
+  return text;
+}
+
+std::vector<std::string>
+DescribeChanges(const manifest& aFrom, const manifest& aTo)
+{
+  std::vector<std::string> lines;
+  CompareNames("model", aFrom.models, aTo.models, lines);
+  CompareNames("adapter", aFrom.adapters, aTo.adapters, lines);
+  CompareNames("workspace", aFrom.workspaces, aTo.workspaces, lines);
+  CompareNames("failure domain", aFrom.domains, aTo.domains, lines);
+  for (const model_row& model : aTo.models) {
+    const model_row* old = aFrom.models.Find(model.id);
+    if (old != nullptr && old->version != model.version) {
+      lines.push_back("~ model " + model.name + " version " + old->version +
+                      " -> " + model.version);
+    }
+  }
+  for (const workspace_row& workspace : aTo.workspaces) {
+    const workspace_row* old = aFrom.workspaces.Find(workspace.id);
+    if (old != nullptr && (old->tokensPerSecond != workspace.tokensPerSecond ||
+                           old->burstTokens != workspace.burstTokens)) {
+      lines.push_back("~ workspace " + workspace.name + " rate or burst");
+    }
+  }
+  return lines;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/fleet/state.cpp
@@ -0,0 +1,341 @@
+#include "fleet/fleet.hpp"
+
+#include <algorithm>
+
+namespace bulrush {
+namespace {
+
+constexpr std::size_t kMaxVersions = 10'000;
+constexpr std::size_t kMaxStoredBody = 64U * 1024U;
+
+command_result
+Refuse(const fleet_state& aState, std::string aCode, std::string aText)
+{
+  command_result result;
+  result.code = std::move(aCode);
+  result.text = std::move(aText);
+  result.revision = aState.revision;
+  return result;
+}
+
+command_result
+Done(const fleet_state& aState, std::string aText)
+{
+  command_result result;
+  result.isDone = true;
+  result.code = "done";
+  result.text = std::move(aText);
+  result.revision = aState.revision;
+  return result;
+}
+
+command_result
+DoneWithNewRevision(fleet_state& aState, std::string aText)
+{
+  ++aState.revision;
+  return Done(aState, std::move(aText));
+}
+
+// Keys that the manifest declares are added; keys that it no longer declares
+// stay, since keys issued by command are not in it. Withdrawn ones stay
+// withdrawn whatever the manifest says.
+void
+AddDeclaredKeys(fleet_state& aState)
+{
+  for (const auto& [hash, workspace] : aState.declared.keys) {
+    if (aState.keys.Find(hash) == nullptr) {
+      aState.keys.Insert({ hash, workspace, false });
+    }
+  }
+}
+
+void
+AddDeclaredDomains(fleet_state& aState)
+{
+  for (const domain_row& domain : aState.declared.domains) {
+    if (aState.domains.Find(domain.id) == nullptr) {
+      domain_state_row row;
+      row.id = domain.id;
+      aState.domains.Insert(row);
+    }
+  }
+  aState.domains.EraseIf([&](const domain_state_row& aRow) {
+    return aState.declared.domains.Find(aRow.id) == nullptr;
+  });
+}
+
+// The oldest versions are forgotten first; a resend arrives within minutes,
+// not after ten thousand manifests.
+void
+RememberVersion(fleet_state& aState, const version_row& aRow)
+{
+  if (aState.versions.Size() >= kMaxVersions) {
+    const auto oldest = std::min_element(
+      aState.versions.begin(),
+      aState.versions.end(),
+      [](const version_row& aLeft, const version_row& aRight) {
+        return aLeft.manifestRevision < aRight.manifestRevision;
+      });
+    const auto id = oldest->id;
+    aState.versions.Erase(id);
+  }
+  aState.versions.Insert(aRow);
+}
+
+// Compare-and-set on the manifest revision settles races of operators; the
+// version table gives a resend the answer that was lost.
+command_result
+Change(fleet_state& aState, const apply_manifest& aChange, wall_time)
+{
+  std::vector<manifest_fault> faults;
+  auto parsed = ParseManifest(aChange.text, faults);
+  if (!parsed) {
+    return Refuse(aState, "bad_manifest", Describe(faults));
+  }
+  const key_hash digest = HashKey(aChange.text);
+  const auto versionId = IdOf<typed_id<struct version_tag>>(parsed->version);
+  if (const version_row* known = aState.versions.Find(versionId)) {
+    if (known->digest != digest) {
+      return Refuse(aState,
+                    "version_taken",
+                    "version " + parsed->version +
+                      " was applied before with another text, digest " +
+                      ToHex(known->digest));
+    }
+    command_result again = Done(aState, "applied before");
+    again.revision = known->revision;
+    return again;
+  }
+  if (aChange.expectedRevision != aState.manifestRevision) {
+    return Refuse(aState,
+                  "revision_moved",
+                  "manifest revision is " +
+                    std::to_string(aState.manifestRevision) + " (version " +
+                    aState.declared.version + "), not " +
+                    std::to_string(aChange.expectedRevision));
+  }
+  aState.declared = std::move(*parsed);
+  aState.manifestText = aChange.text;
+  aState.manifestDigest = digest;
+  ++aState.manifestRevision;
+  AddDeclaredKeys(aState);
+  AddDeclaredDomains(aState);
+  command_result result = DoneWithNewRevision(aState, "applied");
+  RememberVersion(
+    aState, { versionId, digest, aState.manifestRevision, aState.revision });
+  return result;
+}
+
+command_result
+Change(fleet_state& aState, const issue_key& aChange, wall_time)
+{
+  const workspace_row* workspace =
+    aState.declared.workspaces.Find(aChange.workspace);
+  if (workspace == nullptr) {
+    return Refuse(aState, "no_workspace", "no such workspace is declared");
+  }
+  if (const key_row* known = aState.keys.Find(aChange.key)) {
+    if (known->isWithdrawn) {
+      return Refuse(aState, "key_withdrawn", "the key was withdrawn");
+    }
+    if (known->workspace != aChange.workspace) {
+      return Refuse(aState, "key_taken", "the key is another workspace's");
+    }
+    return Done(aState, "issued before");
+  }
+  aState.keys.Insert({ aChange.key, aChange.workspace, false });
+  return DoneWithNewRevision(aState, "issued for " + workspace->name);
+}
+
+// An unknown key gets a row too: the withdrawal may overtake the issue.
+void
+AddTombstone(fleet_state& aState, const key_hash& aKey)
+{
+  key_row* row = aState.keys.Find(aKey);
+  if (row == nullptr) {
+    row = &aState.keys.Insert({ aKey, {}, false });
+  }
+  row->isWithdrawn = true;
+}
+
+command_result
+Change(fleet_state& aState, const withdraw_key& aChange, wall_time)
+{
+  const key_row* known = aState.keys.Find(aChange.key);
+  if (known != nullptr && known->isWithdrawn) {
+    return Done(aState, "withdrawn before");
+  }
+  AddTombstone(aState, aChange.key);
+  return DoneWithNewRevision(aState, "withdrawn");
+}
+
+command_result
+Change(fleet_state& aState, const set_domain& aChange, wall_time)
+{
+  domain_state_row* domain = aState.domains.Find(aChange.domain);
+  if (domain == nullptr) {
+    return Refuse(aState, "no_domain", "no such failure domain is declared");
+  }
+  if (domain->isOut == aChange.isOut) {
+    return Done(aState, "was so before");
+  }
+  domain->isOut = aChange.isOut;
+  return DoneWithNewRevision(aState, aChange.isOut ? "out" : "back");
+}
+
+command_result
+Change(fleet_state& aState, const drain_endpoint& aChange, wall_time)
+{
+  const bool isDraining = aState.drains.Find(aChange.endpoint) != nullptr;
+  if (isDraining == aChange.isDraining) {
+    return Done(aState, "was so before");
+  }
+  if (aChange.isDraining) {
+    aState.drains.Insert({ aChange.endpoint });
+  } else {
+    aState.drains.Erase(aChange.endpoint);
+  }
+  return DoneWithNewRevision(aState, "set");
+}
+
+command_result
+Change(fleet_state& aState, const name_delegate& aChange, wall_time)
+{
+  domain_state_row* domain = aState.domains.Find(aChange.domain);
+  if (domain == nullptr) {
+    return Refuse(aState, "no_domain", "no such failure domain is declared");
+  }
+  if (domain->delegate == aChange.replica) {
+    return Done(aState, "was so before");
+  }
+  domain->delegate = aChange.replica;
+  ++domain->epoch;
+  return DoneWithNewRevision(aState, "named");
+}
+
+// Claims are dropped only after the documented window, counted in the times
+// that commands carry.
+void
+DropOldClaims(fleet_state& aState, wall_time aNow)
+{
+  const auto window = aState.declared.claimWindow;
+  aState.claims.EraseIf(
+    [&](const claim_row& aRow) { return aRow.claimedAt + window < aNow; });
+}
+
+command_result
+AnswerKnownClaim(const fleet_state& aState,
+                 const claim_row& aRow,
+                 const claim_request& aChange,
+                 wall_time aNow)
+{
+  command_result result = Done(aState, "");
+  if (aRow.bodyDigest != aChange.bodyDigest ||
+      aRow.workspace != aChange.workspace) {
+    result.claim = claim_answer::eOtherBody;
+  } else if (aRow.isDone) {
+    result.claim = claim_answer::eStored;
+    result.storedStatus = aRow.status;
+    result.storedContentType = aRow.contentType;
+    result.storedBody = aRow.body;
+  } else if (aRow.token == aChange.token) {
+    result.claim = claim_answer::eGranted; // the answer was lost, not the claim
+  } else if (aNow < aRow.claimedAt + aRow.runLimit) {
+    result.claim = claim_answer::eInProgress;
+  } else {
+    result.claim = claim_answer::eMayHaveRun;
+  }
+  return result;
+}
+
+command_result
+Change(fleet_state& aState, const claim_request& aChange, wall_time aNow)
+{
+  DropOldClaims(aState, aNow);
+  if (const claim_row* known = aState.claims.Find(aChange.claim)) {
+    return AnswerKnownClaim(aState, *known, aChange, aNow);
+  }
+  claim_row row;
+  row.id = aChange.claim;
+  row.workspace = aChange.workspace;
+  row.bodyDigest = aChange.bodyDigest;
+  row.token = aChange.token;
+  row.claimedAt = aNow;
+  row.runLimit = aChange.runLimit;
+  aState.claims.Insert(std::move(row));
+  command_result result = Done(aState, "claimed");
+  result.claim = claim_answer::eGranted;
+  return result;
+}
+
+command_result
+Change(fleet_state& aState, const record_outcome& aChange, wall_time)
+{
+  claim_row* row = aState.claims.Find(aChange.claim);
+  if (row == nullptr || row->token != aChange.token) {
+    return Refuse(aState, "no_claim", "no such claim is held");
+  }
+  if (aChange.body.size() > kMaxStoredBody) {
+    return Refuse(aState, "outcome_too_large", "the outcome is over 64 KiB");
+  }
+  if (!row->isDone) {
+    row->isDone = true;
+    row->status = aChange.status;
+    row->contentType = aChange.contentType;
+    row->body = aChange.body;
+  }
+  return Done(aState, "recorded");
+}
+
+command_result
+Change(fleet_state& aState, const release_claim& aChange, wall_time)
+{
+  const claim_row* row = aState.claims.Find(aChange.claim);
+  if (row != nullptr && row->token == aChange.token && !row->isDone) {
+    aState.claims.Erase(aChange.claim);
+  }
+  return Done(aState, "released");
+}
+
+} // namespace
+
+bool
+IsConfiguration(const fleet_change& aChange)
+{
+  return !std::holds_alternative<claim_request>(aChange) &&
+         !std::holds_alternative<record_outcome>(aChange) &&
+         !std::holds_alternative<release_claim>(aChange);
+}
+
+// Time never runs backwards for the state machine, even when a new leader's
+// clock is behind the old one's.
+command_result
+Apply(fleet_state& aState, const fleet_command& aCommand)
+{
+  aState.lastCommandAt = std::max(aState.lastCommandAt, aCommand.at);
+  return std::visit(
+    [&](const auto& aChange) {
+      return Change(aState, aChange, aState.lastCommandAt);
+    },
+    aCommand.change);
+}
+
+std::optional<workspace_id>
+FindWorkspace(const fleet_state& aState, const key_hash& aKey)
+{
+  const key_row* row = aState.keys.Find(aKey);
+  if (row == nullptr || row->isWithdrawn ||
+      aState.declared.workspaces.Find(row->workspace) == nullptr) {
+    return std::nullopt;
+  }
+  return row->workspace;
+}
+
+bool
+IsOut(const fleet_state& aState, domain_id aDomain)
+{
+  const domain_state_row* row = aState.domains.Find(aDomain);
+  return row != nullptr && row->isOut;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,398 @@
+#include "net/net.hpp"
+
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <curl/curl.h>
+
+#include <cstring>
+
+namespace bulrush::net {
+namespace {
+
+constexpr long kMaxIdleConnections = 64;
+
+// libcurl keeps the descriptor; the watch only waits on it and releases it
+// before libcurl closes it.
+struct socket_watch
+{
+  asio::posix::stream_descriptor descriptor;
+  int wanted = 0;
+  bool isClosed = false;
+  bool waitsRead = false;
+  bool waitsWrite = false;
+
+  explicit socket_watch(asio::io_context& aContext)
+    : descriptor(aContext)
+  {
+  }
+};
+
+struct running_call
+{
+  http_client::call_number number = 0;
+  CURL* easy = nullptr;
+  curl_slist* fieldList = nullptr;
+  http_call call;
+  http_call_hooks hooks;
+  std::vector<http_field> answerFields;
+  bool hasHeaders = false;
+  bool isCancelled = false;
+};
+
+// Header lines arrive one by one; an empty line ends them.
+std::optional<http_field>
+ParseFieldLine(std::string_view aLine)
+{
+  const std::size_t colon = aLine.find(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  std::string_view value = aLine.substr(colon + 1);
+  while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    value.remove_prefix(1);
+  }
+  while (!value.empty() && (value.back() == '\r' || value.back() == '\n' ||
+                            value.back() == ' ')) {
+    value.remove_suffix(1);
+  }
+  return http_field{ std::string(aLine.substr(0, colon)), std::string(value) };
+}
+
+void
+TellHeadersOnce(running_call& aCall)
+{
+  if (aCall.hasHeaders) {
+    return;
+  }
+  aCall.hasHeaders = true;
+  long status = 0;
+  curl_easy_getinfo(aCall.easy, CURLINFO_RESPONSE_CODE, &status);
+  if (aCall.hooks.onHeaders) {
+    aCall.hooks.onHeaders(static_cast<int>(status), aCall.answerFields);
+  }
+}
+
+std::size_t
+OnHeaderLine(char* aData, std::size_t aSize, std::size_t aCount, void* aCall)
+{
+  auto& call = *static_cast<running_call*>(aCall);
+  const std::string_view line(aData, aSize * aCount);
+  if (line.starts_with("HTTP/")) {
+    call.answerFields.clear(); // the status line, again after a 1xx answer
+  } else if (auto field = ParseFieldLine(line)) {
+    call.answerFields.push_back(std::move(*field));
+  }
+  return aSize * aCount;
+}
+
+std::size_t
+OnBodyBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aCall)
+{
+  auto& call = *static_cast<running_call*>(aCall);
+  if (call.isCancelled) {
+    return 0;
+  }
+  TellHeadersOnce(call);
+  if (call.hooks.onBytes && !call.isCancelled) {
+    call.hooks.onBytes(std::string_view(aData, aSize * aCount));
+  }
+  return call.isCancelled ? 0 : aSize * aCount;
+}
+
+class curl_client : public http_client
+{
+public:
+  explicit curl_client(asio::io_context& aContext)
+    : mContext(aContext)
+    , mTimer(aContext)
+    , mMulti(curl_multi_init())
+  {
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETFUNCTION, &curl_client::OnSocket);
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERFUNCTION, &curl_client::OnTimer);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  }
+
+  ~curl_client() override
+  {
+    *mIsAlive = false;
+    for (auto& [number, call] : mCalls) {
+      Free(*call);
+    }
+    curl_multi_cleanup(mMulti);
+    for (auto& [fd, watch] : mWatches) {
+      Forget(*watch);
+    }
+  }
+  curl_client(const curl_client&) = delete;
+  curl_client& operator=(const curl_client&) = delete;
+
+  call_number Start(http_call aCall, http_call_hooks aHooks) override
+  {
+    auto call = std::make_unique<running_call>();
+    call->number = ++mLastNumber;
+    call->call = std::move(aCall);
+    call->hooks = std::move(aHooks);
+    call->easy = curl_easy_init();
+    Configure(*call);
+    curl_multi_add_handle(mMulti, call->easy);
+    const call_number number = call->number;
+    mCalls.emplace(number, std::move(call));
+    return number;
+  }
+
+  // libcurl must not be re-entered from its own callbacks, so the handle is
+  // taken out later; the hooks are silent from now on.
+  void Cancel(call_number aCall) override
+  {
+    const auto found = mCalls.find(aCall);
+    if (found == mCalls.end() || found->second->isCancelled) {
+      return;
+    }
+    found->second->isCancelled = true;
+    Later([this, aCall] { Remove(aCall); });
+  }
+
+  void Pause(call_number aCall) override { SetPause(aCall, CURLPAUSE_RECV); }
+  void Resume(call_number aCall) override { SetPause(aCall, CURLPAUSE_CONT); }
+  std::size_t Running() const override { return mCalls.size(); }
+
+private:
+  void Later(std::function<void()> aWork)
+  {
+    asio::post(mContext, [alive = mIsAlive, work = std::move(aWork)] {
+      if (*alive) {
+        work();
+      }
+    });
+  }
+
+  void SetPause(call_number aCall, int aMask)
+  {
+    Later([this, aCall, aMask] {
+      const auto found = mCalls.find(aCall);
+      if (found != mCalls.end() && !found->second->isCancelled) {
+        curl_easy_pause(found->second->easy, aMask);
+        CollectEnded();
+      }
+    });
+  }
+
+  // Expect is emptied because a 100-continue answer would delay the body and
+  // blur whether any of it was sent; redirects are never followed.
+  static void Configure(running_call& aCall)
+  {
+    CURL* easy = aCall.easy;
+    const http_call& call = aCall.call;
+    for (const http_field& field : call.fields) {
+      const std::string line = field.name + ": " + field.value;
+      aCall.fieldList = curl_slist_append(aCall.fieldList, line.c_str());
+    }
+    aCall.fieldList = curl_slist_append(aCall.fieldList, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.fieldList);
+    if (!call.body.empty() || call.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+      curl_easy_setopt(easy,
+                       CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(call.body.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(
+      easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(
+      easy, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    curl_easy_setopt(easy,
+                     CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(call.connectTimeout.count()));
+    curl_easy_setopt(
+      easy, CURLOPT_FRESH_CONNECT, call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(
+      easy, CURLOPT_FORBID_REUSE, call.freshConnection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aCall);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBodyBytes);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  }
+
+  void Free(running_call& aCall)
+  {
+    curl_multi_remove_handle(mMulti, aCall.easy);
+    curl_easy_cleanup(aCall.easy);
+    curl_slist_free_all(aCall.fieldList);
+  }
+
+  void Remove(call_number aCall)
+  {
+    const auto found = mCalls.find(aCall);
+    if (found == mCalls.end()) {
+      return;
+    }
+    const std::unique_ptr<running_call> call = std::move(found->second);
+    mCalls.erase(found);
+    Free(*call);
+  }
+
+  static int OnSocket(CURL*, curl_socket_t aFd, int aWhat, void* aSelf, void*)
+  {
+    static_cast<curl_client*>(aSelf)->Watch(aFd, aWhat);
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long aTimeoutMs, void* aSelf)
+  {
+    static_cast<curl_client*>(aSelf)->ArmTimer(aTimeoutMs);
+    return 0;
+  }
+
+  void ArmTimer(long aTimeoutMs)
+  {
+    mTimer.cancel();
+    if (aTimeoutMs < 0) {
+      return;
+    }
+    mTimer.expires_after(std::chrono::milliseconds(aTimeoutMs));
+    mTimer.async_wait([this, alive = mIsAlive](const std::error_code& aError) {
+      if (!aError && *alive) {
+        Act(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+  }
+
+  static void Forget(socket_watch& aWatch)
+  {
+    aWatch.isClosed = true;
+    if (aWatch.descriptor.is_open()) {
+      aWatch.descriptor.release();
+    }
+  }
+
+  void Watch(curl_socket_t aFd, int aWhat)
+  {
+    auto& watch = mWatches[aFd];
+    if (aWhat == CURL_POLL_REMOVE) {
+      if (watch) {
+        Forget(*watch);
+      }
+      mWatches.erase(aFd);
+      return;
+    }
+    if (!watch) {
+      watch = std::make_shared<socket_watch>(mContext);
+      watch->descriptor.assign(aFd);
+    }
+    watch->wanted = aWhat;
+    WaitFor(aFd, watch);
+  }
+
+  void WaitFor(curl_socket_t aFd, const std::shared_ptr<socket_watch>& aWatch)
+  {
+    using descriptor = asio::posix::stream_descriptor;
+    if ((aWatch->wanted & CURL_POLL_IN) != 0 && !aWatch->waitsRead) {
+      aWatch->waitsRead = true;
+      Wait(aFd, aWatch, descriptor::wait_read, CURL_CSELECT_IN);
+    }
+    if ((aWatch->wanted & CURL_POLL_OUT) != 0 && !aWatch->waitsWrite) {
+      aWatch->waitsWrite = true;
+      Wait(aFd, aWatch, descriptor::wait_write, CURL_CSELECT_OUT);
+    }
+  }
+
+  void Wait(curl_socket_t aFd,
+            const std::shared_ptr<socket_watch>& aWatch,
+            asio::posix::stream_descriptor::wait_type aType,
+            int aEvent)
+  {
+    aWatch->descriptor.async_wait(
+      aType,
+      [this, alive = mIsAlive, aFd, watch = aWatch, aEvent](
+        const std::error_code& aError) {
+        if (!*alive || watch->isClosed) {
+          return;
+        }
+        const bool isRead = aEvent == CURL_CSELECT_IN;
+        (isRead ? watch->waitsRead : watch->waitsWrite) = false;
+        const int wantedBit = isRead ? CURL_POLL_IN : CURL_POLL_OUT;
+        if ((watch->wanted & wantedBit) == 0) {
+          return; // no longer asked for
+        }
+        Act(aFd, aError ? CURL_CSELECT_ERR : aEvent);
+        if (*alive && !watch->isClosed && !aError) {
+          WaitFor(aFd, watch);
+        }
+      });
+  }
+
+  void Act(curl_socket_t aFd, int aEvents)
+  {
+    int running = 0;
+    curl_multi_socket_action(mMulti, aFd, aEvents, &running);
+    CollectEnded();
+  }
+
+  void CollectEnded()
+  {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(mMulti, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      running_call* call = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
+      End(*call, message->data.result);
+    }
+  }
+
+  // "No byte left" is claimed only when libcurl counts no request byte and
+  // failed before it had a connection to send on.
+  void End(running_call& aCall, CURLcode aResult)
+  {
+    http_call_end end;
+    long status = 0;
+    long requestBytes = 0;
+    curl_easy_getinfo(aCall.easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(aCall.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+    end.status = static_cast<int>(status);
+    end.whole = aResult == CURLE_OK;
+    end.anySent = aResult != CURLE_COULDNT_CONNECT || requestBytes > 0;
+    if (!end.whole) {
+      end.error = curl_easy_strerror(aResult);
+    }
+    if (end.whole && !aCall.isCancelled) {
+      TellHeadersOnce(aCall);
+    }
+    const bool isCancelled = aCall.isCancelled;
+    const auto onEnd = std::move(aCall.hooks.onEnd);
+    Remove(aCall.number);
+    if (onEnd && !isCancelled) {
+      onEnd(end);
+    }
+  }
+
+  asio::io_context& mContext;
+  asio::steady_timer mTimer;
+  CURLM* mMulti;
+  call_number mLastNumber = 0;
+  std::unordered_map<call_number, std::unique_ptr<running_call>> mCalls;
+  std::unordered_map<curl_socket_t, std::shared_ptr<socket_watch>> mWatches;
+  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+std::unique_ptr<http_client>
+MakeHttpClient(asio::io_context& aContext)
+{
+  static const CURLcode sInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)sInitialised;
+  return std::make_unique<curl_client>(aContext);
+}
+
+} // namespace bulrush::net
--- /dev/null
+++ b/src/net/tick_timer.cpp
@@ -0,0 +1,85 @@
+#include "net/net.hpp"
+
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace bulrush::net {
+
+struct tick_timer::state
+{
+  asio::io_context& context;
+  asio::steady_timer timer;
+  tick_hook onTick;
+  bool isPending = false;
+  bool isStopped = false;
+
+  state(asio::io_context& aContext, tick_hook aOnTick)
+    : context(aContext)
+    , timer(aContext)
+    , onTick(std::move(aOnTick))
+  {
+  }
+};
+
+namespace {
+
+// The timer is re-armed after each tick for the deadline that the systems
+// asked for; with no deadline nothing is armed and the thread sleeps in the
+// kernel until input arrives.
+template<class state_type>
+void
+Tick(const std::shared_ptr<state_type>& aState)
+{
+  if (aState->isStopped) {
+    return;
+  }
+  aState->isPending = false;
+  const wake_time wake = aState->onTick(std::chrono::steady_clock::now());
+  if (aState->isStopped || wake.at == steady_time::max()) {
+    return;
+  }
+  aState->timer.expires_at(wake.at);
+  aState->timer.async_wait([aState](const std::error_code& aError) {
+    if (!aError && !aState->isPending) {
+      Tick(aState);
+    }
+  });
+}
+
+} // namespace
+
+tick_timer::tick_timer(asio::io_context& aContext, tick_hook aOnTick)
+  : mState(std::make_shared<state>(aContext, std::move(aOnTick)))
+{
+}
+
+tick_timer::~tick_timer()
+{
+  mState->isStopped = true;
+  mState->timer.cancel();
+}
+
+void
+tick_timer::RunSoon()
+{
+  if (mState->isPending) {
+    return;
+  }
+  mState->isPending = true;
+  asio::post(mState->context, [state = mState] { Tick(state); });
+}
+
+void
+OnStopSignal(asio::io_context& aContext, std::function<void()> aOnSignal)
+{
+  auto signals = std::make_shared<asio::signal_set>(aContext, SIGTERM, SIGINT);
+  signals->async_wait(
+    [signals, hook = std::move(aOnSignal)](const std::error_code& aError, int) {
+      if (!aError) {
+        hook();
+      }
+    });
+}
+
+} // namespace bulrush::net
--- /dev/null
+++ b/src/wire/convert.hpp
@@ -0,0 +1,25 @@
+#ifndef BULRUSH_WIRE_CONVERT_HPP
+#define BULRUSH_WIRE_CONVERT_HPP
+
+/// Conversions that several codecs of the wire library share. Private.
+
+#include "wire/bulrush.pb.h"
+#include "wire/wire.hpp"
+
+namespace bulrush::wire {
+
+std::int64_t ToMicroseconds(wall_time aTime);
+wall_time FromMicroseconds(std::int64_t aMicroseconds);
+
+std::string ToBytes(const key_hash& aHash);
+key_hash FromBytes(const std::string& aBytes);
+
+void Put(const fleet_command& aFrom, pb::Command& aTo);
+std::optional<fleet_command> Get(const pb::Command& aFrom);
+
+void Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo);
+endpoint_row Get(const pb::Endpoint& aFrom, steady_time aNow);
+
+} // namespace bulrush::wire
+
+#endif
--- /dev/null
+++ b/src/wire/message_codec.cpp
@@ -0,0 +1,486 @@
+#include "wire/convert.hpp"
+
+namespace bulrush::wire {
+
+void
+Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo)
+{
+  aTo.set_name(aFrom.name);
+  aTo.set_address(aFrom.address);
+  aTo.set_incarnation(aFrom.incarnation);
+  aTo.set_sequence(aFrom.sequence);
+  aTo.set_domain(aFrom.domain.value);
+  aTo.set_memory_bytes(aFrom.memoryBytes);
+  aTo.set_used_bytes(aFrom.usedBytes);
+  aTo.set_slots(aFrom.slots);
+  aTo.set_cold_slots(aFrom.coldSlots);
+  aTo.set_is_cold(aFrom.isCold);
+  aTo.set_can_resume(aFrom.canResume);
+  aTo.set_checks_fencing(aFrom.checksFencing);
+  aTo.set_is_leaving(aFrom.isLeaving);
+  aTo.set_running(aFrom.running);
+  aTo.set_queued(aFrom.queued);
+  for (const resident& from : aFrom.residents) {
+    auto* to = aTo.add_residents();
+    to->set_model(from.model.value);
+    to->set_version(from.version);
+    for (const adapter_id& adapter : from.adapters) {
+      to->add_adapters(adapter.value);
+    }
+  }
+  for (const std::string& service : aFrom.services) {
+    aTo.add_services(service);
+  }
+  for (const order_report& from : aFrom.orders) {
+    auto* to = aTo.add_orders();
+    to->set_order(from.order.value);
+    to->set_fencing(from.fencing);
+    to->set_is_done(from.isDone);
+  }
+  aTo.set_age_ms(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aFrom.lastSeen)
+      .count());
+}
+
+endpoint_row
+Get(const pb::Endpoint& aFrom, steady_time aNow)
+{
+  endpoint_row row;
+  row.name = aFrom.name();
+  row.id = IdOf<endpoint_id>(row.name);
+  row.address = aFrom.address();
+  row.incarnation = aFrom.incarnation();
+  row.sequence = aFrom.sequence();
+  row.domain = { aFrom.domain() };
+  row.memoryBytes = aFrom.memory_bytes();
+  row.usedBytes = aFrom.used_bytes();
+  row.slots = aFrom.slots();
+  row.coldSlots = aFrom.cold_slots();
+  row.isCold = aFrom.is_cold();
+  row.canResume = aFrom.can_resume();
+  row.checksFencing = aFrom.checks_fencing();
+  row.isLeaving = aFrom.is_leaving();
+  row.running = aFrom.running();
+  row.queued = aFrom.queued();
+  for (const auto& from : aFrom.residents()) {
+    resident to{ { from.model() }, from.version(), {} };
+    for (const auto adapter : from.adapters()) {
+      to.adapters.push_back({ adapter });
+    }
+    row.residents.push_back(std::move(to));
+  }
+  row.services.assign(aFrom.services().begin(), aFrom.services().end());
+  for (const auto& from : aFrom.orders()) {
+    row.orders.push_back({ { from.order() }, from.fencing(), from.is_done() });
+  }
+  row.lastSeen = aNow - std::chrono::milliseconds(aFrom.age_ms());
+  return row;
+}
+
+namespace {
+
+template<class list>
+void
+PutEndpoints(const std::vector<endpoint_row>& aFrom,
+             steady_time aNow,
+             list& aTo)
+{
+  for (const endpoint_row& row : aFrom) {
+    Put(row, aNow, *aTo.Add());
+  }
+}
+
+template<class list>
+std::vector<endpoint_row>
+GetEndpoints(const list& aFrom, steady_time aNow)
+{
+  std::vector<endpoint_row> rows;
+  for (const auto& row : aFrom) {
+    rows.push_back(Get(row, aNow));
+  }
+  return rows;
+}
+
+void
+PutResult(const command_result& aFrom, pb::CommandResult& aTo)
+{
+  aTo.set_is_done(aFrom.isDone);
+  aTo.set_code(aFrom.code);
+  aTo.set_text(aFrom.text);
+  aTo.set_revision(aFrom.revision);
+  aTo.set_claim(static_cast<std::uint32_t>(aFrom.claim));
+  aTo.set_stored_status(aFrom.storedStatus);
+  aTo.set_stored_content_type(aFrom.storedContentType);
+  aTo.set_stored_body(aFrom.storedBody);
+}
+
+command_result
+GetResult(const pb::CommandResult& aFrom)
+{
+  command_result result;
+  result.isDone = aFrom.is_done();
+  result.code = aFrom.code();
+  result.text = aFrom.text();
+  result.revision = aFrom.revision();
+  result.claim = static_cast<claim_answer>(aFrom.claim());
+  result.storedStatus = aFrom.stored_status();
+  result.storedContentType = aFrom.stored_content_type();
+  result.storedBody = aFrom.stored_body();
+  return result;
+}
+
+void
+PutBody(const command_call& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_command_call();
+  to->set_call(aFrom.call);
+  Put(aFrom.command, *to->mutable_command());
+  to->set_credential(aFrom.credential);
+  to->set_hops(aFrom.hops);
+}
+
+void
+PutBody(const command_reply& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_command_reply();
+  to->set_call(aFrom.call);
+  to->set_outcome(static_cast<std::uint32_t>(aFrom.outcome));
+  PutResult(aFrom.result, *to->mutable_result());
+  to->set_text(aFrom.text);
+}
+
+void
+PutBody(const host_report& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_host_report();
+  to->set_domain(aFrom.domain);
+  to->set_renewal(aFrom.renewal);
+  to->set_revision(aFrom.revision);
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  to->set_http_address(aFrom.httpAddress);
+  to->set_is_leaving(aFrom.isLeaving);
+}
+
+void
+PutBody(const host_update& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_host_update();
+  to->set_renewal(aFrom.renewal);
+  to->set_lease_ms(aFrom.lease.count());
+  to->set_epoch(aFrom.epoch);
+  to->set_revision(aFrom.revision);
+  for (const numbered_command& from : aFrom.commands) {
+    auto* numbered = to->add_commands();
+    numbered->set_revision(from.revision);
+    Put(from.command, *numbered->mutable_command());
+  }
+  to->set_snapshot(aFrom.snapshot);
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  for (const endpoint_id& gone : aFrom.goneEndpoints) {
+    to->add_gone_endpoints(gone.value);
+  }
+}
+
+void
+PutBody(const endpoint_gossip& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_endpoint_gossip();
+  to->set_domain(aFrom.domain);
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  for (const endpoint_id& gone : aFrom.gone) {
+    to->add_gone(gone.value);
+  }
+}
+
+void
+PutBody(const tombstones& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_tombstones();
+  for (const key_hash& key : aFrom.keys) {
+    to->add_keys(ToBytes(key));
+  }
+  to->set_credential(aFrom.credential);
+}
+
+void
+PutBody(const status_call& aFrom, steady_time, pb::Envelope& aTo)
+{
+  aTo.mutable_status_call()->set_call(aFrom.call);
+  aTo.mutable_status_call()->set_credential(aFrom.credential);
+}
+
+void
+PutReplica(const replica_status& aFrom, pb::ReplicaStatus& aTo)
+{
+  aTo.set_name(aFrom.name);
+  aTo.set_domain(aFrom.domain);
+  aTo.set_address(aFrom.address);
+  aTo.set_is_leader(aFrom.isLeader);
+  aTo.set_is_voter(aFrom.isVoter);
+  aTo.set_term(aFrom.term);
+  aTo.set_commit(aFrom.commit);
+  aTo.set_revision(aFrom.revision);
+}
+
+void
+PutHost(const host_status& aFrom, pb::HostStatus& aTo)
+{
+  aTo.set_name(aFrom.name);
+  aTo.set_domain(aFrom.domain);
+  aTo.set_revision(aFrom.revision);
+  aTo.set_has_lease(aFrom.hasLease);
+  aTo.set_age_ms(aFrom.age.count());
+  aTo.set_http_address(aFrom.httpAddress);
+}
+
+void
+PutBody(const status_reply& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_status_reply();
+  to->set_call(aFrom.call);
+  to->set_leader(aFrom.leader);
+  to->set_revision(aFrom.revision);
+  to->set_manifest_revision(aFrom.manifestRevision);
+  to->set_version(aFrom.version);
+  for (const replica_status& row : aFrom.replicas) {
+    PutReplica(row, *to->add_replicas());
+  }
+  for (const host_status& row : aFrom.hosts) {
+    PutHost(row, *to->add_hosts());
+  }
+  for (const domain_status& row : aFrom.domains) {
+    auto* domain = to->add_domains();
+    domain->set_name(row.name);
+    domain->set_is_out(row.isOut);
+    domain->set_delegate(row.delegate);
+    domain->set_epoch(row.epoch);
+  }
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  to->set_keys(aFrom.keys);
+  to->set_claims(aFrom.claims);
+  to->set_text(aFrom.text);
+}
+
+void
+PutBody(const manifest_call& aFrom, steady_time, pb::Envelope& aTo)
+{
+  aTo.mutable_manifest_call()->set_call(aFrom.call);
+  aTo.mutable_manifest_call()->set_credential(aFrom.credential);
+}
+
+void
+PutBody(const manifest_reply& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_manifest_reply();
+  to->set_call(aFrom.call);
+  to->set_manifest_revision(aFrom.manifestRevision);
+  to->set_text(aFrom.text);
+}
+
+std::optional<message_body>
+GetBody(const pb::CommandCall& aFrom, steady_time)
+{
+  auto command = Get(aFrom.command());
+  if (!command) {
+    return std::nullopt;
+  }
+  return command_call{
+    aFrom.call(), std::move(*command), aFrom.credential(), aFrom.hops()
+  };
+}
+
+std::optional<message_body>
+GetBody(const pb::CommandReply& aFrom, steady_time)
+{
+  if (aFrom.outcome() > static_cast<std::uint32_t>(call_outcome::eRefused) ||
+      aFrom.result().claim() >
+        static_cast<std::uint32_t>(claim_answer::eOtherBody)) {
+    return std::nullopt;
+  }
+  return command_reply{ aFrom.call(),
+                        static_cast<call_outcome>(aFrom.outcome()),
+                        GetResult(aFrom.result()),
+                        aFrom.text() };
+}
+
+std::optional<message_body>
+GetBody(const pb::HostReport& aFrom, steady_time aNow)
+{
+  return host_report{
+    aFrom.domain(),       aFrom.renewal(),
+    aFrom.revision(),     GetEndpoints(aFrom.endpoints(), aNow),
+    aFrom.http_address(), aFrom.is_leaving()
+  };
+}
+
+std::optional<message_body>
+GetBody(const pb::HostUpdate& aFrom, steady_time aNow)
+{
+  host_update update;
+  update.renewal = aFrom.renewal();
+  update.lease = std::chrono::milliseconds(aFrom.lease_ms());
+  update.epoch = aFrom.epoch();
+  update.revision = aFrom.revision();
+  for (const auto& from : aFrom.commands()) {
+    auto command = Get(from.command());
+    if (!command) {
+      return std::nullopt;
+    }
+    update.commands.push_back({ from.revision(), std::move(*command) });
+  }
+  update.snapshot = aFrom.snapshot();
+  update.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
+  for (const auto gone : aFrom.gone_endpoints()) {
+    update.goneEndpoints.push_back({ gone });
+  }
+  return update;
+}
+
+std::optional<message_body>
+GetBody(const pb::EndpointGossip& aFrom, steady_time aNow)
+{
+  endpoint_gossip gossip;
+  gossip.domain = aFrom.domain();
+  gossip.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
+  for (const auto gone : aFrom.gone()) {
+    gossip.gone.push_back({ gone });
+  }
+  return gossip;
+}
+
+std::optional<message_body>
+GetBody(const pb::Tombstones& aFrom, steady_time)
+{
+  tombstones result;
+  for (const auto& key : aFrom.keys()) {
+    result.keys.push_back(FromBytes(key));
+  }
+  result.credential = aFrom.credential();
+  return result;
+}
+
+std::optional<message_body>
+GetBody(const pb::StatusCall& aFrom, steady_time)
+{
+  return status_call{ aFrom.call(), aFrom.credential() };
+}
+
+replica_status
+GetReplica(const pb::ReplicaStatus& aFrom)
+{
+  return {
+    aFrom.name(),     aFrom.domain(), aFrom.address(), aFrom.is_leader(),
+    aFrom.is_voter(), aFrom.term(),   aFrom.commit(),  aFrom.revision()
+  };
+}
+
+host_status
+GetHost(const pb::HostStatus& aFrom)
+{
+  return { aFrom.name(),
+           aFrom.domain(),
+           aFrom.revision(),
+           aFrom.has_lease(),
+           std::chrono::milliseconds(aFrom.age_ms()),
+           aFrom.http_address() };
+}
+
+std::optional<message_body>
+GetBody(const pb::StatusReply& aFrom, steady_time aNow)
+{
+  status_reply reply;
+  reply.call = aFrom.call();
+  reply.leader = aFrom.leader();
+  reply.revision = aFrom.revision();
+  reply.manifestRevision = aFrom.manifest_revision();
+  reply.version = aFrom.version();
+  for (const auto& row : aFrom.replicas()) {
+    reply.replicas.push_back(GetReplica(row));
+  }
+  for (const auto& row : aFrom.hosts()) {
+    reply.hosts.push_back(GetHost(row));
+  }
+  for (const auto& row : aFrom.domains()) {
+    reply.domains.push_back(
+      { row.name(), row.is_out(), row.delegate(), row.epoch() });
+  }
+  reply.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
+  reply.keys = aFrom.keys();
+  reply.claims = aFrom.claims();
+  reply.text = aFrom.text();
+  return reply;
+}
+
+std::optional<message_body>
+GetBody(const pb::ManifestCall& aFrom, steady_time)
+{
+  return manifest_call{ aFrom.call(), aFrom.credential() };
+}
+
+std::optional<message_body>
+GetBody(const pb::ManifestReply& aFrom, steady_time)
+{
+  return manifest_reply{ aFrom.call(),
+                         aFrom.manifest_revision(),
+                         aFrom.text() };
+}
+
+std::optional<message_body>
+GetBody(const pb::Envelope& aFrom, steady_time aNow)
+{
+  switch (aFrom.body_case()) {
+    case pb::Envelope::kCommandCall:
+      return GetBody(aFrom.command_call(), aNow);
+    case pb::Envelope::kCommandReply:
+      return GetBody(aFrom.command_reply(), aNow);
+    case pb::Envelope::kHostReport:
+      return GetBody(aFrom.host_report(), aNow);
+    case pb::Envelope::kHostUpdate:
+      return GetBody(aFrom.host_update(), aNow);
+    case pb::Envelope::kEndpointGossip:
+      return GetBody(aFrom.endpoint_gossip(), aNow);
+    case pb::Envelope::kStatusCall:
+      return GetBody(aFrom.status_call(), aNow);
+    case pb::Envelope::kStatusReply:
+      return GetBody(aFrom.status_reply(), aNow);
+    case pb::Envelope::kTombstones:
+      return GetBody(aFrom.tombstones(), aNow);
+    case pb::Envelope::kManifestCall:
+      return GetBody(aFrom.manifest_call(), aNow);
+    case pb::Envelope::kManifestReply:
+      return GetBody(aFrom.manifest_reply(), aNow);
+    case pb::Envelope::BODY_NOT_SET:
+      break;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string
+Encode(const message& aMessage, steady_time aNow)
+{
+  pb::Envelope envelope;
+  envelope.set_sender(aMessage.sender);
+  envelope.set_incarnation(aMessage.incarnation);
+  std::visit([&](const auto& aBody) { PutBody(aBody, aNow, envelope); },
+             aMessage.body);
+  return envelope.SerializeAsString();
+}
+
+std::optional<message>
+Decode(const std::string& aBytes, steady_time aNow, last_reason& aWhy)
+{
+  pb::Envelope envelope;
+  if (!envelope.ParseFromString(aBytes)) {
+    return Fail(aWhy, "decode message", "", "malformed bytes");
+  }
+  auto body = GetBody(envelope, aNow);
+  if (!body) {
+    return Fail(
+      aWhy, "decode message", envelope.sender(), "unknown kind of message");
+  }
+  return message{ envelope.sender(), envelope.incarnation(), std::move(*body) };
+}
+
+} // namespace bulrush::wire
--- /dev/null
+++ b/src/wire/wire.hpp
@@ -0,0 +1,184 @@
+#ifndef BULRUSH_WIRE_WIRE_HPP
+#define BULRUSH_WIRE_WIRE_HPP
+
+/// Public header of the wire library: the messages between our own processes
+/// as plain structs, and their encoding. Source: protobuf, bulrush.proto.
+
+#include "core/core.hpp"
+#include "fleet/fleet.hpp"
+
+namespace bulrush::wire {
+
+/// What became of a command that was called for.
+enum class call_outcome : std::uint8_t
+{
+  eDecided,  ///< the result holds what the state machine answered
+  eNoLeader, ///< not committed and never will be: nobody took it
+  eUnknown,  ///< it may be committed yet; ask again
+  eRefused,  ///< the credential is not accepted
+};
+
+struct command_call
+{
+  std::uint64_t call = 0;
+  fleet_command command;
+  std::string credential;
+  std::uint32_t hops = 0; ///< how often it was passed on towards the leader
+};
+
+struct command_reply
+{
+  std::uint64_t call = 0;
+  call_outcome outcome = call_outcome::eNoLeader;
+  command_result result;
+  std::string text;
+};
+
+/// An entry host renews its lease and confirms its configuration revision.
+struct host_report
+{
+  std::string domain;
+  std::uint64_t renewal = 0;
+  std::uint64_t revision = 0;
+  std::vector<endpoint_row> endpoints; ///< those that changed
+  std::string httpAddress;
+  bool isLeaving = false;
+};
+
+struct numbered_command
+{
+  std::uint64_t revision = 0; ///< the revision that it led to
+  fleet_command command;
+};
+
+/// The answer to a host_report, also sent whenever something changed.
+struct host_update
+{
+  std::uint64_t renewal = 0;
+  std::chrono::milliseconds lease{ 0 }; ///< zero: none granted
+  std::uint64_t epoch = 0;
+  std::uint64_t revision = 0;
+  std::vector<numbered_command> commands;
+  std::string snapshot; ///< encoded fleet_state; empty for none
+  std::vector<endpoint_row> endpoints;
+  std::vector<endpoint_id> goneEndpoints;
+};
+
+/// Endpoints of one failure domain, from its control host to the others.
+struct endpoint_gossip
+{
+  std::string domain;
+  std::vector<endpoint_row> endpoints;
+  std::vector<endpoint_id> gone;
+};
+
+/// Withdrawn keys, passed on ahead of the log.
+struct tombstones
+{
+  std::vector<key_hash> keys;
+  std::string credential;
+};
+
+struct status_call
+{
+  std::uint64_t call = 0;
+  std::string credential;
+};
+
+struct replica_status
+{
+  std::string name;
+  std::string domain;
+  std::string address;
+  bool isLeader = false;
+  bool isVoter = false;
+  std::uint64_t term = 0;
+  std::uint64_t commit = 0;
+  std::uint64_t revision = 0;
+};
+
+struct host_status
+{
+  std::string name;
+  std::string domain;
+  std::uint64_t revision = 0;
+  bool hasLease = false;
+  std::chrono::milliseconds age{ 0 };
+  std::string httpAddress;
+};
+
+struct domain_status
+{
+  std::string name;
+  bool isOut = false;
+  std::string delegate;
+  std::uint64_t epoch = 0;
+};
+
+struct status_reply
+{
+  std::uint64_t call = 0;
+  std::string leader;
+  std::uint64_t revision = 0;
+  std::uint64_t manifestRevision = 0;
+  std::string version;
+  std::vector<replica_status> replicas;
+  std::vector<host_status> hosts;
+  std::vector<domain_status> domains;
+  std::vector<endpoint_row> endpoints;
+  std::uint64_t keys = 0;
+  std::uint64_t claims = 0;
+  std::string text;
+};
+
+struct manifest_call
+{
+  std::uint64_t call = 0;
+  std::string credential;
+};
+
+struct manifest_reply
+{
+  std::uint64_t call = 0;
+  std::uint64_t manifestRevision = 0;
+  std::string text;
+};
+
+using message_body = std::variant<command_call,
+                                  command_reply,
+                                  host_report,
+                                  host_update,
+                                  endpoint_gossip,
+                                  tombstones,
+                                  status_call,
+                                  status_reply,
+                                  manifest_call,
+                                  manifest_reply>;
+
+struct message
+{
+  std::string sender;
+  std::uint64_t incarnation = 0;
+  message_body body;
+};
+
+/// Ages of endpoint rows are sent relative to aNow, since steady clocks of
+/// two processes have nothing in common.
+std::string Encode(const message& aMessage, steady_time aNow);
+
+/// nullopt for anything that is malformed or of an unknown kind.
+std::optional<message> Decode(const std::string& aBytes,
+                              steady_time aNow,
+                              last_reason& aWhy);
+
+std::string EncodeCommand(const fleet_command& aCommand);
+std::optional<fleet_command> DecodeCommand(const std::string& aBytes,
+                                           last_reason& aWhy);
+
+std::string EncodeState(const fleet_state& aState);
+std::optional<fleet_state> DecodeState(const std::string& aBytes,
+                                       last_reason& aWhy);
+
+} // namespace bulrush::wire
+
+#endif
