--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -342,9 +342,6 @@
 /// Applies one command. Deterministic: equal states stay equal.
 command_result Apply(fleet_state& aState, const fleet_command& aCommand);
 
-/// Marks a key withdrawn ahead of the log; safe to repeat.
-void AddTombstone(fleet_state& aState, const key_hash& aKey);
-
 /// The workspace that a key works for, if it works.
 std::optional<workspace_id> FindWorkspace(const fleet_state& aState,
                                           const key_hash& aKey);
