--- /dev/null
+++ b/src/apps/control_main.cpp
@@ -0,0 +1,216 @@
+#include "apps/control_tables.hpp"
+#include "net/net.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <unistd.h>
+
+namespace bulrush::control {
+namespace {
+
+constexpr log_part kLog{ "control" };
+
+constexpr std::array<option_row, 6> kOptions{ {
+  { "name", option_type::eText, "", "control-a", "", "",
+    "Name of this control process, unlike any other" },
+  { "domain", option_type::eText, "", "domain-a", "", "",
+    "Failure domain that this host is in" },
+  { "listen", option_type::eAddress, "", "127.0.0.1:7100", "", "",
+    "Address for links of hosts, operators and other control processes" },
+  { "peers", option_type::eList, "", "", "", "",
+    "Other control processes, NAME=IP:PORT with commas between them" },
+  { "data", option_type::ePath, "", "", "", "",
+    "Folder for the log; without it state is kept in memory only" },
+  { "credential", option_type::eSecretFile, "", "", "", "",
+    "File with the credential that operators and hosts present" },
+} };
+
+constexpr program_options kProgram{
+  "bulrush-control",
+  "Decides the fleet's configuration, leases, placement and endpoint table",
+  kOptions
+};
+
+// The log of a single process: what is proposed is committed at once.
+log_hooks
+MakeLocalLog(control_tables& aTables)
+{
+  log_hooks hooks;
+  hooks.propose = [&aTables, last = std::uint64_t{ 0 }](
+                    std::string aPayload,
+                    last_reason&) mutable -> std::optional<position_id> {
+    const position_id position{ ++last };
+    aTables.committed.push_back({ position, std::move(aPayload), false });
+    return position;
+  };
+  hooks.isLeader = [] { return true; };
+  hooks.leaderName = [&aTables] { return aTables.self.name; };
+  return hooks;
+}
+
+// Everything the process holds. The members after the tables refer to them.
+class control_process
+{
+public:
+  control_process(asio::io_context& aContext, const option_values& aOptions)
+    : mContext(aContext)
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+  {
+    mTables.self.name = aOptions.Text("name");
+    mTables.self.domain = aOptions.Text("domain");
+    mTables.self.linkAddress = FormatAddress(*aOptions.Address("listen"));
+    mTables.wallClock = [] { return std::chrono::system_clock::now(); };
+    mTables.self.incarnation = static_cast<std::uint64_t>(
+      mTables.wallClock().time_since_epoch().count());
+    mTables.log = MakeLocalLog(mTables);
+  }
+
+  bool Start(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!ReadCredential(aOptions, aWhy)) {
+      return false;
+    }
+    auto server = net::ListenLink(
+      mContext,
+      mTables.self.linkAddress,
+      {},
+      [this](std::string aPeer, std::string aBytes) {
+        Receive(std::move(aPeer), aBytes);
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mServer = std::move(*server);
+    for (const std::string& peer : aOptions.List("peers")) {
+      if (!Connect(peer, aWhy)) {
+        return false;
+      }
+    }
+    LogInfo(kLog, "{} listens on {}", mTables.self.name,
+            mTables.self.linkAddress);
+    mTimer.RunSoon();
+    return true;
+  }
+
+private:
+  bool ReadCredential(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!aOptions.IsSet("credential")) {
+      return true;
+    }
+    const auto secret = ReadSecret(aOptions.Path("credential"), aWhy);
+    if (!secret) {
+      return false;
+    }
+    mTables.self.credential = secret->Reveal();
+    return true;
+  }
+
+  bool Connect(const std::string& aPeer, last_reason& aWhy)
+  {
+    const std::size_t equals = aPeer.find('=');
+    if (equals == std::string::npos) {
+      Fail(aWhy, "read peers", aPeer, "expected NAME=IP:PORT");
+      return false;
+    }
+    control_row row;
+    row.name = aPeer.substr(0, equals);
+    row.address = aPeer.substr(equals + 1);
+    row.id = IdOf<replica_id>(row.name);
+    auto link = net::ConnectLink(
+      mContext,
+      row.address,
+      mTables.self.name,
+      {},
+      [this, name = row.name](std::string aBytes) { Receive(name, aBytes); },
+      aWhy);
+    if (!link) {
+      return false;
+    }
+    mLinks.emplace(row.name, std::move(*link));
+    mTables.controls.Insert(row);
+    return true;
+  }
+
+  void Receive(std::string aPeer, const std::string& aBytes)
+  {
+    last_reason why;
+    auto message =
+      wire::Decode(aBytes, std::chrono::steady_clock::now(), why);
+    if (!message) {
+      LogWarning(kLog, "Message from {} is dropped: {}", aPeer, Describe(why));
+      return;
+    }
+    mTables.inbox.push_back({ std::move(aPeer), std::move(*message) });
+    mTimer.RunSoon();
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    control_outbox outbox;
+    RunControl(mTables, aNow, outbox);
+    for (outgoing& out : outbox.messages) {
+      Send(out, aNow);
+    }
+    if (!mTables.committed.empty()) {
+      mTimer.RunSoon();
+    }
+    return outbox.wake;
+  }
+
+  void Send(outgoing& aOut, steady_time aNow)
+  {
+    const std::string bytes = wire::Encode(
+      { mTables.self.name, mTables.self.incarnation, std::move(aOut.body) },
+      aNow);
+    if (aOut.control.empty()) {
+      mServer->Send(aOut.peer, bytes);
+      return;
+    }
+    const auto link = mLinks.find(aOut.control);
+    if (link != mLinks.end()) {
+      link->second->Send(bytes);
+    }
+  }
+
+  asio::io_context& mContext;
+  control_tables mTables;
+  net::tick_timer mTimer;
+  std::unique_ptr<net::link_server> mServer;
+  std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
+};
+
+int
+Run(int aCount, char** aWords)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  asio::io_context context{ 1 };
+  control_process process(context, *options);
+  last_reason why;
+  if (!process.Start(*options, why)) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  net::OnStopSignal(context, [&context] {
+    LogInfo(kLog, "Stops");
+    context.stop();
+  });
+  context.run();
+  return 0;
+}
+
+} // namespace
+} // namespace bulrush::control
+
+int
+main(int aCount, char** aWords)
+{
+  return bulrush::control::Run(aCount, aWords);
+}
--- /dev/null
+++ b/src/apps/control_systems.cpp
@@ -0,0 +1,559 @@
+#include "apps/control_tables.hpp"
+
+namespace bulrush::control {
+namespace {
+
+constexpr std::chrono::milliseconds kLease{ 3'000 };
+constexpr std::chrono::milliseconds kEndpointSilence{ 3'000 };
+constexpr std::chrono::milliseconds kHostSilence{ 30'000 };
+constexpr std::chrono::milliseconds kGossipEvery{ 1'000 };
+constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
+constexpr std::size_t kRecentCommands = 512;
+constexpr std::uint32_t kMaxHops = 2;
+
+// Load figures change with each report; passing each on to every host would
+// cost more than the target allows, so only other changes count as such.
+bool
+IsSameButLoad(const endpoint_row& aLeft, const endpoint_row& aRight)
+{
+  return aLeft.incarnation == aRight.incarnation &&
+         aLeft.address == aRight.address && aLeft.slots == aRight.slots &&
+         aLeft.coldSlots == aRight.coldSlots &&
+         aLeft.isCold == aRight.isCold &&
+         aLeft.isLeaving == aRight.isLeaving &&
+         aLeft.residents == aRight.residents &&
+         aLeft.services == aRight.services;
+}
+
+bool
+IsNewer(const endpoint_row& aNew, const endpoint_row& aOld)
+{
+  return aNew.incarnation > aOld.incarnation ||
+         (aNew.incarnation == aOld.incarnation &&
+          aNew.sequence > aOld.sequence);
+}
+
+void
+TakeEndpoint(control_tables& aTables, const endpoint_row& aRow, bool aIsOwn)
+{
+  known_endpoint* known = aTables.endpoints.Find(aRow.id);
+  if (known == nullptr) {
+    aTables.gone.Erase(aRow.id);
+    aTables.endpoints.Insert({ aRow.id, aRow, ++aTables.serial, aIsOwn });
+    return;
+  }
+  if (!IsNewer(aRow, known->row)) {
+    return;
+  }
+  const bool isSame = IsSameButLoad(aRow, known->row);
+  known->row = aRow;
+  known->isOwn = aIsOwn;
+  if (!isSame) {
+    known->serial = ++aTables.serial;
+  }
+}
+
+void
+DropEndpoint(control_tables& aTables, endpoint_id aEndpoint, steady_time)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aEndpoint);
+  if (known == nullptr) {
+    return;
+  }
+  aTables.gone.Insert({ aEndpoint, ++aTables.serial, known->isOwn });
+  aTables.endpoints.Erase(aEndpoint);
+}
+
+// A report renews the host's lease and says which revision it runs. A host
+// that restarted confirms nothing it heard before.
+void
+Take(control_tables& aTables,
+     const received& aInput,
+     const wire::host_report& aReport,
+     steady_time aNow)
+{
+  const auto id = IdOf<host_id>(aInput.peer);
+  host_row* host = aTables.hosts.Find(id);
+  if (host == nullptr) {
+    host_row row;
+    row.id = id;
+    row.name = aInput.peer;
+    host = &aTables.hosts.Insert(row);
+  }
+  if (aInput.message.incarnation < host->incarnation) {
+    return; // a late message of the process before
+  }
+  if (aInput.message.incarnation > host->incarnation) {
+    host->incarnation = aInput.message.incarnation;
+    host->sentRevision = 0;
+    host->sentEndpoints = 0;
+  }
+  host->domain = aReport.domain;
+  host->httpAddress = aReport.httpAddress;
+  host->renewal = aReport.renewal;
+  host->revision = aReport.revision;
+  host->isLeaving = aReport.isLeaving;
+  host->lastSeen = aNow;
+  host->leaseEnd = aNow + kLease;
+  host->wantsUpdate = true;
+  for (const endpoint_row& row : aReport.endpoints) {
+    TakeEndpoint(aTables, row, true);
+  }
+}
+
+void
+Take(control_tables& aTables,
+     const received&,
+     const wire::endpoint_gossip& aGossip,
+     steady_time aNow)
+{
+  for (const endpoint_row& row : aGossip.endpoints) {
+    TakeEndpoint(aTables, row, false);
+  }
+  for (const endpoint_id& id : aGossip.gone) {
+    DropEndpoint(aTables, id, aNow);
+  }
+}
+
+void
+Answer(const received& aInput,
+       std::uint64_t aCall,
+       wire::call_outcome aOutcome,
+       std::string aText,
+       control_outbox& aOutbox)
+{
+  wire::command_reply reply;
+  reply.call = aCall;
+  reply.outcome = aOutcome;
+  reply.text = std::move(aText);
+  aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+}
+
+void
+RememberCall(control_tables& aTables,
+             const received& aInput,
+             std::uint64_t aCall,
+             position_id aPosition,
+             steady_time aNow)
+{
+  pending_call row;
+  row.id = call_id{ ++aTables.lastCall };
+  row.peer = aInput.peer;
+  row.call = aCall;
+  row.position = aPosition;
+  row.deadline = aNow + kCallTimeout;
+  aTables.calls.Insert(row);
+}
+
+// Only the leader stamps the time, so commands from hosts with wrong clocks
+// do no harm.
+void
+ProposeCall(control_tables& aTables,
+            const received& aInput,
+            const wire::command_call& aCall,
+            steady_time aNow,
+            control_outbox& aOutbox)
+{
+  fleet_command command = aCall.command;
+  command.at = aTables.wallClock();
+  last_reason why;
+  const auto position =
+    aTables.log.propose(wire::EncodeCommand(command), why);
+  if (!position) {
+    Answer(aInput,
+           aCall.call,
+           wire::call_outcome::eNoLeader,
+           Describe(why),
+           aOutbox);
+    return;
+  }
+  RememberCall(aTables, aInput, aCall.call, *position, aNow);
+}
+
+void
+PassOnCall(control_tables& aTables,
+           const received& aInput,
+           const wire::command_call& aCall,
+           steady_time aNow,
+           control_outbox& aOutbox)
+{
+  const std::string leader = aTables.log.leaderName();
+  if (leader.empty() || leader == aTables.self.name ||
+      aCall.hops >= kMaxHops) {
+    Answer(aInput,
+           aCall.call,
+           wire::call_outcome::eNoLeader,
+           "no leader is known",
+           aOutbox);
+    return;
+  }
+  RememberCall(aTables, aInput, aCall.call, {}, aNow);
+  wire::command_call passed = aCall;
+  passed.call = aTables.lastCall;
+  ++passed.hops;
+  aOutbox.messages.push_back({ "", leader, std::move(passed) });
+}
+
+void
+Take(control_tables& aTables,
+     const received& aInput,
+     const wire::command_call& aCall,
+     steady_time aNow,
+     control_outbox& aOutbox)
+{
+  if (aCall.credential != aTables.self.credential) {
+    Answer(aInput,
+           aCall.call,
+           wire::call_outcome::eRefused,
+           "the credential is not accepted",
+           aOutbox);
+    return;
+  }
+  if (aTables.log.isLeader()) {
+    ProposeCall(aTables, aInput, aCall, aNow, aOutbox);
+  } else {
+    PassOnCall(aTables, aInput, aCall, aNow, aOutbox);
+  }
+}
+
+// The answer of the leader to a call that was passed on to it.
+void
+Take(control_tables& aTables,
+     const wire::command_reply& aReply,
+     control_outbox& aOutbox)
+{
+  const pending_call* call = aTables.calls.Find(call_id{ aReply.call });
+  if (call == nullptr) {
+    return; // timed out meanwhile
+  }
+  wire::command_reply reply = aReply;
+  reply.call = call->call;
+  aOutbox.messages.push_back({ call->peer, "", std::move(reply) });
+  aTables.calls.Erase(call_id{ aReply.call });
+}
+
+std::vector<wire::replica_status>
+ReplicaRows(const control_tables& aTables)
+{
+  const std::string leader = aTables.log.leaderName();
+  std::vector<wire::replica_status> rows;
+  wire::replica_status self;
+  self.name = aTables.self.name;
+  self.domain = aTables.self.domain;
+  self.address = aTables.self.linkAddress;
+  self.isLeader = self.name == leader;
+  self.isVoter = true;
+  self.revision = aTables.fleet.revision;
+  rows.push_back(self);
+  for (const control_row& control : aTables.controls) {
+    wire::replica_status row;
+    row.name = control.name;
+    row.address = control.address;
+    row.isLeader = control.name == leader;
+    row.isVoter = true;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+void
+TakeStatusCall(const control_tables& aTables,
+               const received& aInput,
+               const wire::status_call& aCall,
+               steady_time aNow,
+               control_outbox& aOutbox)
+{
+  wire::status_reply reply;
+  reply.call = aCall.call;
+  if (aCall.credential != aTables.self.credential) {
+    reply.text = "the credential is not accepted";
+    aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+    return;
+  }
+  reply.leader = aTables.log.leaderName();
+  reply.revision = aTables.fleet.revision;
+  reply.manifestRevision = aTables.fleet.manifestRevision;
+  reply.version = aTables.fleet.declared.version;
+  reply.replicas = ReplicaRows(aTables);
+  for (const host_row& host : aTables.hosts) {
+    reply.hosts.push_back(
+      { host.name,
+        host.domain,
+        host.revision,
+        host.leaseEnd > aNow,
+        std::chrono::duration_cast<std::chrono::milliseconds>(aNow -
+                                                              host.lastSeen),
+        host.httpAddress });
+  }
+  for (const domain_row& domain : aTables.fleet.declared.domains) {
+    reply.domains.push_back(
+      { domain.name, IsOut(aTables.fleet, domain.id), "", 0 });
+  }
+  for (const known_endpoint& known : aTables.endpoints) {
+    reply.endpoints.push_back(known.row);
+  }
+  reply.keys = aTables.fleet.keys.Size();
+  reply.claims = aTables.fleet.claims.Size();
+  aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+}
+
+void
+TakeManifestCall(const control_tables& aTables,
+                 const received& aInput,
+                 const wire::manifest_call& aCall,
+                 control_outbox& aOutbox)
+{
+  wire::manifest_reply reply;
+  reply.call = aCall.call;
+  if (aCall.credential == aTables.self.credential) {
+    reply.manifestRevision = aTables.fleet.manifestRevision;
+    reply.text = aTables.fleet.manifestText;
+  }
+  aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+}
+
+// Turns messages into rows; the other systems see rows only.
+void
+RunIngest(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  const std::vector<received> inbox = std::move(aTables.inbox);
+  aTables.inbox.clear();
+  for (const received& input : inbox) {
+    if (control_row* control =
+          aTables.controls.Find(IdOf<replica_id>(input.message.sender))) {
+      control->lastHeard = aNow;
+    }
+    const wire::message_body& body = input.message.body;
+    if (const auto* report = std::get_if<wire::host_report>(&body)) {
+      Take(aTables, input, *report, aNow);
+    } else if (const auto* gossip =
+                 std::get_if<wire::endpoint_gossip>(&body)) {
+      Take(aTables, input, *gossip, aNow);
+    } else if (const auto* call = std::get_if<wire::command_call>(&body)) {
+      Take(aTables, input, *call, aNow, aOutbox);
+    } else if (const auto* reply = std::get_if<wire::command_reply>(&body)) {
+      Take(aTables, *reply, aOutbox);
+    } else if (const auto* status = std::get_if<wire::status_call>(&body)) {
+      TakeStatusCall(aTables, input, *status, aNow, aOutbox);
+    } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
+      TakeManifestCall(aTables, input, *text, aOutbox);
+    }
+  }
+}
+
+void
+AnswerPosition(control_tables& aTables,
+               position_id aPosition,
+               const command_result& aResult,
+               control_outbox& aOutbox)
+{
+  for (const pending_call& call : aTables.calls) {
+    if (call.position != aPosition) {
+      continue;
+    }
+    wire::command_reply reply;
+    reply.call = call.call;
+    reply.outcome = wire::call_outcome::eDecided;
+    reply.result = aResult;
+    aOutbox.messages.push_back({ call.peer, "", std::move(reply) });
+    const call_id id = call.id;
+    aTables.calls.Erase(id);
+    return;
+  }
+}
+
+// Committed commands change the state; hosts are owed those that changed the
+// configuration.
+void
+RunApply(control_tables& aTables, steady_time, control_outbox& aOutbox)
+{
+  const auto committed = std::move(aTables.committed);
+  aTables.committed.clear();
+  for (const committed_command& entry : committed) {
+    last_reason why;
+    const auto command = wire::DecodeCommand(entry.payload, why);
+    if (!command) {
+      continue; // written by a newer release; every replica skips it alike
+    }
+    const std::uint64_t before = aTables.fleet.revision;
+    const command_result result = Apply(aTables.fleet, *command);
+    if (aTables.fleet.revision != before) {
+      aTables.recent.push_back({ aTables.fleet.revision, *command });
+      if (aTables.recent.size() > kRecentCommands) {
+        aTables.recent.pop_front();
+      }
+    }
+    AnswerPosition(aTables, entry.position, result, aOutbox);
+  }
+}
+
+void
+RunExpiry(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  std::vector<endpoint_id> silent;
+  for (const known_endpoint& known : aTables.endpoints) {
+    const steady_time end = known.row.lastSeen + kEndpointSilence;
+    if (!known.isOwn) {
+      continue; // its own control host tells
+    }
+    if (end <= aNow) {
+      silent.push_back(known.id);
+    } else {
+      aOutbox.wake.NoLaterThan(end);
+    }
+  }
+  for (const endpoint_id& id : silent) {
+    DropEndpoint(aTables, id, aNow);
+  }
+  aTables.hosts.EraseIf([&](const host_row& aHost) {
+    return aHost.lastSeen + kHostSilence <= aNow;
+  });
+}
+
+// A call whose fate is unknown is said to be so: it may be committed yet.
+void
+RunCallTimeouts(control_tables& aTables,
+                steady_time aNow,
+                control_outbox& aOutbox)
+{
+  std::vector<pending_call> late;
+  for (const pending_call& call : aTables.calls) {
+    if (call.deadline <= aNow) {
+      late.push_back(call);
+    } else {
+      aOutbox.wake.NoLaterThan(call.deadline);
+    }
+  }
+  for (const pending_call& call : late) {
+    wire::command_reply reply;
+    reply.call = call.call;
+    reply.outcome = wire::call_outcome::eUnknown;
+    reply.text = "no decision within the time limit";
+    aOutbox.messages.push_back({ call.peer, "", std::move(reply) });
+    aTables.calls.Erase(call.id);
+  }
+}
+
+// Commands in place of full state while the host is near enough.
+void
+AddConfiguration(const control_tables& aTables,
+                 const host_row& aHost,
+                 wire::host_update& aUpdate)
+{
+  const std::uint64_t from = std::max(aHost.revision, aHost.sentRevision);
+  if (from >= aTables.fleet.revision) {
+    return;
+  }
+  const bool isNear = !aTables.recent.empty() &&
+                      aTables.recent.front().revision <= from + 1;
+  if (!isNear) {
+    aUpdate.snapshot = wire::EncodeState(aTables.fleet);
+    return;
+  }
+  for (const wire::numbered_command& command : aTables.recent) {
+    if (command.revision > from) {
+      aUpdate.commands.push_back(command);
+    }
+  }
+}
+
+void
+AddEndpoints(const control_tables& aTables,
+             std::uint64_t aSince,
+             bool aOwnOnly,
+             std::vector<endpoint_row>& aRows,
+             std::vector<endpoint_id>& aGone)
+{
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (known.serial > aSince && (known.isOwn || !aOwnOnly)) {
+      aRows.push_back(known.row);
+    }
+  }
+  for (const gone_endpoint& gone : aTables.gone) {
+    if (gone.serial > aSince && (gone.isOwn || !aOwnOnly)) {
+      aGone.push_back(gone.id);
+    }
+  }
+}
+
+// A host hears when it asked (a renewal) or when something changed.
+void
+RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  for (host_row& host : aTables.hosts) {
+    const bool isBehind =
+      std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
+      host.sentEndpoints < aTables.serial;
+    if (!host.wantsUpdate && !isBehind) {
+      continue;
+    }
+    if (host.wantsUpdate) {
+      host.sentRevision = 0; // what it did not confirm is sent again
+    }
+    wire::host_update update;
+    update.renewal = host.renewal;
+    update.lease = host.leaseEnd > aNow
+                     ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                         kLease)
+                     : std::chrono::milliseconds(0);
+    update.revision = aTables.fleet.revision;
+    AddConfiguration(aTables, host, update);
+    AddEndpoints(aTables,
+                 host.sentEndpoints,
+                 false,
+                 update.endpoints,
+                 update.goneEndpoints);
+    host.sentRevision = aTables.fleet.revision;
+    host.sentEndpoints = aTables.serial;
+    host.wantsUpdate = false;
+    aOutbox.messages.push_back({ host.name, "", std::move(update) });
+  }
+}
+
+// Changes at once; all own endpoints once a second, which mends what was lost.
+void
+RunGossip(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  const bool isPeriodic = aNow >= aTables.nextGossip;
+  if (!isPeriodic && aTables.gossipedSerial == aTables.serial) {
+    aOutbox.wake.NoLaterThan(aTables.nextGossip);
+    return;
+  }
+  wire::endpoint_gossip gossip;
+  gossip.domain = aTables.self.domain;
+  AddEndpoints(aTables,
+               isPeriodic ? 0 : aTables.gossipedSerial,
+               true,
+               gossip.endpoints,
+               gossip.gone);
+  aTables.gossipedSerial = aTables.serial;
+  if (isPeriodic) {
+    aTables.nextGossip = aNow + kGossipEvery;
+  }
+  aOutbox.wake.NoLaterThan(aTables.nextGossip);
+  if (gossip.endpoints.empty() && gossip.gone.empty()) {
+    return;
+  }
+  for (const control_row& control : aTables.controls) {
+    aOutbox.messages.push_back({ "", control.name, gossip });
+  }
+}
+
+constexpr std::array<named_system<control_tables, control_outbox>, 6> kSystems{
+  { { "ingest", RunIngest },
+    { "apply", RunApply },
+    { "expiry", RunExpiry },
+    { "call_timeouts", RunCallTimeouts },
+    { "updates", RunUpdates },
+    { "gossip", RunGossip } }
+};
+
+} // namespace
+
+void
+RunControl(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  RunTick(kSystems, aTables, aNow, aOutbox);
+}
+
+} // namespace bulrush::control
--- /dev/null
+++ b/src/apps/control_tables.hpp
@@ -0,0 +1,148 @@
+#ifndef BULRUSH_APPS_CONTROL_TABLES_HPP
+#define BULRUSH_APPS_CONTROL_TABLES_HPP
+
+/// Tables of bulrush-control. Its control thread owns all of them.
+
+#include "fleet/fleet.hpp"
+#include "wire/wire.hpp"
+
+#include <deque>
+
+namespace bulrush::control {
+
+using call_id = typed_id<struct call_tag>;
+using position_id = typed_id<struct position_tag>;
+
+/// Who this process is.
+struct self_row
+{
+  std::string name;
+  std::string domain;
+  std::string linkAddress;
+  std::uint64_t incarnation = 0;
+  std::string credential; ///< what operators and hosts must present
+};
+
+/// Another control process.
+struct control_row
+{
+  replica_id id;
+  std::string name;
+  std::string address;
+  steady_time lastHeard{};
+};
+
+/// An entry host that reports here.
+struct host_row
+{
+  host_id id;
+  std::string name;
+  std::string domain;
+  std::string httpAddress;
+  std::uint64_t incarnation = 0;
+  std::uint64_t renewal = 0;       ///< the latest one, to be echoed
+  std::uint64_t revision = 0;      ///< confirmed by the host
+  std::uint64_t sentRevision = 0;  ///< sent and not yet confirmed
+  std::uint64_t sentEndpoints = 0; ///< serial of the newest row sent
+  steady_time lastSeen{};
+  steady_time leaseEnd{};
+  bool wantsUpdate = false;
+  bool isLeaving = false;
+};
+
+/// An endpoint with the serial of its latest change worth passing on.
+struct known_endpoint
+{
+  endpoint_id id;
+  endpoint_row row;
+  std::uint64_t serial = 0;
+  bool isOwn = false; ///< of this failure domain: passed on to other controls
+};
+
+/// An endpoint that left or fell silent.
+struct gone_endpoint
+{
+  endpoint_id id;
+  std::uint64_t serial = 0;
+  bool isOwn = false;
+};
+
+/// A message that arrived since the last tick.
+struct received
+{
+  std::string peer; ///< identity on the link
+  wire::message message;
+};
+
+/// A command on its way through the log.
+struct pending_call
+{
+  call_id id;
+  std::string peer;
+  std::uint64_t call = 0; ///< the peer's own number
+  position_id position;   ///< in our log; none while passed on to the leader
+  steady_time deadline{};
+};
+
+/// A log entry that became final since the last tick.
+struct committed_command
+{
+  position_id position;
+  std::string payload;
+  bool isReplay = false; ///< restored at the start
+};
+
+/// How the log is reached. Tests and a single process use a local one.
+struct log_hooks
+{
+  /// The position it will have, or nullopt when this is not the leader.
+  std::function<std::optional<position_id>(std::string aPayload,
+                                           last_reason& aWhy)>
+    propose;
+  /// True while this process may answer from its state as the leader.
+  std::function<bool()> isLeader;
+  /// Name of the leader, empty while none is known.
+  std::function<std::string()> leaderName;
+};
+
+struct control_tables
+{
+  self_row self;
+  fleet_state fleet;
+  log_hooks log;
+  table<replica_id, control_row> controls;
+  table<host_id, host_row> hosts;
+  table<endpoint_id, known_endpoint> endpoints;
+  table<endpoint_id, gone_endpoint> gone;
+  table<call_id, pending_call> calls;
+  std::deque<wire::numbered_command> recent; ///< newest configuration changes
+  std::vector<received> inbox;
+  std::vector<committed_command> committed;
+  std::uint64_t serial = 0;         ///< of the newest endpoint change
+  std::uint64_t gossipedSerial = 0; ///< passed on to the other controls
+  steady_time nextGossip{};
+  std::uint64_t lastCall = 0;
+  std::function<wall_time()> wallClock;
+};
+
+/// A message to a peer that linked to us, or to another control process.
+struct outgoing
+{
+  std::string peer;    ///< identity on our link server; or
+  std::string control; ///< name of a control process
+  wire::message_body body;
+};
+
+struct control_outbox
+{
+  std::vector<outgoing> messages;
+  wake_time wake;
+};
+
+/// One tick: all systems in their order.
+void
+RunControl(control_tables& aTables, steady_time aNow, control_outbox& aOutbox);
+
+} // namespace bulrush::control
+
+#endif
--- /dev/null
+++ b/src/apps/entry_control.cpp
@@ -0,0 +1,275 @@
+#include "apps/entry_tables.hpp"
+
+namespace bulrush::entry {
+namespace {
+
+constexpr std::chrono::milliseconds kRenewEvery{ 1'000 };
+constexpr std::chrono::milliseconds kControlSilence{ 1'500 };
+constexpr std::chrono::milliseconds kDriftMargin{ 100 };
+constexpr std::chrono::milliseconds kCommandRetry{ 700 };
+constexpr std::size_t kMaxRenewals = 16;
+
+// A host applies the very commands that the log holds, so the configuration
+// it serves by is the one that was committed. Anything out of order is left
+// for the next update; nothing older than what is in force is taken.
+void
+TakeConfiguration(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  if (!aUpdate.snapshot.empty()) {
+    last_reason why;
+    auto state = wire::DecodeState(aUpdate.snapshot, why);
+    if (state && state->revision > aTables.fleet->revision) {
+      aTables.fleet = std::make_shared<fleet_state>(std::move(*state));
+      aTables.hasNewFleet = true;
+    }
+  }
+  std::shared_ptr<fleet_state> next;
+  for (const wire::numbered_command& command : aUpdate.commands) {
+    const fleet_state& current = next ? *next : *aTables.fleet;
+    if (command.revision != current.revision + 1) {
+      continue;
+    }
+    if (!next) {
+      next = std::make_shared<fleet_state>(*aTables.fleet);
+    }
+    Apply(*next, command.command);
+  }
+  if (next) {
+    aTables.fleet = std::move(next);
+    aTables.hasNewFleet = true;
+  }
+}
+
+bool
+IsNewer(const endpoint_row& aNew, const endpoint_row& aOld)
+{
+  return aNew.incarnation > aOld.incarnation ||
+         (aNew.incarnation == aOld.incarnation &&
+          aNew.sequence > aOld.sequence);
+}
+
+bool
+TakeEndpoint(entry_tables& aTables, const endpoint_row& aRow)
+{
+  const endpoint_row* known = aTables.endpoints.Find(aRow.id);
+  if (known != nullptr && !IsNewer(aRow, *known)) {
+    return false;
+  }
+  aTables.endpoints.Insert(aRow);
+  aTables.hasNewEndpoints = true;
+  return true;
+}
+
+// The lease counts from before its renewal was sent, less a margin for drift
+// between the two clocks.
+void
+TakeLease(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  const typed_id<struct renewal_tag> id{ aUpdate.renewal };
+  const renewal_row* renewal = aTables.renewals.Find(id);
+  if (renewal == nullptr || aUpdate.lease.count() == 0) {
+    return;
+  }
+  const steady_time end = renewal->sentAt + aUpdate.lease - kDriftMargin;
+  aTables.leaseEnd = std::max(aTables.leaseEnd, end);
+}
+
+void
+Take(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  TakeConfiguration(aTables, aUpdate);
+  TakeLease(aTables, aUpdate);
+  for (const endpoint_row& row : aUpdate.endpoints) {
+    TakeEndpoint(aTables, row);
+  }
+  for (const endpoint_id& id : aUpdate.goneEndpoints) {
+    if (aTables.endpoints.Erase(id)) {
+      aTables.hasNewEndpoints = true;
+    }
+  }
+}
+
+void
+Take(entry_tables& aTables, const wire::tombstones& aTombstones)
+{
+  for (const key_hash& key : aTombstones.keys) {
+    aTables.tombstones.Insert({ key });
+    aTables.hasNewTombstones = true;
+  }
+}
+
+// "No leader" is tried again until the deadline; the same command is safe to
+// repeat, since the state machine knows it by its claim and token.
+void
+Take(entry_tables& aTables,
+     const wire::command_reply& aReply,
+     entry_outbox& aOutbox)
+{
+  const pending_command* command =
+    aTables.commands.Find(call_id{ aReply.call });
+  if (command == nullptr ||
+      aReply.outcome == wire::call_outcome::eNoLeader) {
+    return;
+  }
+  aOutbox.replies.emplace_back(command->onReply, aReply);
+  aTables.commands.Erase(call_id{ aReply.call });
+}
+
+void
+RunIngest(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+{
+  const auto inbox = std::move(aTables.inbox);
+  aTables.inbox.clear();
+  for (const wire::message& message : inbox) {
+    if (control_row* control =
+          aTables.controls.Find(IdOf<replica_id>(message.sender))) {
+      control->lastHeard = aNow;
+    }
+    if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
+      Take(aTables, *update);
+    } else if (const auto* keys =
+                 std::get_if<wire::tombstones>(&message.body)) {
+      Take(aTables, *keys);
+    } else if (const auto* reply =
+                 std::get_if<wire::command_reply>(&message.body)) {
+      Take(aTables, *reply, aOutbox);
+    }
+  }
+  const auto reports = std::move(aTables.reports);
+  aTables.reports.clear();
+  for (const endpoint_row& row : reports) {
+    if (TakeEndpoint(aTables, row)) {
+      aTables.unsent.push_back(row);
+    }
+  }
+}
+
+// Renews in good time, and earlier when endpoints reported.
+void
+RunRenewal(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+{
+  const bool isDue = aNow >= aTables.nextRenewal;
+  if (!isDue && aTables.unsent.empty()) {
+    aOutbox.wake.NoLaterThan(aTables.nextRenewal);
+    return;
+  }
+  const control_row* control = CurrentControl(aTables, aNow);
+  if (control == nullptr) {
+    return;
+  }
+  const typed_id<struct renewal_tag> id{ ++aTables.lastRenewal };
+  aTables.renewals.Insert({ id, aNow });
+  aTables.renewals.Erase({ id.value - std::min(id.value, kMaxRenewals) });
+  wire::host_report report;
+  report.domain = aTables.self.domain;
+  report.renewal = id.value;
+  report.revision = aTables.fleet->revision;
+  report.endpoints = std::move(aTables.unsent);
+  report.httpAddress = aTables.self.httpAddress;
+  report.isLeaving = aTables.isStopping;
+  aTables.unsent.clear();
+  aOutbox.messages.push_back({ control->address, std::move(report) });
+  aTables.nextRenewal = aNow + kRenewEvery;
+  aOutbox.wake.NoLaterThan(aTables.nextRenewal);
+}
+
+void
+RunCommands(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+{
+  const control_row* control = CurrentControl(aTables, aNow);
+  std::vector<call_id> late;
+  for (pending_command& command : aTables.commands) {
+    if (command.deadline <= aNow) {
+      late.push_back(command.id);
+      continue;
+    }
+    if (command.nextSend <= aNow && control != nullptr) {
+      wire::command_call call;
+      call.call = command.id.value;
+      call.command = command.command;
+      call.credential = aTables.self.credential;
+      aOutbox.messages.push_back({ control->address, std::move(call) });
+      command.nextSend = aNow + kCommandRetry;
+    }
+    aOutbox.wake.NoLaterThan(std::min(command.nextSend, command.deadline));
+  }
+  for (const call_id& id : late) {
+    wire::command_reply reply;
+    reply.call = id.value;
+    reply.outcome = wire::call_outcome::eUnknown;
+    reply.text = "no decision before the deadline";
+    aOutbox.replies.emplace_back(aTables.commands.Find(id)->onReply, reply);
+    aTables.commands.Erase(id);
+  }
+}
+
+void
+RunPublish(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
+{
+  traffic_view& view = aTables.published;
+  const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
+                      !aTables.hasNewTombstones &&
+                      view.leaseEnd == aTables.leaseEnd &&
+                      view.isStopping == aTables.isStopping;
+  if (isSame) {
+    return;
+  }
+  if (aTables.hasNewFleet) {
+    view.fleet = aTables.fleet;
+  }
+  if (aTables.hasNewEndpoints) {
+    view.endpoints = std::make_shared<const std::vector<endpoint_row>>(
+      aTables.endpoints.begin(), aTables.endpoints.end());
+  }
+  if (aTables.hasNewTombstones) {
+    std::unordered_set<key_hash, id_hash> keys;
+    for (const tombstone_row& row : aTables.tombstones) {
+      keys.insert(row.id);
+    }
+    view.tombstones =
+      std::make_shared<const std::unordered_set<key_hash, id_hash>>(
+        std::move(keys));
+  }
+  view.leaseEnd = aTables.leaseEnd;
+  view.isStopping = aTables.isStopping;
+  aTables.hasNewFleet = false;
+  aTables.hasNewEndpoints = false;
+  aTables.hasNewTombstones = false;
+  aOutbox.view = view;
+}
+
+constexpr std::array<named_system<entry_tables, entry_outbox>, 4> kSystems{
+  { { "ingest", RunIngest },
+    { "renewal", RunRenewal },
+    { "commands", RunCommands },
+    { "publish", RunPublish } }
+};
+
+} // namespace
+
+// The most preferred one that was heard of lately; all silent, each in turn.
+const control_row*
+CurrentControl(const entry_tables& aTables, steady_time aNow)
+{
+  const control_row* best = nullptr;
+  const control_row* inTurn = nullptr;
+  for (const control_row& row : aTables.controls) {
+    const bool isAlive = row.lastHeard + kControlSilence > aNow;
+    if (isAlive && (best == nullptr || row.preference < best->preference)) {
+      best = &row;
+    }
+    const std::uint64_t turn = aTables.lastRenewal % aTables.controls.Size();
+    if (row.preference == turn) {
+      inTurn = &row;
+    }
+  }
+  return best != nullptr ? best : inTurn;
+}
+
+void
+RunEntryControl(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+{
+  RunTick(kSystems, aTables, aNow, aOutbox);
+}
+
+} // namespace bulrush::entry
--- /dev/null
+++ b/src/apps/entry_http.cpp
@@ -0,0 +1,264 @@
+#include "apps/entry_http.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrush::entry {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kDefaultMaxTokens = 256;
+constexpr std::uint64_t kMostMaxTokens = 131'072;
+
+caller_error
+BadRequest(std::string aText)
+{
+  return { 400, "bad_request", std::move(aText), false, std::nullopt };
+}
+
+bool
+HasJsonType(const net::http_request& aRequest)
+{
+  const std::string* type = net::FindField(aRequest.fields, "Content-Type");
+  return type != nullptr && type->starts_with("application/json");
+}
+
+// Four bytes of text are rarely less than one token, so a byte count is a
+// bound that needs no tokenizer.
+std::uint64_t
+BoundPromptTokens(const std::string& aBody)
+{
+  constexpr std::uint64_t kLeastBytesPerToken = 1;
+  return aBody.size() / kLeastBytesPerToken;
+}
+
+std::optional<std::uint64_t>
+ReadMaxTokens(const json& aDocument, caller_error& aError)
+{
+  for (const char* key : { "max_completion_tokens", "max_tokens" }) {
+    const auto field = aDocument.find(key);
+    if (field == aDocument.end() || field->is_null()) {
+      continue;
+    }
+    if (!field->is_number_unsigned() || *field < 1U ||
+        *field > kMostMaxTokens) {
+      aError = BadRequest(std::string(key) +
+                          ": expected a whole number from 1 to 131072");
+      return std::nullopt;
+    }
+    return field->get<std::uint64_t>();
+  }
+  return kDefaultMaxTokens;
+}
+
+// nlohmann checks UTF-8 while it parses, so invalid text ends here.
+std::optional<json>
+ParseObject(const std::string& aBody, caller_error& aError)
+{
+  json document = json::parse(aBody, nullptr, false);
+  if (document.is_discarded()) {
+    aError = BadRequest("the body is not valid JSON in UTF-8");
+    return std::nullopt;
+  }
+  if (!document.is_object()) {
+    aError = BadRequest("the body is not a JSON object");
+    return std::nullopt;
+  }
+  return document;
+}
+
+resident
+ParseResident(const json& aFrom)
+{
+  resident row;
+  row.model = IdOf<model_id>(aFrom.at("model").get<std::string>());
+  row.version = aFrom.value("version", "");
+  for (const json& adapter : aFrom.value("adapters", json::array())) {
+    row.adapters.push_back(IdOf<adapter_id>(adapter.get<std::string>()));
+  }
+  return row;
+}
+
+endpoint_row
+ParseReportObject(const json& aFrom)
+{
+  endpoint_row row;
+  row.name = aFrom.at("endpoint").get<std::string>();
+  row.id = IdOf<endpoint_id>(row.name);
+  row.incarnation = aFrom.at("incarnation").get<std::uint64_t>();
+  row.sequence = aFrom.at("sequence").get<std::uint64_t>();
+  row.address = aFrom.at("address").get<std::string>();
+  row.domain =
+    IdOf<domain_id>(aFrom.at("failure_domain").get<std::string>());
+  row.memoryBytes = aFrom.value("memory_bytes", std::uint64_t{ 0 });
+  row.usedBytes = aFrom.value("used_bytes", std::uint64_t{ 0 });
+  row.slots = aFrom.value("slots", 1U);
+  row.coldSlots = aFrom.value("cold_slots", 1U);
+  row.isCold = aFrom.value("cold", false);
+  row.canResume = aFrom.value("resume", false);
+  row.checksFencing = aFrom.value("checks_fencing", false);
+  row.isLeaving = aFrom.value("leaving", false);
+  row.running = aFrom.value("running", 0U);
+  row.queued = aFrom.value("queued", 0U);
+  for (const json& from : aFrom.value("residents", json::array())) {
+    row.residents.push_back(ParseResident(from));
+  }
+  for (const json& service : aFrom.value("services", json::array())) {
+    row.services.push_back(service.get<std::string>());
+  }
+  for (const json& from : aFrom.value("orders", json::array())) {
+    const std::string number = from.at("order").get<std::string>();
+    row.orders.push_back({ order_id{ std::stoull(number, nullptr, 16) },
+                           from.value("fencing", std::uint64_t{ 0 }),
+                           from.value("done", false) });
+  }
+  return row;
+}
+
+json
+ModelEntry(const std::string& aName)
+{
+  return { { "id", aName }, { "object", "model" }, { "owned_by", "fleet" } };
+}
+
+} // namespace
+
+std::string
+FormatError(const caller_error& aError, const std::string& aRequestId)
+{
+  const json document = {
+    { "error",
+      { { "code", aError.code },
+        { "message", aError.text },
+        { "type", aError.code },
+        { "ran", aError.mayHaveRun ? "may_have_run" : "not_run" },
+        { "request_id", aRequestId } } }
+  };
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void
+SendError(net::http_reply& aReply,
+          const caller_error& aError,
+          const std::string& aRequestId)
+{
+  std::vector<net::http_field> fields = {
+    { "Content-Type", "application/json" },
+    { "Bulrush-Request", aRequestId },
+  };
+  if (aError.retryAfter) {
+    fields.push_back(
+      { "Retry-After", std::to_string(aError.retryAfter->count()) });
+  }
+  aReply.Send(aError.status, fields, FormatError(aError, aRequestId));
+}
+
+// The engine is sent the very max_tokens that was reserved, so it cannot
+// generate more than the workspace was charged for.
+std::optional<completion_call>
+ParseCompletion(const net::http_request& aRequest, caller_error& aError)
+{
+  if (!HasJsonType(aRequest)) {
+    aError = { 415,
+               "unsupported_media_type",
+               "expected Content-Type: application/json",
+               false,
+               std::nullopt };
+    return std::nullopt;
+  }
+  auto document = ParseObject(aRequest.body, aError);
+  if (!document) {
+    return std::nullopt;
+  }
+  const auto model = document->find("model");
+  if (model == document->end() || !model->is_string()) {
+    aError = BadRequest("model: expected a name");
+    return std::nullopt;
+  }
+  const auto maxTokens = ReadMaxTokens(*document, aError);
+  if (!maxTokens) {
+    return std::nullopt;
+  }
+  const auto stream = document->find("stream");
+  if (stream != document->end() && !stream->is_boolean()) {
+    aError = BadRequest("stream: expected true or false");
+    return std::nullopt;
+  }
+  completion_call call;
+  call.modelName = model->get<std::string>();
+  call.isStream = stream != document->end() && stream->get<bool>();
+  call.promptTokens = BoundPromptTokens(aRequest.body);
+  call.maxTokens = *maxTokens;
+  (*document)["max_tokens"] = *maxTokens;
+  document->erase("max_completion_tokens");
+  call.body = document->dump();
+  return call;
+}
+
+std::optional<std::string>
+ParseBearer(const net::http_request& aRequest, caller_error& aError)
+{
+  const caller_error unauthorized{
+    401, "unauthorized", "expected Authorization: Bearer KEY", false, {}
+  };
+  for (const char* name : { "key=", "api_key=", "access_token=", "token=" }) {
+    if (("&" + aRequest.query).find("&" + std::string(name)) !=
+        std::string::npos) {
+      aError = BadRequest("a key in the query string is refused");
+      return std::nullopt;
+    }
+  }
+  const std::string* field = net::FindField(aRequest.fields, "Authorization");
+  constexpr std::string_view kScheme = "Bearer ";
+  if (field == nullptr || !field->starts_with(kScheme) ||
+      field->size() == kScheme.size()) {
+    aError = unauthorized;
+    return std::nullopt;
+  }
+  return field->substr(kScheme.size());
+}
+
+std::optional<endpoint_row>
+ParseEndpointReport(const std::string& aBody,
+                    steady_time aNow,
+                    last_reason& aWhy)
+{
+  try {
+    endpoint_row row = ParseReportObject(json::parse(aBody));
+    row.lastSeen = aNow;
+    if (row.name.empty() || row.address.empty() || row.slots == 0) {
+      return Fail(aWhy,
+                  "read endpoint report",
+                  row.name,
+                  "expected a name, an address and at least one slot");
+    }
+    return row;
+  } catch (const std::exception& error) {
+    return Fail(aWhy, "read endpoint report", "", error.what());
+  }
+}
+
+std::string
+FormatModelList(const manifest& aManifest, const workspace_row& aWorkspace)
+{
+  const auto isAllowed = [&](model_id aModel) {
+    return aWorkspace.models.empty() ||
+           std::find(aWorkspace.models.begin(),
+                     aWorkspace.models.end(),
+                     aModel) != aWorkspace.models.end();
+  };
+  json list = json::array();
+  for (const model_row& model : aManifest.models) {
+    if (isAllowed(model.id)) {
+      list.push_back(ModelEntry(model.name));
+    }
+  }
+  for (const adapter_row& adapter : aManifest.adapters) {
+    if (isAllowed(adapter.model)) {
+      list.push_back(ModelEntry(adapter.name));
+    }
+  }
+  return json{ { "object", "list" }, { "data", list } }.dump();
+}
+
+} // namespace bulrush::entry
--- /dev/null
+++ b/src/apps/entry_http.hpp
@@ -0,0 +1,60 @@
+#ifndef BULRUSH_APPS_ENTRY_HTTP_HPP
+#define BULRUSH_APPS_ENTRY_HTTP_HPP
+
+/// What bulrush-entry reads from HTTP requests and writes into answers.
+
+#include "fleet/fleet.hpp"
+#include "net/net.hpp"
+
+namespace bulrush::entry {
+
+/// Why a caller's request was not answered as asked.
+struct caller_error
+{
+  int status = 500;
+  std::string code;
+  std::string text;
+  bool mayHaveRun = false;
+  std::optional<std::chrono::seconds> retryAfter;
+};
+
+std::string
+FormatError(const caller_error& aError, const std::string& aRequestId);
+
+/// Sends an error as a whole answer.
+void
+SendError(net::http_reply& aReply,
+          const caller_error& aError,
+          const std::string& aRequestId);
+
+/// A completion as the caller asked for it.
+struct completion_call
+{
+  std::string modelName; ///< of a model or an adapter
+  bool isStream = false;
+  std::uint64_t promptTokens = 0; ///< upper bound
+  std::uint64_t maxTokens = 0;
+  std::string body; ///< for the endpoint, with max_tokens set
+};
+
+std::optional<completion_call>
+ParseCompletion(const net::http_request& aRequest, caller_error& aError);
+
+/// The key of an Authorization: Bearer field. A key in the query string is
+/// refused, since proxies log it.
+std::optional<std::string>
+ParseBearer(const net::http_request& aRequest, caller_error& aError);
+
+/// A report of an endpoint, docs/API.md.
+std::optional<endpoint_row>
+ParseEndpointReport(const std::string& aBody,
+                    steady_time aNow,
+                    last_reason& aWhy);
+
+/// The models and adapters that a workspace may use, as JSON.
+std::string
+FormatModelList(const manifest& aManifest, const workspace_row& aWorkspace);
+
+} // namespace bulrush::entry
+
+#endif
--- /dev/null
+++ b/src/apps/entry_main.cpp
@@ -0,0 +1,275 @@
+#include "apps/entry_traffic.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+
+#include <thread>
+
+namespace bulrush::entry {
+namespace {
+
+constexpr log_part kLog{ "entry" };
+
+constexpr std::array<option_row, 6> kOptions{ {
+  { "name", option_type::eText, "", "entry-a", "", "",
+    "Name of this host, unlike any other" },
+  { "domain", option_type::eText, "", "domain-a", "", "",
+    "Failure domain that this host is in" },
+  { "listen", option_type::eAddress, "", "127.0.0.1:8080", "", "",
+    "Address for callers and endpoints" },
+  { "control", option_type::eList, "", "control-a=127.0.0.1:7100", "", "",
+    "Control processes to report to, NAME=IP:PORT, the preferred one first" },
+  { "credential", option_type::eSecretFile, "", "", "", "",
+    "File with the credential that control processes expect" },
+  { "endpoint-secret", option_type::eSecretFile, "", "", "", "",
+    "File with the secret that endpoints present with their reports" },
+} };
+
+constexpr program_options kProgram{
+  "bulrush-entry",
+  "Takes callers' requests and sends them to endpoints",
+  kOptions
+};
+
+// The control thread's side of the process.
+class control_thread
+{
+public:
+  control_thread(asio::io_context& aContext,
+                 const option_values& aOptions,
+                 std::function<void(traffic_view)> aPublish)
+    : mContext(aContext)
+    , mPublish(std::move(aPublish))
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+  {
+    mTables.self.name = aOptions.Text("name");
+    mTables.self.domain = aOptions.Text("domain");
+    mTables.self.incarnation = static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count());
+  }
+
+  entry_tables& Tables() { return mTables; }
+
+  bool Connect(const std::string& aControl, last_reason& aWhy)
+  {
+    const std::size_t equals = aControl.find('=');
+    if (equals == std::string::npos) {
+      Fail(aWhy, "read control", aControl, "expected NAME=IP:PORT");
+      return false;
+    }
+    control_row row;
+    row.id = IdOf<replica_id>(aControl.substr(0, equals));
+    row.address = aControl.substr(equals + 1);
+    row.preference = mTables.controls.Size();
+    auto link = net::ConnectLink(
+      mContext,
+      row.address,
+      mTables.self.name,
+      {},
+      [this](std::string aBytes) { Receive(aBytes); },
+      aWhy);
+    if (!link) {
+      return false;
+    }
+    mLinks.emplace(row.address, std::move(*link));
+    mTables.controls.Insert(row);
+    return true;
+  }
+
+  void RunSoon() { mTimer.RunSoon(); }
+
+  void Report(endpoint_row aRow)
+  {
+    mTables.reports.push_back(std::move(aRow));
+    mTimer.RunSoon();
+  }
+
+  void Command(fleet_command aCommand,
+               steady_time aDeadline,
+               command_hook aOnReply)
+  {
+    pending_command row;
+    row.id = call_id{ ++mTables.lastCall };
+    row.command = std::move(aCommand);
+    row.onReply = std::move(aOnReply);
+    row.deadline = aDeadline;
+    mTables.commands.Insert(std::move(row));
+    mTimer.RunSoon();
+  }
+
+private:
+  void Receive(const std::string& aBytes)
+  {
+    last_reason why;
+    auto message =
+      wire::Decode(aBytes, std::chrono::steady_clock::now(), why);
+    if (!message) {
+      LogWarning(kLog, "A message is dropped: {}", Describe(why));
+      return;
+    }
+    mTables.inbox.push_back(std::move(*message));
+    mTimer.RunSoon();
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    entry_outbox outbox;
+    RunEntryControl(mTables, aNow, outbox);
+    for (outgoing& out : outbox.messages) {
+      const auto link = mLinks.find(out.controlAddress);
+      link->second->Send(wire::Encode(
+        { mTables.self.name, mTables.self.incarnation, std::move(out.body) },
+        aNow));
+    }
+    for (const auto& [hook, reply] : outbox.replies) {
+      hook(reply);
+    }
+    if (outbox.view) {
+      mPublish(std::move(*outbox.view));
+    }
+    return outbox.wake;
+  }
+
+  asio::io_context& mContext;
+  entry_tables mTables;
+  std::function<void(traffic_view)> mPublish;
+  net::tick_timer mTimer;
+  std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
+};
+
+class entry_process
+{
+public:
+  explicit entry_process(const option_values& aOptions)
+    : mControl(mControlContext,
+               aOptions,
+               [this](traffic_view aView) {
+                 asio::post(mTrafficContext,
+                            [this, view = std::move(aView)]() mutable {
+                              mTraffic.SetView(std::move(view));
+                            });
+               })
+    , mTraffic(mTrafficContext, TrafficSettings(aOptions), Hooks())
+  {
+  }
+
+  bool Start(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!ReadCredential(aOptions, aWhy) || !mTraffic.Start(aWhy)) {
+      return false;
+    }
+    const host_address listen = *aOptions.Address("listen");
+    mControl.Tables().self.httpAddress =
+      FormatAddress({ listen.ip, mTraffic.Port() });
+    for (const std::string& control : aOptions.List("control")) {
+      if (!mControl.Connect(control, aWhy)) {
+        return false;
+      }
+    }
+    LogInfo(kLog,
+            "{} listens on {}",
+            mControl.Tables().self.name,
+            mControl.Tables().self.httpAddress);
+    return true;
+  }
+
+  void Run()
+  {
+    const auto guard = asio::make_work_guard(mTrafficContext);
+    std::thread traffic([this] { mTrafficContext.run(); });
+    net::OnStopSignal(mControlContext, [this] {
+      LogInfo(kLog, "Stops");
+      mControlContext.stop();
+    });
+    mControl.RunSoon();
+    mControlContext.run();
+    mTrafficContext.stop();
+    traffic.join();
+  }
+
+private:
+  static traffic_settings TrafficSettings(const option_values& aOptions)
+  {
+    traffic_settings settings;
+    const host_address listen = *aOptions.Address("listen");
+    settings.http.address = listen.ip;
+    settings.http.port = listen.port;
+    settings.hostName = aOptions.Text("name");
+    settings.domain = aOptions.Text("domain");
+    return settings;
+  }
+
+  control_hooks Hooks()
+  {
+    control_hooks hooks;
+    hooks.onReport = [this](endpoint_row aRow) {
+      asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
+        mControl.Report(std::move(row));
+      });
+    };
+    hooks.onCommand = [this](fleet_command aCommand,
+                             steady_time aDeadline,
+                             command_hook aOnReply) {
+      auto replyOnTraffic = [this, hook = std::move(aOnReply)](
+                              const wire::command_reply& aReply) {
+        asio::post(mTrafficContext, [hook, aReply] { hook(aReply); });
+      };
+      asio::post(mControlContext,
+                 [this,
+                  command = std::move(aCommand),
+                  aDeadline,
+                  hook = std::move(replyOnTraffic)]() mutable {
+                   mControl.Command(
+                     std::move(command), aDeadline, std::move(hook));
+                 });
+    };
+    return hooks;
+  }
+
+  bool ReadCredential(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!aOptions.IsSet("credential")) {
+      return true;
+    }
+    const auto secret = ReadSecret(aOptions.Path("credential"), aWhy);
+    if (!secret) {
+      return false;
+    }
+    mControl.Tables().self.credential = secret->Reveal();
+    return true;
+  }
+
+  asio::io_context mControlContext{ 1 };
+  asio::io_context mTrafficContext{ 1 };
+  control_thread mControl;
+  traffic_thread mTraffic;
+};
+
+int
+Run(int aCount, char** aWords)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  entry_process process(*options);
+  last_reason why;
+  if (!process.Start(*options, why)) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  process.Run();
+  return 0;
+}
+
+} // namespace
+} // namespace bulrush::entry
+
+int
+main(int aCount, char** aWords)
+{
+  return bulrush::entry::Run(aCount, aWords);
+}
--- /dev/null
+++ b/src/apps/entry_traffic.hpp
@@ -0,0 +1,56 @@
+#ifndef BULRUSH_APPS_ENTRY_TRAFFIC_HPP
+#define BULRUSH_APPS_ENTRY_TRAFFIC_HPP
+
+/// A traffic thread of bulrush-entry: callers' HTTP on one side, calls to
+/// endpoints on the other. It owns its request rows and reads the view that
+/// the control thread published last.
+
+#include "apps/entry_tables.hpp"
+#include "net/net.hpp"
+
+#include <asio/io_context.hpp>
+
+namespace bulrush::entry {
+
+/// What a traffic thread tells the control thread; each hook may be called
+/// from the traffic thread.
+struct control_hooks
+{
+  std::function<void(endpoint_row)> onReport;
+  std::function<void(fleet_command, steady_time aDeadline, command_hook)>
+    onCommand;
+};
+
+struct traffic_settings
+{
+  net::http_server_settings http;
+  std::string hostName;
+  std::string domain;
+  std::string endpointSecret; ///< empty: reports need none
+};
+
+class traffic_thread
+{
+public:
+  traffic_thread(asio::io_context& aContext,
+                 traffic_settings aSettings,
+                 control_hooks aHooks);
+  ~traffic_thread();
+  traffic_thread(const traffic_thread&) = delete;
+  traffic_thread& operator=(const traffic_thread&) = delete;
+
+  bool Start(last_reason& aWhy);
+  std::uint16_t Port() const;
+
+  /// On the thread of the io_context only.
+  void SetView(traffic_view aView);
+  std::size_t OpenRequests() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> mImplementation;
+};
+
+} // namespace bulrush::entry
+
+#endif
