--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,201 @@
+#include "observe/observe.hpp"
+
+#include <fmt/chrono.h>
+
+#include <unistd.h>
+
+#include <atomic>
+
+namespace bulrush {
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kRemoved = "[removed]";
+constexpr unsigned char kFirstPrintable = 0x20;
+constexpr unsigned char kDelete = 0x7F;
+
+std::atomic<log_level>&
+Level()
+{
+  static std::atomic<log_level> sLevel = log_level::eInfo;
+  return sLevel;
+}
+
+log_sink&
+Sink()
+{
+  static log_sink sSink;
+  return sSink;
+}
+
+const char*
+NameOf(log_level aLevel)
+{
+  switch (aLevel) {
+    case log_level::eDebug:
+      return "debug";
+    case log_level::eInfo:
+      return "info";
+    case log_level::eWarning:
+      return "warning";
+    case log_level::eError:
+      break;
+  }
+  return "error";
+}
+
+// Text from a caller may hold a line feed and so forge a line; it is shown
+// escaped. Bytes of UTF-8 sequences are kept.
+void
+AppendEscaped(std::string& aLine, std::string_view aText)
+{
+  for (const char each : aText) {
+    const auto byte = static_cast<unsigned char>(each);
+    if (byte < kFirstPrintable || byte == kDelete) {
+      aLine += fmt::format("\\x{:02x}", byte);
+    } else {
+      aLine += each;
+    }
+  }
+}
+
+// One write call for each line keeps lines of several threads and processes
+// whole without a lock. A line that cannot be written is lost: there is no
+// place left to say so.
+void
+WriteToStandardError(std::string aLine)
+{
+  aLine += '\n';
+  const char* next = aLine.data();
+  std::size_t left = aLine.size();
+  while (left > 0) {
+    const ssize_t written = ::write(STDERR_FILENO, next, left);
+    if (written <= 0) {
+      return;
+    }
+    next += written;
+    left -= static_cast<std::size_t>(written);
+  }
+}
+
+bool
+EndsKey(char aByte)
+{
+  constexpr std::string_view kEnds = " \t\r\n\"',;";
+  return kEnds.find(aByte) != std::string_view::npos;
+}
+
+bool
+MatchesIgnoringCase(std::string_view aText, std::string_view aWord)
+{
+  if (aText.size() < aWord.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < aWord.size(); ++i) {
+    if (std::tolower(static_cast<unsigned char>(aText[i])) !=
+        std::tolower(static_cast<unsigned char>(aWord[i]))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+void
+SetLogLevel(log_level aLevel)
+{
+  Level().store(aLevel, std::memory_order_relaxed);
+}
+
+bool
+IsLogged(log_level aLevel)
+{
+  return aLevel >= Level().load(std::memory_order_relaxed);
+}
+
+std::optional<log_level>
+ParseLogLevel(std::string_view aWord, last_reason& aReason)
+{
+  for (const log_level level : { log_level::eDebug,
+                                 log_level::eInfo,
+                                 log_level::eWarning,
+                                 log_level::eError }) {
+    if (aWord == NameOf(level)) {
+      return level;
+    }
+  }
+  return Fail(aReason,
+              "read log level",
+              std::string(aWord),
+              "expected debug, info, warning or error");
+}
+
+void
+SetLogSink(log_sink aSink)
+{
+  Sink() = std::move(aSink);
+}
+
+// Callers' keys come in as "Authorization: Bearer KEY". Whatever echoes a
+// header into a log line or span loses the key here.
+std::string
+RedactKeys(std::string_view aText)
+{
+  std::string clean;
+  clean.reserve(aText.size());
+  std::size_t position = 0;
+  while (position < aText.size()) {
+    if (!MatchesIgnoringCase(aText.substr(position), kBearer)) {
+      clean += aText[position++];
+      continue;
+    }
+    clean += aText.substr(position, kBearer.size());
+    clean += kRemoved;
+    position += kBearer.size();
+    while (position < aText.size() && aText[position] == ' ') {
+      ++position;
+    }
+    while (position < aText.size() && !EndsKey(aText[position])) {
+      ++position;
+    }
+  }
+  return clean;
+}
+
+std::string
+FormatWallTime(wall_time aWhen)
+{
+  const auto whole = std::chrono::floor<std::chrono::seconds>(aWhen);
+  const auto rest =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aWhen - whole);
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(whole)),
+                     rest.count());
+}
+
+std::string
+FormatLogLine(const log_part& aPart,
+              log_level aLevel,
+              wall_time aWhen,
+              std::string_view aText)
+{
+  std::string line = fmt::format(
+    "{} {} {}: ", aPart.prefix, FormatWallTime(aWhen), NameOf(aLevel));
+  AppendEscaped(line, RedactKeys(aText));
+  return line;
+}
+
+void
+WriteLog(const log_part& aPart, log_level aLevel, std::string_view aText)
+{
+  std::string line =
+    FormatLogLine(aPart, aLevel, std::chrono::system_clock::now(), aText);
+  if (Sink()) {
+    Sink()(line);
+    return;
+  }
+  WriteToStandardError(std::move(line));
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/src/settings/secret.cpp
@@ -0,0 +1,132 @@
+#include "settings/settings.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace bulrush {
+namespace {
+
+constexpr std::size_t kMaxSecretBytes = 4096;
+constexpr mode_t kOwnerOnly = S_IRUSR | S_IWUSR;
+
+// Closes a descriptor on every way out of a function.
+class descriptor
+{
+public:
+  explicit descriptor(int aValue)
+    : mValue(aValue)
+  {
+  }
+  descriptor(const descriptor&) = delete;
+  descriptor& operator=(const descriptor&) = delete;
+  ~descriptor()
+  {
+    if (mValue >= 0) {
+      ::close(mValue);
+    }
+  }
+  int Get() const { return mValue; }
+
+private:
+  int mValue;
+};
+
+// The open file is asked, not its name: the name may change hands in between.
+bool
+IsPrivate(int aDescriptor, std::string& aFault)
+{
+  struct stat status = {};
+  if (::fstat(aDescriptor, &status) != 0) {
+    aFault = std::strerror(errno);
+    return false;
+  }
+  if (!S_ISREG(status.st_mode)) {
+    aFault = "it is not a regular file";
+    return false;
+  }
+  if (status.st_uid != ::geteuid()) {
+    aFault = "it belongs to another user";
+    return false;
+  }
+  if ((status.st_mode & (S_IRWXG | S_IRWXO)) != 0) {
+    aFault = "group or others may use it; chmod 600 mends that";
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+std::optional<secret_text>
+ReadSecret(const std::filesystem::path& aFile, last_reason& aReason)
+{
+  const auto fail = [&](std::string aText) {
+    return Fail(aReason, "read secret", aFile.string(), std::move(aText));
+  };
+  // Without O_NONBLOCK a named pipe would hold up the start.
+  const descriptor file(
+    ::open(aFile.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK));
+  if (file.Get() < 0) {
+    return fail(std::strerror(errno));
+  }
+  std::string fault;
+  if (!IsPrivate(file.Get(), fault)) {
+    return fail(fault);
+  }
+  std::string bytes(kMaxSecretBytes + 1, '\0');
+  const ssize_t count = ::read(file.Get(), bytes.data(), bytes.size());
+  if (count < 0) {
+    return fail(std::strerror(errno));
+  }
+  if (static_cast<std::size_t>(count) > kMaxSecretBytes) {
+    return fail("it is longer than 4 KiB");
+  }
+  bytes.resize(static_cast<std::size_t>(count));
+  bytes.resize(std::min(bytes.size(), bytes.find_first_of("\r\n")));
+  if (bytes.empty()) {
+    return fail("its first line is empty");
+  }
+  return secret_text(std::move(bytes));
+}
+
+bool
+WriteSecret(const std::filesystem::path& aFile,
+            const secret_text& aSecret,
+            last_reason& aReason)
+{
+  const auto fail = [&] {
+    Fail(aReason, "write secret", aFile.string(), std::strerror(errno));
+    return false;
+  };
+  const descriptor file(
+    ::open(aFile.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, kOwnerOnly));
+  if (file.Get() < 0) {
+    return fail();
+  }
+  const std::string line = aSecret.Reveal() + "\n";
+  if (::write(file.Get(), line.data(), line.size()) !=
+      static_cast<ssize_t>(line.size())) {
+    return fail();
+  }
+  return ::fsync(file.Get()) == 0 || fail();
+}
+
+// The loop runs over the right side whatever differs, and the length goes into
+// the result, so the time tells nothing of where the first difference is.
+bool
+EqualInConstantTime(std::string_view aLeft, std::string_view aRight)
+{
+  volatile unsigned char difference = aLeft.size() == aRight.size() ? 0 : 1;
+  for (std::size_t i = 0; i < aRight.size(); ++i) {
+    const char left = aLeft.empty() ? '\0' : aLeft[i % aLeft.size()];
+    difference = static_cast<unsigned char>(
+      difference | static_cast<unsigned char>(left ^ aRight[i]));
+  }
+  return difference == 0;
+}
+
+} // namespace bulrush
--- /dev/null
+++ b/tests/observe/log_test.cpp
@@ -0,0 +1,90 @@
+#include "observe/observe.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush {
+namespace {
+
+constexpr log_part kTestLog{ "test" };
+
+struct log_fixture
+{
+  std::vector<std::string> lines;
+
+  log_fixture()
+  {
+    SetLogSink([this](std::string_view aLine) { lines.emplace_back(aLine); });
+    SetLogLevel(log_level::eInfo);
+  }
+  ~log_fixture()
+  {
+    SetLogSink({});
+    SetLogLevel(log_level::eInfo);
+  }
+};
+
+TEST_CASE_METHOD(log_fixture,
+                 "Log_WhenALineIsWritten_BeginsWithThePrefixOfItsPart",
+                 "[observe]")
+{
+  LogInfo(kTestLog, "listens on {}", "127.0.0.1:8080");
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].starts_with("test 2"));
+  CHECK(lines[0].ends_with("Z info: listens on 127.0.0.1:8080"));
+}
+
+TEST_CASE_METHOD(log_fixture,
+                 "Log_BelowTheLevelInForce_WritesNothing",
+                 "[observe]")
+{
+  SetLogLevel(log_level::eWarning);
+  LogDebug(kTestLog, "one");
+  LogInfo(kTestLog, "two");
+  CHECK(lines.empty());
+  LogWarning(kTestLog, "three");
+  LogError(kTestLog, "four");
+  CHECK(lines.size() == 2);
+}
+
+TEST_CASE_METHOD(log_fixture,
+                 "Log_WhenTheTextHoldsALineFeed_StaysOneLine",
+                 "[observe]")
+{
+  LogInfo(kTestLog, "path {}", "/a\nentry forged\x1b[0m");
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find('\n') == std::string::npos);
+  CHECK(lines[0].ends_with("path /a\\x0aentry forged\\x1b[0m"));
+}
+
+TEST_CASE_METHOD(log_fixture,
+                 "Log_WhenTheTextHoldsABearerKey_RemovesTheKey",
+                 "[observe]")
+{
+  LogInfo(kTestLog, "header Authorization: bearer   sk-123, Bearer sk-456");
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].find("sk-") == std::string::npos);
+  CHECK(lines[0].ends_with("bearer [removed], Bearer [removed]"));
+}
+
+TEST_CASE_METHOD(log_fixture,
+                 "FormatWallTime_OfATimeWithAFraction_GivesMilliseconds",
+                 "[observe]")
+{
+  const wall_time when{ std::chrono::seconds(1764837000) +
+                        std::chrono::milliseconds(125) };
+  CHECK(FormatWallTime(when) == "2025-12-04T08:30:00.125Z");
+}
+
+TEST_CASE_METHOD(log_fixture,
+                 "ParseLogLevel_OfAnUnknownWord_SaysWhatIsExpected",
+                 "[observe]")
+{
+  last_reason reason;
+  CHECK(ParseLogLevel("debug", reason) == log_level::eDebug);
+  CHECK_FALSE(ParseLogLevel("loud", reason).has_value());
+  CHECK(reason.peer == "loud");
+  CHECK(reason.text == "expected debug, info, warning or error");
+}
+
+} // namespace
+} // namespace bulrush
