--- /dev/null
+++ b/src/apps/ctl_commands.cpp
@@ -0,0 +1,439 @@
+#include "apps/ctl_commands.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <openssl/rand.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace bulrush::ctl {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kKeyBytes = 24;
+constexpr std::string_view kKeyPrefix = "bl-";
+
+std::optional<std::string>
+ReadFile(const std::string& aName, last_reason& aWhy)
+{
+  std::ifstream file(aName, std::ios::binary);
+  if (!file) {
+    return Fail(aWhy, "read file", aName, "it cannot be opened");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+Print(const std::string& aText)
+{
+  std::fputs((aText + "\n").c_str(), stdout);
+}
+
+// Says what was decided and turns it into an exit code. A missing answer is
+// "unknown": the command may have been committed.
+int
+Finish(const call_settings& aSettings,
+       const std::optional<wire::message_body>& aAnswer,
+       last_reason& aWhy)
+{
+  if (!aAnswer) {
+    return eExitUnknown;
+  }
+  const auto* reply = std::get_if<wire::command_reply>(&*aAnswer);
+  if (reply == nullptr || reply->outcome == wire::call_outcome::eRefused) {
+    Fail(aWhy,
+         "call control",
+         "",
+         reply == nullptr ? "an answer of another kind" : reply->text);
+    return eExitRefused;
+  }
+  const command_result& result = reply->result;
+  if (aSettings.isJson) {
+    Print(json{ { "done", result.isDone },
+                { "code", result.code },
+                { "text", result.text },
+                { "revision", result.revision } }
+            .dump());
+  }
+  if (!result.isDone) {
+    Fail(aWhy, "command", "control", result.code + ": " + result.text);
+    return eExitRefused;
+  }
+  if (!aSettings.isJson) {
+    Print(fmt::format("{} (revision {})", result.text, result.revision));
+  }
+  return eExitDone;
+}
+
+int
+Send(const call_settings& aSettings, fleet_change aChange, last_reason& aWhy)
+{
+  wire::command_call call;
+  call.call = 1;
+  call.command.change = std::move(aChange);
+  call.credential = aSettings.credential;
+  return Finish(aSettings, Call(aSettings, std::move(call), aWhy), aWhy);
+}
+
+std::optional<wire::manifest_reply>
+CurrentManifest(const call_settings& aSettings, last_reason& aWhy)
+{
+  const auto answer =
+    Call(aSettings, wire::manifest_call{ 1, aSettings.credential }, aWhy);
+  if (!answer) {
+    return std::nullopt;
+  }
+  const auto* reply = std::get_if<wire::manifest_reply>(&*answer);
+  if (reply == nullptr) {
+    return Fail(aWhy, "ask for manifest", "control", "unexpected answer");
+  }
+  return *reply;
+}
+
+std::optional<manifest>
+ReadManifest(const std::string& aName, std::string& aText, last_reason& aWhy)
+{
+  const auto text = ReadFile(aName, aWhy);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::vector<manifest_fault> faults;
+  auto parsed = ParseManifest(*text, faults);
+  if (!parsed) {
+    return Fail(aWhy, "check manifest", aName, "\n" + Describe(faults));
+  }
+  aText = *text;
+  return parsed;
+}
+
+int
+ApplyFile(const call_settings& aSettings,
+          const std::string& aName,
+          last_reason& aWhy)
+{
+  std::string text;
+  if (!ReadManifest(aName, text, aWhy)) {
+    return eExitUsage;
+  }
+  std::uint64_t expected = 0;
+  if (aSettings.expectedRevision) {
+    expected = *aSettings.expectedRevision;
+  } else {
+    const auto current = CurrentManifest(aSettings, aWhy);
+    if (!current) {
+      return eExitNotDone;
+    }
+    expected = current->manifestRevision;
+  }
+  return Send(aSettings, apply_manifest{ expected, std::move(text) }, aWhy);
+}
+
+int
+CheckFile(const std::string& aName, last_reason& aWhy)
+{
+  std::string text;
+  const auto parsed = ReadManifest(aName, text, aWhy);
+  if (!parsed) {
+    return eExitUsage;
+  }
+  Print(fmt::format("{} version {}: {} models, {} adapters, {} workspaces",
+                    parsed->name,
+                    parsed->version,
+                    parsed->models.Size(),
+                    parsed->adapters.Size(),
+                    parsed->workspaces.Size()));
+  return eExitDone;
+}
+
+int
+DiffFile(const call_settings& aSettings,
+         const std::string& aName,
+         last_reason& aWhy)
+{
+  std::string text;
+  const auto wanted = ReadManifest(aName, text, aWhy);
+  if (!wanted) {
+    return eExitUsage;
+  }
+  const auto current = CurrentManifest(aSettings, aWhy);
+  if (!current) {
+    return eExitNotDone;
+  }
+  manifest running;
+  if (!current->text.empty()) {
+    std::vector<manifest_fault> faults;
+    running = ParseManifest(current->text, faults).value_or(manifest{});
+  }
+  for (const std::string& line : DescribeChanges(running, *wanted)) {
+    Print(line);
+  }
+  return eExitDone;
+}
+
+std::optional<std::string>
+MakeKey(last_reason& aWhy)
+{
+  std::array<unsigned char, kKeyBytes> bytes{};
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    return Fail(aWhy, "make key", "", "no random bytes");
+  }
+  std::string key(kKeyPrefix);
+  for (const unsigned char byte : bytes) {
+    key += fmt::format("{:02x}", byte);
+  }
+  return key;
+}
+
+// The key is made here and only its hash leaves this process. It is written
+// before the command is sent, so a lost answer loses no key.
+int
+IssueKey(const call_settings& aSettings,
+         const std::string& aWorkspace,
+         last_reason& aWhy)
+{
+  const auto key = MakeKey(aWhy);
+  if (!key) {
+    return eExitNotDone;
+  }
+  if (!aSettings.keyFile.empty()) {
+    std::ofstream file(aSettings.keyFile);
+    std::filesystem::permissions(aSettings.keyFile,
+                                 std::filesystem::perms::owner_read |
+                                   std::filesystem::perms::owner_write);
+    file << *key << "\n";
+  } else {
+    Print(*key);
+  }
+  return Send(aSettings,
+              issue_key{ HashKey(*key), IdOf<workspace_id>(aWorkspace) },
+              aWhy);
+}
+
+// Takes the key's hash, the key itself or a file that holds the key.
+key_hash
+ReadKeyName(const std::string& aName)
+{
+  if (const auto hash = ParseHash(aName)) {
+    return *hash;
+  }
+  std::ifstream file(aName);
+  std::string key;
+  if (file && std::getline(file, key)) {
+    return HashKey(key);
+  }
+  return HashKey(aName);
+}
+
+json
+StatusJson(const wire::status_reply& aStatus)
+{
+  json hosts = json::array();
+  for (const wire::host_status& host : aStatus.hosts) {
+    hosts.push_back({ { "name", host.name },
+                      { "domain", host.domain },
+                      { "revision", host.revision },
+                      { "lease", host.hasLease },
+                      { "age_ms", host.age.count() },
+                      { "http", host.httpAddress } });
+  }
+  json endpoints = json::array();
+  for (const endpoint_row& row : aStatus.endpoints) {
+    endpoints.push_back({ { "name", row.name },
+                          { "address", row.address },
+                          { "cold", row.isCold },
+                          { "leaving", row.isLeaving },
+                          { "running", row.running },
+                          { "slots", row.slots },
+                          { "residents", row.residents.size() },
+                          { "used_bytes", row.usedBytes },
+                          { "memory_bytes", row.memoryBytes } });
+  }
+  json replicas = json::array();
+  for (const wire::replica_status& row : aStatus.replicas) {
+    replicas.push_back({ { "name", row.name },
+                         { "leader", row.isLeader },
+                         { "voter", row.isVoter },
+                         { "term", row.term },
+                         { "commit", row.commit } });
+  }
+  json domains = json::array();
+  for (const wire::domain_status& row : aStatus.domains) {
+    domains.push_back({ { "name", row.name }, { "out", row.isOut } });
+  }
+  return { { "leader", aStatus.leader },
+           { "revision", aStatus.revision },
+           { "manifest_revision", aStatus.manifestRevision },
+           { "version", aStatus.version },
+           { "keys", aStatus.keys },
+           { "claims", aStatus.claims },
+           { "replicas", replicas },
+           { "hosts", hosts },
+           { "domains", domains },
+           { "endpoints", endpoints } };
+}
+
+void
+PrintStatus(const wire::status_reply& aStatus)
+{
+  Print(fmt::format("leader {}  revision {}  manifest {} (version {})  "
+                    "keys {}  claims {}",
+                    aStatus.leader,
+                    aStatus.revision,
+                    aStatus.manifestRevision,
+                    aStatus.version,
+                    aStatus.keys,
+                    aStatus.claims));
+  Print("\nCONTROL           ROLE     VOTER  TERM  COMMIT");
+  for (const wire::replica_status& row : aStatus.replicas) {
+    Print(fmt::format("{:<17} {:<8} {:<6} {:<5} {}",
+                      row.name,
+                      row.isLeader ? "leader" : "follower",
+                      row.isVoter ? "yes" : "no",
+                      row.term,
+                      row.commit));
+  }
+  Print("\nHOST              DOMAIN          REVISION  LEASE  SEEN");
+  for (const wire::host_status& row : aStatus.hosts) {
+    Print(fmt::format("{:<17} {:<15} {:<9} {:<6} {} ms ago",
+                      row.name,
+                      row.domain,
+                      row.revision,
+                      row.hasLease ? "yes" : "no",
+                      row.age.count()));
+  }
+  Print("\nDOMAIN            STATE");
+  for (const wire::domain_status& row : aStatus.domains) {
+    Print(fmt::format("{:<17} {}", row.name, row.isOut ? "out" : "in service"));
+  }
+  Print("\nENDPOINT          ADDRESS           RUNNING  SLOTS  MODELS  STATE");
+  for (const endpoint_row& row : aStatus.endpoints) {
+    Print(fmt::format("{:<17} {:<17} {:<8} {:<6} {:<7} {}",
+                      row.name,
+                      row.address,
+                      row.running,
+                      row.slots,
+                      row.residents.size(),
+                      row.isLeaving ? "leaving"
+                      : row.isCold  ? "cold"
+                                    : "warm"));
+  }
+}
+
+int
+ShowStatus(const call_settings& aSettings, last_reason& aWhy)
+{
+  const auto answer =
+    Call(aSettings, wire::status_call{ 1, aSettings.credential }, aWhy);
+  if (!answer) {
+    return eExitNotDone;
+  }
+  const auto* status = std::get_if<wire::status_reply>(&*answer);
+  if (status == nullptr || !status->text.empty()) {
+    Fail(aWhy,
+         "ask for status",
+         "control",
+         status == nullptr ? "unexpected answer" : status->text);
+    return eExitRefused;
+  }
+  if (aSettings.isJson) {
+    Print(StatusJson(*status).dump());
+  } else {
+    PrintStatus(*status);
+  }
+  return eExitDone;
+}
+
+// One row for each command: its words, how many words follow, what it does.
+struct command_row
+{
+  const char* first;
+  const char* second; ///< empty when the command is one word
+  std::size_t operands;
+  std::function<int(const call_settings&, const std::string&, last_reason&)>
+    run;
+};
+
+const std::vector<command_row>&
+Commands()
+{
+  using settings = const call_settings&;
+  using word = const std::string&;
+  static const std::vector<command_row> kCommands = {
+    { "apply", "", 1, ApplyFile },
+    { "diff", "", 1, DiffFile },
+    { "check",
+      "",
+      1,
+      [](settings, word aName, last_reason& aWhy) {
+        return CheckFile(aName, aWhy);
+      } },
+    { "status",
+      "",
+      0,
+      [](settings aSettings, word, last_reason& aWhy) {
+        return ShowStatus(aSettings, aWhy);
+      } },
+    { "key", "issue", 1, IssueKey },
+    { "key",
+      "withdraw",
+      1,
+      [](settings aSettings, word aName, last_reason& aWhy) {
+        return Send(aSettings, withdraw_key{ ReadKeyName(aName) }, aWhy);
+      } },
+    { "endpoint",
+      "drain",
+      1,
+      [](settings aSettings, word aName, last_reason& aWhy) {
+        return Send(
+          aSettings, drain_endpoint{ IdOf<endpoint_id>(aName), true }, aWhy);
+      } },
+    { "endpoint",
+      "undrain",
+      1,
+      [](settings aSettings, word aName, last_reason& aWhy) {
+        return Send(
+          aSettings, drain_endpoint{ IdOf<endpoint_id>(aName), false }, aWhy);
+      } },
+    { "domain",
+      "take-out",
+      1,
+      [](settings aSettings, word aName, last_reason& aWhy) {
+        return Send(
+          aSettings, set_domain{ IdOf<domain_id>(aName), true }, aWhy);
+      } },
+    { "domain",
+      "bring-back",
+      1,
+      [](settings aSettings, word aName, last_reason& aWhy) {
+        return Send(
+          aSettings, set_domain{ IdOf<domain_id>(aName), false }, aWhy);
+      } },
+  };
+  return kCommands;
+}
+
+} // namespace
+
+int
+RunCommand(const call_settings& aSettings,
+           const std::vector<std::string>& aWords,
+           last_reason& aWhy)
+{
+  for (const command_row& row : Commands()) {
+    const std::size_t names = *row.second == '\0' ? 1 : 2;
+    if (aWords.size() != names + row.operands || aWords[0] != row.first ||
+        (names == 2 && aWords[1] != row.second)) {
+      continue;
+    }
+    return row.run(aSettings, row.operands == 0 ? "" : aWords.back(), aWhy);
+  }
+  Fail(aWhy, "read command", "", "unknown command; --help lists them");
+  return eExitUsage;
+}
+
+} // namespace bulrush::ctl
--- /dev/null
+++ b/src/apps/ctl_commands.hpp
@@ -0,0 +1,47 @@
+#ifndef BULRUSH_APPS_CTL_COMMANDS_HPP
+#define BULRUSH_APPS_CTL_COMMANDS_HPP
+
+/// The commands of bulrushctl.
+
+#include "core/core.hpp"
+#include "wire/wire.hpp"
+
+#include <filesystem>
+
+namespace bulrush::ctl {
+
+/// Exit codes, documented in docs/OPERATIONS.md.
+enum exit_code : int
+{
+  eExitDone = 0,
+  eExitRefused = 1, ///< decided: no
+  eExitUsage = 2,   ///< the command line or a file is wrong
+  eExitNotDone = 3, ///< not reached: nothing was changed
+  eExitUnknown = 4, ///< it may be done yet: send the same command again
+  eExitPending = 5, ///< committed, not yet in force everywhere
+};
+
+struct call_settings
+{
+  std::vector<std::string> controls;
+  std::string credential;
+  std::chrono::milliseconds timeout{ 10'000 };
+  std::optional<std::uint64_t> expectedRevision;
+  std::filesystem::path keyFile;
+  bool isJson = false;
+};
+
+/// Sends a message to control processes in turn until one gives a final
+/// answer or the timeout passes; nullopt then, with what is known in aWhy.
+std::optional<wire::message_body> Call(const call_settings& aSettings,
+                                       wire::message_body aBody,
+                                       last_reason& aWhy);
+
+/// Runs one command line; returns an exit_code and fills aWhy unless done.
+int RunCommand(const call_settings& aSettings,
+               const std::vector<std::string>& aWords,
+               last_reason& aWhy);
+
+} // namespace bulrush::ctl
+
+#endif
--- /dev/null
+++ b/src/apps/ctl_main.cpp
@@ -0,0 +1,106 @@
+#include "apps/ctl_commands.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+namespace bulrush::ctl {
+namespace {
+
+constexpr log_part kLog{ "ctl" };
+
+constexpr std::array<option_row, 6> kOptions{ {
+  { "control",
+    option_type::eAddressList,
+    "",
+    "127.0.0.1:7100",
+    "",
+    "",
+    "Control processes to ask, tried in turn" },
+  { "credential",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the operators' credential" },
+  { "timeout",
+    option_type::eDuration,
+    "",
+    "10s",
+    "100ms",
+    "10min",
+    "How long to try before the outcome is called unknown" },
+  { "json",
+    option_type::eBool,
+    "",
+    "false",
+    "",
+    "",
+    "Print JSON instead of tables" },
+  { "expect",
+    option_type::eInteger,
+    "revision",
+    "-1",
+    "-1",
+    "",
+    "apply: manifest revision to replace; -1 asks for the current one first" },
+  { "key-file",
+    option_type::ePath,
+    "",
+    "",
+    "",
+    "",
+    "key issue: where to write the new key; standard output if not set" },
+} };
+
+constexpr program_options kProgram{
+  "bulrushctl",
+  "Operates a bulrushladder fleet",
+  kOptions,
+  "apply FILE | diff FILE | check FILE | status | key issue WORKSPACE | "
+  "key withdraw HASH-OR-FILE | endpoint drain NAME | endpoint undrain NAME | "
+  "domain take-out NAME | domain bring-back NAME"
+};
+
+int
+Run(int aCount, char** aWords)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  call_settings settings;
+  for (const host_address& address : options->Addresses("control")) {
+    settings.controls.push_back(FormatAddress(address));
+  }
+  settings.timeout = options->Duration("timeout");
+  settings.isJson = options->Flag("json");
+  settings.keyFile = options->Path("key-file");
+  if (options->Integer("expect") >= 0) {
+    settings.expectedRevision =
+      static_cast<std::uint64_t>(options->Integer("expect"));
+  }
+  last_reason why;
+  if (options->IsSet("credential")) {
+    const auto secret = ReadSecret(options->Path("credential"), why);
+    if (!secret) {
+      LogError(kLog, "{}", Describe(why));
+      return eExitUsage;
+    }
+    settings.credential = secret->Reveal();
+  }
+  const int code = RunCommand(settings, options->Arguments(), why);
+  if (code != eExitDone) {
+    LogError(kLog, "{}", Describe(why));
+  }
+  return code;
+}
+
+} // namespace
+} // namespace bulrush::ctl
+
+int
+main(int aCount, char** aWords)
+{
+  return bulrush::ctl::Run(aCount, aWords);
+}
--- a/src/fleet/manifest.cpp
+++ b/src/fleet/manifest.cpp
@@ -14,7 +14,7 @@
 constexpr double kMaxTokens = 1e12;
 constexpr std::uint64_t kMaxBytes = 1ULL << 50U;
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
-constexpr std::int64_t kMaxGraceSeconds = 7 * 86'400;
+constexpr std::int64_t kMaxGraceSeconds = 604'800;
 
 // Reads one JSON object field by field. Faults are collected instead of
 // thrown, so that an operator sees all of them at once.
@@ -41,7 +41,7 @@
 
   std::string Name(const char* aKey)
   {
-    const std::string name = Text(aKey, "");
+    std::string name = Text(aKey, "");
     if (name.empty() || name.size() > kMaxNameBytes) {
       Add(aKey, "expected a name of 1 to 128 bytes");
     }
@@ -111,14 +111,14 @@
   // The elements of a list; empty when the field is missing.
   const json& List(const char* aKey)
   {
-    static const json sEmpty = json::array();
+    static const json kEmpty = json::array();
     const json* field = Take(aKey);
     if (field == nullptr) {
-      return sEmpty;
+      return kEmpty;
     }
     if (!field->is_array()) {
       Add(aKey, "expected a list");
-      return sEmpty;
+      return kEmpty;
     }
     return *field;
   }
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::size_t kMaxVersions = 10'000;
-constexpr std::size_t kMaxStoredBody = 64U * 1024U;
+constexpr std::size_t kMaxStoredBody = 65'536;
 
 command_result
 Refuse(const fleet_state& aState, std::string aCode, std::string aText)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -390,8 +390,8 @@
 std::unique_ptr<http_client>
 MakeHttpClient(asio::io_context& aContext)
 {
-  static const CURLcode sInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
-  (void)sInitialised;
+  static const CURLcode kInitialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)kInitialised;
   return std::make_unique<curl_client>(aContext);
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -28,9 +28,9 @@
 
 namespace {
 
-constexpr std::size_t kMaxUrlBytes = 8U * 1024U;
+constexpr std::size_t kMaxUrlBytes = 8'192;
 constexpr std::size_t kMaxFieldNameBytes = 256;
-constexpr std::size_t kMaxFieldValueBytes = 16U * 1024U;
+constexpr std::size_t kMaxFieldValueBytes = 16'384;
 constexpr std::size_t kMaxFieldCount = 100;
 
 // Bodies over the limit are read up to this factor, so that the caller gets a
@@ -70,13 +70,15 @@
   using connection_state_listener_t = connection_listener;
   using request_handler_t = std::function<restinio::request_handling_status_t(
     restinio::request_handle_t)>;
-  static constexpr bool use_connection_count_limiter = true;
+  // RESTinio looks for this name.
+  static constexpr bool use_connection_count_limiter = // NOLINT(readability-identifier-naming)
+    true;
 };
 
 restinio::http_status_line_t
 StatusLine(int aStatus)
 {
-  static const std::unordered_map<int, const char*> sPhrases = {
+  static const std::unordered_map<int, const char*> kPhrases = {
     { 200, "OK" },
     { 202, "Accepted" },
     { 400, "Bad Request" },
@@ -95,9 +97,9 @@
     { 503, "Service Unavailable" },
     { 504, "Gateway Timeout" },
   };
-  const auto found = sPhrases.find(aStatus);
+  const auto found = kPhrases.find(aStatus);
   return { restinio::http_status_code_t{ static_cast<std::uint16_t>(aStatus) },
-           found == sPhrases.end() ? "Status" : found->second };
+           found == kPhrases.end() ? "Status" : found->second };
 }
 
 class restinio_reply
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -12,7 +12,7 @@
 constexpr int kHeartbeatTimeoutMs = 1'500;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
-constexpr std::int64_t kMaxMessageBytes = 16 * 1024 * 1024;
+constexpr std::int64_t kMaxMessageBytes = 16'777'216;
 
 // One context for the process: sockets of several links share its I/O thread.
 zmq::context_t&
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -71,7 +71,7 @@
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0; ///< zero takes a free one
-  std::size_t maxBodyBytes = 4U * 1024U * 1024U;
+  std::size_t maxBodyBytes = 4'194'304;
   std::size_t maxConnections = 4096;
   std::chrono::milliseconds readTimeout{ 20'000 };
   std::chrono::milliseconds writeTimeout{ 30'000 };
