--- /dev/null
+++ b/src/load/measure.cpp
@@ -0,0 +1,267 @@
+#include "load/load.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bulrush::load {
+namespace {
+
+using seconds_double = std::chrono::duration<double>;
+
+double
+Share(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return aWhole == 0 ? 1.0
+                     : static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+bool
+IsMeasured(const load_plan& aPlan, const result_row& aResult)
+{
+  return aResult.planned.at >= aPlan.warmUp;
+}
+
+// Nearest rank: the smallest sample with at least that share at or below it.
+offset
+Percentile(const std::vector<offset>& aSorted, double aShare)
+{
+  const auto rank = static_cast<std::size_t>(
+    std::ceil(aShare * static_cast<double>(aSorted.size())));
+  return aSorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+std::vector<phase_measure>
+PhasesOf(const load_plan& aPlan)
+{
+  std::vector<phase_measure> phases;
+  offset from = aPlan.warmUp;
+  std::string name = "before";
+  for (const domain_absence& absence : aPlan.absences) {
+    phases.push_back({ name, from, absence.from, 0, 0 });
+    phases.push_back(
+      { absence.domain + " out", absence.from, absence.to, 0, 0 });
+    from = absence.to;
+    name = "after " + absence.domain;
+  }
+  if (!aPlan.absences.empty()) {
+    phases.push_back({ name, from, aPlan.duration, 0, 0 });
+  }
+  return phases;
+}
+
+void
+CountPhase(const result_row& aResult,
+           bool aIsOnTime,
+           std::vector<phase_measure>& aPhases)
+{
+  for (phase_measure& phase : aPhases) {
+    const offset at = aResult.planned.at;
+    if (phase.from <= at && at < phase.to && aResult.planned.isWithinRate) {
+      ++phase.withinRate;
+      phase.onTime += aIsOnTime ? 1 : 0;
+    }
+  }
+}
+
+void
+CountWorkspace(const result_row& aResult,
+               bool aIsOnTime,
+               workspace_measure& aWorkspace)
+{
+  const bool isWithin = aResult.planned.isWithinRate;
+  const bool isRefused = aResult.outcome == load_outcome::eRefused;
+  ++aWorkspace.asked;
+  aWorkspace.withinRate += isWithin ? 1 : 0;
+  aWorkspace.onTime += aIsOnTime ? 1 : 0;
+  aWorkspace.onTimeWithinRate += aIsOnTime && isWithin ? 1 : 0;
+  aWorkspace.refused += isRefused ? 1 : 0;
+  aWorkspace.refusedWithinRate += isRefused && isWithin ? 1 : 0;
+}
+
+// How far the answers went beyond rate and burst in the worst moment: a bucket
+// that may be overdrawn, charged with what each answer used.
+void
+MeasureExcess(const load_plan& aPlan,
+              const table<request_id, result_row>& aResults,
+              workspace_measure& aWorkspace)
+{
+  const workspace_row* const declared =
+    aPlan.declared.workspaces.Find(aWorkspace.id);
+  if (declared == nullptr) {
+    return;
+  }
+  std::vector<const result_row*> answered;
+  for (const result_row& result : aResults) {
+    if (result.planned.workspace == aWorkspace.id &&
+        result.outcome == load_outcome::eAnswered) {
+      answered.push_back(&result);
+    }
+  }
+  std::sort(answered.begin(),
+            answered.end(),
+            [](const result_row* aLeft, const result_row* aRight) {
+              return aLeft->endedAt < aRight->endedAt;
+            });
+  double tokens = declared->burstTokens;
+  offset filledAt{ 0 };
+  for (const result_row* result : answered) {
+    const double passed = seconds_double(result->endedAt - filledAt).count();
+    tokens = std::min(declared->burstTokens,
+                      tokens + passed * declared->tokensPerSecond);
+    filledAt = result->endedAt;
+    const load_target* const target =
+      aPlan.targets.Find(result->planned.target);
+    const bool isRoute = target != nullptr && target->isRoute;
+    tokens -=
+      isRoute
+        ? target->routeTokens
+        : static_cast<double>(result->planned.promptTokens + result->tokens);
+    aWorkspace.excessTokens = std::max(aWorkspace.excessTokens, -tokens);
+  }
+}
+
+// Equal shares are ordered by name, so that the verdict is the same each run.
+workspace_id
+FindWorst(const table<workspace_id, workspace_measure>& aWorkspaces)
+{
+  const workspace_measure* worst = nullptr;
+  for (const workspace_measure& each : aWorkspaces) {
+    if (each.withinRate == 0) {
+      continue;
+    }
+    const bool isWorse =
+      worst == nullptr || each.Attainment() < worst->Attainment() ||
+      (each.Attainment() == worst->Attainment() && each.name < worst->name);
+    if (isWorse) {
+      worst = &each;
+    }
+  }
+  return worst == nullptr ? workspace_id{} : worst->id;
+}
+
+struct latency_samples
+{
+  std::vector<offset> firstToken;
+  std::vector<offset> betweenTokens;
+  std::vector<offset> whole;
+};
+
+void
+TakeSamples(const result_row& aResult, latency_samples& aSamples)
+{
+  if (aResult.outcome != load_outcome::eAnswered) {
+    return;
+  }
+  aSamples.whole.push_back(aResult.endedAt - aResult.sentAt);
+  if (aResult.firstTokenAt == offset::zero()) {
+    return;
+  }
+  aSamples.firstToken.push_back(aResult.firstTokenAt - aResult.sentAt);
+  if (aResult.tokens > 1) {
+    const auto gaps = static_cast<std::int64_t>(aResult.tokens - 1);
+    aSamples.betweenTokens.push_back((aResult.endedAt - aResult.firstTokenAt) /
+                                     gaps);
+  }
+}
+
+} // namespace
+
+const char*
+NameOf(load_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case load_outcome::eAnswered:
+      return "answered";
+    case load_outcome::eRefused:
+      return "refused";
+    case load_outcome::eMayHaveRun:
+      return "may_have_run";
+    case load_outcome::eBroken:
+      return "broken";
+    case load_outcome::eWrong:
+      break;
+  }
+  return "wrong";
+}
+
+// The planned time counts, not the time of sending: a late sender would hide
+// the very waiting that is measured.
+bool
+IsOnTime(const load_plan& aPlan, const result_row& aResult)
+{
+  const load_target* const target = aPlan.targets.Find(aResult.planned.target);
+  return aResult.outcome == load_outcome::eAnswered && target != nullptr &&
+         aResult.endedAt - aResult.planned.at <= target->deadline;
+}
+
+latency_summary
+Summarize(std::vector<offset> aSamples)
+{
+  latency_summary summary;
+  if (aSamples.empty()) {
+    return summary;
+  }
+  std::sort(aSamples.begin(), aSamples.end());
+  summary.count = aSamples.size();
+  summary.p50 = Percentile(aSamples, 0.50);
+  summary.p95 = Percentile(aSamples, 0.95);
+  summary.p99 = Percentile(aSamples, 0.99);
+  summary.longest = aSamples.back();
+  return summary;
+}
+
+double
+workspace_measure::Attainment() const
+{
+  return Share(onTimeWithinRate, withinRate);
+}
+
+load_measures
+Measure(const load_plan& aPlan,
+        const table<request_id, result_row>& aResults,
+        std::uint64_t aModelMoves)
+{
+  load_measures measures;
+  measures.modelMoves = aModelMoves;
+  measures.phases = PhasesOf(aPlan);
+  for (const load_workspace& workspace : aPlan.workspaces) {
+    workspace_measure row;
+    row.id = workspace.id;
+    row.name = workspace.name;
+    measures.workspaces.Insert(std::move(row));
+  }
+  latency_samples samples;
+  std::uint64_t onTimeWithinRate = 0;
+  for (const result_row& result : aResults) {
+    if (!IsMeasured(aPlan, result)) {
+      continue;
+    }
+    const bool isOnTime = IsOnTime(aPlan, result);
+    ++measures.outcomes[static_cast<std::size_t>(result.outcome)];
+    CountWorkspace(
+      result, isOnTime, *measures.workspaces.Find(result.planned.workspace));
+    CountPhase(result, isOnTime, measures.phases);
+    TakeSamples(result, samples);
+  }
+  for (workspace_measure& workspace : measures.workspaces) {
+    MeasureExcess(aPlan, aResults, workspace);
+    measures.asked += workspace.asked;
+    measures.withinRate += workspace.withinRate;
+    measures.onTime += workspace.onTime;
+    measures.refusedWithinRate += workspace.refusedWithinRate;
+    onTimeWithinRate += workspace.onTimeWithinRate;
+  }
+  const double measuredSeconds =
+    seconds_double(aPlan.duration - aPlan.warmUp).count();
+  measures.attainment = Share(onTimeWithinRate, measures.withinRate);
+  measures.onTimePerAcceleratorSecond = static_cast<double>(measures.onTime) /
+                                        measuredSeconds /
+                                        static_cast<double>(aPlan.accelerators);
+  measures.worst = FindWorst(measures.workspaces);
+  measures.firstToken = Summarize(std::move(samples.firstToken));
+  measures.betweenTokens = Summarize(std::move(samples.betweenTokens));
+  measures.whole = Summarize(std::move(samples.whole));
+  return measures;
+}
+
+} // namespace bulrush::load
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -163,6 +163,19 @@
   }
 }
 
+// A switch stands alone ("--json", or "--json=false"): a word after it is an
+// argument of its own.
+void
+AddOption(CLI::App& aApp, const option_row& aRow, std::string& aValue)
+{
+  const std::string name = std::string("--") + aRow.name;
+  if (aRow.type == option_type::eBool) {
+    aApp.add_flag(name, aValue, OptionHelp(aRow));
+  } else {
+    aApp.add_option(name, aValue, OptionHelp(aRow));
+  }
+}
+
 command_line
 ReadCommandLine(const program_options& aProgram,
                 int aCount,
@@ -181,8 +194,7 @@
   app.footer(aProgram.arguments);
   std::map<std::string, std::string> values;
   for (const option_row& row : aProgram.rows) {
-    app.add_option(
-      std::string("--") + row.name, values[row.name], OptionHelp(row));
+    AddOption(app, row, values[row.name]);
   }
   try {
     app.parse(aCount, aWords);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -217,6 +217,22 @@
         std::vector<std::string>{ "key", "issue", "school" });
 }
 
+TEST_CASE_METHOD(settings_fixture,
+                 "LoadSettings_WithASwitch_LeavesTheNextWordAlone",
+                 "[settings]")
+{
+  const auto on = Load({ "--domain", "a", "--open", "status" });
+  INFO(reason.text);
+  REQUIRE(on.has_value());
+  CHECK(on->values.Flag("open"));
+  CHECK(on->values.Arguments() == std::vector<std::string>{ "status" });
+  const auto off = Load({ "--domain", "a", "--open=false" });
+  REQUIRE(off.has_value());
+  CHECK_FALSE(off->values.Flag("open"));
+  CHECK_FALSE(Load({ "--domain", "a", "--open=perhaps" }).has_value());
+  CHECK(IsNamed("open"));
+}
+
 TEST_CASE_METHOD(settings_fixture,
                  "OptionValues_WhenReadAsAnotherType_ThrowAtOnce",
                  "[settings]")
