--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -10,3 +10,5 @@
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_http.cpp)
+bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
+target_link_libraries(bulrush-load PRIVATE bulrush_load)
--- a/src/load/load.hpp
+++ b/src/load/load.hpp
@@ -106,6 +106,12 @@
 /// Tokens that aRequest may use at most: its cost in the oracle's bucket.
 double CostOf(const load_plan& aPlan, const planned_request& aRequest);
 
+/// The body that asks for aRequest. Without aTag the calls of a route cannot be
+/// told apart by the service.
+std::string FormatBody(const load_plan& aPlan,
+                       const planned_request& aRequest,
+                       const std::string& aTag);
+
 // ---------------------------------------------------------------------------
 // What came of it
 
@@ -120,6 +126,51 @@
 
 const char* NameOf(load_outcome aOutcome);
 
+/// Reads an answer as its bytes arrive and judges it at its end.
+class answer_reader
+{
+public:
+  /// What an answer has to be like.
+  struct expectation
+  {
+    bool isStream = false;
+    bool isRoute = false;
+    std::uint64_t tokens = 0; ///< at most; exactly if isCounted
+    bool isCounted = false;   ///< the tokens are "t0 ", "t1 ", ... and so on
+  };
+
+  explicit answer_reader(expectation aExpectation)
+    : mExpectation(aExpectation)
+  {
+  }
+
+  void TakeStatus(int aStatus) { mStatus = aStatus; }
+  void TakeBytes(std::string_view aBytes);
+
+  /// The verdict. aIsWhole: the transfer came to its end without a fault.
+  load_outcome Finish(bool aIsWhole);
+
+  std::uint64_t Tokens() const { return mTokens; }
+  int Status() const { return mStatus; }
+  const std::string& Code() const { return mCode; } ///< of an error
+
+private:
+  void TakeEvent(std::string_view aData);
+  void TakeToken(const std::string& aText);
+  load_outcome FinishError();
+  load_outcome FinishStream() const;
+  load_outcome FinishWhole();
+
+  expectation mExpectation;
+  int mStatus = 0;
+  std::string mBytes; ///< not yet read
+  std::string mCode;
+  std::uint64_t mTokens = 0;
+  bool mIsDone = false;   ///< the end mark of a stream came
+  bool mHasError = false; ///< an error came in a stream
+  bool mIsWrong = false;
+};
+
 /// One request after its end. Offsets that did not occur are zero.
 struct result_row
 {
@@ -132,6 +183,7 @@
   offset firstTokenAt{ 0 };
   offset endedAt{ 0 };
   std::uint64_t tokens = 0; ///< of the answer
+  bool isDirect = false; ///< asked of the endpoint itself, for comparison only
 };
 
 /// Whether it was whole and right before its deadline, from the planned time.
@@ -189,9 +241,10 @@
   table<workspace_id, workspace_measure> workspaces;
   workspace_id worst; ///< none when nothing was within a rate
   std::vector<phase_measure> phases;
-  latency_summary firstToken;    ///< from sending, of answers
-  latency_summary betweenTokens; ///< mean of each answer
-  latency_summary whole;         ///< from sending, of answers
+  latency_summary firstToken;       ///< from sending, of answers
+  latency_summary betweenTokens;    ///< mean of each answer
+  latency_summary whole;            ///< from sending, of answers
+  latency_summary firstTokenDirect; ///< of requests past the entry hosts
 };
 
 load_measures Measure(const load_plan& aPlan,
--- a/src/load/measure.cpp
+++ b/src/load/measure.cpp
@@ -18,7 +18,7 @@
 bool
 IsMeasured(const load_plan& aPlan, const result_row& aResult)
 {
-  return aResult.planned.at >= aPlan.warmUp;
+  return aResult.planned.at >= aPlan.warmUp && !aResult.isDirect;
 }
 
 // Nearest rank: the smallest sample with at least that share at or below it.
@@ -93,7 +93,7 @@
   std::vector<const result_row*> answered;
   for (const result_row& result : aResults) {
     if (result.planned.workspace == aWorkspace.id &&
-        result.outcome == load_outcome::eAnswered) {
+        result.outcome == load_outcome::eAnswered && !result.isDirect) {
       answered.push_back(&result);
     }
   }
@@ -139,6 +139,23 @@
   return worst == nullptr ? workspace_id{} : worst->id;
 }
 
+std::vector<offset>
+DirectFirstTokens(const load_plan& aPlan,
+                  const table<request_id, result_row>& aResults)
+{
+  std::vector<offset> samples;
+  for (const result_row& result : aResults) {
+    const bool isSample = result.isDirect &&
+                          result.planned.at >= aPlan.warmUp &&
+                          result.outcome == load_outcome::eAnswered &&
+                          result.firstTokenAt != offset::zero();
+    if (isSample) {
+      samples.push_back(result.firstTokenAt - result.sentAt);
+    }
+  }
+  return samples;
+}
+
 struct latency_samples
 {
   std::vector<offset> firstToken;
@@ -259,6 +276,7 @@
                                         static_cast<double>(aPlan.accelerators);
   measures.worst = FindWorst(measures.workspaces);
   measures.firstToken = Summarize(std::move(samples.firstToken));
+  measures.firstTokenDirect = Summarize(DirectFirstTokens(aPlan, aResults));
   measures.betweenTokens = Summarize(std::move(samples.betweenTokens));
   measures.whole = Summarize(std::move(samples.whole));
   return measures;
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -35,6 +35,22 @@
                      ToMilliseconds(aSummary.longest));
 }
 
+// What the entry adds: the difference of the percentiles of two samples that
+// were taken side by side in one run.
+std::string
+FormatAdded(const load_measures& aMeasures)
+{
+  const latency_summary& entry = aMeasures.firstToken;
+  const latency_summary& direct = aMeasures.firstTokenDirect;
+  return fmt::format("{:<16} {:>8} {:>9.2f} {:>9.2f} {:>9.2f} {:>9.2f}\n",
+                     "  added by entry",
+                     "",
+                     ToMilliseconds(entry.p50 - direct.p50),
+                     ToMilliseconds(entry.p95 - direct.p95),
+                     ToMilliseconds(entry.p99 - direct.p99),
+                     ToMilliseconds(entry.longest - direct.longest));
+}
+
 std::string
 FormatWorkspaces(const load_measures& aMeasures)
 {
@@ -102,6 +118,9 @@
     std::chrono::ceil<std::chrono::seconds>(aPlan.duration).count());
   std::vector<second_counts> counts(seconds);
   for (const result_row& result : aResults) {
+    if (result.isDirect) {
+      continue;
+    }
     const auto second = static_cast<std::size_t>(
       std::chrono::floor<std::chrono::seconds>(result.planned.at).count());
     if (second >= counts.size()) {
@@ -240,6 +259,10 @@
                       "p99",
                       "longest");
   text += FormatLatency("first token", aMeasures.firstToken);
+  if (aMeasures.firstTokenDirect.count > 0) {
+    text += FormatLatency("  asked directly", aMeasures.firstTokenDirect);
+    text += FormatAdded(aMeasures);
+  }
   text += FormatLatency("between tokens", aMeasures.betweenTokens);
   text += FormatLatency("whole answer", aMeasures.whole);
   return text;
@@ -251,7 +274,7 @@
 {
   std::string text = "request,planned_ms,sent_ms,first_token_ms,ended_ms,"
                      "workspace,target,stream,prompt_tokens,output_tokens,"
-                     "tokens,within_rate,outcome,status,code,on_time\n";
+                     "tokens,within_rate,direct,outcome,status,code,on_time\n";
   std::vector<const result_row*> rows;
   for (const result_row& result : aResults) {
     rows.push_back(&result);
@@ -263,24 +286,25 @@
             });
   for (const result_row* row : rows) {
     const planned_request& planned = row->planned;
-    text += fmt::format(
-      "{},{:.3f},{:.3f},{:.3f},{:.3f},{},{},{:d},{},{},{},{:d},{},{},{},{:d}\n",
-      row->id.value,
-      ToMilliseconds(planned.at),
-      ToMilliseconds(row->sentAt),
-      ToMilliseconds(row->firstTokenAt),
-      ToMilliseconds(row->endedAt),
-      aPlan.workspaces.Find(planned.workspace)->name,
-      aPlan.targets.Find(planned.target)->name,
-      planned.isStream,
-      planned.promptTokens,
-      planned.outputTokens,
-      row->tokens,
-      planned.isWithinRate,
-      NameOf(row->outcome),
-      row->status,
-      row->code,
-      IsOnTime(aPlan, *row));
+    text += fmt::format("{},{:.3f},{:.3f},{:.3f},{:.3f},{},{},{:d},{},{},{},{:"
+                        "d},{:d},{},{},{},{:d}\n",
+                        row->id.value,
+                        ToMilliseconds(planned.at),
+                        ToMilliseconds(row->sentAt),
+                        ToMilliseconds(row->firstTokenAt),
+                        ToMilliseconds(row->endedAt),
+                        aPlan.workspaces.Find(planned.workspace)->name,
+                        aPlan.targets.Find(planned.target)->name,
+                        planned.isStream,
+                        planned.promptTokens,
+                        planned.outputTokens,
+                        row->tokens,
+                        planned.isWithinRate,
+                        row->isDirect,
+                        NameOf(row->outcome),
+                        row->status,
+                        row->code,
+                        IsOnTime(aPlan, *row));
   }
   return text;
 }
--- a/tests/load/load_test.cpp
+++ b/tests/load/load_test.cpp
@@ -319,7 +319,7 @@
   const std::string csv = FormatResultsCsv(plan, results);
   CHECK(std::count(csv.begin(), csv.end(), '\n') == 3);
   CHECK(csv.find("1,20000.000,20000.000,20250.000,20500.000,dealer,diary,1,10,"
-                 "10,11,1,answered,0,,1\n") != std::string::npos);
+                 "10,11,1,0,answered,0,,1\n") != std::string::npos);
   CHECK(csv.find(",refused,0,rate_exceeded,0\n") != std::string::npos);
 }
 
