Add the routing library: choice, cold start, retries, at most once

Cause: the entry needs one place that decides where a request runs, how often and what its caller may be told. Change: tables of endpoints, residents, requests and attempts; nine systems a tick; intents in an outbox; hooks for score, pick, cold start and retry.

--- /dev/null
+++ b/src/routing/answers.cpp
@@ -0,0 +1,351 @@
+#include "routing/parts.hpp"
+
+namespace bulrush::routing {
+
+namespace {
+
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+
+bool
+IsOverload(int aStatus)
+{
+  return aStatus == kTooManyRequests || aStatus == kUnavailable;
+}
+
+bool
+IsRefusal(const answer_head& aHead)
+{
+  return IsOverload(aHead.status) ||
+         (aHead.saysNotRun && aHead.status >= kFirstClientError);
+}
+
+bool
+IsLive(const request_row& aRequest)
+{
+  return aRequest.state == request_state::eRunning;
+}
+
+// The echo ties an answer to its attempt. A stream must also go on exactly
+// where the caller's part ends.
+bool
+IsOwnAnswer(const attempt_row& aAttempt,
+            const request_row& aRequest,
+            const endpoint_row& aEndpoint)
+{
+  const answer_head& head = *aAttempt.head;
+  const bool isEchoed = head.echoed == aAttempt.id;
+  const bool needsNoEcho = !aEndpoint.facts.echoesAttempt && !head.echoed;
+  if (!isEchoed && !needsNoEcho) {
+    return false;
+  }
+  const bool isSuccess =
+    head.status >= kFirstSuccess && head.status < kFirstRedirect;
+  return !aRequest.facts.isStreamed || !isSuccess ||
+         head.startOffset == aAttempt.startOffset;
+}
+
+void
+AddResult(tables& aTables,
+          const attempt_row& aAttempt,
+          const request_row& aRequest,
+          attempt_failure aFailure,
+          steady_time aFirstByteAt)
+{
+  attempt_result result;
+  result.endpoint = aAttempt.endpoint;
+  result.coldEpoch = aAttempt.coldEpoch;
+  result.wasBusy = aAttempt.wasBusy;
+  result.isGood = aFailure == attempt_failure::eNone;
+  result.isRefused = aAttempt.head && IsOverload(aAttempt.head->status);
+  // Only a stream's first byte tells of the engine's state; a whole answer's
+  // time depends on its length.
+  if (aRequest.facts.isStreamed) {
+    result.firstByte = std::chrono::duration_cast<std::chrono::microseconds>(
+      aFirstByteAt - aAttempt.startedAt);
+  }
+  aTables.results.push_back(result);
+}
+
+void
+JudgeHead(tables& aTables,
+          attempt_row& aAttempt,
+          request_row& aRequest,
+          steady_time aNow,
+          outbox& aOutbox)
+{
+  const endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+  if (!IsOwnAnswer(aAttempt, aRequest, endpoint)) {
+    FailAttempt(aTables,
+                aAttempt,
+                aRequest,
+                attempt_failure::eCrossed,
+                false,
+                aNow,
+                aOutbox);
+    return;
+  }
+  if (IsRefusal(*aAttempt.head)) {
+    FailAttempt(aTables,
+                aAttempt,
+                aRequest,
+                attempt_failure::eRefused,
+                aAttempt.head->saysNotRun,
+                aNow,
+                aOutbox);
+    return;
+  }
+  aAttempt.state = attempt_state::eAnswering;
+}
+
+// Each byte is passed on once and in order: `forwarded` only grows.
+void
+ForwardTo(std::uint64_t aEnd,
+          const attempt_row& aAttempt,
+          request_row& aRequest,
+          outbox& aOutbox)
+{
+  aOutbox.forwards.push_back({ aRequest.id,
+                               aAttempt.id,
+                               aAttempt.head->status,
+                               aRequest.forwarded,
+                               aEnd - aRequest.forwarded });
+  aRequest.forwarded = aEnd;
+  aRequest.hasForwarded = true;
+}
+
+void
+ForwardEarly(const attempt_row& aAttempt,
+             request_row& aRequest,
+             outbox& aOutbox)
+{
+  if (IsLive(aRequest) && IsForwardedEarly(aRequest, aAttempt) &&
+      aAttempt.received > aRequest.forwarded) {
+    ForwardTo(aAttempt.received, aAttempt, aRequest, aOutbox);
+  }
+}
+
+// An answer is whole: what was held back goes out, then the end.
+void
+Answer(tables& aTables,
+       const attempt_row& aAttempt,
+       request_row& aRequest,
+       steady_time aNow,
+       outbox& aOutbox)
+{
+  AddResult(
+    aTables, aAttempt, aRequest, attempt_failure::eNone, aAttempt.firstByteAt);
+  const int status = aAttempt.head->status;
+  SettleClaim(aRequest, ran_state::eRan, aAttempt.id, status, aOutbox);
+  aRequest.attempt = {};
+  if (!IsLive(aRequest)) {
+    aRequest.state = request_state::eEnded;
+    return;
+  }
+  if (!aRequest.hasForwarded || aAttempt.received > aRequest.forwarded) {
+    ForwardTo(aAttempt.received, aAttempt, aRequest, aOutbox);
+  }
+  EndRequest(aTables.settings,
+             aRequest,
+             request_outcome::eAnswered,
+             ran_state::eRan,
+             aNow,
+             aOutbox);
+}
+
+// An error of the endpoint is worth another try where that is allowed, and is
+// never appended to a stream of which the caller has a part.
+bool
+IsUnusable(const attempt_row& aAttempt, const request_row& aRequest)
+{
+  if (aRequest.hasForwarded) {
+    return !IsForwardedEarly(aRequest, aAttempt);
+  }
+  return aRequest.facts.isIdempotent &&
+         aAttempt.head->status >= kFirstServerError;
+}
+
+attempt_failure
+FailureOf(const attempt_row& aAttempt, const request_row& aRequest)
+{
+  const bool hasBegun = aAttempt.state == attempt_state::eAnswering;
+  switch (aAttempt.end) {
+    case attempt_end::eNotSent:
+      // A head proves that the request was sent, whatever the transport says.
+      return aAttempt.head ? attempt_failure::eTruncated
+                           : attempt_failure::eNotSent;
+    case attempt_end::eComplete:
+      if (!hasBegun || aAttempt.hasGap) {
+        return attempt_failure::eLost;
+      }
+      return IsUnusable(aAttempt, aRequest) ? attempt_failure::eServerError
+                                            : attempt_failure::eNone;
+    default:
+      return hasBegun ? attempt_failure::eTruncated : attempt_failure::eLost;
+  }
+}
+
+void
+Finish(tables& aTables,
+       attempt_row& aAttempt,
+       request_row& aRequest,
+       steady_time aNow,
+       outbox& aOutbox)
+{
+  const attempt_failure failure = FailureOf(aAttempt, aRequest);
+  if (failure == attempt_failure::eNone) {
+    Answer(aTables, aAttempt, aRequest, aNow, aOutbox);
+    return;
+  }
+  FailAttempt(aTables,
+              aAttempt,
+              aRequest,
+              failure,
+              failure == attempt_failure::eNotSent,
+              aNow,
+              aOutbox);
+}
+
+void
+Handle(tables& aTables,
+       attempt_row& aAttempt,
+       steady_time aNow,
+       outbox& aOutbox)
+{
+  if (aAttempt.state == attempt_state::eCancelling) {
+    return;
+  }
+  request_row& request = *aTables.requests.Find(aAttempt.request);
+  if (aAttempt.state == attempt_state::eStarted && aAttempt.head) {
+    JudgeHead(aTables, aAttempt, request, aNow, aOutbox);
+  }
+  if (aAttempt.state == attempt_state::eAnswering) {
+    ForwardEarly(aAttempt, request, aOutbox);
+  }
+  if (aAttempt.state == attempt_state::eCancelling) {
+    return;
+  }
+  if (aAttempt.end != attempt_end::eNone) {
+    Finish(aTables, aAttempt, request, aNow, aOutbox);
+  } else if (aAttempt.hasGap) {
+    FailAttempt(aTables,
+                aAttempt,
+                request,
+                attempt_failure::eTruncated,
+                false,
+                aNow,
+                aOutbox);
+  }
+}
+
+} // namespace
+
+bool
+IsForwardedEarly(const request_row& aRequest, const attempt_row& aAttempt)
+{
+  return aRequest.facts.isStreamed && aAttempt.head &&
+         aAttempt.head->status >= kFirstSuccess &&
+         aAttempt.head->status < kFirstRedirect;
+}
+
+void
+CancelAttempt(attempt_row& aAttempt, outbox& aOutbox)
+{
+  aAttempt.state = attempt_state::eCancelling;
+  if (aAttempt.end == attempt_end::eNone) {
+    aOutbox.cancels.push_back({ aAttempt.id });
+  }
+}
+
+// Without proof that it did not run, the request may have run, and stays so
+// whatever later attempts say.
+void
+FailAttempt(tables& aTables,
+            attempt_row& aAttempt,
+            request_row& aRequest,
+            attempt_failure aFailure,
+            bool aIsKnownNotRun,
+            steady_time aNow,
+            outbox& aOutbox)
+{
+  AddResult(aTables, aAttempt, aRequest, aFailure, aNow);
+  CancelAttempt(aAttempt, aOutbox);
+  aRequest.mayHaveRun |= !aIsKnownNotRun;
+  aRequest.lastFailure = aFailure;
+  aRequest.attempt = {};
+  if (IsLive(aRequest)) {
+    aRequest.state = request_state::eFailed;
+    return;
+  }
+  SettleClaim(aRequest, RanSoFar(aRequest), {}, 0, aOutbox);
+  aRequest.state = request_state::eEnded;
+}
+
+void
+OnAttemptHeaders(tables& aTables,
+                 attempt_id aAttempt,
+                 const answer_head& aHead,
+                 steady_time aNow)
+{
+  attempt_row* row = aTables.attempts.Find(aAttempt);
+  if (row == nullptr || row->head || row->end != attempt_end::eNone) {
+    return;
+  }
+  row->head = aHead;
+  row->firstByteAt = aNow;
+  row->lastByteAt = aNow;
+}
+
+void
+OnAttemptBytes(tables& aTables,
+               attempt_id aAttempt,
+               std::uint64_t aOffset,
+               std::uint64_t aCount,
+               steady_time aNow)
+{
+  attempt_row* row = aTables.attempts.Find(aAttempt);
+  if (row == nullptr || row->hasGap || row->end != attempt_end::eNone) {
+    return;
+  }
+  if (aOffset != row->received) {
+    row->hasGap = true;
+    return;
+  }
+  row->received += aCount;
+  row->lastByteAt = aNow;
+}
+
+void
+OnAttemptEnd(tables& aTables,
+             attempt_id aAttempt,
+             attempt_end aHow,
+             steady_time /*aNow*/)
+{
+  attempt_row* row = aTables.attempts.Find(aAttempt);
+  if (row != nullptr && row->end == attempt_end::eNone) {
+    row->end = aHow;
+  }
+}
+
+// The slot of an attempt is free once the transport says that it ended, not
+// when it was cancelled: until then the endpoint may be at work on it.
+void
+RunAnswers(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  for (attempt_row& attempt : aTables.attempts) {
+    Handle(aTables, attempt, aNow, aOutbox);
+  }
+  aTables.attempts.EraseIf([&aTables](const attempt_row& aAttempt) {
+    if (aAttempt.end == attempt_end::eNone) {
+      return false;
+    }
+    --aTables.endpoints.Find(aAttempt.endpoint)->inFlight;
+    return true;
+  });
+}
+
+} // namespace bulrush::routing
--- /dev/null
+++ b/src/routing/choose.cpp
@@ -0,0 +1,391 @@
+#include "routing/parts.hpp"
+
+#include <algorithm>
+
+namespace bulrush::routing {
+
+namespace {
+
+constexpr double kPrefixBonus = 0.5;
+constexpr double kBestMargin = 0.05;
+constexpr int kMaxPriorityWeight = 4;
+constexpr double kPriorityStep = 0.25;
+
+/// Candidates of a better tier exclude all of a worse one.
+enum class tier : std::uint8_t
+{
+  eOwnDomain,
+  eOtherDomain,
+  eTriedBefore,
+  eNone
+};
+
+/// What one look at a holder gave.
+struct look
+{
+  tier rank = tier::eNone;
+  bool isUsable = false; ///< resident and serving, perhaps without a free slot
+};
+
+bool
+IsServing(const endpoint_row& aEndpoint)
+{
+  return !aEndpoint.isGone && !aEndpoint.facts.isDraining &&
+         !aEndpoint.facts.isDomainOut;
+}
+
+bool
+HasVersion(const holder& aHolder, const request_facts& aFacts)
+{
+  return aFacts.version == 0 || aHolder.version == aFacts.version;
+}
+
+// Reports lag. What others had in flight fades with the age of the report;
+// what this thread has in flight is known exactly.
+double
+EstimateLoad(const endpoint_row& aEndpoint,
+             steady_time aNow,
+             std::chrono::milliseconds aHorizon)
+{
+  const endpoint_facts& facts = aEndpoint.facts;
+  const std::chrono::duration<double> age = aNow - facts.reportedAt;
+  const std::chrono::duration<double> horizon = aHorizon;
+  const double weight = std::clamp(1.0 - age / horizon, 0.0, 1.0);
+  const std::uint32_t others =
+    facts.reportedInFlight > aEndpoint.ownWhenReported
+      ? facts.reportedInFlight - aEndpoint.ownWhenReported
+      : 0;
+  const std::uint32_t slots =
+    aEndpoint.coldStart.isCold ? aEndpoint.coldStart.limit : facts.slots;
+  return (aEndpoint.inFlight + others * weight) / std::max(1U, slots);
+}
+
+bool
+HoldsPrefix(const tables& aTables, std::uint64_t aPrefix, endpoint_id aEndpoint)
+{
+  if (aPrefix == 0) {
+    return false;
+  }
+  const prefix_slot& slot = aTables.prefixes[aPrefix % kPrefixSlots];
+  return slot.prefix == aPrefix && slot.endpoint == aEndpoint;
+}
+
+// A broken stream goes on only where the engine resumes it from its offset.
+bool
+CanContinue(const endpoint_row& aEndpoint, const request_row& aRequest)
+{
+  return aRequest.forwarded == 0 || aEndpoint.facts.canResume;
+}
+
+look
+LookAt(const tables& aTables,
+       const endpoint_row& aEndpoint,
+       const request_row& aRequest)
+{
+  look seen;
+  if (!IsServing(aEndpoint) || !CanContinue(aEndpoint, aRequest)) {
+    return seen;
+  }
+  seen.isUsable = true;
+  if (aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint)) {
+    return seen;
+  }
+  if (HasTried(aRequest, aEndpoint.id)) {
+    seen.rank = tier::eTriedBefore;
+  } else if (aEndpoint.facts.domain == aTables.settings.ownDomain) {
+    seen.rank = tier::eOwnDomain;
+  } else {
+    seen.rank = tier::eOtherDomain;
+  }
+  return seen;
+}
+
+double
+Score(const tables& aTables,
+      const endpoint_row& aEndpoint,
+      const request_row& aRequest,
+      steady_time aNow)
+{
+  const score_input input{
+    aRequest.facts,
+    aEndpoint,
+    HoldsPrefix(aTables, aRequest.facts.prefix, aEndpoint.id),
+    EstimateLoad(aEndpoint, aNow, aTables.settings.reportHorizon)
+  };
+  return aTables.policy.score(input);
+}
+
+attempt_id
+NewAttemptId(tables& aTables)
+{
+  attempt_id id;
+  do {
+    id.value = aTables.random();
+  } while (!id || aTables.attempts.Find(id) != nullptr);
+  return id;
+}
+
+// The budget is a share of the traffic: every first attempt adds to it.
+void
+CountAttempt(tables& aTables, request_row& aRequest, endpoint_id aEndpoint)
+{
+  if (aRequest.attemptsMade == 0) {
+    aTables.retryBudget =
+      std::min(aTables.settings.retryBurst,
+               aTables.retryBudget + aTables.settings.retryShare);
+  }
+  aRequest.tried[aRequest.attemptsMade % kTriedEndpoints] = aEndpoint;
+  ++aRequest.attemptsMade;
+}
+
+void
+Start(tables& aTables,
+      request_row& aRequest,
+      endpoint_row& aEndpoint,
+      steady_time aNow,
+      outbox& aOutbox)
+{
+  attempt_row attempt;
+  attempt.id = NewAttemptId(aTables);
+  attempt.request = aRequest.id;
+  attempt.endpoint = aEndpoint.id;
+  attempt.coldEpoch = aEndpoint.coldStart.epoch;
+  attempt.startedAt = aNow;
+  const auto timeout =
+    AttemptTimeout(aTables.settings, aRequest, TimeLeft(aRequest, aNow));
+  attempt.timeoutAt = aNow + timeout;
+  attempt.startOffset = aRequest.forwarded;
+  attempt.received = aRequest.forwarded;
+
+  CountAttempt(aTables, aRequest, aEndpoint.id);
+  RememberPrefix(aTables, aRequest.facts.prefix, aEndpoint.id);
+  aRequest.attempt = attempt.id;
+  aRequest.state = request_state::eRunning;
+  ++aEndpoint.inFlight;
+  attempt.wasBusy = 2 * aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint);
+  aOutbox.starts.push_back(
+    { attempt.id,
+      aRequest.id,
+      aEndpoint.id,
+      aEndpoint.facts.address,
+      !aRequest.facts.isIdempotent || !aEndpoint.facts.echoesAttempt,
+      attempt.startOffset,
+      timeout });
+  aTables.attempts.Insert(std::move(attempt));
+}
+
+// Ran out of time while it waited: nothing is in flight for it.
+void
+EndWaiting(tables& aTables,
+           request_row& aRequest,
+           steady_time aNow,
+           outbox& aOutbox)
+{
+  request_outcome outcome = aRequest.wasNotResident
+                              ? request_outcome::eNotResident
+                              : request_outcome::eNoSlot;
+  if (aRequest.hasForwarded) {
+    outcome = request_outcome::eBrokenStream;
+  }
+  EndRequest(
+    aTables.settings, aRequest, outcome, RanSoFar(aRequest), aNow, aOutbox);
+}
+
+// Higher priority first, then in the order in which the fair queue of
+// admission let them through.
+void
+CollectWaiting(tables& aTables)
+{
+  aTables.waiting.clear();
+  for (const request_row& request : aTables.requests) {
+    if (request.state == request_state::eReady) {
+      aTables.waiting.push_back(request.id);
+    }
+  }
+  std::sort(aTables.waiting.begin(),
+            aTables.waiting.end(),
+            [&aTables](request_id aLeft, request_id aRight) {
+              const request_row& left = *aTables.requests.Find(aLeft);
+              const request_row& right = *aTables.requests.Find(aRight);
+              if (left.facts.priority != right.facts.priority) {
+                return left.facts.priority > right.facts.priority;
+              }
+              return left.arrival < right.arrival;
+            });
+}
+
+} // namespace
+
+// Load counts for more, the higher the priority: an urgent request would
+// rather find an idle endpoint than a cached prefix.
+double
+ScoreByLoadAndPrefix(const score_input& aInput)
+{
+  const int priority =
+    std::clamp(aInput.request.priority, 0, kMaxPriorityWeight);
+  const double loadWeight = 1.0 + kPriorityStep * priority;
+  return (aInput.hasPrefix ? kPrefixBonus : 0.0) - loadWeight * aInput.load;
+}
+
+// Many hosts choose with the same late reports. Two random draws among the
+// best keep them from all falling upon the one that looks idlest.
+std::size_t
+PickTwoRandom(std::span<const candidate> aCandidates, random_engine& aRandom)
+{
+  double best = aCandidates[0].score;
+  for (const candidate& each : aCandidates) {
+    best = std::max(best, each.score);
+  }
+  const double bar = best - kBestMargin;
+  const auto isGood = [bar](const candidate& aEach) {
+    return aEach.score >= bar;
+  };
+  const auto count = static_cast<std::uint64_t>(
+    std::count_if(aCandidates.begin(), aCandidates.end(), isGood));
+  const std::uint64_t first = aRandom() % count;
+  const std::uint64_t second = aRandom() % count;
+  std::uint64_t ordinal = 0;
+  std::size_t chosen = aCandidates.size();
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!isGood(aCandidates[i])) {
+      continue;
+    }
+    const bool isDrawn = ordinal == first || ordinal == second;
+    if (isDrawn && (chosen == aCandidates.size() ||
+                    aCandidates[i].score > aCandidates[chosen].score)) {
+      chosen = i;
+    }
+    ++ordinal;
+  }
+  return chosen;
+}
+
+pick_hook
+MakeRoundRobin()
+{
+  return [turn = std::size_t{ 0 }](std::span<const candidate> aCandidates,
+                                   random_engine& /*aRandom*/) mutable {
+    return turn++ % aCandidates.size();
+  };
+}
+
+bool
+HasTried(const request_row& aRequest, endpoint_id aEndpoint)
+{
+  return std::find(aRequest.tried.begin(), aRequest.tried.end(), aEndpoint) !=
+         aRequest.tried.end();
+}
+
+void
+RememberPrefix(tables& aTables, std::uint64_t aPrefix, endpoint_id aEndpoint)
+{
+  if (aPrefix != 0) {
+    aTables.prefixes[aPrefix % kPrefixSlots] = { aPrefix, aEndpoint };
+  }
+}
+
+bool
+CanResumeSomewhere(const tables& aTables, const request_row& aRequest)
+{
+  const auto found =
+    aTables.holders.find({ aRequest.facts.model, aRequest.facts.adapter });
+  if (found == aTables.holders.end()) {
+    return false;
+  }
+  const auto rows = aTables.endpoints.Rows();
+  return std::any_of(
+    found->second.begin(), found->second.end(), [&](const holder& aHolder) {
+      const endpoint_row& endpoint = rows[aHolder.position];
+      return HasVersion(aHolder, aRequest.facts) && IsServing(endpoint) &&
+             endpoint.facts.canResume;
+    });
+}
+
+// The own failure domain comes first: another is a longer way and may be cut
+// off. An endpoint that was tried is used again only if no other could ever
+// serve the request.
+choice
+ChooseEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
+{
+  IndexHolders(aTables);
+  const request_facts& facts = aRequest.facts;
+  const auto found = aTables.holders.find({ facts.model, facts.adapter });
+  if (found == aTables.holders.end()) {
+    return { 0, choice_failure::eNotResident };
+  }
+  aTables.candidates.clear();
+  tier best = tier::eNone;
+  bool hasUsable = false;
+  bool hasUntried = false;
+  const auto rows = aTables.endpoints.Rows();
+  for (const holder& each : found->second) {
+    const endpoint_row& endpoint = rows[each.position];
+    if (!HasVersion(each, facts)) {
+      continue;
+    }
+    const look seen = LookAt(aTables, endpoint, aRequest);
+    hasUsable |= seen.isUsable;
+    hasUntried |= seen.isUsable && !HasTried(aRequest, endpoint.id);
+    if (seen.rank == tier::eNone || seen.rank > best) {
+      continue;
+    }
+    if (seen.rank < best) {
+      aTables.candidates.clear();
+      best = seen.rank;
+    }
+    aTables.candidates.push_back(
+      { each.position, Score(aTables, endpoint, aRequest, aNow) });
+  }
+  if (!hasUsable) {
+    return { 0, choice_failure::eNotResident };
+  }
+  const bool mustWait = best == tier::eTriedBefore && hasUntried;
+  if (aTables.candidates.empty() || mustWait) {
+    return { 0, choice_failure::eNoSlot };
+  }
+  const std::size_t picked =
+    aTables.policy.pick(aTables.candidates, aTables.random);
+  return { aTables.candidates[picked].position, std::nullopt };
+}
+
+std::uint32_t
+FreeSlots(tables& aTables, const model_key& aKey)
+{
+  IndexHolders(aTables);
+  const auto found = aTables.holders.find(aKey);
+  if (found == aTables.holders.end()) {
+    return 0;
+  }
+  std::uint32_t freeSlots = 0;
+  for (const holder& each : found->second) {
+    const endpoint_row& endpoint = aTables.endpoints.Rows()[each.position];
+    const std::uint32_t limit = ConcurrencyLimit(endpoint);
+    if (IsServing(endpoint) && limit > endpoint.inFlight) {
+      freeSlots += limit - endpoint.inFlight;
+    }
+  }
+  return freeSlots;
+}
+
+// The deadline is checked here, at the point of use: a thread that was frozen
+// sends nothing that is overdue.
+void
+RunChoose(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  CollectWaiting(aTables);
+  for (const request_id id : aTables.waiting) {
+    request_row& request = *aTables.requests.Find(id);
+    if (aNow >= request.facts.deadline) {
+      EndWaiting(aTables, request, aNow, aOutbox);
+      continue;
+    }
+    const choice chosen = ChooseEndpoint(aTables, request, aNow);
+    request.wasNotResident = chosen.failure == choice_failure::eNotResident;
+    if (!chosen.failure) {
+      endpoint_row& endpoint = aTables.endpoints.Rows()[chosen.position];
+      Start(aTables, request, endpoint, aNow, aOutbox);
+    }
+  }
+}
+
+} // namespace bulrush::routing
--- /dev/null
+++ b/src/routing/requests.cpp
@@ -0,0 +1,309 @@
+#include "routing/parts.hpp"
+
+namespace bulrush::routing {
+
+namespace {
+
+constexpr bool
+IsWaitingForAttempt(request_state aState)
+{
+  return aState == request_state::eNeedsClaim ||
+         aState == request_state::eAwaitingClaim ||
+         aState == request_state::eReady || aState == request_state::eFailed;
+}
+
+void
+CancelDetached(tables& aTables, request_row& aRequest, outbox& aOutbox)
+{
+  attempt_row* attempt = aTables.attempts.Find(aRequest.attempt);
+  if (attempt != nullptr) {
+    CancelAttempt(*attempt, aOutbox);
+  }
+  SettleClaim(aRequest, ran_state::eMayHaveRun, {}, 0, aOutbox);
+  aRequest.state = request_state::eEnded;
+}
+
+void
+Cancel(tables& aTables,
+       request_row& aRequest,
+       steady_time aNow,
+       outbox& aOutbox)
+{
+  const request_outcome outcome = *aRequest.cancelledBy;
+  if (IsWaitingForAttempt(aRequest.state)) {
+    EndRequest(
+      aTables.settings, aRequest, outcome, RanSoFar(aRequest), aNow, aOutbox);
+  } else if (aRequest.state == request_state::eRunning) {
+    EndWhileRunning(aTables, aRequest, outcome, aNow, aOutbox);
+  } else if (aRequest.state == request_state::eDetached &&
+             outcome == request_outcome::eKeyWithdrawn) {
+    CancelDetached(aTables, aRequest, aOutbox);
+  }
+}
+
+// The end of a head's wait, of a stream's silence, or of the whole answer.
+steady_time
+DueTime(const options& aOptions,
+        const attempt_row& aAttempt,
+        const request_row& aRequest)
+{
+  if (aAttempt.state == attempt_state::eStarted) {
+    return aAttempt.timeoutAt;
+  }
+  if (IsForwardedEarly(aRequest, aAttempt)) {
+    return aAttempt.lastByteAt + aOptions.streamIdle;
+  }
+  return aRequest.facts.deadline;
+}
+
+// A request that may be repeated fails this attempt and may go on elsewhere.
+// For any other its only attempt is all that will ever be known.
+void
+TimeOut(tables& aTables,
+        attempt_row& aAttempt,
+        request_row& aRequest,
+        steady_time aNow,
+        outbox& aOutbox)
+{
+  const bool isStream = IsForwardedEarly(aRequest, aAttempt);
+  if (aRequest.facts.isIdempotent || isStream) {
+    FailAttempt(aTables,
+                aAttempt,
+                aRequest,
+                isStream ? attempt_failure::eTruncated
+                         : attempt_failure::eTimeout,
+                false,
+                aNow,
+                aOutbox);
+    return;
+  }
+  EndWhileRunning(aTables, aRequest, request_outcome::eDeadline, aNow, aOutbox);
+}
+
+void
+WakeForRequest(const request_row& aRequest, wake_time& aWake)
+{
+  switch (aRequest.state) {
+    case request_state::eReady:
+      aWake.NoLaterThan(aRequest.facts.deadline);
+      break;
+    case request_state::eAwaitingClaim:
+    case request_state::eAbandonedClaim:
+    case request_state::eDetached:
+      aWake.NoLaterThan(aRequest.keepUntil);
+      break;
+    default:
+      break;
+  }
+}
+
+const char*
+StepOf(request_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case request_outcome::eNotResident:
+    case request_outcome::eNoSlot:
+      return "choose endpoint";
+    case request_outcome::eNoQuorum:
+    case request_outcome::eInProgress:
+    case request_outcome::eClaimUncertain:
+    case request_outcome::eDigestMismatch:
+    case request_outcome::eStoredAnswer:
+      return "claim";
+    case request_outcome::eCallerGone:
+    case request_outcome::eKeyWithdrawn:
+      return "serve caller";
+    default:
+      return "run attempt";
+  }
+}
+
+// The reason carries the step and the peer: the endpoint tried last.
+last_reason
+ReasonOf(const request_row& aRequest, request_outcome aOutcome)
+{
+  if (aOutcome == request_outcome::eAnswered) {
+    return {};
+  }
+  std::string peer;
+  if (aRequest.attemptsMade > 0) {
+    const auto last = (aRequest.attemptsMade - 1) % kTriedEndpoints;
+    peer = "endpoint " + std::to_string(aRequest.tried[last].value);
+  }
+  return { StepOf(aOutcome), std::move(peer), Name(aOutcome) };
+}
+
+void
+PushEnd(const request_row& aRequest,
+        request_outcome aOutcome,
+        ran_state aRan,
+        outbox& aOutbox)
+{
+  aOutbox.ends.push_back({ aRequest.id,
+                           aOutcome,
+                           aRan,
+                           aRequest.hasForwarded,
+                           ReasonOf(aRequest, aOutcome) });
+}
+
+} // namespace
+
+ran_state
+RanSoFar(const request_row& aRequest)
+{
+  return aRequest.mayHaveRun ? ran_state::eMayHaveRun : ran_state::eNotRun;
+}
+
+// A claim that was asked for and not answered may still be granted; the row
+// stays to give it back.
+void
+EndRequest(const options& aOptions,
+           request_row& aRequest,
+           request_outcome aOutcome,
+           ran_state aRan,
+           steady_time aNow,
+           outbox& aOutbox)
+{
+  PushEnd(aRequest, aOutcome, aRan, aOutbox);
+  SettleClaim(aRequest, aRan, {}, 0, aOutbox);
+  if (aRequest.state == request_state::eAwaitingClaim) {
+    aRequest.state = request_state::eAbandonedClaim;
+    aRequest.keepUntil = aNow + aOptions.detachedWait;
+  } else {
+    aRequest.state = request_state::eEnded;
+  }
+}
+
+// Cancelling cannot undo a non-idempotent call. Its outcome is worth waiting
+// for: a resend under the same key is answered with it.
+void
+EndWhileRunning(tables& aTables,
+                request_row& aRequest,
+                request_outcome aOutcome,
+                steady_time aNow,
+                outbox& aOutbox)
+{
+  PushEnd(aRequest, aOutcome, ran_state::eMayHaveRun, aOutbox);
+  if (aRequest.holdsClaim && aOutcome != request_outcome::eKeyWithdrawn) {
+    aRequest.state = request_state::eDetached;
+    aRequest.keepUntil = aNow + aTables.settings.detachedWait;
+    return;
+  }
+  CancelDetached(aTables, aRequest, aOutbox);
+}
+
+bool
+AddRequest(tables& aTables, const request_facts& aFacts)
+{
+  if (aTables.requests.Find(aFacts.id) != nullptr) {
+    return false;
+  }
+  request_row row;
+  row.id = aFacts.id;
+  row.facts = aFacts;
+  row.arrival = ++aTables.arrivals;
+  const bool needsClaim =
+    !aFacts.isIdempotent && !aFacts.idempotencyKey.empty();
+  row.state = needsClaim ? request_state::eNeedsClaim : request_state::eReady;
+  aTables.requests.Insert(std::move(row));
+  return true;
+}
+
+void
+OnCallerGone(tables& aTables, request_id aRequest)
+{
+  request_row* row = aTables.requests.Find(aRequest);
+  if (row != nullptr && !row->cancelledBy) {
+    row->cancelledBy = request_outcome::eCallerGone;
+  }
+}
+
+// The first answer counts; a repeated one changes nothing.
+void
+OnClaimAnswer(tables& aTables, request_id aRequest, claim_answer aAnswer)
+{
+  request_row* row = aTables.requests.Find(aRequest);
+  if (row != nullptr && row->claim == claim_answer::eNone) {
+    row->claim = aAnswer;
+  }
+}
+
+std::size_t
+CancelByKey(tables& aTables, const key_hash& aKey)
+{
+  std::size_t count = 0;
+  if (aKey == key_hash{}) {
+    return count; // open routes carry no key
+  }
+  for (request_row& request : aTables.requests) {
+    if (request.facts.key == aKey) {
+      request.cancelledBy = request_outcome::eKeyWithdrawn;
+      ++count;
+    }
+  }
+  return count;
+}
+
+// Runs before the answers, so that nothing more reaches the caller of a key
+// that was withdrawn.
+void
+RunCancels(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  for (request_row& request : aTables.requests) {
+    if (request.cancelledBy) {
+      Cancel(aTables, request, aNow, aOutbox);
+    }
+  }
+}
+
+void
+RunTimeouts(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  for (attempt_row& attempt : aTables.attempts) {
+    if (attempt.state == attempt_state::eCancelling) {
+      continue;
+    }
+    request_row& request = *aTables.requests.Find(attempt.request);
+    const bool isLive = request.state == request_state::eRunning;
+    if (isLive && aNow >= DueTime(aTables.settings, attempt, request)) {
+      TimeOut(aTables, attempt, request, aNow, aOutbox);
+    }
+  }
+  for (request_row& request : aTables.requests) {
+    if (request.state == request_state::eDetached &&
+        aNow >= request.keepUntil) {
+      CancelDetached(aTables, request, aOutbox);
+    }
+  }
+}
+
+// Last in the tick: drops what ended and says when to run again.
+void
+RunSweep(tables& aTables, steady_time /*aNow*/, outbox& aOutbox)
+{
+  aTables.requests.EraseIf([](const request_row& aRequest) {
+    return aRequest.state == request_state::eEnded;
+  });
+  const std::size_t gone =
+    aTables.endpoints.EraseIf([](const endpoint_row& aEndpoint) {
+      return aEndpoint.isGone && aEndpoint.inFlight == 0;
+    });
+  if (gone > 0) {
+    aTables.residents.EraseIf([&aTables](const resident_row& aRow) {
+      return aTables.endpoints.Find(aRow.id) == nullptr;
+    });
+    aTables.holdersAreStale = true;
+  }
+  for (const request_row& request : aTables.requests) {
+    WakeForRequest(request, aOutbox.wake);
+  }
+  for (const attempt_row& attempt : aTables.attempts) {
+    const request_row* request = aTables.requests.Find(attempt.request);
+    if (attempt.state != attempt_state::eCancelling && request != nullptr &&
+        request->state == request_state::eRunning) {
+      aOutbox.wake.NoLaterThan(DueTime(aTables.settings, attempt, *request));
+    }
+  }
+}
+
+} // namespace bulrush::routing
--- /dev/null
+++ b/src/routing/retry.cpp
@@ -0,0 +1,133 @@
+#include "routing/parts.hpp"
+
+#include <algorithm>
+
+namespace bulrush::routing {
+
+namespace {
+
+// At most once. A non-idempotent request is tried again only when no byte of
+// it left, which an endpoint's word alone does not prove.
+bool
+MayRunAgain(const request_row& aRequest)
+{
+  if (aRequest.facts.isIdempotent) {
+    return true;
+  }
+  return !aRequest.mayHaveRun &&
+         aRequest.lastFailure == attempt_failure::eNotSent;
+}
+
+bool
+MustResume(const request_row& aRequest)
+{
+  return aRequest.hasForwarded;
+}
+
+request_outcome
+OutcomeOf(const request_row& aRequest)
+{
+  if (aRequest.hasForwarded) {
+    return request_outcome::eBrokenStream;
+  }
+  switch (aRequest.lastFailure) {
+    case attempt_failure::eNotSent:
+      return request_outcome::eUnreachable;
+    case attempt_failure::eRefused:
+      return request_outcome::eRefused;
+    case attempt_failure::eTimeout:
+      return request_outcome::eDeadline;
+    default:
+      return request_outcome::eLost;
+  }
+}
+
+// The deadline is that of the first byte; a stream that was under way gets
+// time of its own to be taken up elsewhere.
+void
+AllowTimeToResume(const options& aOptions,
+                  request_row& aRequest,
+                  steady_time aNow)
+{
+  aRequest.facts.deadline =
+    std::max(aRequest.facts.deadline, aNow + aOptions.resumeWait);
+}
+
+bool
+ShouldRetry(tables& aTables, request_row& aRequest, steady_time aNow)
+{
+  if (!MayRunAgain(aRequest)) {
+    return false;
+  }
+  if (aRequest.attemptsMade >= aTables.settings.maxAttempts) {
+    return false;
+  }
+  if (MustResume(aRequest)) {
+    if (!CanResumeSomewhere(aTables, aRequest)) {
+      return false;
+    }
+    AllowTimeToResume(aTables.settings, aRequest, aNow);
+  }
+  return aTables.policy.retry({ aRequest,
+                                aTables.retryBudget,
+                                TimeLeft(aRequest, aNow),
+                                aTables.settings.maxAttempts });
+}
+
+} // namespace
+
+// Without a budget, retries multiply the load of a fleet that is failing.
+bool
+RetryWithinBudget(const retry_input& aInput)
+{
+  return aInput.budget >= 1.0 && aInput.timeLeft.count() > 0;
+}
+
+// Splitting the time left over the attempts left leaves each later endpoint a
+// chance within the caller's deadline. An attempt that may not be repeated
+// gets it all, and none gets less than the answer is expected to take.
+std::chrono::milliseconds
+AttemptTimeout(const options& aOptions,
+               const request_row& aRequest,
+               std::chrono::milliseconds aTimeLeft)
+{
+  if (!aRequest.facts.isIdempotent ||
+      aRequest.attemptsMade + 1 >= aOptions.maxAttempts) {
+    return aTimeLeft;
+  }
+  const auto attemptsLeft = aOptions.maxAttempts - aRequest.attemptsMade;
+  const auto share = std::max(
+    { aTimeLeft / attemptsLeft, aRequest.facts.expected, aOptions.minAttempt });
+  return std::min(share, aTimeLeft);
+}
+
+std::chrono::milliseconds
+TimeLeft(const request_row& aRequest, steady_time aNow)
+{
+  return std::max(std::chrono::milliseconds{ 0 },
+                  std::chrono::ceil<std::chrono::milliseconds>(
+                    aRequest.facts.deadline - aNow));
+}
+
+void
+RunRetry(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  for (request_row& request : aTables.requests) {
+    if (request.state != request_state::eFailed) {
+      continue;
+    }
+    if (ShouldRetry(aTables, request, aNow)) {
+      aTables.retryBudget -= 1.0;
+      request.state = request_state::eReady;
+    } else {
+      EndRequest(aTables.settings,
+                 request,
+                 OutcomeOf(request),
+                 RanSoFar(request),
+                 aNow,
+                 aOutbox);
+    }
+  }
+}
+
+} // namespace bulrush::routing
--- /dev/null
+++ b/src/routing/tick.cpp
@@ -0,0 +1,109 @@
+#include "routing/parts.hpp"
+
+namespace bulrush::routing {
+
+namespace {
+
+// The order of a tick. Cancels come first, so that no byte follows a
+// withdrawal; answers free slots and failures before the choice uses them.
+constexpr std::array<named_system<tables, outbox>, 9> kSystems{ {
+  { "index_holders", RunIndexHolders },
+  { "cancels", RunCancels },
+  { "answers", RunAnswers },
+  { "timeouts", RunTimeouts },
+  { "cold_start", RunColdStart },
+  { "claims", RunClaims },
+  { "retry", RunRetry },
+  { "choose", RunChoose },
+  { "sweep", RunSweep },
+} };
+
+} // namespace
+
+tables::tables(options aOptions, hooks aHooks)
+  : settings(aOptions)
+  , policy(std::move(aHooks))
+  , random(aOptions.seed)
+  , prefixes(kPrefixSlots)
+  , retryBudget(aOptions.retryBurst)
+{
+}
+
+hooks
+DefaultHooks()
+{
+  return { ScoreByLoadAndPrefix,
+           PickTwoRandom,
+           DetectByRefusalOrJump,
+           RetryWithinBudget };
+}
+
+void
+outbox::Clear()
+{
+  cancels.clear();
+  forwards.clear();
+  records.clear();
+  ends.clear();
+  claims.clear();
+  starts.clear();
+  wake = {};
+}
+
+void
+Tick(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  RunTick(kSystems, aTables, aNow, aOutbox);
+}
+
+const char*
+Name(ran_state aRan)
+{
+  switch (aRan) {
+    case ran_state::eNotRun:
+      return "not_run";
+    case ran_state::eMayHaveRun:
+      return "may_have_run";
+    default:
+      return "ran";
+  }
+}
+
+const char*
+Name(request_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case request_outcome::eAnswered:
+      return "answered";
+    case request_outcome::eStoredAnswer:
+      return "stored_answer";
+    case request_outcome::eInProgress:
+      return "in_progress";
+    case request_outcome::eClaimUncertain:
+      return "claim_uncertain";
+    case request_outcome::eNoQuorum:
+      return "no_quorum";
+    case request_outcome::eDigestMismatch:
+      return "digest_mismatch";
+    case request_outcome::eNotResident:
+      return "not_resident";
+    case request_outcome::eNoSlot:
+      return "no_slot";
+    case request_outcome::eDeadline:
+      return "deadline";
+    case request_outcome::eRefused:
+      return "refused";
+    case request_outcome::eUnreachable:
+      return "unreachable";
+    case request_outcome::eLost:
+      return "lost";
+    case request_outcome::eBrokenStream:
+      return "broken_stream";
+    case request_outcome::eCallerGone:
+      return "caller_gone";
+    default:
+      return "key_withdrawn";
+  }
+}
+
+} // namespace bulrush::routing
--- /dev/null
+++ b/tests/routing/retry_test.cpp
@@ -0,0 +1,170 @@
+#include "routing/routing_fixture.hpp"
+
+namespace bulrush::routing {
+namespace {
+
+struct retry_fixture : routing_fixture
+{
+  retry_fixture()
+  {
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+      AddEndpoint(Facts(id));
+      Warm(id);
+    }
+  }
+};
+
+TEST_CASE_METHOD(
+  retry_fixture,
+  "Retry_WhenIdempotent_GoesToAnotherEndpointUntilTheLastAttempt",
+  "[routing]")
+{
+  start_attempt sent = Send(Request());
+  std::vector<endpoint_id> used{ sent.endpoint };
+  for (int i = 0; i < 2; ++i) {
+    End(sent.attempt, attempt_end::eLost);
+    RunOnce();
+    REQUIRE(out.starts.size() == 1);
+    sent = out.starts.front();
+    CHECK(std::find(used.begin(), used.end(), sent.endpoint) == used.end());
+    used.push_back(sent.endpoint);
+  }
+  End(sent.attempt, attempt_end::eLost);
+  RunOnce();
+  CheckEnd(request_outcome::eLost, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Retry_WhenNotIdempotent_IsNeverMadeOnceBytesLeft",
+                 "[routing]")
+{
+  const start_attempt sent = Send(PlateRelease());
+  CHECK(sent.freshConnection);
+  End(sent.attempt, attempt_end::eLost);
+  RunOnce();
+  CHECK(out.starts.empty());
+  CheckEnd(request_outcome::eLost, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Retry_WhenNotIdempotentButNothingLeft_IsMade",
+                 "[routing]")
+{
+  const start_attempt sent = Send(PlateRelease());
+  End(sent.attempt, attempt_end::eNotSent);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+  CHECK(out.starts.front().freshConnection);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Refusal_WhenTheEndpointSaysNotRun_IsToldSoOnlyThen",
+                 "[routing]")
+{
+  const start_attempt plain = Send(PlateRelease());
+  Head(plain.attempt, 503, false);
+  RunOnce();
+  CheckEnd(request_outcome::eRefused, ran_state::eMayHaveRun);
+
+  const start_attempt truthful = Send(PlateRelease());
+  Head(truthful.attempt, 503, true);
+  RunOnce();
+  CheckEnd(request_outcome::eRefused, ran_state::eNotRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Refusal_WhenAnEarlierAttemptMayHaveRun_DoesNotSayNotRun",
+                 "[routing]")
+{
+  engine.settings.maxAttempts = 2;
+  const start_attempt lost = Send(Request());
+  End(lost.attempt, attempt_end::eLost);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  Head(out.starts.front().attempt, 503, true);
+  RunOnce();
+  CheckEnd(request_outcome::eRefused, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Retry_WhenTheBudgetIsSpent_IsNotMade",
+                 "[routing]")
+{
+  engine.retryBudget = 0.9;
+  const start_attempt sent = Send(Request());
+  CHECK(engine.retryBudget == Approx(1.1));
+  End(sent.attempt, attempt_end::eLost);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  End(out.starts.front().attempt, attempt_end::eLost);
+  RunOnce();
+  CheckEnd(request_outcome::eLost, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Retry_WhenMadeForShare_IsBoundedOverManyRequests",
+                 "[routing]")
+{
+  engine.retryBudget = 0;
+  std::size_t attempts = 0;
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(AddRequest(engine, Request()));
+    RunOnce();
+    while (!out.starts.empty()) {
+      ++attempts;
+      End(out.starts.front().attempt, attempt_end::eLost);
+      RunOnce();
+    }
+  }
+  CHECK(attempts >= 119);
+  CHECK(attempts <= 120);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Timeout_OverAttempts_SplitsTheDeadline",
+                 "[routing]")
+{
+  request_row row;
+  row.facts = Request();
+  const milliseconds left{ 900 };
+  CHECK(AttemptTimeout(engine.settings, row, left) == milliseconds{ 300 });
+  row.attemptsMade = 1;
+  CHECK(AttemptTimeout(engine.settings, row, milliseconds{ 600 }) ==
+        milliseconds{ 300 });
+  row.attemptsMade = 2;
+  CHECK(AttemptTimeout(engine.settings, row, milliseconds{ 300 }) ==
+        milliseconds{ 300 });
+  row.attemptsMade = 0;
+  row.facts.expected = milliseconds{ 500 };
+  CHECK(AttemptTimeout(engine.settings, row, left) == milliseconds{ 500 });
+  row.facts.isIdempotent = false;
+  CHECK(AttemptTimeout(engine.settings, row, left) == left);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Deadline_WhenNotIdempotentAndSilent_EndsAsMayHaveRun",
+                 "[routing]")
+{
+  const start_attempt sent = Send(PlateRelease());
+  RunOnce(milliseconds{ 800 });
+  CHECK(out.ends.empty());
+  RunOnce(milliseconds{ 100 });
+  CheckEnd(request_outcome::eDeadline, ran_state::eMayHaveRun);
+  REQUIRE(out.cancels.size() == 1);
+  CHECK(out.cancels.front().attempt == sent.attempt);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Thread_WhenFrozenPastTheDeadline_SendsNothing",
+                 "[routing]")
+{
+  REQUIRE(AddRequest(engine, PlateRelease()));
+  RunOnce(std::chrono::seconds{ 5 });
+  CHECK(out.starts.empty());
+  REQUIRE(out.ends.size() == 1);
+  CHECK(out.ends.front().ran == ran_state::eNotRun);
+}
+
+} // namespace
+} // namespace bulrush::routing
