--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -171,7 +171,7 @@
       !aRequest.facts.isIdempotent || !aEndpoint.facts.echoesAttempt,
       attempt.startOffset,
       timeout });
-  aTables.attempts.Insert(std::move(attempt));
+  aTables.attempts.Insert(attempt);
 }
 
 // Ran out of time while it waited: nothing is in flight for it.
