--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -16,3 +16,13 @@
   src/apps/ctl_commands.cpp)
 bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
 target_link_libraries(bulrush-load PRIVATE bulrush_load)
+
+# --- bulrush-bench ---------------------------------------------------------
+find_package(CLI11 REQUIRED)
+add_executable(bulrush-bench src/apps/bench_main.cpp)
+target_link_libraries(bulrush-bench PRIVATE bulrush_routing CLI11::CLI11
+  fmt::fmt)
+# Changes when a decision does; the commit that does so quotes the new one.
+add_test(NAME bench_signature COMMAND bulrush-bench)
+set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
+  "signature: 150f02ec2e8f9f13")
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -71,7 +71,8 @@
   using request_handler_t = std::function<restinio::request_handling_status_t(
     restinio::request_handle_t)>;
   // RESTinio looks for this name.
-  static constexpr bool use_connection_count_limiter = // NOLINT(readability-identifier-naming)
+  static constexpr bool
+    use_connection_count_limiter = // NOLINT(readability-identifier-naming)
     true;
 };
 
