Say accepted only when every failure domain has confirmed; spread tombstones; encrypt links

apply and the other changes wait until each domain's control host reports that all hosts with a lease run the revision, else exit 5 names what is pending. Withdrawn keys go ahead of the log over every link that is up. CURVE links let in only peers that hold the fleet's key pair (ZAP).

--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_tables.hpp"
+#include "apps/link_settings.hpp"
 #include "net/net.hpp"
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
@@ -12,7 +13,7 @@
 
 constexpr log_part kLog{ "control" };
 
-constexpr std::array<option_row, 6> kOptions{ {
+constexpr std::array<option_row, 7> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -48,6 +49,13 @@
     "",
     "",
     "Folder for the log; without it state is kept in memory only" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys, made by bulrushctl keygen" },
   { "credential",
     option_type::eSecretFile,
     "",
@@ -99,13 +107,13 @@
 
   bool Start(const option_values& aOptions, last_reason& aWhy)
   {
-    if (!ReadCredential(aOptions, aWhy)) {
+    if (!ReadSecrets(aOptions, aWhy)) {
       return false;
     }
     auto server = net::ListenLink(
       mContext,
       mTables.self.linkAddress,
-      {},
+      mLinkKeys,
       [this](std::string aPeer, const std::string& aBytes) {
         Receive(std::move(aPeer), aBytes);
       },
@@ -126,8 +134,13 @@
   }
 
 private:
-  bool ReadCredential(const option_values& aOptions, last_reason& aWhy)
+  bool ReadSecrets(const option_values& aOptions, last_reason& aWhy)
   {
+    const auto keys = ReadLinkKeys(aOptions, aWhy);
+    if (!keys) {
+      return false;
+    }
+    mLinkKeys = *keys;
     if (!aOptions.IsSet("credential")) {
       return true;
     }
@@ -154,7 +167,7 @@
       mContext,
       row.address,
       mTables.self.name,
-      {},
+      mLinkKeys,
       [this, name = row.name](const std::string& aBytes) {
         Receive(name, aBytes);
       },
@@ -210,6 +223,7 @@
   asio::io_context& mContext;
   control_tables mTables;
   net::tick_timer mTimer;
+  net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -100,12 +100,48 @@
   }
 }
 
+// A withdrawn key is taken from anyone who may tell, ahead of any quorum, and
+// passed on at once to hosts and control processes.
+void
+AddTombstones(control_tables& aTables, const std::vector<key_hash>& aKeys)
+{
+  for (const key_hash& key : aKeys) {
+    const key_row* row = aTables.fleet.keys.Find(key);
+    const bool isInLog = row != nullptr && row->isWithdrawn;
+    if (isInLog || aTables.tombstones.Find(key) != nullptr) {
+      continue;
+    }
+    aTables.tombstones.Insert({ key });
+    aTables.nextGossip = steady_time{};
+    for (host_row& host : aTables.hosts) {
+      host.wantsUpdate = true;
+    }
+  }
+}
+
+std::vector<key_hash>
+TombstoneKeys(const control_tables& aTables)
+{
+  std::vector<key_hash> keys;
+  for (const tombstone_row& row : aTables.tombstones) {
+    keys.push_back(row.id);
+  }
+  return keys;
+}
+
 void
 Take(control_tables& aTables,
-     const received&,
+     const received& aInput,
      const wire::endpoint_gossip& aGossip,
      steady_time aNow)
 {
+  AddTombstones(aTables, aGossip.tombstones);
+  if (control_row* control =
+        aTables.controls.Find(IdOf<replica_id>(aInput.message.sender))) {
+    control->domain = aGossip.domain;
+    control->confirmedRevision = aGossip.confirmedRevision;
+    control->hosts = aGossip.hosts;
+  }
   for (const endpoint_row& row : aGossip.endpoints) {
     TakeEndpoint(aTables, row, false);
   }
@@ -206,6 +242,10 @@
            aOutbox);
     return;
   }
+  if (const auto* withdrawal =
+        std::get_if<withdraw_key>(&aCall.command.change)) {
+    AddTombstones(aTables, { withdrawal->key });
+  }
   if (aTables.log.isLeader()) {
     ProposeCall(aTables, aInput, aCall, aNow, aOutbox);
   } else {
@@ -229,6 +269,49 @@
   aTables.calls.Erase(call_id{ aReply.call });
 }
 
+// The revision that every serving host of this failure domain has confirmed.
+// A host without a lease serves no keyed request, so it does not count.
+wire::domain_status
+OwnDomainStatus(const control_tables& aTables, steady_time aNow)
+{
+  wire::domain_status status;
+  status.name = aTables.self.domain;
+  status.confirmedRevision = aTables.fleet.revision;
+  for (const host_row& host : aTables.hosts) {
+    if (host.leaseEnd > aNow) {
+      ++status.hosts;
+      status.confirmedRevision =
+        std::min(status.confirmedRevision, host.revision);
+    }
+  }
+  return status;
+}
+
+// What is known of a failure domain: first hand, or from its control process.
+wire::domain_status
+DomainStatus(const control_tables& aTables,
+             const domain_row& aDomain,
+             steady_time aNow)
+{
+  constexpr std::chrono::hours kNever{ 24 * 365 };
+  wire::domain_status status;
+  status.age = kNever;
+  if (aDomain.name == aTables.self.domain) {
+    status = OwnDomainStatus(aTables, aNow);
+  }
+  for (const control_row& control : aTables.controls) {
+    if (control.domain == aDomain.name) {
+      status.confirmedRevision = control.confirmedRevision;
+      status.hosts = control.hosts;
+      status.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        aNow - control.lastHeard);
+    }
+  }
+  status.name = aDomain.name;
+  status.isOut = IsOut(aTables.fleet, aDomain.id);
+  return status;
+}
+
 std::vector<wire::replica_status>
 ReplicaRows(const control_tables& aTables)
 {
@@ -283,8 +366,7 @@
         host.httpAddress });
   }
   for (const domain_row& domain : aTables.fleet.declared.domains) {
-    reply.domains.push_back(
-      { domain.name, IsOut(aTables.fleet, domain.id), "", 0 });
+    reply.domains.push_back(DomainStatus(aTables, domain, aNow));
   }
   for (const known_endpoint& known : aTables.endpoints) {
     reply.endpoints.push_back(known.row);
@@ -331,6 +413,10 @@
       Take(aTables, *reply, aOutbox);
     } else if (const auto* status = std::get_if<wire::status_call>(&body)) {
       TakeStatusCall(aTables, input, *status, aNow, aOutbox);
+    } else if (const auto* keys = std::get_if<wire::tombstones>(&body)) {
+      if (keys->credential == aTables.self.credential) {
+        AddTombstones(aTables, keys->keys);
+      }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
       TakeManifestCall(aTables, input, *text, aOutbox);
     }
@@ -381,6 +467,10 @@
     }
     AnswerPosition(aTables, entry.position, result, aOutbox);
   }
+  aTables.tombstones.EraseIf([&](const tombstone_row& aRow) {
+    const key_row* row = aTables.fleet.keys.Find(aRow.id);
+    return row != nullptr && row->isWithdrawn;
+  });
 }
 
 void
@@ -499,6 +589,7 @@
                  false,
                  update.endpoints,
                  update.goneEndpoints);
+    update.tombstones = TombstoneKeys(aTables);
     host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
     host.wantsUpdate = false;
@@ -511,7 +602,9 @@
 RunGossip(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   const bool isPeriodic = aNow >= aTables.nextGossip;
-  if (!isPeriodic && aTables.gossipedSerial == aTables.serial) {
+  const wire::domain_status own = OwnDomainStatus(aTables, aNow);
+  if (!isPeriodic && aTables.gossipedSerial == aTables.serial &&
+      aTables.gossipedConfirmed == own.confirmedRevision) {
     aOutbox.wake.NoLaterThan(aTables.nextGossip);
     return;
   }
@@ -522,14 +615,15 @@
                true,
                gossip.endpoints,
                gossip.gone);
+  gossip.tombstones = TombstoneKeys(aTables);
+  gossip.confirmedRevision = own.confirmedRevision;
+  gossip.hosts = own.hosts;
   aTables.gossipedSerial = aTables.serial;
+  aTables.gossipedConfirmed = own.confirmedRevision;
   if (isPeriodic) {
     aTables.nextGossip = aNow + kGossipEvery;
   }
   aOutbox.wake.NoLaterThan(aTables.nextGossip);
-  if (gossip.endpoints.empty() && gossip.gone.empty()) {
-    return;
-  }
   for (const control_row& control : aTables.controls) {
     aOutbox.messages.push_back({ "", control.name, gossip });
   }
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -29,9 +29,18 @@
   replica_id id;
   std::string name;
   std::string address;
+  std::string domain;
+  std::uint64_t confirmedRevision = 0; ///< in its domain, as it said last
+  std::uint32_t hosts = 0;
   steady_time lastHeard{};
 };
 
+/// A key that was withdrawn and whose withdrawal is not in the log yet.
+struct tombstone_row
+{
+  key_hash id;
+};
+
 /// An entry host that reports here.
 struct host_row
 {
@@ -115,11 +124,13 @@
   table<endpoint_id, known_endpoint> endpoints;
   table<endpoint_id, gone_endpoint> gone;
   table<call_id, pending_call> calls;
+  table<key_hash, tombstone_row> tombstones;
   std::deque<wire::numbered_command> recent; ///< newest configuration changes
   std::vector<received> inbox;
   std::vector<committed_command> committed;
-  std::uint64_t serial = 0;         ///< of the newest endpoint change
-  std::uint64_t gossipedSerial = 0; ///< passed on to the other controls
+  std::uint64_t serial = 0;            ///< of the newest endpoint change
+  std::uint64_t gossipedSerial = 0;    ///< passed on to the other controls
+  std::uint64_t gossipedConfirmed = 0; ///< confirmed revision, passed on
   steady_time nextGossip{};
   std::uint64_t lastCall = 0;
   std::function<wall_time()> wallClock;
--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -1,5 +1,7 @@
 #include "apps/ctl_commands.hpp"
 
+#include "settings/settings.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
@@ -53,19 +55,33 @@
     return eExitRefused;
   }
   const command_result& result = reply->result;
+  std::vector<std::string> pending;
+  const bool isAccepted =
+    result.isDone && WaitForRevision(aSettings, result.revision, pending);
   if (aSettings.isJson) {
     Print(json{ { "done", result.isDone },
+                { "accepted", isAccepted },
                 { "code", result.code },
                 { "text", result.text },
-                { "revision", result.revision } }
+                { "revision", result.revision },
+                { "pending", pending } }
             .dump());
   }
   if (!result.isDone) {
     Fail(aWhy, "command", "control", result.code + ": " + result.text);
     return eExitRefused;
   }
+  if (!isAccepted) {
+    Fail(aWhy,
+         "wait until revision " + std::to_string(result.revision) +
+           " is in force",
+         "",
+         fmt::format("{}; committed and pending", fmt::join(pending, "; ")));
+    return eExitPending;
+  }
   if (!aSettings.isJson) {
-    Print(fmt::format("{} (revision {})", result.text, result.revision));
+    Print(fmt::format(
+      "{}; in force everywhere (revision {})", result.text, result.revision));
   }
   return eExitDone;
 }
@@ -214,6 +230,28 @@
               aWhy);
 }
 
+// Every control process that can be reached takes the withdrawal at once; the
+// log then makes it last.
+int
+WithdrawKey(const call_settings& aSettings,
+            const key_hash& aKey,
+            last_reason& aWhy)
+{
+  Spread(aSettings, aKey);
+  return Send(aSettings, withdraw_key{ aKey }, aWhy);
+}
+
+int
+MakeLinkKeyFile(const std::string& aName, last_reason& aWhy)
+{
+  const auto keys = net::MakeLinkKeys(aWhy);
+  if (!keys ||
+      !WriteSecret(aName, secret_text(net::FormatLinkKeys(*keys)), aWhy)) {
+    return eExitUsage;
+  }
+  return eExitDone;
+}
+
 // Takes the key's hash, the key itself or a file that holds the key.
 key_hash
 ReadKeyName(const std::string& aName)
@@ -378,12 +416,18 @@
       [](settings aSettings, word, last_reason& aWhy) {
         return ShowStatus(aSettings, aWhy);
       } },
+    { "keygen",
+      "",
+      1,
+      [](settings, word aName, last_reason& aWhy) {
+        return MakeLinkKeyFile(aName, aWhy);
+      } },
     { "key", "issue", 1, IssueKey },
     { "key",
       "withdraw",
       1,
       [](settings aSettings, word aName, last_reason& aWhy) {
-        return Send(aSettings, withdraw_key{ ReadKeyName(aName) }, aWhy);
+        return WithdrawKey(aSettings, ReadKeyName(aName), aWhy);
       } },
     { "endpoint",
       "drain",
--- a/src/apps/ctl_commands.hpp
+++ b/src/apps/ctl_commands.hpp
@@ -4,6 +4,7 @@
 /// The commands of bulrushctl.
 
 #include "core/core.hpp"
+#include "net/net.hpp"
 #include "wire/wire.hpp"
 
 #include <filesystem>
@@ -25,7 +26,9 @@
 {
   std::vector<std::string> controls;
   std::string credential;
+  net::link_keys linkKeys;
   std::chrono::milliseconds timeout{ 10'000 };
+  std::chrono::milliseconds wait{ 8'000 }; ///< until in force everywhere
   std::optional<std::uint64_t> expectedRevision;
   std::filesystem::path keyFile;
   bool isJson = false;
@@ -37,6 +40,16 @@
                                        wire::message_body aBody,
                                        last_reason& aWhy);
 
+/// Tells every control process that can be reached of a withdrawn key. True
+/// when at least one was.
+bool Spread(const call_settings& aSettings, const key_hash& aKey);
+
+/// Waits until every failure domain has confirmed a revision. Fills aPending
+/// with a line for each that has not.
+bool WaitForRevision(const call_settings& aSettings,
+                     std::uint64_t aRevision,
+                     std::vector<std::string>& aPending);
+
 /// Runs one command line; returns an exit_code and fills aWhy unless done.
 int RunCommand(const call_settings& aSettings,
                const std::vector<std::string>& aWords,
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -1,4 +1,5 @@
 #include "apps/ctl_commands.hpp"
+#include "apps/link_settings.hpp"
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
@@ -7,7 +8,7 @@
 
 constexpr log_part kLog{ "ctl" };
 
-constexpr std::array<option_row, 6> kOptions{ {
+constexpr std::array<option_row, 8> kOptions{ {
   { "control",
     option_type::eAddressList,
     "",
@@ -15,6 +16,20 @@
     "",
     "",
     "Control processes to ask, tried in turn" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys, made by keygen" },
+  { "wait",
+    option_type::eDuration,
+    "",
+    "8s",
+    "0ms",
+    "10min",
+    "How long to wait until a change is in force everywhere" },
   { "credential",
     option_type::eSecretFile,
     "",
@@ -56,7 +71,8 @@
   "bulrushctl",
   "Operates a bulrushladder fleet",
   kOptions,
-  "apply FILE | diff FILE | check FILE | status | key issue WORKSPACE | "
+  "keygen FILE | apply FILE | diff FILE | check FILE | status | key issue "
+  "WORKSPACE | "
   "key withdraw HASH-OR-FILE | endpoint drain NAME | endpoint undrain NAME | "
   "domain take-out NAME | domain bring-back NAME"
 };
@@ -74,6 +90,7 @@
     settings.controls.push_back(FormatAddress(address));
   }
   settings.timeout = options->Duration("timeout");
+  settings.wait = options->Duration("wait");
   settings.isJson = options->Flag("json");
   settings.keyFile = options->Path("key-file");
   if (options->Integer("expect") >= 0) {
@@ -81,6 +98,12 @@
       static_cast<std::uint64_t>(options->Integer("expect"));
   }
   last_reason why;
+  const auto keys = ReadLinkKeys(*options, why);
+  if (!keys) {
+    LogError(kLog, "{}", Describe(why));
+    return eExitUsage;
+  }
+  settings.linkKeys = *keys;
   if (options->IsSet("credential")) {
     const auto secret = ReadSecret(options->Path("credential"), why);
     if (!secret) {
--- a/src/apps/entry_control.cpp
+++ b/src/apps/entry_control.cpp
@@ -74,9 +74,21 @@
   aTables.leaseEnd = std::max(aTables.leaseEnd, end);
 }
 
+void
+TakeTombstones(entry_tables& aTables, const std::vector<key_hash>& aKeys)
+{
+  for (const key_hash& key : aKeys) {
+    if (aTables.tombstones.Find(key) == nullptr) {
+      aTables.tombstones.Insert({ key });
+      aTables.hasNewTombstones = true;
+    }
+  }
+}
+
 void
 Take(entry_tables& aTables, const wire::host_update& aUpdate)
 {
+  TakeTombstones(aTables, aUpdate.tombstones);
   TakeConfiguration(aTables, aUpdate);
   TakeLease(aTables, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
@@ -89,15 +101,6 @@
   }
 }
 
-void
-Take(entry_tables& aTables, const wire::tombstones& aTombstones)
-{
-  for (const key_hash& key : aTombstones.keys) {
-    aTables.tombstones.Insert({ key });
-    aTables.hasNewTombstones = true;
-  }
-}
-
 // "No leader" is tried again until the deadline; the same command is safe to
 // repeat, since the state machine knows it by its claim and token.
 void
@@ -126,9 +129,6 @@
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       Take(aTables, *update);
-    } else if (const auto* keys =
-                 std::get_if<wire::tombstones>(&message.body)) {
-      Take(aTables, *keys);
     } else if (const auto* reply =
                  std::get_if<wire::command_reply>(&message.body)) {
       Take(aTables, *reply, aOutbox);
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -1,4 +1,5 @@
 #include "apps/entry_traffic.hpp"
+#include "apps/link_settings.hpp"
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
@@ -12,7 +13,7 @@
 
 constexpr log_part kLog{ "entry" };
 
-constexpr std::array<option_row, 6> kOptions{ {
+constexpr std::array<option_row, 7> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -41,6 +42,13 @@
     "",
     "",
     "Control processes to report to, NAME=IP:PORT, the preferred one first" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys, made by bulrushctl keygen" },
   { "credential",
     option_type::eSecretFile,
     "",
@@ -82,7 +90,9 @@
 
   entry_tables& Tables() { return mTables; }
 
-  bool Connect(const std::string& aControl, last_reason& aWhy)
+  bool Connect(const std::string& aControl,
+               const net::link_keys& aKeys,
+               last_reason& aWhy)
   {
     const std::size_t equals = aControl.find('=');
     if (equals == std::string::npos) {
@@ -97,7 +107,7 @@
       mContext,
       row.address,
       mTables.self.name,
-      {},
+      aKeys,
       [this](const std::string& aBytes) { Receive(aBytes); },
       aWhy);
     if (!link) {
@@ -192,8 +202,12 @@
     const host_address listen = *aOptions.Address("listen");
     mControl.Tables().self.httpAddress =
       FormatAddress({ listen.ip, mTraffic.Port() });
+    const auto keys = ReadLinkKeys(aOptions, aWhy);
+    if (!keys) {
+      return false;
+    }
     for (const std::string& control : aOptions.List("control")) {
-      if (!mControl.Connect(control, aWhy)) {
+      if (!mControl.Connect(control, *keys, aWhy)) {
         return false;
       }
     }
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -1,6 +1,6 @@
 # One small binary per program.
 function(bulrush_program aName)
-  add_executable(${aName} ${ARGN})
+  add_executable(${aName} ${ARGN} src/apps/link_settings.cpp)
   target_link_libraries(${aName} PRIVATE bulrush_wire bulrush_net
     bulrush_observe bulrush_settings bulrush_fleet)
 endfunction()
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -153,11 +153,58 @@
   bool mIsDrainPending = false;
 };
 
+// Answers ZeroMQ's question (RFC 27, ZAP) whether a peer may link: only one
+// that holds the fleet's own key pair.
+class link_gate
+{
+public:
+  link_gate(asio::io_context& aContext, const std::string& aPublicKey)
+    : mSocket(std::make_shared<polled_socket>(aContext, zmq::socket_type::rep))
+  {
+    std::array<std::uint8_t, kRawKeyBytes> raw{};
+    zmq_z85_decode(raw.data(), aPublicKey.c_str());
+    mAllowed.assign(raw.begin(), raw.end());
+    mSocket->Socket().bind("inproc://zeromq.zap.01");
+    mSocket->Open(
+      [this](const std::vector<std::string>& aParts) { Answer(aParts); });
+  }
+  ~link_gate() { mSocket->Close(); }
+  link_gate(const link_gate&) = delete;
+  link_gate& operator=(const link_gate&) = delete;
+
+private:
+  static constexpr std::size_t kRawKeyBytes = 32;
+  static constexpr std::size_t kRequestId = 1;
+  static constexpr std::size_t kMechanism = 5;
+  static constexpr std::size_t kCredentials = 6;
+
+  void Answer(const std::vector<std::string>& aParts)
+  {
+    if (aParts.size() <= kRequestId) {
+      return;
+    }
+    const bool isAllowed = aParts.size() > kCredentials &&
+                           aParts[kMechanism] == "CURVE" &&
+                           aParts[kCredentials] == mAllowed;
+    const std::string version = "1.0";
+    const std::string code = isAllowed ? "200" : "400";
+    const std::string text = isAllowed ? "OK" : "not of this fleet";
+    const std::string empty;
+    mSocket->Send(
+      { &version, &aParts[kRequestId], &code, &text, &empty, &empty });
+  }
+
+  std::shared_ptr<polled_socket> mSocket;
+  std::string mAllowed;
+};
+
 class zmq_link_server : public link_server
 {
 public:
-  explicit zmq_link_server(std::shared_ptr<polled_socket> aSocket)
-    : mSocket(std::move(aSocket))
+  zmq_link_server(std::shared_ptr<polled_socket> aSocket,
+                  std::unique_ptr<link_gate> aGate)
+    : mGate(std::move(aGate))
+    , mSocket(std::move(aSocket))
   {
   }
   ~zmq_link_server() override { mSocket->Close(); }
@@ -171,6 +218,7 @@
   std::uint64_t Dropped() const override { return mSocket->Dropped(); }
 
 private:
+  std::unique_ptr<link_gate> mGate;
   std::shared_ptr<polled_socket> mSocket;
 };
 
@@ -206,7 +254,27 @@
   if (zmq_curve_keypair(publicKey.data(), secretKey.data()) != 0) {
     return Fail(aWhy, "make link keys", "", zmq_strerror(zmq_errno()));
   }
-  return link_keys{ publicKey.data(), secretKey.data(), "" };
+  return link_keys{ publicKey.data(), secretKey.data() };
+}
+
+std::string
+FormatLinkKeys(const link_keys& aKeys)
+{
+  return aKeys.publicKey + " " + aKeys.secretKey;
+}
+
+std::optional<link_keys>
+ParseLinkKeys(const std::string& aText, last_reason& aWhy)
+{
+  constexpr std::size_t kZ85Key = 40;
+  const std::size_t space = aText.find(' ');
+  if (space != kZ85Key || aText.size() != 2 * kZ85Key + 1) {
+    return Fail(aWhy,
+                "read link keys",
+                "",
+                "expected two Z85 keys of 40 characters and a space");
+  }
+  return link_keys{ aText.substr(0, kZ85Key), aText.substr(kZ85Key + 1) };
 }
 
 std::optional<std::unique_ptr<link_server>>
@@ -222,7 +290,10 @@
     // A peer that restarted takes its identity over from its old connection.
     socket->Socket().set(zmq::sockopt::router_handover, true);
     socket->Socket().set(zmq::sockopt::router_mandatory, true);
+    std::unique_ptr<link_gate> gate;
     if (!aKeys.secretKey.empty()) {
+      gate = std::make_unique<link_gate>(aContext, aKeys.publicKey);
+      socket->Socket().set(zmq::sockopt::zap_domain, "bulrush");
       socket->Socket().set(zmq::sockopt::curve_server, true);
       socket->Socket().set(zmq::sockopt::curve_secretkey, aKeys.secretKey);
     }
@@ -232,7 +303,8 @@
         hook(std::move(aParts[0]), std::move(aParts[1]));
       }
     });
-    return std::make_unique<zmq_link_server>(std::move(socket));
+    return std::make_unique<zmq_link_server>(std::move(socket),
+                                             std::move(gate));
   } catch (const std::exception& error) {
     return Fail(aWhy, "listen for links", aAddress, error.what());
   }
@@ -254,8 +326,7 @@
     socket->Socket().set(zmq::sockopt::immediate, true);
     socket->Socket().set(zmq::sockopt::routing_id, aIdentity);
     if (!aKeys.secretKey.empty()) {
-      socket->Socket().set(zmq::sockopt::curve_serverkey,
-                           aKeys.serverPublicKey);
+      socket->Socket().set(zmq::sockopt::curve_serverkey, aKeys.publicKey);
       socket->Socket().set(zmq::sockopt::curve_publickey, aKeys.publicKey);
       socket->Socket().set(zmq::sockopt::curve_secretkey, aKeys.secretKey);
     }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -155,18 +155,23 @@
 
 std::unique_ptr<http_client> MakeHttpClient(asio::io_context& aContext);
 
-/// Keys of a ZeroMQ CURVE link, Z85 text. All empty: no encryption, for
-/// loopback tests only.
+/// The fleet's ZeroMQ CURVE keys, Z85 text. Every process of the fleet holds
+/// the same pair: links are encrypted, and only a peer that proves to hold the
+/// secret key is let in. Both empty: no encryption, for loopback only.
 struct link_keys
 {
   std::string publicKey;
   std::string secretKey;
-  std::string serverPublicKey; ///< for the connecting side
 };
 
 /// Makes a new pair; nullopt when the library lacks CURVE.
 std::optional<link_keys> MakeLinkKeys(last_reason& aWhy);
 
+/// "PUBLIC SECRET", as in the file that bulrushctl keygen writes.
+std::string FormatLinkKeys(const link_keys& aKeys);
+std::optional<link_keys> ParseLinkKeys(const std::string& aText,
+                                       last_reason& aWhy);
+
 /// The listening side of links between our processes: a ROUTER socket.
 class link_server
 {
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -101,6 +101,26 @@
   return rows;
 }
 
+template<class list>
+void
+PutKeys(const std::vector<key_hash>& aFrom, list& aTo)
+{
+  for (const key_hash& key : aFrom) {
+    *aTo.Add() = ToBytes(key);
+  }
+}
+
+template<class list>
+std::vector<key_hash>
+GetKeys(const list& aFrom)
+{
+  std::vector<key_hash> keys;
+  for (const auto& key : aFrom) {
+    keys.push_back(FromBytes(key));
+  }
+  return keys;
+}
+
 void
 PutResult(const command_result& aFrom, pb::CommandResult& aTo)
 {
@@ -179,6 +199,7 @@
   for (const endpoint_id& gone : aFrom.goneEndpoints) {
     to->add_gone_endpoints(gone.value);
   }
+  PutKeys(aFrom.tombstones, *to->mutable_tombstones());
 }
 
 void
@@ -190,15 +211,16 @@
   for (const endpoint_id& gone : aFrom.gone) {
     to->add_gone(gone.value);
   }
+  PutKeys(aFrom.tombstones, *to->mutable_tombstones());
+  to->set_confirmed_revision(aFrom.confirmedRevision);
+  to->set_hosts(aFrom.hosts);
 }
 
 void
 PutBody(const tombstones& aFrom, steady_time, pb::Envelope& aTo)
 {
   auto* to = aTo.mutable_tombstones();
-  for (const key_hash& key : aFrom.keys) {
-    to->add_keys(ToBytes(key));
-  }
+  PutKeys(aFrom.keys, *to->mutable_keys());
   to->set_credential(aFrom.credential);
 }
 
@@ -254,6 +276,9 @@
     domain->set_is_out(row.isOut);
     domain->set_delegate(row.delegate);
     domain->set_epoch(row.epoch);
+    domain->set_confirmed_revision(row.confirmedRevision);
+    domain->set_hosts(row.hosts);
+    domain->set_age_ms(row.age.count());
   }
   PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
   to->set_keys(aFrom.keys);
@@ -333,6 +358,7 @@
   for (const auto gone : aFrom.gone_endpoints()) {
     update.goneEndpoints.push_back({ gone });
   }
+  update.tombstones = GetKeys(aFrom.tombstones());
   return update;
 }
 
@@ -345,18 +371,16 @@
   for (const auto gone : aFrom.gone()) {
     gossip.gone.push_back({ gone });
   }
+  gossip.tombstones = GetKeys(aFrom.tombstones());
+  gossip.confirmedRevision = aFrom.confirmed_revision();
+  gossip.hosts = aFrom.hosts();
   return gossip;
 }
 
 std::optional<message_body>
 GetBody(const pb::Tombstones& aFrom, steady_time)
 {
-  tombstones result;
-  for (const auto& key : aFrom.keys()) {
-    result.keys.push_back(FromBytes(key));
-  }
-  result.credential = aFrom.credential();
-  return result;
+  return tombstones{ GetKeys(aFrom.keys()), aFrom.credential() };
 }
 
 std::optional<message_body>
@@ -401,8 +425,13 @@
     reply.hosts.push_back(GetHost(row));
   }
   for (const auto& row : aFrom.domains()) {
-    reply.domains.push_back(
-      { row.name(), row.is_out(), row.delegate(), row.epoch() });
+    reply.domains.push_back({ row.name(),
+                              row.is_out(),
+                              row.delegate(),
+                              row.epoch(),
+                              row.confirmed_revision(),
+                              row.hosts(),
+                              std::chrono::milliseconds(row.age_ms()) });
   }
   reply.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
   reply.keys = aFrom.keys();
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -62,14 +62,18 @@
   std::string snapshot; ///< encoded fleet_state; empty for none
   std::vector<endpoint_row> endpoints;
   std::vector<endpoint_id> goneEndpoints;
+  std::vector<key_hash> tombstones; ///< withdrawn, not yet in the log
 };
 
-/// Endpoints of one failure domain, from its control host to the others.
+/// What the control host of a failure domain tells the others of it.
 struct endpoint_gossip
 {
   std::string domain;
   std::vector<endpoint_row> endpoints;
   std::vector<endpoint_id> gone;
+  std::vector<key_hash> tombstones;    ///< withdrawn, not yet in the log
+  std::uint64_t confirmedRevision = 0; ///< in force on every serving host
+  std::uint32_t hosts = 0;             ///< that hold a lease
 };
 
 /// Withdrawn keys, passed on ahead of the log.
@@ -113,6 +117,9 @@
   bool isOut = false;
   std::string delegate;
   std::uint64_t epoch = 0;
+  std::uint64_t confirmedRevision = 0; ///< in force on every serving host
+  std::uint32_t hosts = 0;             ///< that hold a lease
+  std::chrono::milliseconds age{ 0 };  ///< since it was heard of
 };
 
 struct status_reply
