Add placement: memory accounts, the order ledger, coverage, replicas and pacing

Cause: accelerator memory must fit in any moment, also with lost, late and repeated orders and engines that ignore fencing numbers. Change: src/placement with one public header. An order is an intent, then a committed command, then sent; a settled order stays in the ledger, and its memory reserved, for as long as a copy of it may still arrive. Conclusion: usable by control; nothing is sent over a network yet.

--- /dev/null
+++ b/src/placement/pacing.cpp
@@ -0,0 +1,210 @@
+// Pacing of the weight store and of adapter calls, and the sending of orders.
+
+#include "placement/systems.hpp"
+
+#include <algorithm>
+
+namespace bulrush::placement {
+
+pacing_rule
+StorePacing(double aLoadsPerSecond,
+            std::size_t aLoadsAtOnce,
+            std::size_t aAdapterCalls)
+{
+  const auto gap = std::chrono::duration_cast<steady_time::duration>(
+    std::chrono::duration<double>{ 1.0 / aLoadsPerSecond });
+  return [gap, aLoadsAtOnce, aAdapterCalls](
+           const pacing_state& aState,
+           order_kind aKind,
+           steady_time aNow) -> std::optional<steady_time> {
+    if (aKind == order_kind::eLoadModel) {
+      if (aState.loads >= aLoadsAtOnce) {
+        return std::nullopt;
+      }
+      return std::max({ aNow, aState.lastLoad + gap, aState.startedAt + gap });
+    }
+    if (aKind == order_kind::eLoadAdapter &&
+        aState.adapterCalls >= aAdapterCalls) {
+      return std::nullopt;
+    }
+    return aNow;
+  };
+}
+
+namespace {
+
+// A silent endpoint may still be loading, so its load counts for a while; but
+// a dead one must not hold a place of the store for ever.
+bool
+MayBeLoading(const tables& aTables, const order_row& aOrder, steady_time aNow)
+{
+  const engine_row* engine = aTables.engines.Find(aOrder.endpoint);
+  const steady_time heard = engine != nullptr && engine->hasReported
+                              ? engine->lastReport
+                              : aTables.leader.electedAt;
+  return aNow - heard <= aTables.options.silentLoadGrace;
+}
+
+bool
+IsOfThisTerm(const tables& aTables, const order_row& aOrder)
+{
+  return aOrder.id.value >> 32U == aTables.leader.term;
+}
+
+/// Whether a copy of it may have left, from this leader or an earlier one.
+bool
+MayHaveLeft(const tables& aTables, const order_row& aOrder)
+{
+  return aOrder.state == order_state::eSent ||
+         (aOrder.state == order_state::eCommitted &&
+          !IsOfThisTerm(aTables, aOrder));
+}
+
+void
+Count(pacing_state& aState, order_kind aKind)
+{
+  aState.loads += aKind == order_kind::eLoadModel ? 1 : 0;
+  aState.adapterCalls += aKind == order_kind::eLoadAdapter ? 1 : 0;
+}
+
+/// An engine that says that it is loading needs no second copy.
+bool
+IsUnderWay(const tables& aTables, const order_row& aOrder)
+{
+  const resident_row* resident =
+    aTables.residents.Find(ResidentId(aOrder.endpoint, aOrder.what));
+  return IsLoad(aOrder.kind) && resident != nullptr &&
+         resident->state == resident_state::eLoading;
+}
+
+bool
+IsDue(const tables& aTables, const order_row& aOrder, steady_time aNow)
+{
+  if ((aOrder.state != order_state::eCommitted &&
+       aOrder.state != order_state::eSent) ||
+      aOrder.isProposed) {
+    return false;
+  }
+  const engine_row* engine = aTables.engines.Find(aOrder.endpoint);
+  return engine != nullptr && !IsSilent(aTables, *engine, aNow) &&
+         engine->incarnation == aOrder.incarnation &&
+         !IsUnderWay(aTables, aOrder);
+}
+
+std::chrono::milliseconds
+ResendDelay(const settings& aOptions, std::uint32_t aAttempts)
+{
+  const std::uint32_t doublings = std::min(aAttempts, 16U);
+  return std::min(aOptions.resendAfter * (1U << doublings),
+                  aOptions.resendAtMost);
+}
+
+void
+Send(tables& aTables, order_row& aOrder, steady_time aNow, outbox& aOutbox)
+{
+  aOrder.state = order_state::eSent;
+  aOrder.lastSend = aNow;
+  aOrder.nextSend = aNow + ResendDelay(aTables.options, aOrder.attempts);
+  ++aOrder.attempts;
+  ++aOrder.copiesOut;
+  if (aOrder.kind == order_kind::eLoadModel) {
+    aTables.leader.pacing.lastLoad = aNow;
+  }
+  aOutbox.sends.push_back({ aOrder });
+}
+
+pacing_state
+CallsInProgress(const tables& aTables, steady_time aNow)
+{
+  pacing_state state = aTables.leader.pacing;
+  state.loads = 0;
+  state.adapterCalls = 0;
+  for (const order_row& order : aTables.orders) {
+    if (MayHaveLeft(aTables, order) && MayBeLoading(aTables, order, aNow)) {
+      Count(state, order.kind);
+    }
+  }
+  return state;
+}
+
+/// Orders that may be sent now, the oldest first.
+std::vector<order_row*>
+DueOrders(tables& aTables, steady_time aNow)
+{
+  std::vector<order_row*> due;
+  for (order_row& order : aTables.orders) {
+    if (IsDue(aTables, order, aNow)) {
+      due.push_back(&order);
+    }
+  }
+  std::ranges::sort(due, {}, [](const order_row* aRow) { return aRow->id; });
+  return due;
+}
+
+/// Sends one order if the pacing rule lets it go, else notes when to look
+/// again.
+void
+SendPaced(tables& aTables, order_row& aOrder, steady_time aNow, outbox& aOutbox)
+{
+  pacing_state state = CallsInProgress(aTables, aNow);
+  const bool isCounted = MayHaveLeft(aTables, aOrder);
+  if (isCounted && aOrder.kind == order_kind::eLoadModel && state.loads > 0) {
+    --state.loads;
+  }
+  if (isCounted && aOrder.kind == order_kind::eLoadAdapter &&
+      state.adapterCalls > 0) {
+    --state.adapterCalls;
+  }
+  const auto from = aTables.pacing(state, aOrder.kind, aNow);
+  if (!from) {
+    return;
+  }
+  if (*from > aNow) {
+    aOutbox.wake.NoLaterThan(*from);
+    return;
+  }
+  Send(aTables, aOrder, aNow, aOutbox);
+  aOutbox.wake.NoLaterThan(aOrder.nextSend);
+}
+
+} // namespace
+
+// Intents are held back too: one that waits for the store would block its
+// engine for no gain.
+bool
+HasLoadSlot(const tables& aTables, order_kind aKind, steady_time aNow)
+{
+  pacing_state state = aTables.leader.pacing;
+  state.loads = 0;
+  state.adapterCalls = 0;
+  for (const order_row& order : aTables.orders) {
+    if (IsUnresolved(order) && MayBeLoading(aTables, order, aNow)) {
+      Count(state, order.kind);
+    }
+  }
+  return aTables.pacing(state, aKind, aNow).has_value();
+}
+
+// Nothing leaves outside the lease: the former leader may still send until its
+// own has ended, the next one as soon as ours has.
+void
+SendOrders(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  const leadership& leader = aTables.leader;
+  if (!leader.isLeader || aNow >= leader.leaseUntil) {
+    return;
+  }
+  if (aNow < leader.sendsFrom) {
+    aOutbox.wake.NoLaterThan(leader.sendsFrom);
+    return;
+  }
+  for (order_row* order : DueOrders(aTables, aNow)) {
+    if (order->nextSend > aNow) {
+      aOutbox.wake.NoLaterThan(order->nextSend);
+      continue;
+    }
+    SendPaced(aTables, *order, aNow, aOutbox);
+  }
+}
+
+} // namespace bulrush::placement
--- /dev/null
+++ b/tests/placement/orders_fuzz_test.cpp
@@ -0,0 +1,316 @@
+#include "placement/fleet_simulation.hpp"
+
+#include <catch2/catch.hpp>
+#include <ostream>
+#include <rapidcheck.h>
+
+namespace bulrush::placement {
+namespace {
+
+/// What a fuzzed history is drawn from.
+enum class fault_step
+{
+  eControl, ///< control works, copies and answers stay under way
+  eAdvance,
+  eAdvanceFar,
+  eCommit,
+  eLoseProposal,
+  eDeliverCopy,
+  eLoseCopy,
+  eDeliverAnswer,
+  eLoseAnswer,
+  eReport,
+  eDeliverReport,
+  eLoseReport,
+  eDeliverAll,
+  eRestartEngine,
+  eChangeLeader,
+  eChangeManifest,
+  eTakeOut,
+  eBringBack,
+  eDemand,
+};
+
+/// One drawn step; its detail picks the message, engine or model.
+struct drawn_step
+{
+  fault_step what = fault_step::eControl;
+  std::uint32_t detail = 0;
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const drawn_step& aStep)
+{
+  return aOut << static_cast<int>(aStep.what) << ':' << aStep.detail;
+}
+
+struct orders_fuzz_fixture
+{
+  static constexpr std::uint64_t kModels = 8;
+  static constexpr std::uint64_t kAdapters = 4;
+  static constexpr std::uint64_t kDomains = 3;
+
+  /// Engines of one kind or both, in three failure domains.
+  static fleet_simulation Fleet(std::uint64_t aMemory, bool aAllIgnoreFencing)
+  {
+    fleet_simulation fleet;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+      fleet.AddEngine(
+        i, 1 + i % kDomains, aMemory, !aAllIgnoreFencing && i % 2 == 0);
+    }
+    for (tables& replica : fleet.replicas) {
+      replica.options.copyLifetime = std::chrono::milliseconds::max();
+      replica.options.failureBackoff = std::chrono::milliseconds{ 1000 };
+      replica.options.minimumResidence = std::chrono::milliseconds{ 5000 };
+    }
+    for (std::uint64_t i = 1; i <= kModels; ++i) {
+      fleet.models.push_back(ModelOf(i, 1));
+    }
+    for (std::uint64_t i = 1; i <= kAdapters; ++i) {
+      fleet.adapters.push_back(
+        { adapter_id{ i }, model_id{ 1 + i % 2 }, 1, kGigabyte / 4 });
+    }
+    fleet.ApplyManifest();
+    fleet.ChangeLeader(0);
+    return fleet;
+  }
+
+  static model_row ModelOf(std::uint64_t aId, std::uint64_t aVersion)
+  {
+    model_row model;
+    model.id = model_id{ aId };
+    model.version = aVersion;
+    model.bytes = (1 + aId % 4) * kGigabyte;
+    model.copyRate = 5;
+    return model;
+  }
+
+  /// Declares, withdraws or changes the version of one model.
+  static void ChangeManifest(fleet_simulation& aFleet, std::uint32_t aDraw)
+  {
+    const model_id target{ 1 + aDraw % kModels };
+    const auto found = std::ranges::find(aFleet.models, target, &model_row::id);
+    if (found == aFleet.models.end()) {
+      aFleet.models.push_back(ModelOf(target.value, 1 + aDraw % 3));
+    } else if (aDraw % 3 == 0) {
+      aFleet.models.erase(found);
+      aFleet.excused.insert(target);
+    } else {
+      ++found->version;
+    }
+    aFleet.ApplyManifest();
+  }
+
+  static void TakeOut(fleet_simulation& aFleet, std::uint32_t aDraw)
+  {
+    if (aFleet.takenOut.empty()) {
+      const domain_id domain{ 1 + aDraw % kDomains };
+      for (const simulated_engine& engine : aFleet.engines) {
+        for (const auto& [what, bytes] : engine.residents) {
+          if (engine.domain == domain) {
+            aFleet.excused.insert(what.model);
+          }
+        }
+      }
+      aFleet.TakeOut(domain, true);
+    }
+  }
+
+  static void BringBack(fleet_simulation& aFleet)
+  {
+    if (!aFleet.takenOut.empty()) {
+      aFleet.TakeOut(*aFleet.takenOut.begin(), false);
+    }
+  }
+
+  template<class row>
+  static void Lose(std::vector<row>& aRows, std::uint32_t aDraw)
+  {
+    if (!aRows.empty()) {
+      aRows.erase(aRows.begin() +
+                  static_cast<std::ptrdiff_t>(aDraw % aRows.size()));
+    }
+  }
+
+  /// Reports and commits arrive, orders and their answers do not.
+  static void ControlStep(fleet_simulation& aFleet, std::uint32_t aDetail)
+  {
+    for (simulated_engine& engine : aFleet.engines) {
+      aFleet.reports.push_back(engine.Report());
+    }
+    while (!aFleet.reports.empty()) {
+      aFleet.DeliverReport(0);
+    }
+    aFleet.Advance(std::chrono::milliseconds{ 100 + aDetail % 500 });
+    while (!aFleet.proposals.empty()) {
+      aFleet.CommitOne();
+    }
+    aFleet.Tick();
+  }
+
+  static void Take(fleet_simulation& aFleet, const drawn_step& aStep)
+  {
+    const std::uint32_t detail = aStep.detail;
+    switch (aStep.what) {
+      case fault_step::eControl:
+        ControlStep(aFleet, detail);
+        break;
+      case fault_step::eAdvance:
+        aFleet.Advance(std::chrono::milliseconds{ 1 + detail % 700 });
+        break;
+      case fault_step::eAdvanceFar:
+        aFleet.Advance(std::chrono::milliseconds{ 1000 + detail % 4000 });
+        break;
+      case fault_step::eCommit:
+        aFleet.CommitOne();
+        break;
+      case fault_step::eLoseProposal:
+        aFleet.LoseProposal();
+        break;
+      case fault_step::eDeliverCopy:
+        aFleet.Deliver(detail);
+        break;
+      case fault_step::eLoseCopy:
+        Lose(aFleet.copies, detail);
+        break;
+      case fault_step::eDeliverAnswer:
+        aFleet.DeliverAnswer(detail);
+        break;
+      case fault_step::eLoseAnswer:
+        Lose(aFleet.answers, detail);
+        break;
+      case fault_step::eReport:
+        for (simulated_engine& engine : aFleet.engines) {
+          aFleet.reports.push_back(engine.Report());
+        }
+        break;
+      case fault_step::eDeliverReport:
+        aFleet.DeliverReport(detail);
+        break;
+      case fault_step::eLoseReport:
+        Lose(aFleet.reports, detail);
+        break;
+      case fault_step::eDeliverAll:
+        aFleet.RunQuietly(1 + detail % 8);
+        break;
+      case fault_step::eRestartEngine:
+        aFleet.RestartEngine(detail);
+        break;
+      case fault_step::eChangeLeader:
+        aFleet.ChangeLeader(detail);
+        break;
+      case fault_step::eChangeManifest:
+        ChangeManifest(aFleet, detail);
+        break;
+      case fault_step::eTakeOut:
+        TakeOut(aFleet, detail);
+        break;
+      case fault_step::eBringBack:
+        BringBack(aFleet);
+        break;
+      case fault_step::eDemand:
+        OnDemand(aFleet.replicas[aFleet.leader],
+                 model_id{ 1 + detail % kModels },
+                 domain_id{ 1 + detail % kDomains },
+                 500,
+                 aFleet.now);
+        break;
+    }
+  }
+
+  static void Check(const fleet_simulation& aFleet)
+  {
+    if (!aFleet.violations.empty()) {
+      RC_FAIL(aFleet.violations.front());
+    }
+  }
+
+  /// Faults end: everything under way arrives, and no copy is out any more.
+  static void EndFaults(fleet_simulation& aFleet)
+  {
+    BringBack(aFleet);
+    aFleet.RunQuietly(40);
+    for (tables& replica : aFleet.replicas) {
+      replica.options.copyLifetime = std::chrono::milliseconds{ 5000 };
+    }
+    aFleet.RunQuietly(400);
+  }
+
+  static std::vector<drawn_step> History()
+  {
+    using enum fault_step;
+    const auto kind = rc::gen::weightedElement<fault_step>({
+      { 30, eControl },       { 8, eAdvance },        { 2, eAdvanceFar },
+      { 6, eCommit },         { 2, eLoseProposal },   { 25, eDeliverCopy },
+      { 6, eLoseCopy },       { 15, eDeliverAnswer }, { 6, eLoseAnswer },
+      { 4, eReport },         { 12, eDeliverReport }, { 4, eLoseReport },
+      { 1, eDeliverAll },     { 1, eRestartEngine },  { 2, eChangeLeader },
+      { 3, eChangeManifest }, { 1, eTakeOut },        { 1, eBringBack },
+      { 2, eDemand },
+    });
+    const auto detail = rc::gen::resize(
+      100, rc::gen::inRange<std::uint32_t>(0, std::uint32_t{ 1 } << 20U));
+    return *rc::gen::container<std::vector<drawn_step>>(
+      600,
+      rc::gen::build<drawn_step>(rc::gen::set(&drawn_step::what, kind),
+                                 rc::gen::set(&drawn_step::detail, detail)));
+  }
+};
+
+TEST_CASE_METHOD(orders_fuzz_fixture,
+                 "Orders_UnderFaultsWithScarceMemory_NeverOvercommitAnEngine",
+                 "[placement][fuzz]")
+{
+  const bool holds = rc::check("scarce memory", [] {
+    const bool ignoreFencing = *rc::gen::arbitrary<bool>();
+    fleet_simulation fleet = Fleet(7 * kGigabyte, ignoreFencing);
+    fleet.RunQuietly(*rc::gen::inRange<std::size_t>(0, 60));
+    for (const drawn_step& step : History()) {
+      Take(fleet, step);
+      Check(fleet);
+    }
+    EndFaults(fleet);
+    Check(fleet);
+    last_reason reason;
+    std::vector<engine_row> rows;
+    for (const engine_row& row : fleet.replicas[0].engines) {
+      rows.push_back(row);
+    }
+    RC_ASSERT(PlanFits(rows, fleet.models, fleet.adapters, reason).has_value());
+    for (const model_row& model : fleet.models) {
+      RC_ASSERT(fleet.CopiesOf(model) >= 1U);
+    }
+  });
+  CHECK(holds);
+}
+
+TEST_CASE_METHOD(orders_fuzz_fixture,
+                 "Coverage_WhenFaultsEndWithAmpleMemory_IsReachedInEachDomain",
+                 "[placement][fuzz]")
+{
+  const bool holds = rc::check("ample memory", [] {
+    const bool ignoreFencing = *rc::gen::arbitrary<bool>();
+    fleet_simulation fleet = Fleet(24 * kGigabyte, ignoreFencing);
+    for (const drawn_step& step : History()) {
+      Take(fleet, step);
+      Check(fleet);
+    }
+    EndFaults(fleet);
+    Check(fleet);
+    for (const model_row& model : fleet.models) {
+      for (std::uint64_t domain = 1; domain <= kDomains; ++domain) {
+        RC_ASSERT(fleet.CopiesOf(model, domain_id{ domain }) >= 1U);
+      }
+    }
+    for (const adapter_row& adapter : fleet.adapters) {
+      const bool isBaseDeclared =
+        std::ranges::find(fleet.models, adapter.model, &model_row::id) !=
+        fleet.models.end();
+      RC_ASSERT(!isBaseDeclared || fleet.CopiesOf(adapter) >= 1U);
+    }
+  });
+  CHECK(holds);
+}
+
+} // namespace
+} // namespace bulrush::placement
