--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -106,7 +106,7 @@
       mContext,
       mTables.self.linkAddress,
       {},
-      [this](std::string aPeer, std::string aBytes) {
+      [this](std::string aPeer, const std::string& aBytes) {
         Receive(std::move(aPeer), aBytes);
       },
       aWhy);
@@ -155,7 +155,9 @@
       row.address,
       mTables.self.name,
       {},
-      [this, name = row.name](std::string aBytes) { Receive(name, aBytes); },
+      [this, name = row.name](const std::string& aBytes) {
+        Receive(name, aBytes);
+      },
       aWhy);
     if (!link) {
       return false;
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -98,7 +98,7 @@
       row.address,
       mTables.self.name,
       {},
-      [this](std::string aBytes) { Receive(aBytes); },
+      [this](const std::string& aBytes) { Receive(aBytes); },
       aWhy);
     if (!link) {
       return false;
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -12,3 +12,7 @@
   src/apps/entry_http.cpp)
 bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
 target_link_libraries(bulrush-load PRIVATE bulrush_load)
+bulrush_program(fake-endpoint src/apps/fake_main.cpp
+  src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
+bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
+  src/apps/ctl_commands.cpp)
