Test bad input to the entry's HTTP port: four of eleven tests fail

Seen: a body nested 1 Mi deep ends the process (dump recurses), bodies of 6 MiB are served, methods are not checked, reports with a negative incarnation or an address with a path are taken.

--- /dev/null
+++ b/tests/process/bad_input_test.cpp
@@ -0,0 +1,351 @@
+#include "support/processes.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bulrush::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kJsonType = "Content-Type: application/json";
+constexpr std::size_t kMegabyte = 1024 * 1024;
+
+// A TCP connection that sends whatever a test wants.
+class raw_connection
+{
+public:
+  explicit raw_connection(const std::string& aAddress)
+    : mSocket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    const std::size_t colon = aAddress.find(':');
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1))));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const timeval patience{ kPatience.count(), 0 };
+    ::setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    mIsConnected = ::connect(mSocket,
+                             reinterpret_cast<const sockaddr*>(&address),
+                             sizeof(address)) == 0;
+  }
+  raw_connection(const raw_connection&) = delete;
+  raw_connection& operator=(const raw_connection&) = delete;
+  ~raw_connection() { ::close(mSocket); }
+
+  bool IsConnected() const { return mIsConnected; }
+
+  void Send(const std::string& aBytes) const
+  {
+    std::size_t sent = 0;
+    while (sent < aBytes.size()) {
+      const ssize_t count = ::send(
+        mSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) {
+        return;
+      }
+      sent += static_cast<std::size_t>(count);
+    }
+  }
+
+  void CloseSending() const { ::shutdown(mSocket, SHUT_WR); }
+
+  /// Bytes until the other side closes; nullopt if it does not.
+  std::optional<std::string> ReadToEnd() const
+  {
+    std::string bytes;
+    std::array<char, 4096> buffer{};
+    while (true) {
+      const ssize_t count = ::recv(mSocket, buffer.data(), buffer.size(), 0);
+      if (count < 0 && errno != ECONNRESET) {
+        return std::nullopt;
+      }
+      if (count <= 0) {
+        return bytes;
+      }
+      bytes.append(buffer.data(), static_cast<std::size_t>(count));
+    }
+  }
+
+private:
+  int mSocket;
+  bool mIsConnected = false;
+};
+
+// One host with an engine and a plain service. At its end every test sees to it
+// that the very same process still serves.
+struct bad_input_fixture
+{
+  fleet running;
+  std::string key;
+  int entryPid = 0;
+
+  bad_input_fixture()
+  {
+    running.Start();
+    running.AddEndpoint("engine",
+                        "domain-a",
+                        { "--memory", "10000", "--models", "draft:1:1000" });
+    running.AddEndpoint("desk", "domain-a", { "--services", "desk" });
+    key = running.IssueKey("press");
+    entryPid = running.entries[0]->Pid();
+    REQUIRE(WaitUntil([&] { return IsServing(); }));
+    REQUIRE(WaitUntil(
+      [&] { return running.Post(0, "/desk/status", "", {}).status == 200; }));
+  }
+
+  std::string Url(const std::string& aPath) const
+  {
+    return "http://" + running.EntryAddress(0) + aPath;
+  }
+
+  bool IsServing() const
+  {
+    return running
+             .Post(0,
+                   "/v1/completions",
+                   key,
+                   { { "model", "draft" }, { "max_tokens", 1 } })
+             .status == 200;
+  }
+
+  void RequireServesOn()
+  {
+    REQUIRE(running.entries[0]->IsRunning());
+    REQUIRE(running.entries[0]->Pid() == entryPid);
+    REQUIRE(IsServing());
+  }
+
+  http_answer AskWithKey(const std::string& aPath,
+                         const std::string& aBody,
+                         const char* aType = kJsonType) const
+  {
+    return Ask(
+      "POST", Url(aPath), { "Authorization: Bearer " + key, aType }, aBody);
+  }
+
+  static void CheckError(const http_answer& aAnswer,
+                         int aStatus,
+                         const std::string& aCode)
+  {
+    INFO(aAnswer.error << aAnswer.body.substr(0, 300));
+    CHECK(aAnswer.status == aStatus);
+    const json body = json::parse(aAnswer.body, nullptr, false);
+    REQUIRE(body.is_object());
+    REQUIRE(body.contains("error"));
+    CHECK(body["error"].value("code", "") == aCode);
+    CHECK(body["error"].value("ran", "") == "not_run");
+    CHECK_FALSE(body["error"].value("message", "").empty());
+    CHECK_FALSE(body["error"].value("request_id", "").empty());
+  }
+};
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenABodyIsNotWhatItMustBe_SaysWhatIsExpected",
+                 "[process]")
+{
+  const std::string path = "/v1/chat/completions";
+  CheckError(AskWithKey(path, "{"), 400, "bad_request");
+  CheckError(AskWithKey(path, "[]"), 400, "bad_request");
+  CheckError(AskWithKey(path, "{}"), 400, "bad_request");
+  CheckError(AskWithKey(path, R"({"model":7})"), 400, "bad_request");
+  CheckError(AskWithKey(path, "{\"model\":\"\xff\xfe\"}"), 400, "bad_request");
+  CheckError(AskWithKey(path, R"({"model":"draft","max_tokens":-1})"),
+             400,
+             "bad_request");
+  CheckError(AskWithKey(path, R"({"model":"draft","max_tokens":1e300})"),
+             400,
+             "bad_request");
+  CheckError(AskWithKey(path, R"({"model":"draft","max_tokens":"9"})"),
+             400,
+             "bad_request");
+  CheckError(AskWithKey(path, R"({"model":"draft","stream":"yes"})"),
+             400,
+             "bad_request");
+  CheckError(AskWithKey(path, R"({"model":"none"})"), 404, "not_found");
+  CheckError(AskWithKey("/nowhere", "{}"), 404, "not_found");
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenTheContentTypeIsWrong_RefusesTheBody",
+                 "[process]")
+{
+  const char* const body = R"({"model":"draft"})";
+  CheckError(AskWithKey("/v1/completions", body, "Content-Type: text/plain"),
+             415,
+             "unsupported_media_type");
+  CheckError(AskWithKey("/v1/completions", body, "Content-Type:"),
+             415,
+             "unsupported_media_type");
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenTheMethodIsWrong_RefusesTheRequest",
+                 "[process]")
+{
+  const std::string field = "Authorization: Bearer " + key;
+  for (const char* path : { "/v1/completions", "/v1/chat/completions" }) {
+    CheckError(
+      Ask("GET", Url(path), { field, kJsonType }), 405, "method_not_allowed");
+  }
+  CheckError(
+    Ask("DELETE", Url("/v1/models"), { field }), 405, "method_not_allowed");
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenABodyIsOversized_SaysSo",
+                 "[process]")
+{
+  const json body = { { "model", "draft" },
+                      { "prompt", std::string(6 * kMegabyte, 'a') } };
+  CheckError(AskWithKey("/v1/completions", body.dump()), 413, "too_large");
+  CheckError(AskWithKey("/desk/releases", body.dump()), 413, "too_large");
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenABodyIsDeeplyNested_AnswersAndServesOn",
+                 "[process]")
+{
+  const std::string depth(kMegabyte, '[');
+  const std::string end(kMegabyte, ']');
+  const std::string nested = "{\"model\":\"draft\",\"a\":" + depth + end + "}";
+  CheckError(AskWithKey("/v1/completions", nested), 400, "bad_request");
+  Ask("POST", Url("/v1/endpoints/report"), { kJsonType }, nested);
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenTheKeyIsInTheQuery_RefusesAndLogsNoKey",
+                 "[process]")
+{
+  for (const char* name : { "key", "api_key", "access_token", "token" }) {
+    const http_answer answer =
+      Ask("POST",
+          Url("/v1/completions?a=b&" + std::string(name) + "=" + key),
+          { kJsonType },
+          R"({"model":"draft"})");
+    CheckError(answer, 400, "bad_request");
+    CHECK(answer.body.find(key) == std::string::npos);
+  }
+  CHECK(running.entries[0]->Log().find(key) == std::string::npos);
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenTheAuthorizationIsMalformed_RefusesIt",
+                 "[process]")
+{
+  const std::string body = R"({"model":"draft"})";
+  for (const std::string& field :
+       { std::string("Authorization: Bearer"),
+         std::string("Authorization: Basic YTpi"),
+         "Authorization: " + key,
+         "Authorization: Bearer " + key + "x",
+         "Authorization: Bearer " + std::string(10'000, 'k') }) {
+    CheckError(Ask("POST", Url("/v1/completions"), { field, kJsonType }, body),
+               401,
+               "unauthorized");
+  }
+  CheckError(Ask("POST", Url("/v1/completions"), { kJsonType }, body),
+             401,
+             "unauthorized");
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenAReportIsMalformed_RefusesIt",
+                 "[process]")
+{
+  for (const char* body :
+       { "",
+         "{",
+         "[]",
+         "{}",
+         R"({"endpoint":"x"})",
+         R"({"endpoint":5,"incarnation":1,"sequence":1,"address":"a",)"
+         R"("failure_domain":"domain-a"})",
+         R"({"endpoint":"x","incarnation":-1,"sequence":1,)"
+         R"("address":"127.0.0.1:1","failure_domain":"domain-a"})",
+         R"({"endpoint":"x","incarnation":1,"sequence":1,)"
+         R"("address":"127.0.0.1:1/../x","failure_domain":"domain-a"})",
+         R"({"endpoint":"x","incarnation":1,"sequence":1,)"
+         R"("address":"127.0.0.1:1","failure_domain":"domain-a",)"
+         R"("orders":[{"order":"zz","done":true}]})",
+         "{\"endpoint\":\"\xff\",\"incarnation\":1,\"sequence\":1,"
+         "\"address\":\"127.0.0.1:1\",\"failure_domain\":\"domain-a\"}" }) {
+    INFO(body);
+    CheckError(Ask("POST", Url("/v1/endpoints/report"), { kJsonType }, body),
+               400,
+               "bad_request");
+  }
+  RequireServesOn();
+}
+
+// What is not HTTP has no request to answer: the connection is closed.
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenTheBytesAreNotHttp_ClosesTheConnection",
+                 "[process]")
+{
+  const std::string start = "POST /v1/completions HTTP/1.1\r\nHost: a\r\n";
+  for (const std::string& bytes :
+       { std::string(
+           "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 tls\r\n\r\n"),
+         std::string(100, '\0'),
+         std::string("NONSENSE\r\n\r\n"),
+         start + "Content-Length: many\r\n\r\n",
+         start + "Content-Length: -1\r\n\r\n",
+         start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nabcde",
+         start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef",
+         start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+         start + "X: " + std::string(100'000, 'x') + "\r\n\r\n",
+         "GET /" + std::string(20'000, 'u') + " HTTP/1.1\r\n\r\n" }) {
+    INFO(bytes.substr(0, 120));
+    const raw_connection connection(running.EntryAddress(0));
+    REQUIRE(connection.IsConnected());
+    connection.Send(bytes);
+    const auto answer = connection.ReadToEnd();
+    REQUIRE(answer.has_value());
+    CHECK(answer->find("200 OK") == std::string::npos);
+  }
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenManyConnectionsAreSlow_ServesTheOthers",
+                 "[process]")
+{
+  constexpr int kSlowConnections = 200;
+  std::vector<std::unique_ptr<raw_connection>> slow;
+  for (int i = 0; i < kSlowConnections; ++i) {
+    slow.push_back(std::make_unique<raw_connection>(running.EntryAddress(0)));
+    REQUIRE(slow.back()->IsConnected());
+    slow.back()->Send("POST /v1/completions HTTP/1.1\r\nContent-Length: 9\r\n");
+  }
+  RequireServesOn();
+}
+
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Entry_WhenACallerHalfClosesAfterPartOfARequest_ClosesIt",
+                 "[process]")
+{
+  const raw_connection connection(running.EntryAddress(0));
+  REQUIRE(connection.IsConnected());
+  connection.Send("POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 100\r\n\r\n{\"model\"");
+  connection.CloseSending();
+  const auto answer = connection.ReadToEnd();
+  REQUIRE(answer.has_value());
+  CHECK(answer->find("200 OK") == std::string::npos);
+  RequireServesOn();
+}
+
+} // namespace
+} // namespace bulrush::test
