Refuse deep nesting, large bodies, wrong methods and malformed reports

Cause: tests/process/bad_input_test.cpp, four of eleven tests red: a body nested 1 Mi deep ended bulrush-entry, bodies of 6 MiB were served, methods were not checked, reports took a negative incarnation and an address with a path.

Change: JSON is read to 64 levels at most, CheckRequest gives 413 and 405, counts in reports are whole numbers and the address is an address. What is not HTTP at all still gets a closed connection without an answer: RESTinio offers no hook to answer it.

--- a/src/apps/entry_http.cpp
+++ b/src/apps/entry_http.cpp
@@ -1,7 +1,12 @@
 #include "apps/entry_http.hpp"
 
+#include "settings/settings.hpp"
+
 #include <nlohmann/json.hpp>
 
+#include <limits>
+#include <stdexcept>
+
 namespace bulrush::entry {
 namespace {
 
@@ -51,22 +56,75 @@
   return kDefaultMaxTokens;
 }
 
+// Writing a document recurses once a level, so a body that is nested deeply
+// enough would overflow the stack. Ordinary calls nest about ten levels.
+constexpr int kMaxDepth = 64;
+
 // nlohmann checks UTF-8 while it parses, so invalid text ends here.
 std::optional<json>
-ParseObject(const std::string& aBody, caller_error& aError)
+ParseJson(const std::string& aBody, std::string& aFault)
 {
-  json document = json::parse(aBody, nullptr, false);
+  bool isTooDeep = false;
+  const auto checkDepth = [&isTooDeep](int aDepth, json::parse_event_t, json&) {
+    isTooDeep = isTooDeep || aDepth > kMaxDepth;
+    return !isTooDeep;
+  };
+  json document = json::parse(aBody, checkDepth, false);
+  if (isTooDeep) {
+    aFault = "the body is nested more than 64 levels deep";
+    return std::nullopt;
+  }
   if (document.is_discarded()) {
-    aError = BadRequest("the body is not valid JSON in UTF-8");
+    aFault = "the body is not valid JSON in UTF-8";
+    return std::nullopt;
+  }
+  return document;
+}
+
+std::optional<json>
+ParseObject(const std::string& aBody, caller_error& aError)
+{
+  std::string fault;
+  auto document = ParseJson(aBody, fault);
+  if (!document) {
+    aError = BadRequest(std::move(fault));
     return std::nullopt;
   }
-  if (!document.is_object()) {
+  if (!document->is_object()) {
     aError = BadRequest("the body is not a JSON object");
     return std::nullopt;
   }
   return document;
 }
 
+// A negative number would turn into a very large one.
+std::uint64_t
+ReadCount(const json& aFrom, const char* aName)
+{
+  const json& value = aFrom.at(aName);
+  if (!value.is_number_unsigned()) {
+    throw std::invalid_argument(std::string(aName) +
+                                ": expected a whole number");
+  }
+  return value.get<std::uint64_t>();
+}
+
+std::uint64_t
+ReadCount(const json& aFrom, const char* aName, std::uint64_t aDefault)
+{
+  return aFrom.contains(aName) ? ReadCount(aFrom, aName) : aDefault;
+}
+
+std::uint32_t
+ReadSmallCount(const json& aFrom, const char* aName, std::uint32_t aDefault)
+{
+  const std::uint64_t count = ReadCount(aFrom, aName, aDefault);
+  if (count > std::numeric_limits<std::uint32_t>::max()) {
+    throw std::invalid_argument(std::string(aName) + ": too large");
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
 resident
 ParseResident(const json& aFrom)
 {
@@ -85,20 +143,20 @@
   endpoint_row row;
   row.name = aFrom.at("endpoint").get<std::string>();
   row.id = IdOf<endpoint_id>(row.name);
-  row.incarnation = aFrom.at("incarnation").get<std::uint64_t>();
-  row.sequence = aFrom.at("sequence").get<std::uint64_t>();
+  row.incarnation = ReadCount(aFrom, "incarnation");
+  row.sequence = ReadCount(aFrom, "sequence");
   row.address = aFrom.at("address").get<std::string>();
   row.domain = IdOf<domain_id>(aFrom.at("failure_domain").get<std::string>());
-  row.memoryBytes = aFrom.value("memory_bytes", std::uint64_t{ 0 });
-  row.usedBytes = aFrom.value("used_bytes", std::uint64_t{ 0 });
-  row.slots = aFrom.value("slots", 1U);
-  row.coldSlots = aFrom.value("cold_slots", 1U);
+  row.memoryBytes = ReadCount(aFrom, "memory_bytes", 0);
+  row.usedBytes = ReadCount(aFrom, "used_bytes", 0);
+  row.slots = ReadSmallCount(aFrom, "slots", 1);
+  row.coldSlots = ReadSmallCount(aFrom, "cold_slots", 1);
   row.isCold = aFrom.value("cold", false);
   row.canResume = aFrom.value("resume", false);
   row.checksFencing = aFrom.value("checks_fencing", false);
   row.isLeaving = aFrom.value("leaving", false);
-  row.running = aFrom.value("running", 0U);
-  row.queued = aFrom.value("queued", 0U);
+  row.running = ReadSmallCount(aFrom, "running", 0);
+  row.queued = ReadSmallCount(aFrom, "queued", 0);
   for (const json& from : aFrom.value("residents", json::array())) {
     row.residents.push_back(ParseResident(from));
   }
@@ -108,7 +166,7 @@
   for (const json& from : aFrom.value("orders", json::array())) {
     const std::string number = from.at("order").get<std::string>();
     row.orders.push_back({ order_id{ std::stoull(number, nullptr, 16) },
-                           from.value("fencing", std::uint64_t{ 0 }),
+                           ReadCount(from, "fencing", 0),
                            from.value("done", false) });
   }
   return row;
@@ -194,6 +252,39 @@
   return call;
 }
 
+bool
+CheckRequest(const net::http_request& aRequest,
+             std::size_t aMaxBodyBytes,
+             caller_error& aError)
+{
+  if (aRequest.body.size() > aMaxBodyBytes) {
+    aError = { 413,
+               "too_large",
+               "the body is larger than " + std::to_string(aMaxBodyBytes) +
+                 " bytes",
+               false,
+               std::nullopt };
+    return false;
+  }
+  const bool isRead = aRequest.method == "GET" || aRequest.method == "HEAD";
+  const bool isPost = aRequest.method == "POST";
+  bool isAllowed = true;
+  if (aRequest.path == "/v1/models" || aRequest.path == "/healthz" ||
+      aRequest.path == "/readyz" || aRequest.path == "/metrics") {
+    isAllowed = isRead;
+  } else if (aRequest.path.starts_with("/v1/")) {
+    isAllowed = isPost;
+  }
+  if (!isAllowed) {
+    aError = { 405,
+               "method_not_allowed",
+               "this path is not served with the method " + aRequest.method,
+               false,
+               std::nullopt };
+  }
+  return isAllowed;
+}
+
 std::optional<std::string>
 ParseBearer(const net::http_request& aRequest, caller_error& aError)
 {
@@ -222,14 +313,22 @@
                     steady_time aNow,
                     last_reason& aWhy)
 {
+  const std::string step = "read endpoint report";
+  std::string fault;
+  const auto document = ParseJson(aBody, fault);
+  if (!document) {
+    return Fail(aWhy, step, "", fault);
+  }
   try {
-    endpoint_row row = ParseReportObject(json::parse(aBody));
+    endpoint_row row = ParseReportObject(*document);
     row.lastSeen = aNow;
-    if (row.name.empty() || row.address.empty() || row.slots == 0) {
-      return Fail(aWhy,
-                  "read endpoint report",
-                  row.name,
-                  "expected a name, an address and at least one slot");
+    if (row.name.empty() || row.slots == 0) {
+      return Fail(
+        aWhy, step, row.name, "expected a name and at least one slot");
+    }
+    // Requests go to this address: it must be one, not part of a URL.
+    if (!ParseAddress(row.address, aWhy)) {
+      return Fail(aWhy, step, row.name, "address: expected " + aWhy.text);
     }
     return row;
   } catch (const std::exception& error) {
--- a/src/apps/entry_http.hpp
+++ b/src/apps/entry_http.hpp
@@ -40,6 +40,12 @@
   const net::http_request& aRequest,
   caller_error& aError);
 
+/// False, with the error, for a body above the limit or a method that the path
+/// is not served with.
+bool CheckRequest(const net::http_request& aRequest,
+                  std::size_t aMaxBodyBytes,
+                  caller_error& aError);
+
 /// The key of an Authorization: Bearer field. A key in the query string is
 /// refused, since proxies log it.
 std::optional<std::string> ParseBearer(const net::http_request& aRequest,
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -67,6 +67,11 @@
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
+    caller_error error;
+    if (!CheckRequest(aRequest, mSettings.http.maxBodyBytes, error)) {
+      SendError(*aReply, error, FormatId(id));
+      return;
+    }
     if (aRequest.path == "/healthz") {
       aReply->Send(200, {}, "ok\n");
     } else if (aRequest.path == "/readyz") {
