--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -26,3 +26,5 @@
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
   "signature: 150f02ec2e8f9f13")
+bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
+  src/apps/swarm_systems.cpp)
--- /dev/null
+++ b/src/apps/swarm_main.cpp
@@ -0,0 +1,296 @@
+#include "apps/link_settings.hpp"
+#include "apps/swarm_tables.hpp"
+#include "net/net.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace bulrush::swarm {
+namespace {
+
+constexpr log_part kLog{ "swarm" };
+
+constexpr std::array<option_row, 9> kOptions{ {
+  { "control",
+    option_type::eAddress,
+    "",
+    "127.0.0.1:7100",
+    "",
+    "",
+    "Control process that is measured" },
+  { "pid",
+    option_type::eInteger,
+    "",
+    "0",
+    "0",
+    "",
+    "Its process id, to read its processor time and memory" },
+  { "domain",
+    option_type::eText,
+    "",
+    "domain-a",
+    "",
+    "",
+    "Failure domain of the hosts" },
+  { "hosts",
+    option_type::eInteger,
+    "hosts",
+    "10",
+    "1",
+    "500",
+    "Entry hosts to stand in for" },
+  { "endpoints",
+    option_type::eInteger,
+    "endpoints",
+    "3",
+    "0",
+    "100",
+    "Endpoints that report through each host" },
+  { "residents",
+    option_type::eInteger,
+    "models",
+    "4",
+    "0",
+    "100",
+    "Models resident on each endpoint" },
+  { "report-every",
+    option_type::eDuration,
+    "",
+    "500ms",
+    "10ms",
+    "1min",
+    "Interval of reports" },
+  { "seconds",
+    option_type::eDuration,
+    "",
+    "10s",
+    "1s",
+    "10min",
+    "How long to measure, after as long a warm-up of two seconds" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys" },
+} };
+
+constexpr program_options kProgram{
+  "bulrush-swarm",
+  "Stands in for many entry hosts, to measure what they cost a control process",
+  kOptions
+};
+
+constexpr std::chrono::seconds kWarmUp{ 2 };
+
+// Processor time and resident memory of a process, from /proc.
+struct process_usage
+{
+  std::chrono::milliseconds processor{ 0 };
+  std::uint64_t residentBytes = 0;
+};
+
+process_usage
+ReadUsage(std::int64_t aPid)
+{
+  constexpr int kFieldsBeforeUserTime = 11;
+  process_usage usage;
+  std::ifstream stat("/proc/" + std::to_string(aPid) + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  const std::size_t close = text.rfind(')');
+  if (close == std::string::npos) {
+    return usage;
+  }
+  std::istringstream fields(text.substr(close + 1));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeUserTime; ++i) {
+    fields >> skipped;
+  }
+  std::int64_t user = 0;
+  std::int64_t system = 0;
+  fields >> user >> system;
+  usage.processor =
+    std::chrono::milliseconds((user + system) * 1'000 / ::sysconf(_SC_CLK_TCK));
+  std::ifstream statm("/proc/" + std::to_string(aPid) + "/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  statm >> total >> resident;
+  usage.residentBytes =
+    resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
+  return usage;
+}
+
+class swarm_process
+{
+public:
+  swarm_process(asio::io_context& aContext, const option_values& aOptions)
+    : mContext(aContext)
+    , mPid(aOptions.Integer("pid"))
+    , mMeasure(aOptions.Duration("seconds"))
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+    , mPhase(aContext)
+  {
+    swarm_settings& settings = mTables.settings;
+    settings.domain = aOptions.Text("domain");
+    settings.hosts = static_cast<std::size_t>(aOptions.Integer("hosts"));
+    settings.endpointsPerHost =
+      static_cast<std::size_t>(aOptions.Integer("endpoints"));
+    settings.residentsPerEndpoint =
+      static_cast<std::size_t>(aOptions.Integer("residents"));
+    settings.reportEvery = aOptions.Duration("report-every");
+    mTables.incarnation = static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count());
+    AddHosts(mTables, std::chrono::steady_clock::now());
+  }
+
+  bool Start(const option_values& aOptions, last_reason& aWhy)
+  {
+    const auto keys = ReadLinkKeys(aOptions, aWhy);
+    if (!keys) {
+      return false;
+    }
+    const std::string address = FormatAddress(*aOptions.Address("control"));
+    for (const swarm_host& host : mTables.hosts) {
+      auto link = net::ConnectLink(
+        mContext,
+        address,
+        host.name,
+        *keys,
+        [this, id = host.id](const std::string& aBytes) {
+          Receive(id, aBytes);
+        },
+        aWhy);
+      if (!link) {
+        return false;
+      }
+      mLinks.emplace(host.id, std::move(*link));
+    }
+    mTimer.RunSoon();
+    After(kWarmUp, [this] { Begin(); });
+    return true;
+  }
+
+private:
+  void After(std::chrono::milliseconds aDelay, std::function<void()> aWork)
+  {
+    mPhase.expires_after(aDelay);
+    mPhase.async_wait([work = std::move(aWork)](const std::error_code& aError) {
+      if (!aError) {
+        work();
+      }
+    });
+  }
+
+  void Begin()
+  {
+    mBefore = ReadUsage(mPid);
+    for (swarm_host& host : mTables.hosts) {
+      host.bytesSent = 0;
+      host.bytesReceived = 0;
+      host.leases = 0;
+    }
+    After(mMeasure, [this] { End(); });
+  }
+
+  // One CSV row: what the sweep asked for and what was measured.
+  void End()
+  {
+    const process_usage after = ReadUsage(mPid);
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t leases = 0;
+    for (const swarm_host& host : mTables.hosts) {
+      sent += host.bytesSent;
+      received += host.bytesReceived;
+      leases += host.leases;
+    }
+    const double seconds = std::chrono::duration<double>(mMeasure).count();
+    const auto hosts = static_cast<double>(mTables.hosts.Size());
+    fmt::print(
+      "{},{},{},{:.4f},{:.2f},{:.1f},{:.1f},{:.2f}\n",
+      mTables.hosts.Size(),
+      mTables.settings.endpointsPerHost,
+      mTables.settings.residentsPerEndpoint,
+      std::chrono::duration<double>(after.processor - mBefore.processor)
+          .count() /
+        seconds * 100,
+      static_cast<double>(after.residentBytes) / 1e6,
+      static_cast<double>(sent) / hosts / seconds,
+      static_cast<double>(received) / hosts / seconds,
+      static_cast<double>(leases) / hosts / seconds);
+    mContext.stop();
+  }
+
+  void Receive(host_id aHost, const std::string& aBytes)
+  {
+    last_reason why;
+    auto message = wire::Decode(aBytes, std::chrono::steady_clock::now(), why);
+    if (message) {
+      mTables.inbox.push_back({ aHost, aBytes.size(), std::move(*message) });
+      mTimer.RunSoon();
+    }
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    swarm_outbox outbox;
+    RunSwarm(mTables, aNow, outbox);
+    for (auto& [id, report] : outbox.reports) {
+      swarm_host& host = *mTables.hosts.Find(id);
+      const std::string bytes = wire::Encode(
+        { host.name, mTables.incarnation, std::move(report) }, aNow);
+      if (mLinks.at(id)->Send(bytes)) {
+        host.bytesSent += bytes.size();
+      }
+    }
+    return outbox.wake;
+  }
+
+  asio::io_context& mContext;
+  swarm_tables mTables;
+  std::int64_t mPid;
+  std::chrono::milliseconds mMeasure;
+  process_usage mBefore;
+  net::tick_timer mTimer;
+  asio::steady_timer mPhase;
+  std::unordered_map<host_id, std::unique_ptr<net::link_client>, id_hash>
+    mLinks;
+};
+
+int
+Run(int aCount, char** aWords)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  asio::io_context context{ 1 };
+  swarm_process process(context, *options);
+  last_reason why;
+  if (!process.Start(*options, why)) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  context.run();
+  return 0;
+}
+
+} // namespace
+} // namespace bulrush::swarm
+
+int
+main(int aCount, char** aWords)
+{
+  return bulrush::swarm::Run(aCount, aWords);
+}
