--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -99,7 +99,10 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    throw std::runtime_error("no free port on loopback");
+  }
   socklen_t size = sizeof(address);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
