Add the admission library: leases, escrowed allotments, buckets, fair queue

Cause: no workspace may get more than its rate and burst over all hosts, no cold endpoint more than it bears, in any cut. Change: one escrow mechanism for fleet, failure domain and host, for rates and slots. A holder takes the answer to its latest renewal only; a parent books the most that a holder may hold and raises a share only out of what is not booked. Tokens move with the share; a reservation's unused part comes back as far as the bucket had room ever since. The fuzz found two faults on the way: ids of neighbouring holders collided, and floors of slots were freed before their hold was over. Conclusion: the sums hold in every interleaving that was tried.

--- /dev/null
+++ b/src/admission/leases.cpp
@@ -0,0 +1,81 @@
+#include "admission/admission.hpp"
+
+#include <algorithm>
+
+namespace bulrush::admission {
+
+namespace {
+
+/// A holder counts a lease as this part shorter than its parent does, so that
+/// clocks may drift apart by as much.
+constexpr std::int64_t kDriftDivisor = 20;
+
+} // namespace
+
+std::chrono::nanoseconds
+LessDrift(std::chrono::nanoseconds aLease)
+{
+  return aLease - aLease / kDriftDivisor;
+}
+
+// A frozen process wakes with a later time and finds its lease lapsed, because
+// the time is read at the point of use and not at the start of the tick.
+bool
+MayServe(const link_row& aLink, steady_time aNow)
+{
+  return aNow < aLink.servesUntil;
+}
+
+// A parent with a share of its own does not book the former one's grants: they
+// stay booked there until their lease runs out.
+void
+FollowParent(escrow_tables& aTables,
+             std::uint64_t aEpoch,
+             succession aSuccession)
+{
+  link_row& link = aTables.link;
+  if (aEpoch <= link.epoch) {
+    return;
+  }
+  for (holding_row& holding : aTables.holdings) {
+    if (aSuccession == succession::eContinues && holding.epoch == link.epoch) {
+      holding.epoch = aEpoch;
+    }
+  }
+  link.epoch = aEpoch;
+  link.isAwaiting = false;
+  link.isShort = true;
+}
+
+// Only processes that may still serve count. A new parent does not know those
+// that its predecessor let serve until their leases have run out.
+std::uint64_t
+CoveredRevision(const escrow_tables& aTables, steady_time aNow)
+{
+  if (aNow < aTables.settings.coversFrom) {
+    return 0;
+  }
+  std::uint64_t covered = aTables.revision;
+  for (const holder_row& holder : aTables.holders) {
+    if (aNow < holder.servesUntil) {
+      covered = std::min(covered, holder.revision);
+    }
+  }
+  return covered;
+}
+
+std::vector<pending_holder>
+HoldersBehind(const escrow_tables& aTables,
+              std::uint64_t aRevision,
+              steady_time aNow)
+{
+  std::vector<pending_holder> behind;
+  for (const holder_row& holder : aTables.holders) {
+    if (aNow < holder.servesUntil && holder.revision < aRevision) {
+      behind.push_back({ holder.holder, holder.revision, holder.servesUntil });
+    }
+  }
+  return behind;
+}
+
+} // namespace bulrush::admission
--- /dev/null
+++ b/src/admission/reservations.cpp
@@ -0,0 +1,109 @@
+#include "admission/books.hpp"
+
+#include <algorithm>
+
+namespace bulrush::admission {
+
+namespace {
+
+/// Told to callers when no time can be worked out.
+constexpr std::chrono::seconds kRetryAfterDefault{ 1 };
+
+reserve_answer
+Refuse(const escrow_tables& aTables,
+       const holding_row& aHolding,
+       std::int64_t aUnits,
+       steady_time aNow)
+{
+  reserve_answer answer;
+  answer.outcome = ReachesRoot(aTables, aNow) ? reserve_outcome::eOverRate
+                                              : reserve_outcome::eCutOff;
+  answer.retryAfter =
+    TimeUntil(aHolding.undivided, aUnits, aNow).value_or(kRetryAfterDefault);
+  return answer;
+}
+
+} // namespace
+
+// A share is checked against its lease here, at the point of use: a process
+// that was frozen must not spend what has lapsed meanwhile.
+reserve_answer
+ReserveTokens(escrow_tables& aTables,
+              workspace_id aWorkspace,
+              std::int64_t aTokens,
+              std::chrono::nanoseconds aWaited,
+              steady_time aNow)
+{
+  const std::int64_t units = aTokens * kUnitsPerToken;
+  holding_row& holding = HoldingOf(aTables, RateOf(aWorkspace), aNow);
+  if (aWaited == aWaited.zero()) {
+    holding.demandUnits += units;
+  }
+  if (aNow < holding.lapsesAt && Take(holding.undivided, units, aNow)) {
+    ++holding.reservations;
+    const std::uint64_t point = holding.undivided.point;
+    return { reserve_outcome::eReserved, {}, { aWorkspace, aTokens, point } };
+  }
+  if (aWaited >= aTables.settings.patience) {
+    return Refuse(aTables, holding, units, aNow);
+  }
+  holding.waiting += units;
+  aTables.link.isShort = true;
+  return { reserve_outcome::eShort, aTables.settings.patience - aWaited, {} };
+}
+
+// Tokens of a share that has lapsed since are lost: the parent has them again.
+void
+SettleTokens(escrow_tables& aTables,
+             const reservation& aReserved,
+             std::int64_t aUsed,
+             steady_time aNow)
+{
+  const auto id = IdOfResource(RateOf(aReserved.workspace));
+  holding_row* holding = aTables.holdings.Find(id);
+  if (holding == nullptr || holding->reservations == 0) {
+    return;
+  }
+  --holding->reservations;
+  const std::int64_t unused =
+    std::max<std::int64_t>(0, aReserved.tokens - aUsed);
+  if (aNow < holding->lapsesAt) {
+    PutBack(holding->undivided, unused * kUnitsPerToken, aReserved.point, aNow);
+  }
+}
+
+// The parent books a slot until the lease and the hold are over, so the attempt
+// has to end by then.
+bool
+TakeSlot(escrow_tables& aTables,
+         endpoint_id aEndpoint,
+         std::uint64_t aIncarnation,
+         steady_time aEnds,
+         steady_time aNow)
+{
+  const resource what = SlotsOf(aEndpoint, aIncarnation);
+  holding_row& holding = HoldingOf(aTables, what, aNow);
+  const auto hold = LessDrift(aTables.settings.slotHold);
+  const bool isFree = holding.divided.size < holding.granted.size;
+  if (isFree && aNow < holding.lapsesAt && aEnds <= holding.lapsesAt + hold) {
+    ++holding.divided.size;
+    return true;
+  }
+  ++holding.waiting;
+  aTables.link.isShort = true;
+  return false;
+}
+
+void
+ReturnSlot(escrow_tables& aTables,
+           endpoint_id aEndpoint,
+           std::uint64_t aIncarnation)
+{
+  const auto id = IdOfResource(SlotsOf(aEndpoint, aIncarnation));
+  holding_row* holding = aTables.holdings.Find(id);
+  if (holding != nullptr && holding->divided.size > 0) {
+    --holding->divided.size;
+  }
+}
+
+} // namespace bulrush::admission
