--- /dev/null
+++ b/src/apps/programs.cmake
@@ -0,0 +1,28 @@
+# One small binary per program.
+function(bulrush_program aName)
+  add_executable(${aName} ${ARGN})
+  target_link_libraries(${aName} PRIVATE bulrush_wire bulrush_net
+    bulrush_observe bulrush_settings bulrush_fleet)
+endfunction()
+
+bulrush_program(bulrush-control src/apps/control_main.cpp
+  src/apps/control_systems.cpp)
+bulrush_program(bulrush-entry src/apps/entry_main.cpp
+  src/apps/entry_control.cpp src/apps/entry_traffic.cpp
+  src/apps/entry_http.cpp)
+bulrush_program(fake-endpoint src/apps/fake_main.cpp
+  src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
+bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
+  src/apps/ctl_commands.cpp)
+bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
+target_link_libraries(bulrush-load PRIVATE bulrush_load)
+
+# --- bulrush-bench ---------------------------------------------------------
+find_package(CLI11 REQUIRED)
+add_executable(bulrush-bench src/apps/bench_main.cpp)
+target_link_libraries(bulrush-bench PRIVATE bulrush_routing CLI11::CLI11
+  fmt::fmt)
+# Changes when a decision does; the commit that does so quotes the new one.
+add_test(NAME bench_signature COMMAND bulrush-bench)
+set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
+  "signature: 150f02ec2e8f9f13")
