Count leases to serve that a former parent granted

Change: a renewal says how long its sender may still serve; waiting out covers slots for their hold.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -137,6 +137,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t accepted = 0; ///< sequence of the last answer taken
   std::uint64_t revision = 0; ///< all below the sender apply this manifest
+  std::chrono::nanoseconds servesFor{}; ///< left of the lease to serve
   std::vector<renewal_row> rows;
 };
 
@@ -281,10 +282,10 @@
   std::int64_t floorHolders = 1;
   /// Nothing is divided anew before this, while what a predecessor granted
   /// may still be held.
-  steady_time waitOutUntil;
+  steady_time waitOutUntil = steady_time::min();
   /// No revision counts as covered before this, while holders of a predecessor
   /// may still serve.
-  steady_time coversFrom;
+  steady_time coversFrom = steady_time::min();
   division_rule divide = DivideByDemand;
 };
 
@@ -313,6 +314,9 @@
 /// Length of a lease at the holder: less a margin for drift between clocks.
 std::chrono::nanoseconds LessDrift(std::chrono::nanoseconds aLease);
 
+/// The same at the parent for a time that a holder measured.
+std::chrono::nanoseconds PlusDrift(std::chrono::nanoseconds aTime);
+
 /// Whether the lease to serve holds. Call it at the point of use, after the
 /// input was read, with a time read then.
 bool MayServe(const link_row& aLink, steady_time aNow);
--- a/src/admission/allotments.cpp
+++ b/src/admission/allotments.cpp
@@ -40,7 +40,7 @@
            steady_time aNow)
 {
   const share floor = FloorFor(aTables.settings, aHolding.granted);
-  const bool isWaiting = aNow < aTables.settings.waitOutUntil;
+  const bool isWaiting = IsWaitingOut(aTables, aHolding, aNow);
   share total = Divisible(aTables, aHolding, aNow);
   std::vector<account_row*> live;
   std::vector<division_row> rows;
@@ -73,7 +73,7 @@
         const account_row& aAccount,
         steady_time aNow)
 {
-  if (aNow < aTables.settings.waitOutUntil) {
+  if (IsWaitingOut(aTables, aHolding, aNow)) {
     return aAccount.held;
   }
   const share others = aHolding.divided - aAccount.held;
--- a/src/admission/books.cpp
+++ b/src/admission/books.cpp
@@ -101,6 +101,15 @@
          aNow < holder->receivedAt + aTables.settings.shareLease;
 }
 
+bool
+IsWaitingOut(const escrow_tables& aTables,
+             const holding_row& aHolding,
+             steady_time aNow)
+{
+  const auto& settings = aTables.settings;
+  return aNow < settings.waitOutUntil + HoldOf(settings, aHolding.what);
+}
+
 // A link whose renewal is overdue no longer counts as connected.
 bool
 ReachesRoot(const escrow_tables& aTables, steady_time aNow)
@@ -154,7 +163,7 @@
           const holding_row& aHolding,
           steady_time aNow)
 {
-  if (aNow < aTables.settings.waitOutUntil) {
+  if (IsWaitingOut(aTables, aHolding, aNow)) {
     return {};
   }
   return aHolding.granted - aHolding.divided;
--- a/src/admission/books.hpp
+++ b/src/admission/books.hpp
@@ -41,6 +41,11 @@
             const account_row& aRow,
             steady_time aNow);
 
+/// Whether shares of a predecessor may be held that this node does not know.
+bool IsWaitingOut(const escrow_tables& aTables,
+                  const holding_row& aHolding,
+                  steady_time aNow);
+
 /// Whether this node and all above it are connected up to the root.
 bool ReachesRoot(const escrow_tables& aTables, steady_time aNow);
 
--- a/src/admission/leases.cpp
+++ b/src/admission/leases.cpp
@@ -18,6 +18,12 @@
   return aLease - aLease / kDriftDivisor;
 }
 
+std::chrono::nanoseconds
+PlusDrift(std::chrono::nanoseconds aTime)
+{
+  return aTime + aTime / (kDriftDivisor - 1);
+}
+
 // A frozen process wakes with a later time and finds its lease lapsed, because
 // the time is read at the point of use and not at the start of the tick.
 bool
--- a/src/admission/renewals.cpp
+++ b/src/admission/renewals.cpp
@@ -120,6 +120,9 @@
   holder.accepted = aRenewal.accepted;
   holder.revision = aRenewal.revision;
   holder.receivedAt = aNow;
+  // A lease from a former parent may outlive what this one would grant.
+  holder.servesUntil =
+    std::max(holder.servesUntil, aNow + PlusDrift(aRenewal.servesFor));
   holder.isAnswerDue = true;
   for (const renewal_row& row : aRenewal.rows) {
     BookReport(aTables, holder, row, wasTaken, aNow);
--- a/src/admission/reports.cpp
+++ b/src/admission/reports.cpp
@@ -77,6 +77,8 @@
   report.sequence = link.sequence;
   report.accepted = link.accepted;
   report.revision = CoveredRevision(aTables, aNow);
+  report.servesFor =
+    std::max(std::chrono::nanoseconds{ 0 }, link.servesUntil - aNow);
   aTables.requiredRevision =
     std::max(aTables.requiredRevision, report.revision);
   for (const holding_row& holding : aTables.holdings) {
--- a/tests/admission/escrow_world.cpp
+++ b/tests/admission/escrow_world.cpp
@@ -322,7 +322,7 @@
   mRoot.tables.requiredRevision = mRevision;
   SetUpRoot();
   const auto hold = mSettings.slotHold;
-  mRoot.tables.settings.waitOutUntil = mNow + mSettings.fleetLease + hold;
+  mRoot.tables.settings.waitOutUntil = mNow + mSettings.fleetLease;
   share most;
   for (const share& limit : mFormerLimits) {
     most = Largest(most, limit);
