Let the fuzz's oracle look at the bytes that are fed, not only at their count

Cause: with the check of the echo, of the resume offset, or of a late answer taken out, the fuzz still passed: calls that had ended were not looked at. Change: ended calls stay known for the step; allotments may lag behind the incarnation. MayRunAgain loses a condition that could not matter: a non-idempotent request whose last attempt was not sent has had no other.

--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -14,8 +14,7 @@
   if (aRequest.facts.isIdempotent) {
     return true;
   }
-  return !aRequest.mayHaveRun &&
-         aRequest.lastFailure == attempt_failure::eNotSent;
+  return aRequest.lastFailure == attempt_failure::eNotSent;
 }
 
 bool
--- a/tests/routing/routing_world.cpp
+++ b/tests/routing/routing_world.cpp
@@ -61,7 +61,7 @@
   facts.slots = kSlots;
   facts.coldSlots = kColdSlots;
   facts.allottedSlots = fake.allotted;
-  facts.allottedIncarnation = fake.incarnation;
+  facts.allottedIncarnation = fake.allottedIncarnation;
   facts.reportedAt = mNow;
   return facts;
 }
@@ -113,6 +113,7 @@
   for (std::size_t host = 0; host < kHosts; ++host) {
     TickHost(host);
   }
+  mEnded.clear();
 }
 
 // A third may be repeated, a third may not, a third may not and has a key;
@@ -186,6 +187,7 @@
     ++mColdBounds[{ ended.host, ended.endpoint }].inFlight;
   }
   OnAttemptEnd(mEngines[ended.host], ended.attempt, aHow, mNow);
+  mEnded[ended.attempt] = ended;
   mCalls.erase(mCalls.begin() + static_cast<std::ptrdiff_t>(aIndex));
 }
 
@@ -244,6 +246,7 @@
     case call_fate::eErrs:
       CountRun(chosen);
       SendHead(chosen, 500);
+      chosen.isBodyWrong = chosen.resumeOffset > 0;
       SendBody(chosen, kAnswerLength);
       EndCall(index, attempt_end::eComplete);
       break;
@@ -273,7 +276,7 @@
       break;
     case call_fate::eResumesWrongly:
       CountRun(chosen);
-      chosen.offset = 0;
+      chosen.isBodyWrong = chosen.resumeOffset > 0;
       OnAttemptHeaders(mEngines[chosen.host],
                        chosen.attempt,
                        { 200, chosen.attempt, false, 0 },
@@ -349,6 +352,7 @@
       break;
     default:
       fake.allotted = aStep.second / 5 % 5;
+      fake.allottedIncarnation = fake.incarnation;
       break;
   }
   Announce();
@@ -483,11 +487,13 @@
       return aCall.host == started.host && aCall.endpoint == started.endpoint;
     });
   Expect(inFlight <= fake.allotted, Told("over its slots", aStart.request));
+  Expect(fake.allottedIncarnation == fake.incarnation,
+         Told("on an old allotment", aStart.request));
   Expect(inFlight <= bound.inFlight,
          Told("over the cold limit", aStart.request));
 }
 
-// The call may be gone by now: its bytes were sent before it ended.
+// A call that ended in this step is looked up among the ended ones.
 void
 routing_world::OnForward(const forward_to_caller& aForward)
 {
@@ -495,13 +501,18 @@
   Expect(!whose.isEnded, Told("fed after its end", aForward.request));
   Expect(aForward.offset == whose.received,
          Told("fed out of order", aForward.request));
-  for (const call& each : mCalls) {
-    if (each.attempt == aForward.attempt) {
-      Expect(each.bodyOf == aForward.request,
-             Told("fed another's answer", aForward.request));
-      Expect(!each.isCancelled, Told("fed a late answer", aForward.request));
-    }
-  }
+  const auto isFed = [&aForward](const call& aCall) {
+    return aCall.attempt == aForward.attempt;
+  };
+  const auto live = std::find_if(mCalls.begin(), mCalls.end(), isFed);
+  const auto ended = mEnded.find(aForward.attempt);
+  Expect(live != mCalls.end() || ended != mEnded.end(),
+         Told("fed from an attempt long over", aForward.request));
+  const call& source = live != mCalls.end() ? *live : ended->second;
+  Expect(source.bodyOf == aForward.request,
+         Told("fed another's answer", aForward.request));
+  Expect(!source.isCancelled, Told("fed a late answer", aForward.request));
+  Expect(!source.isBodyWrong, Told("fed a mix", aForward.request));
   whose.received += aForward.count;
 }
 
--- a/tests/routing/routing_world.hpp
+++ b/tests/routing/routing_world.hpp
@@ -69,8 +69,9 @@
   std::size_t host = 0;
   std::uint64_t offset = 0; ///< of the next unit
   std::uint64_t resumeOffset = 0;
-  request_id bodyOf;       ///< whose answer its bytes are
-  std::uint32_t drops = 0; ///< of its endpoint's limit when it started
+  request_id bodyOf;        ///< whose answer its bytes are
+  std::uint32_t drops = 0;  ///< of its endpoint's limit when it started
+  bool isBodyWrong = false; ///< an error, or not from the offset asked for
   bool isHeadSent = false;
   bool isCancelled = false;
 };
@@ -149,6 +150,7 @@
     bool isDraining = false;
     bool isGone = false;
     std::uint32_t allotted = 3;
+    std::uint64_t allottedIncarnation = 1;
   };
 
   steady_time mNow = steady_time{} + std::chrono::hours{ 1 };
@@ -156,6 +158,7 @@
   std::map<std::uint64_t, fake_endpoint> mEndpoints;
   std::map<request_id, caller> mCallers;
   std::vector<call> mCalls;
+  std::map<attempt_id, call> mEnded; ///< within the current step
   std::map<std::pair<workspace_id, std::string>, claim_record> mClaims;
   std::map<std::pair<workspace_id, std::string>, std::uint32_t> mKeyedRuns;
   std::vector<pending_claim> mPendingClaims;
