--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -1,6 +1,6 @@
 # One small binary per program.
 function(bulrush_program aName)
-  add_executable(${aName} ${ARGN})
+  add_executable(${aName} ${ARGN} src/apps/link_settings.cpp)
   target_link_libraries(${aName} PRIVATE bulrush_wire bulrush_net
     bulrush_observe bulrush_settings bulrush_fleet)
 endfunction()
@@ -10,6 +10,12 @@
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_http.cpp)
+bulrush_program(fake-endpoint src/apps/fake_main.cpp
+  src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
+bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
+  src/apps/ctl_commands.cpp)
+bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
+target_link_libraries(bulrush-load PRIVATE bulrush_load)
 
 # --- bulrush-bench ---------------------------------------------------------
 find_package(CLI11 REQUIRED)
