Put the request engine under bulrush-entry, with claims in the fleet's log

Cause: the entry chose an endpoint once, without retries, limits or claims. Change: entry_requests carries out what routing decides; entry_answer cuts answers into bytes or events, so that a broken stream is resumed after the last event that the caller has; non-idempotent requests with an Idempotency-Key claim it first. An endpoint echoes where it resumes. A host may use all slots of an endpoint until allotments reach it; tests of failures follow.

--- /dev/null
+++ b/src/apps/entry_answer.cpp
@@ -0,0 +1,76 @@
+#include "apps/entry_answer.hpp"
+
+namespace bulrush::entry {
+
+namespace {
+
+constexpr std::string_view kEndMark = "data: [DONE]";
+
+// Events end with an empty line, in either form of line end.
+std::size_t
+EndOfEvent(const std::string& aText)
+{
+  const std::size_t plain = aText.find("\n\n");
+  const std::size_t carriage = aText.find("\r\n\r\n");
+  if (plain == std::string::npos && carriage == std::string::npos) {
+    return std::string::npos;
+  }
+  if (carriage < plain) {
+    return carriage + std::string_view("\r\n\r\n").size();
+  }
+  return plain + std::string_view("\n\n").size();
+}
+
+} // namespace
+
+answer_buffer::answer_buffer(bool aIsStream, std::uint64_t aOffset)
+  : mIsStream(aIsStream)
+  , mNextUnit(aOffset)
+{
+}
+
+std::uint64_t
+answer_buffer::Add(std::string_view aBytes)
+{
+  mHeldBytes += aBytes.size();
+  if (mIsStream) {
+    return AddEvents(aBytes);
+  }
+  mTail += aBytes;
+  mNextUnit += aBytes.size();
+  return aBytes.size();
+}
+
+std::uint64_t
+answer_buffer::AddEvents(std::string_view aBytes)
+{
+  mTail += aBytes;
+  std::uint64_t completed = 0;
+  for (std::size_t end = EndOfEvent(mTail); end != std::string::npos;
+       end = EndOfEvent(mTail)) {
+    mEvents.push_back(mTail.substr(0, end));
+    mTail.erase(0, end);
+    mHasEndMark |= mEvents.back().starts_with(kEndMark);
+    ++completed;
+  }
+  mNextUnit += completed;
+  return completed;
+}
+
+std::string
+answer_buffer::Take(std::uint64_t aCount)
+{
+  if (!mIsStream) {
+    mHeldBytes = 0;
+    return std::exchange(mTail, {});
+  }
+  std::string taken;
+  for (std::uint64_t i = 0; i < aCount && !mEvents.empty(); ++i) {
+    taken += mEvents.front();
+    mEvents.pop_front();
+  }
+  mHeldBytes -= taken.size();
+  return taken;
+}
+
+} // namespace bulrush::entry
--- /dev/null
+++ b/src/apps/entry_requests.cpp
@@ -0,0 +1,729 @@
+#include "apps/entry_requests.hpp"
+
+#include "apps/entry_answer.hpp"
+#include "apps/entry_http.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bulrush::entry {
+namespace {
+
+constexpr int kHexadecimal = 16;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+constexpr std::chrono::seconds kRecordWithin{ 30 };
+constexpr std::chrono::milliseconds kConnectWithin{ 1'000 };
+constexpr std::size_t kMostHeldBytes = 33'554'432;
+constexpr std::size_t kMostStoredBytes = 65'536;
+constexpr std::size_t kPauseAtBytes = 262'144;
+constexpr attempt_id kUnreadableEcho{ ~std::uint64_t{ 0 } };
+
+/// A caller who waits, or whose claimed request still runs.
+struct waiting_row
+{
+  request_id id;
+  routed_request request;
+  claim_id claim;
+  std::uint64_t token = 0;
+  std::string contentType;
+  std::string wholeBody; ///< of an answer that is not a stream
+  int status = 0;
+  bool isStarted = false; ///< a stream whose head the caller has
+};
+
+/// A call to an endpoint.
+struct call_row
+{
+  attempt_id id;
+  request_id request;
+  net::http_client::call_number call = 0;
+  std::string contentType;
+  bool isStreamed = false;
+  bool isPaused = false;
+  std::unique_ptr<answer_buffer> answer;
+};
+
+/// What a caller is told for each outcome but an answer.
+struct outcome_text
+{
+  routing::request_outcome outcome;
+  int status;
+  const char* code;
+  const char* text;
+  bool isWorthRetrying;
+};
+
+using routing::request_outcome;
+
+constexpr std::array<outcome_text, 13> kOutcomes{ {
+  { request_outcome::eInProgress,
+    409,
+    "in_progress",
+    "a request with this Idempotency-Key is running",
+    true },
+  { request_outcome::eClaimUncertain,
+    409,
+    "may_have_run",
+    "a request with this Idempotency-Key may have run",
+    false },
+  { request_outcome::eNoQuorum,
+    503,
+    "no_quorum",
+    "the Idempotency-Key could not be claimed",
+    true },
+  { request_outcome::eDigestMismatch,
+    422,
+    "claim_mismatch",
+    "the Idempotency-Key was used with another request",
+    false },
+  { request_outcome::eNotResident,
+    503,
+    "no_endpoint",
+    "no endpoint can serve this now",
+    true },
+  { request_outcome::eNoSlot,
+    503,
+    "overloaded",
+    "no endpoint had room before the deadline",
+    true },
+  { request_outcome::eDeadline,
+    504,
+    "deadline_passed",
+    "no answer came before the deadline",
+    false },
+  { request_outcome::eRefused,
+    503,
+    "overloaded",
+    "the endpoint refused the request",
+    true },
+  { request_outcome::eUnreachable,
+    502,
+    "endpoint_failed",
+    "no endpoint could be reached",
+    true },
+  { request_outcome::eLost,
+    502,
+    "endpoint_failed",
+    "the answer was lost",
+    false },
+  { request_outcome::eBrokenStream,
+    502,
+    "endpoint_failed",
+    "the stream broke off",
+    false },
+  { request_outcome::eKeyWithdrawn,
+    401,
+    "key_withdrawn",
+    "the key was withdrawn",
+    false },
+  { request_outcome::eCallerGone, 499, "caller_gone", "", false },
+} };
+
+caller_error
+ErrorOf(const routing::end_request& aEnd)
+{
+  const auto* found = std::find_if(
+    kOutcomes.begin(), kOutcomes.end(), [&](const outcome_text& aRow) {
+      return aRow.outcome == aEnd.outcome;
+    });
+  caller_error error;
+  error.status = found->status;
+  error.code = found->code;
+  error.text = found->text;
+  error.mayHaveRun = aEnd.ran != routing::ran_state::eNotRun;
+  if (found->isWorthRetrying) {
+    error.retryAfter = std::chrono::seconds(1);
+  }
+  return error;
+}
+
+attempt_id
+ParseAttempt(const std::string* aText)
+{
+  if (aText == nullptr) {
+    return {};
+  }
+  attempt_id id;
+  const char* end = aText->data() + aText->size();
+  const auto read = std::from_chars(aText->data(), end, id.value, kHexadecimal);
+  const bool isWhole = read.ec == std::errc{} && read.ptr == end;
+  return isWhole && id ? id : kUnreadableEcho;
+}
+
+std::uint64_t
+ParseNumber(const std::string* aText)
+{
+  std::uint64_t number = 0;
+  if (aText != nullptr) {
+    std::from_chars(aText->data(), aText->data() + aText->size(), number);
+  }
+  return number;
+}
+
+std::vector<routing::resident>
+ResidentsOf(const endpoint_row& aRow)
+{
+  std::vector<routing::resident> residents;
+  for (const resident& loaded : aRow.residents) {
+    const std::uint64_t version = VersionOf(loaded.version);
+    residents.push_back({ loaded.model, {}, version });
+    for (const adapter_id& adapter : loaded.adapters) {
+      residents.push_back({ loaded.model, adapter, version });
+    }
+  }
+  for (const std::string& service : aRow.services) {
+    residents.push_back({ ServiceId(service), {}, VersionOf("") });
+  }
+  return residents;
+}
+
+// Until a host is told its allotment of an endpoint, it may use what the
+// endpoint bears.
+routing::endpoint_facts
+FactsOf(const endpoint_row& aRow, const fleet_state& aFleet)
+{
+  routing::endpoint_facts facts;
+  facts.id = aRow.id;
+  facts.incarnation = aRow.incarnation;
+  facts.domain = aRow.domain;
+  facts.address = aRow.address;
+  facts.isDraining = aRow.isLeaving || aFleet.drains.Find(aRow.id) != nullptr;
+  facts.isDomainOut = IsOut(aFleet, aRow.domain);
+  facts.canResume = aRow.canResume;
+  facts.reportsCold = aRow.isCold;
+  facts.slots = aRow.slots;
+  facts.coldSlots = aRow.coldSlots;
+  facts.allottedSlots = aRow.slots;
+  facts.allottedIncarnation = aRow.incarnation;
+  facts.reportedInFlight = aRow.running + aRow.queued;
+  facts.reportedAt = aRow.lastSeen;
+  return facts;
+}
+
+routing::claim_answer
+ClaimAnswerOf(const wire::command_reply& aReply)
+{
+  if (aReply.outcome != wire::call_outcome::eDecided) {
+    return routing::claim_answer::eNoQuorum;
+  }
+  switch (aReply.result.claim) {
+    case claim_answer::eGranted:
+      return routing::claim_answer::eGranted;
+    case claim_answer::eStored:
+      return routing::claim_answer::eStored;
+    case claim_answer::eInProgress:
+      return routing::claim_answer::eInProgress;
+    case claim_answer::eMayHaveRun:
+      return routing::claim_answer::eMayHaveRun;
+    case claim_answer::eOtherBody:
+      return routing::claim_answer::eDigestMismatch;
+    default:
+      return routing::claim_answer::eNoQuorum;
+  }
+}
+
+} // namespace
+
+class request_runner::implementation
+{
+public:
+  implementation(asio::io_context& aContext,
+                 const request_runner_settings& aSettings,
+                 commit_hook aOnCommand)
+    : mOnCommand(std::move(aOnCommand))
+    , mTokens(aSettings.seed)
+    , mEngine(OptionsOf(aSettings))
+    , mClient(net::MakeHttpClient(aContext))
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+  {
+  }
+
+  std::size_t Open() const { return mWaiting.Size(); }
+
+  void SetView(const traffic_view& aView)
+  {
+    const bool hasNewFleet = mView.fleet != aView.fleet;
+    const bool hasNewKeys = hasNewFleet || mView.tombstones != aView.tombstones;
+    mView = aView;
+    TakeEndpoints(hasNewFleet);
+    if (hasNewKeys) {
+      CancelWithdrawn();
+    }
+    mTimer.RunSoon();
+  }
+
+  void Start(routed_request aRequest)
+  {
+    waiting_row row;
+    row.id = aRequest.facts.id;
+    row.token = mTokens();
+    row.claim = ClaimOf(aRequest);
+    aRequest.reply->onGone = [this, id = row.id] { OnGone(id); };
+    aRequest.reply->onDrained = [this, id = row.id] { OnDrained(id); };
+    ServeDeclaredVersion(aRequest.facts);
+    routing::AddRequest(mEngine, aRequest.facts);
+    row.request = std::move(aRequest);
+    mWaiting.Insert(std::move(row));
+    mTimer.RunSoon();
+  }
+
+private:
+  static routing::options OptionsOf(const request_runner_settings& aSettings)
+  {
+    routing::options options;
+    options.ownDomain = IdOf<domain_id>(aSettings.domain);
+    options.seed = aSettings.seed;
+    return options;
+  }
+
+  // A key holds for one workspace and one path.
+  static claim_id ClaimOf(const routed_request& aRequest)
+  {
+    const routing::request_facts& facts = aRequest.facts;
+    return IdOf<claim_id>(FormatId(facts.workspace.value) + '\n' +
+                          aRequest.path + '\n' + facts.idempotencyKey);
+  }
+
+  // While a new version loads, the old one goes on serving.
+  void ServeDeclaredVersion(routing::request_facts& aFacts)
+  {
+    if (!routing::IsServed(
+          mEngine, { { aFacts.model, aFacts.adapter }, aFacts.version })) {
+      aFacts.version = 0;
+    }
+  }
+
+  // Input -------------------------------------------------------------------
+
+  void TakeEndpoints(bool aAll)
+  {
+    for (const endpoint_row& row : *mView.endpoints) {
+      const report_key latest{ row.id, row.incarnation, row.sequence };
+      const report_key* known = mReports.Find(row.id);
+      if (!aAll && known != nullptr && *known == latest) {
+        continue;
+      }
+      mReports.Insert(latest);
+      routing::UpdateEndpoint(mEngine, FactsOf(row, *mView.fleet));
+      routing::SetResidents(mEngine, row.id, ResidentsOf(row));
+    }
+    if (mReports.Size() != mView.endpoints->size()) {
+      ForgetGone();
+    }
+  }
+
+  void ForgetGone()
+  {
+    std::unordered_set<endpoint_id, id_hash> present;
+    for (const endpoint_row& row : *mView.endpoints) {
+      present.insert(row.id);
+    }
+    mReports.EraseIf([&](const report_key& aKnown) {
+      const bool isGone = !present.contains(aKnown.id);
+      if (isGone) {
+        routing::RemoveEndpoint(mEngine, aKnown.id);
+      }
+      return isGone;
+    });
+  }
+
+  void CancelWithdrawn()
+  {
+    for (const waiting_row& row : mWaiting) {
+      const key_hash& key = row.request.facts.key;
+      const bool isOpen = key == key_hash{};
+      if (!isOpen && (!FindWorkspace(*mView.fleet, key) ||
+                      mView.tombstones->contains(key))) {
+        routing::CancelByKey(mEngine, key);
+      }
+    }
+  }
+
+  void OnGone(request_id aRequest)
+  {
+    routing::OnCallerGone(mEngine, aRequest);
+    mTimer.RunSoon();
+  }
+
+  void OnHeaders(attempt_id aAttempt,
+                 int aStatus,
+                 const std::vector<net::http_field>& aFields)
+  {
+    call_row* row = mCalls.Find(aAttempt);
+    if (const std::string* type = net::FindField(aFields, "Content-Type")) {
+      row->contentType = *type;
+    }
+    const std::string* notRun = net::FindField(aFields, "Bulrush-Not-Run");
+    routing::answer_head head;
+    head.status = aStatus;
+    head.echoed = ParseAttempt(net::FindField(aFields, "Bulrush-Attempt"));
+    head.saysNotRun = notRun != nullptr && *notRun == "true";
+    head.startOffset = ParseNumber(net::FindField(aFields, "Bulrush-Resume"));
+    const bool isSuccess = aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+    row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
+                                                  head.startOffset);
+    routing::OnAttemptHeaders(mEngine, aAttempt, head, Now());
+    mTimer.RunSoon();
+  }
+
+  void OnBytes(attempt_id aAttempt, std::string_view aBytes)
+  {
+    call_row* row = mCalls.Find(aAttempt);
+    if (row->answer == nullptr) {
+      return;
+    }
+    const std::uint64_t first = row->answer->NextUnit();
+    const std::uint64_t count = row->answer->Add(aBytes);
+    if (row->answer->HeldBytes() > kMostHeldBytes) {
+      mClient->Cancel(row->call);
+      End(aAttempt, routing::attempt_end::eTruncated);
+      return;
+    }
+    routing::OnAttemptBytes(mEngine, aAttempt, first, count, Now());
+    mTimer.RunSoon();
+  }
+
+  void OnEnd(attempt_id aAttempt, const net::http_call_end& aEnd)
+  {
+    const call_row& row = *mCalls.Find(aAttempt);
+    auto how = routing::attempt_end::eLost;
+    if (!aEnd.anySent) {
+      how = routing::attempt_end::eNotSent;
+    } else if (aEnd.whole && IsWhole(row)) {
+      how = routing::attempt_end::eComplete;
+    } else if (row.answer != nullptr) {
+      how = routing::attempt_end::eTruncated;
+    }
+    End(aAttempt, how);
+  }
+
+  // A stream without its end mark broke off, however politely.
+  static bool IsWhole(const call_row& aRow)
+  {
+    return aRow.answer != nullptr &&
+           (!aRow.answer->IsStream() || aRow.answer->HasEndMark());
+  }
+
+  // The row stays until the engine has taken its bytes.
+  void End(attempt_id aAttempt, routing::attempt_end aHow)
+  {
+    routing::OnAttemptEnd(mEngine, aAttempt, aHow, Now());
+    mEnded.push_back(aAttempt);
+    mTimer.RunSoon();
+  }
+
+  // Decisions ---------------------------------------------------------------
+
+  wake_time Tick(steady_time aNow)
+  {
+    mOutbox.Clear();
+    routing::Tick(mEngine, aNow, mOutbox);
+    for (const routing::cancel_attempt& each : mOutbox.cancels) {
+      Cancel(each.attempt);
+    }
+    for (const routing::forward_to_caller& each : mOutbox.forwards) {
+      Forward(each);
+    }
+    for (const routing::record_outcome& each : mOutbox.records) {
+      Record(each, aNow);
+    }
+    for (const routing::end_request& each : mOutbox.ends) {
+      EndCaller(each);
+    }
+    for (const routing::ask_claim& each : mOutbox.claims) {
+      Claim(each, aNow);
+    }
+    for (const routing::start_attempt& each : mOutbox.starts) {
+      StartCall(each);
+    }
+    Sweep();
+    return mOutbox.wake;
+  }
+
+  // Ended calls and requests that the engine no longer knows.
+  void Sweep()
+  {
+    for (const attempt_id attempt : mEnded) {
+      if (mEngine.attempts.Find(attempt) == nullptr) {
+        mCalls.Erase(attempt);
+      }
+    }
+    std::erase_if(mEnded, [this](attempt_id aAttempt) {
+      return mCalls.Find(aAttempt) == nullptr;
+    });
+    for (const request_id request : mAnswered) {
+      if (mEngine.requests.Find(request) == nullptr) {
+        mWaiting.Erase(request);
+      }
+    }
+    std::erase_if(mAnswered, [this](request_id aRequest) {
+      return mWaiting.Find(aRequest) == nullptr;
+    });
+  }
+
+  void StartCall(const routing::start_attempt& aStart)
+  {
+    const waiting_row& waiting = *mWaiting.Find(aStart.request);
+    net::http_call call = waiting.request.call;
+    call.url = "http://" + aStart.address + waiting.request.path;
+    call.fields.push_back(
+      { "Bulrush-Attempt", FormatId(aStart.attempt.value) });
+    if (aStart.resumeOffset > 0) {
+      call.fields.push_back(
+        { "Bulrush-Resume", std::to_string(aStart.resumeOffset) });
+    }
+    call.freshConnection = aStart.freshConnection;
+    call.connectTimeout = std::min(kConnectWithin, aStart.timeout);
+    const attempt_id attempt = aStart.attempt;
+    call_row row;
+    row.id = attempt;
+    row.request = aStart.request;
+    row.isStreamed = waiting.request.facts.isStreamed;
+    row.call = mClient->Start(
+      std::move(call),
+      { [this, attempt](int aStatus, const auto& aFields) {
+         OnHeaders(attempt, aStatus, aFields);
+       },
+        [this, attempt](std::string_view aBytes) { OnBytes(attempt, aBytes); },
+        [this, attempt](const net::http_call_end& aEnd) {
+          OnEnd(attempt, aEnd);
+        } });
+    mCalls.Insert(std::move(row));
+  }
+
+  // No hook of a cancelled call is called, so its end is told here. The
+  // connection is closed, which is how an endpoint hears of it.
+  void Cancel(attempt_id aAttempt)
+  {
+    if (const call_row* row = mCalls.Find(aAttempt)) {
+      mClient->Cancel(row->call);
+      End(aAttempt, routing::attempt_end::eCancelled);
+    }
+  }
+
+  void Forward(const routing::forward_to_caller& aForward)
+  {
+    call_row& row = *mCalls.Find(aForward.attempt);
+    waiting_row& waiting = *mWaiting.Find(aForward.request);
+    waiting.status = aForward.status;
+    waiting.contentType = row.contentType;
+    std::string bytes = row.answer->Take(aForward.count);
+    if (!row.answer->IsStream()) {
+      waiting.wholeBody = std::move(bytes);
+      return;
+    }
+    net::http_reply& reply = *waiting.request.reply;
+    if (!waiting.isStarted) {
+      waiting.isStarted = true;
+      reply.Start(aForward.status, { { "Content-Type", row.contentType } });
+    }
+    reply.Write(std::move(bytes));
+    if (reply.UnsentBytes() > kPauseAtBytes && !row.isPaused) {
+      row.isPaused = true;
+      mClient->Pause(row.call);
+    }
+  }
+
+  // The caller's connection took what was written: the endpoint may go on.
+  void OnDrained(request_id aRequest)
+  {
+    for (call_row& row : mCalls) {
+      if (row.request == aRequest && row.isPaused) {
+        row.isPaused = false;
+        mClient->Resume(row.call);
+      }
+    }
+  }
+
+  void EndCaller(const routing::end_request& aEnd)
+  {
+    waiting_row& row = *mWaiting.Find(aEnd.request);
+    mAnswered.push_back(aEnd.request);
+    net::http_reply& reply = *row.request.reply;
+    reply.onGone = nullptr;
+    reply.onDrained = nullptr;
+    if (aEnd.outcome == request_outcome::eCallerGone) {
+      return;
+    }
+    if (aEnd.outcome == request_outcome::eAnswered) {
+      EndWhole(row);
+    } else if (aEnd.outcome == request_outcome::eStoredAnswer) {
+      reply.Send(row.status,
+                 { { "Content-Type", row.contentType },
+                   { "Idempotent-Replay", "true" } },
+                 std::move(row.wholeBody));
+    } else if (row.isStarted) {
+      reply.Write("event: error\ndata: " +
+                  FormatError(ErrorOf(aEnd), FormatId(row.id.value)) + "\n\n");
+      reply.Finish();
+    } else {
+      SendError(reply, ErrorOf(aEnd), FormatId(row.id.value));
+    }
+  }
+
+  static void EndWhole(waiting_row& aRow)
+  {
+    net::http_reply& reply = *aRow.request.reply;
+    if (aRow.isStarted) {
+      reply.Finish();
+      return;
+    }
+    reply.Send(aRow.status,
+               { { "Content-Type", aRow.contentType },
+                 { "Bulrush-Request", FormatId(aRow.id.value) } },
+               std::move(aRow.wholeBody));
+  }
+
+  // Claims ------------------------------------------------------------------
+
+  void Claim(const routing::ask_claim& aAsk, steady_time aNow)
+  {
+    const waiting_row& row = *mWaiting.Find(aAsk.request);
+    claim_request claim;
+    claim.claim = row.claim;
+    claim.workspace = aAsk.workspace;
+    claim.bodyDigest = aAsk.bodyDigest;
+    claim.token = row.token;
+    claim.runLimit = std::chrono::ceil<std::chrono::milliseconds>(
+      row.request.facts.deadline - aNow + mEngine.settings.detachedWait);
+    Commit(
+      claim,
+      aNow + mEngine.settings.claimWait,
+      [this, request = aAsk.request, claim](const wire::command_reply& aReply) {
+        OnClaim(request, claim, aReply);
+      });
+  }
+
+  void OnClaim(request_id aRequest,
+               const claim_request& aClaim,
+               const wire::command_reply& aReply)
+  {
+    if (aReply.outcome == wire::call_outcome::eUnknown) {
+      Release(aClaim.claim, aClaim.token, Now());
+    }
+    if (waiting_row* row = mWaiting.Find(aRequest)) {
+      row->status = aReply.result.storedStatus;
+      row->contentType = aReply.result.storedContentType;
+      row->wholeBody = aReply.result.storedBody;
+    }
+    routing::OnClaimAnswer(mEngine, aRequest, ClaimAnswerOf(aReply));
+    mTimer.RunSoon();
+  }
+
+  // "May have run" needs no record: a claim without an outcome says so.
+  void Record(const routing::record_outcome& aRecord, steady_time aNow)
+  {
+    const waiting_row& row = *mWaiting.Find(aRecord.request);
+    if (aRecord.ran == routing::ran_state::eNotRun) {
+      Release(row.claim, row.token, aNow);
+      return;
+    }
+    if (aRecord.ran != routing::ran_state::eRan) {
+      return;
+    }
+    call_row& call = *mCalls.Find(aRecord.attempt);
+    record_outcome outcome;
+    outcome.claim = row.claim;
+    outcome.token = row.token;
+    outcome.status = aRecord.status;
+    outcome.contentType = call.contentType;
+    outcome.body = row.wholeBody.empty() ? call.answer->Take(0) : row.wholeBody;
+    if (outcome.body.size() <= kMostStoredBytes) {
+      Commit(outcome, aNow + kRecordWithin, {});
+    }
+  }
+
+  void Release(claim_id aClaim, std::uint64_t aToken, steady_time aNow)
+  {
+    Commit(release_claim{ aClaim, aToken }, aNow + kRecordWithin, {});
+  }
+
+  void Commit(fleet_change aChange, steady_time aDeadline, command_hook aHook)
+  {
+    fleet_command command;
+    command.change = std::move(aChange);
+    if (!aHook) {
+      aHook = [](const wire::command_reply&) {};
+    }
+    mOnCommand(std::move(command), aDeadline, std::move(aHook));
+  }
+
+  static steady_time Now() { return std::chrono::steady_clock::now(); }
+
+  /// The report of an endpoint that the engine knows.
+  struct report_key
+  {
+    endpoint_id id;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    bool operator==(const report_key&) const = default;
+  };
+
+  commit_hook mOnCommand;
+  random_engine mTokens;
+  traffic_view mView;
+  routing::tables mEngine;
+  routing::outbox mOutbox;
+  table<endpoint_id, report_key> mReports;
+  table<request_id, waiting_row> mWaiting;
+  table<attempt_id, call_row> mCalls;
+  std::vector<attempt_id> mEnded;
+  std::vector<request_id> mAnswered;
+  std::unique_ptr<net::http_client> mClient;
+  net::tick_timer mTimer;
+};
+
+request_runner::request_runner(asio::io_context& aContext,
+                               const request_runner_settings& aSettings,
+                               commit_hook aOnCommand)
+  : mImplementation(std::make_unique<implementation>(aContext,
+                                                     aSettings,
+                                                     std::move(aOnCommand)))
+{
+}
+
+request_runner::~request_runner() = default;
+
+void
+request_runner::SetView(const traffic_view& aView)
+{
+  mImplementation->SetView(aView);
+}
+
+void
+request_runner::Start(routed_request aRequest)
+{
+  mImplementation->Start(std::move(aRequest));
+}
+
+std::size_t
+request_runner::Open() const
+{
+  return mImplementation->Open();
+}
+
+model_id
+ServiceId(const std::string& aService)
+{
+  return IdOf<model_id>("service\n" + aService);
+}
+
+// Zero means "any version" to routing, so a version never has that hash.
+std::uint64_t
+VersionOf(const std::string& aVersion)
+{
+  return std::max<std::uint64_t>(1, StableHash(aVersion));
+}
+
+std::string
+FormatId(std::uint64_t aValue)
+{
+  std::array<char, kHexadecimal> digits{};
+  const auto end =
+    std::to_chars(digits.begin(), digits.end(), aValue, kHexadecimal).ptr;
+  return { digits.begin(), end };
+}
+
+} // namespace bulrush::entry
--- /dev/null
+++ b/src/apps/entry_requests.hpp
@@ -0,0 +1,66 @@
+#ifndef BULRUSH_APPS_ENTRY_REQUESTS_HPP
+#define BULRUSH_APPS_ENTRY_REQUESTS_HPP
+
+/// Carries out what the routing library decides for one traffic thread: calls
+/// to endpoints, answers to callers, claims in the fleet's log.
+
+#include "apps/entry_tables.hpp"
+#include "net/net.hpp"
+#include "routing/routing.hpp"
+
+#include <asio/io_context.hpp>
+
+namespace bulrush::entry {
+
+/// A request that was let in, with what an endpoint is to be sent.
+struct routed_request
+{
+  routing::request_facts facts;
+  net::http_call call; ///< without address, attempt and connection
+  std::string path;
+  std::shared_ptr<net::http_reply> reply;
+};
+
+struct request_runner_settings
+{
+  std::string domain;
+  std::uint64_t seed = 1; ///< of attempt ids and claim tokens: new each start
+};
+
+/// Asks the control thread to have a command committed; answers on this thread.
+using commit_hook =
+  std::function<void(fleet_command, steady_time aDeadline, command_hook)>;
+
+class request_runner
+{
+public:
+  request_runner(asio::io_context& aContext,
+                 const request_runner_settings& aSettings,
+                 commit_hook aOnCommand);
+  ~request_runner();
+  request_runner(const request_runner&) = delete;
+  request_runner& operator=(const request_runner&) = delete;
+
+  /// Takes over endpoints, domains and withdrawn keys.
+  void SetView(const traffic_view& aView);
+  void Start(routed_request aRequest);
+  /// Requests whose callers wait, and claimed ones whose outcome is awaited.
+  std::size_t Open() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> mImplementation;
+};
+
+/// The model id under which a plain service is routed to.
+model_id ServiceId(const std::string& aService);
+
+/// The number under which a version is routed to; never zero.
+std::uint64_t VersionOf(const std::string& aVersion);
+
+/// The text of an id in header fields and error bodies.
+std::string FormatId(std::uint64_t aValue);
+
+} // namespace bulrush::entry
+
+#endif
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -1,29 +1,25 @@
 #include "apps/entry_traffic.hpp"
 
 #include "apps/entry_http.hpp"
+#include "apps/entry_requests.hpp"
 
-#include <algorithm>
+#include <random>
 
 namespace bulrush::entry {
 namespace {
 
-struct request_row
-{
-  request_id id;
-  std::shared_ptr<net::http_reply> reply;
-  net::http_client::call_number call = 0;
-  endpoint_id endpoint;
-  bool isStream = false;
-  bool isStarted = false;
-  int status = 0;
-  std::string contentType;
-  std::string body;
-};
+// Plain text carries about this much time a token; an attempt whose answer
+// comes whole is not cut off before it can have been generated.
+constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
+constexpr std::size_t kMaxIdempotencyKey = 128;
 
-std::string
-FormatId(request_id aId)
+// New at each start, so that no id of an earlier life comes again.
+std::uint64_t
+NewSeed()
 {
-  return std::to_string(aId.value);
+  std::random_device device;
+  constexpr unsigned kHalf = 32;
+  return (static_cast<std::uint64_t>(device()) << kHalf) | device();
 }
 
 } // namespace
@@ -37,7 +33,7 @@
     : mContext(aContext)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
-    , mClient(net::MakeHttpClient(aContext))
+    , mRunner(aContext, { mSettings.domain, NewSeed() }, mHooks.onCommand)
   {
   }
 
@@ -59,8 +55,12 @@
   }
 
   std::uint16_t Port() const { return mServer->Port(); }
-  void SetView(traffic_view aView) { mView = std::move(aView); }
-  std::size_t OpenRequests() const { return mRequests.Size(); }
+  void SetView(traffic_view aView)
+  {
+    mView = std::move(aView);
+    mRunner.SetView(mView);
+  }
+  std::size_t OpenRequests() const { return mRunner.Open(); }
 
 private:
   void Serve(const net::http_request& aRequest,
@@ -69,7 +69,7 @@
     const request_id id{ ++mLastRequest };
     caller_error error;
     if (!CheckRequest(aRequest, mSettings.http.maxBodyBytes, error)) {
-      SendError(*aReply, error, FormatId(id));
+      SendError(*aReply, error, FormatId(id.value));
       return;
     }
     if (aRequest.path == "/healthz") {
@@ -104,7 +104,7 @@
     if (!row) {
       SendError(aReply,
                 { 400, "bad_request", Describe(why), false, std::nullopt },
-                FormatId(aId));
+                FormatId(aId.value));
       return;
     }
     mHooks.onReport(std::move(*row));
@@ -143,7 +143,7 @@
     caller_error error;
     const workspace_row* workspace = Authorise(aRequest, error);
     if (workspace == nullptr) {
-      SendError(aReply, error, FormatId(aId));
+      SendError(aReply, error, FormatId(aId.value));
       return;
     }
     aReply.Send(200,
@@ -158,36 +158,34 @@
     caller_error error;
     const auto call = ParseCompletion(aRequest, error);
     if (!call || Authorise(aRequest, error) == nullptr) {
-      SendError(*aReply, error, FormatId(aId));
+      SendError(*aReply, error, FormatId(aId.value));
       return;
     }
     const manifest& declared = mView.fleet->declared;
-    model_id model = IdOf<model_id>(call->modelName);
+    routing::request_facts facts;
+    facts.id = aId;
+    facts.model = IdOf<model_id>(call->modelName);
     if (const auto* adapter =
           declared.adapters.Find(IdOf<adapter_id>(call->modelName))) {
-      model = adapter->model;
+      facts.model = adapter->model;
+      facts.adapter = adapter->id;
     }
-    const model_row* row = declared.models.Find(model);
+    const model_row* row = declared.models.Find(facts.model);
     if (row == nullptr) {
       SendError(*aReply,
                 { 404, "not_found", "no such model", false, std::nullopt },
-                FormatId(aId));
+                FormatId(aId.value));
       return;
     }
-    const endpoint_row* endpoint = Choose([&](const endpoint_row& aEndpoint) {
-      return std::any_of(
-        aEndpoint.residents.begin(),
-        aEndpoint.residents.end(),
-        [&](const resident& aResident) { return aResident.model == model; });
-    });
-    Forward(aRequest,
-            call->body,
-            endpoint,
-            row->deadline,
-            call->isStream,
-            true,
-            std::move(aReply),
-            aId);
+    facts.version = VersionOf(row->version);
+    facts.isStreamed = call->isStream;
+    if (!call->isStream) {
+      facts.expected =
+        static_cast<std::int64_t>(call->maxTokens) * kExpectedPerToken;
+    }
+    facts.deadline = std::chrono::steady_clock::now() + row->deadline;
+    SetCaller(facts, aRequest, false);
+    Route(aRequest, std::move(facts), call->body, std::move(aReply));
   }
 
   void CallService(const net::http_request& aRequest,
@@ -199,173 +197,83 @@
     caller_error error{ 404, "not_found", "no such path", false, std::nullopt };
     if (route == nullptr ||
         (!route->isOpen && Authorise(aRequest, error) == nullptr)) {
-      SendError(*aReply, error, FormatId(aId));
+      SendError(*aReply, error, FormatId(aId.value));
       return;
     }
-    const endpoint_row* endpoint = Choose([&](const endpoint_row& aEndpoint) {
-      return std::find(aEndpoint.services.begin(),
-                       aEndpoint.services.end(),
-                       route->service) != aEndpoint.services.end();
-    });
-    Forward(aRequest,
-            aRequest.body,
-            endpoint,
-            route->deadline,
-            false,
-            route->isIdempotent,
-            std::move(aReply),
-            aId);
-  }
-
-  // Fewest requests of our own under way; the first on a tie.
-  const endpoint_row* Choose(
-    const std::function<bool(const endpoint_row&)>& aIsSuitable)
-  {
-    const endpoint_row* best = nullptr;
-    for (const endpoint_row& row : *mView.endpoints) {
-      if (row.isLeaving || IsOut(*mView.fleet, row.domain) ||
-          !aIsSuitable(row)) {
-        continue;
-      }
-      if (best == nullptr || mInFlight[row.id] < mInFlight[best->id]) {
-        best = &row;
-      }
-    }
-    return best;
-  }
-
-  void Forward(const net::http_request& aRequest,
-               const std::string& aBody,
-               const endpoint_row* aEndpoint,
-               std::chrono::milliseconds aDeadline,
-               bool aIsStream,
-               bool aIsIdempotent,
-               std::shared_ptr<net::http_reply> aReply,
-               request_id aId)
-  {
-    if (aEndpoint == nullptr) {
-      SendError(*aReply,
-                { 503,
-                  "no_endpoint",
-                  "no endpoint can serve this now",
-                  false,
-                  std::chrono::seconds(1) },
-                FormatId(aId));
+    routing::request_facts facts;
+    facts.id = aId;
+    facts.model = ServiceId(route->service);
+    facts.isIdempotent = route->isIdempotent;
+    facts.deadline = std::chrono::steady_clock::now() + route->deadline;
+    SetCaller(facts, aRequest, route->isOpen);
+    if (!TakeIdempotencyKey(aRequest, facts, error)) {
+      SendError(*aReply, error, FormatId(aId.value));
       return;
     }
-    net::http_call call;
-    call.method = aRequest.method;
-    call.url = "http://" + aEndpoint->address + aRequest.path;
-    for (const char* name : { "Content-Type", "Accept", "traceparent" }) {
-      if (const std::string* value = net::FindField(aRequest.fields, name)) {
-        call.fields.push_back({ name, *value });
-      }
-    }
-    call.fields.push_back({ "Bulrush-Attempt", FormatId(aId) });
-    call.body = aBody;
-    call.timeout = aDeadline;
-    call.freshConnection = !aIsIdempotent;
-    request_row row;
-    row.id = aId;
-    row.reply = aReply;
-    row.endpoint = aEndpoint->id;
-    row.isStream = aIsStream;
-    ++mInFlight[aEndpoint->id];
-    aReply->onGone = [this, aId] { Drop(aId); };
-    row.call = mClient->Start(
-      std::move(call),
-      { [this, aId](int aStatus, const auto& aFields) {
-         OnHeaders(aId, aStatus, aFields);
-       },
-        [this, aId](std::string_view aBytes) { OnBytes(aId, aBytes); },
-        [this, aId](const net::http_call_end& aEnd) { OnEnd(aId, aEnd); } });
-    mRequests.Insert(std::move(row));
+    Route(aRequest, std::move(facts), aRequest.body, std::move(aReply));
   }
 
-  void OnHeaders(request_id aId,
-                 int aStatus,
-                 const std::vector<net::http_field>& aFields)
+  // On an open route there is no workspace that a key could be scoped to.
+  void SetCaller(routing::request_facts& aFacts,
+                 const net::http_request& aRequest,
+                 bool aIsOpen) const
   {
-    request_row* row = mRequests.Find(aId);
-    row->status = aStatus;
-    if (const std::string* type = net::FindField(aFields, "Content-Type")) {
-      row->contentType = *type;
-    }
-    const std::string* attempt = net::FindField(aFields, "Bulrush-Attempt");
-    if (attempt == nullptr || *attempt != FormatId(aId)) {
-      mClient->Cancel(row->call);
-      SendError(*row->reply,
-                { 502,
-                  "endpoint_failed",
-                  "the answer was another request's",
-                  true,
-                  std::nullopt },
-                FormatId(aId));
-      Forget(aId);
+    caller_error unused;
+    const auto key = ParseBearer(aRequest, unused);
+    if (aIsOpen || !key) {
+      return;
     }
+    aFacts.key = HashKey(*key);
+    aFacts.workspace = *FindWorkspace(*mView.fleet, aFacts.key);
   }
 
-  void OnBytes(request_id aId, std::string_view aBytes)
+  static bool TakeIdempotencyKey(const net::http_request& aRequest,
+                                 routing::request_facts& aFacts,
+                                 caller_error& aError)
   {
-    request_row* row = mRequests.Find(aId);
-    if (!row->isStream || row->status != 200) {
-      row->body += aBytes;
-      return;
+    const std::string* key = net::FindField(aRequest.fields, "Idempotency-Key");
+    if (key == nullptr || aFacts.isIdempotent || !aFacts.workspace) {
+      return true;
     }
-    if (!row->isStarted) {
-      row->isStarted = true;
-      row->reply->Start(200, { { "Content-Type", row->contentType } });
+    if (key->empty() || key->size() > kMaxIdempotencyKey) {
+      aError = { 400,
+                 "bad_request",
+                 "Idempotency-Key: expected 1 to 128 bytes",
+                 false,
+                 std::nullopt };
+      return false;
     }
-    row->body = aBytes; // the tail, to look for the end mark
-    row->reply->Write(std::string(aBytes));
+    aFacts.idempotencyKey = *key;
+    aFacts.bodyDigest = HashKey(aRequest.method + '\n' + aRequest.body);
+    return true;
   }
 
-  void OnEnd(request_id aId, const net::http_call_end& aEnd)
+  // The endpoint sees an allow-list of header fields, never the key.
+  void Route(const net::http_request& aRequest,
+             routing::request_facts aFacts,
+             std::string aBody,
+             std::shared_ptr<net::http_reply> aReply)
   {
-    request_row* row = mRequests.Find(aId);
-    if (row->isStarted) {
-      if (aEnd.whole && row->body.find("data: [DONE]") != std::string::npos) {
-        row->reply->Finish();
-      } else {
-        row->reply->Write("event: error\ndata: {\"error\":{\"code\":"
-                          "\"endpoint_failed\",\"ran\":\"may_have_run\"}}\n\n");
-        row->reply->Finish();
+    routed_request routed;
+    routed.facts = std::move(aFacts);
+    routed.path = aRequest.path;
+    routed.reply = std::move(aReply);
+    routed.call.method = aRequest.method;
+    routed.call.body = std::move(aBody);
+    for (const char* name : { "Content-Type", "Accept", "traceparent" }) {
+      if (const std::string* value = net::FindField(aRequest.fields, name)) {
+        routed.call.fields.push_back({ name, *value });
       }
-    } else if (aEnd.whole) {
-      row->reply->Send(row->status,
-                       { { "Content-Type", row->contentType } },
-                       std::move(row->body));
-    } else {
-      SendError(
-        *row->reply,
-        { 502, "endpoint_failed", aEnd.error, aEnd.anySent, std::nullopt },
-        FormatId(aId));
     }
-    Forget(aId);
-  }
-
-  void Drop(request_id aId)
-  {
-    if (const request_row* row = mRequests.Find(aId)) {
-      mClient->Cancel(row->call);
-      Forget(aId);
-    }
-  }
-
-  void Forget(request_id aId)
-  {
-    --mInFlight[mRequests.Find(aId)->endpoint];
-    mRequests.Erase(aId);
+    mRunner.Start(std::move(routed));
   }
 
   asio::io_context& mContext;
   traffic_settings mSettings;
   control_hooks mHooks;
   traffic_view mView;
-  std::unique_ptr<net::http_client> mClient;
+  request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
-  table<request_id, request_row> mRequests;
-  std::unordered_map<endpoint_id, int, id_hash> mInFlight;
   std::uint64_t mLastRequest = 0;
 };
 
--- a/src/apps/fake_requests.cpp
+++ b/src/apps/fake_requests.cpp
@@ -211,7 +211,8 @@
     run.tokens = body.value("max_tokens", std::uint64_t{ 16 });
     if (const auto* resume =
           net::FindField(aRequest.fields, "Bulrush-Resume")) {
-      run.sent = std::stoull(*resume);
+      run.resumedAt = std::stoull(*resume);
+      run.sent = run.resumedAt;
     }
   }
   run.reply->onGone = [&aTables, id = run.id] {
--- a/src/apps/fake_systems.cpp
+++ b/src/apps/fake_systems.cpp
@@ -131,7 +131,8 @@
 {
   aRun.reply->Start(200,
                     { { "Content-Type", "text/event-stream" },
-                      { "Bulrush-Attempt", aRun.attempt } });
+                      { "Bulrush-Attempt", aRun.attempt },
+                      { "Bulrush-Resume", std::to_string(aRun.resumedAt) } });
   while (aRun.nextToken <= aNow && aRun.sent < aRun.tokens) {
     if (aRun.isTruncated && aRun.sent >= aRun.tokens / 2) {
       aRun.reply->Abort();
--- a/src/apps/fake_tables.hpp
+++ b/src/apps/fake_tables.hpp
@@ -41,6 +41,7 @@
   bool isService = false;
   std::uint64_t tokens = 0; ///< to be generated
   std::uint64_t sent = 0;   ///< generated so far
+  std::uint64_t resumedAt = 0;
   steady_time nextToken{};
   bool isLost = false;      ///< runs, but its answer is never sent
   bool isTruncated = false; ///< ends half-way
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -370,6 +370,22 @@
   return { aTables.candidates[picked].position, std::nullopt };
 }
 
+bool
+IsServed(tables& aTables, const wanted_model& aWanted)
+{
+  IndexHolders(aTables);
+  const auto found = aTables.holders.find(aWanted.key);
+  if (found == aTables.holders.end()) {
+    return false;
+  }
+  const auto rows = aTables.endpoints.Rows();
+  return std::any_of(
+    found->second.begin(), found->second.end(), [&](const holder& aHolder) {
+      return aHolder.version == aWanted.version &&
+             IsServing(rows[aHolder.position]);
+    });
+}
+
 std::uint32_t
 FreeSlots(tables& aTables, const model_key& aKey)
 {
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -533,6 +533,9 @@
 /// Attempts that may be in flight at once from this thread.
 std::uint32_t ConcurrencyLimit(const endpoint_row& aEndpoint);
 
+/// True when an endpoint that takes work holds the model in the version.
+bool IsServed(tables& aTables, const wanted_model& aWanted);
+
 /// Free slots of all endpoints usable for a model, for the fair queue before
 /// routing.
 std::uint32_t FreeSlots(tables& aTables, const model_key& aKey);
--- a/tests/routing/choose_test.cpp
+++ b/tests/routing/choose_test.cpp
@@ -55,6 +55,19 @@
         choice_failure::eNotResident);
 }
 
+TEST_CASE_METHOD(routing_fixture,
+                 "Version_WhenOnlyADrainingEndpointHoldsIt_IsNotServed",
+                 "[routing]")
+{
+  AddEndpoint(Facts(1));
+  CHECK(IsServed(engine, { { kModel, {} }, 1 }));
+  CHECK_FALSE(IsServed(engine, { { kModel, {} }, 2 }));
+  endpoint_facts draining = Facts(1);
+  draining.isDraining = true;
+  UpdateEndpoint(engine, draining);
+  CHECK_FALSE(IsServed(engine, { { kModel, {} }, 1 }));
+}
+
 TEST_CASE_METHOD(routing_fixture,
                  "Choice_WhenAllSlotsAreTaken_WaitsForOne",
                  "[routing]")
