--- a/src/placement/coverage.cpp
+++ b/src/placement/coverage.cpp
@@ -36,6 +36,16 @@
 
 namespace {
 
+/// Whether an engine that the need could use takes orders in this plan.
+bool
+HasIdleEngine(const tables& aTables, const need& aNeed)
+{
+  const auto& idle = aTables.view.idleInDomain;
+  return aNeed.domain ? idle[*aNeed.domain] > 0
+                      : std::ranges::any_of(
+                          idle, [](std::size_t aCount) { return aCount > 0; });
+}
+
 /// Places the needs in their order until no load may start.
 void
 PlaceAll(tables& aTables, std::vector<need>& aNeeds, steady_time aNow)
@@ -52,7 +62,8 @@
       return;
     }
     const bool isGiven = next.domain && !next.what.adapter;
-    if (isGiven && next.roomBytes >= tooLarge[*next.domain]) {
+    if (!HasIdleEngine(aTables, next) ||
+        (isGiven && next.roomBytes >= tooLarge[*next.domain])) {
       continue;
     }
     if (!Place(aTables, next, aNow) && isGiven) {
@@ -163,7 +174,7 @@
       const resident_row* resident = aTables.residents.Find(id);
       if (view.isIdle && resident != nullptr &&
           resident->state == resident_state::eReady &&
-          BytesFreed(aTables, *resident) > 0 &&
+          !MayReturn(aTables, *resident) &&
           IsObsolete(aTables, view, *resident)) {
         IntendUnload(aTables, view, resident->what);
       }
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -191,7 +191,9 @@
   order.reportSequence = engine->reportSequence;
   aTables.orders.Insert(order);
   aEngine.isIdle = false;
+  --aTables.view.idleInDomain[aEngine.domain];
   aEngine.reservedBytes += extra;
+  CountCall(aTables.view.calls, aKind);
   if (IsLoad(aKind)) {
     const bool lasts = !MayVanish(aTables, aEngine.endpoint, aWhat);
     CountCopy(aTables, aEngine, aWhat, { 0, 0, lasts ? 1U : 0U, 1 }, true);
@@ -230,11 +232,28 @@
 
 namespace {
 
-/// Whether every copy that was sent is accounted for.
+/// Whether the engine's latest report shows what every answered copy did.
 bool
-HasNoCopyOut(const tables& aTables, const order_row& aOrder)
+IsShown(const engine_row& aEngine, const order_row& aOrder)
 {
-  return aOrder.copiesOut == 0 && IsOfThisTerm(aTables.leader, aOrder.id);
+  if (!aEngine.hasReported) {
+    return false;
+  }
+  const bool isNamed = aOrder.isTaken && aEngine.lastOrder == aOrder.id;
+  return isNamed || aEngine.incarnation > aOrder.shownIncarnation ||
+         (aEngine.incarnation == aOrder.shownIncarnation &&
+          aEngine.reportSequence >= aOrder.shownSequence);
+}
+
+/// Whether every copy that was sent is accounted for. Those of an earlier term
+/// are not: its leader may still have one under way.
+bool
+HasNoCopyOut(const tables& aTables,
+             const engine_row& aEngine,
+             const order_row& aOrder)
+{
+  return aOrder.copiesOut == 0 && IsOfThisTerm(aTables.leader, aOrder.id) &&
+         IsShown(aEngine, aOrder);
 }
 
 /// The verdict of the engine's latest report on its unresolved order.
@@ -268,7 +287,7 @@
   const bool isNamed = aEngine.lastOrder == aOrder.id;
   const bool refusesOld =
     aEngine.checksFencing && aEngine.incarnation > aOrder.incarnation;
-  settlement.isClosed = HasNoCopyOut(aTables, aOrder) || refusesOld;
+  settlement.isClosed = HasNoCopyOut(aTables, aEngine, aOrder) || refusesOld;
   settlement.closesEarlier =
     aEngine.checksFencing && isNamed && aOutcome == order_state::eDone;
   return settlement;
@@ -312,7 +331,7 @@
        const order_row& aOrder,
        steady_time aNow)
 {
-  if (HasNoCopyOut(aTables, aOrder) ||
+  if (HasNoCopyOut(aTables, aEngine, aOrder) ||
       (aEngine.checksFencing && aEngine.hasReported &&
        aEngine.incarnation > aOrder.incarnation)) {
     return true;
--- a/src/placement/pacing.cpp
+++ b/src/placement/pacing.cpp
@@ -31,6 +31,13 @@
   };
 }
 
+void
+CountCall(pacing_state& aState, order_kind aKind)
+{
+  aState.loads += aKind == order_kind::eLoadModel ? 1 : 0;
+  aState.adapterCalls += aKind == order_kind::eLoadAdapter ? 1 : 0;
+}
+
 namespace {
 
 // A silent endpoint may still be loading, so its load counts for a while; but
@@ -60,13 +67,6 @@
           !IsOfThisTerm(aTables, aOrder));
 }
 
-void
-Count(pacing_state& aState, order_kind aKind)
-{
-  aState.loads += aKind == order_kind::eLoadModel ? 1 : 0;
-  aState.adapterCalls += aKind == order_kind::eLoadAdapter ? 1 : 0;
-}
-
 /// An engine that says that it is loading needs no second copy.
 bool
 IsUnderWay(const tables& aTables, const order_row& aOrder)
@@ -121,7 +121,7 @@
   state.adapterCalls = 0;
   for (const order_row& order : aTables.orders) {
     if (MayHaveLeft(aTables, order) && MayBeLoading(aTables, order, aNow)) {
-      Count(state, order.kind);
+      CountCall(state, order.kind);
     }
   }
   return state;
@@ -169,20 +169,24 @@
 
 } // namespace
 
-// Intents are held back too: one that waits for the store would block its
-// engine for no gain.
-bool
-HasLoadSlot(const tables& aTables, order_kind aKind, steady_time aNow)
+void
+ViewCalls(tables& aTables, steady_time aNow)
 {
-  pacing_state state = aTables.leader.pacing;
-  state.loads = 0;
-  state.adapterCalls = 0;
+  pacing_state& calls = aTables.view.calls;
+  calls = aTables.leader.pacing;
   for (const order_row& order : aTables.orders) {
     if (IsUnresolved(order) && MayBeLoading(aTables, order, aNow)) {
-      Count(state, order.kind);
+      CountCall(calls, order.kind);
     }
   }
-  return aTables.pacing(state, aKind, aNow).has_value();
+}
+
+// Intents are held back too: one that waits for the store would block its
+// engine for no gain.
+bool
+HasLoadSlot(const tables& aTables, order_kind aKind, steady_time aNow)
+{
+  return aTables.pacing(aTables.view.calls, aKind, aNow).has_value();
 }
 
 // Nothing leaves outside the lease: the former leader may still send until its
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -113,8 +113,11 @@
   std::uint64_t reportSequence = 0; ///< report that the decision rests on
   order_state state = order_state::eIntended;
 
-  std::uint32_t copiesOut = 0; ///< copies without an answer
+  std::uint32_t copiesOut = 0;        ///< copies without an answer
+  std::uint64_t shownIncarnation = 0; ///< the report that shows what the
+  std::uint64_t shownSequence = 0;    ///< answered copies did, or a later one
   std::uint32_t attempts = 0;
+  bool isTaken = false; ///< the only copy sent is being acted upon
   steady_time nextSend;
   steady_time lastSend;
   steady_time proposedAt;  ///< of the command that waits for the log
@@ -330,6 +333,8 @@
 {
   std::vector<domain_id> domains; ///< those with a usable engine
   std::vector<std::vector<std::size_t>> enginesOfDomain; ///< usable ones
+  std::vector<std::size_t> idleInDomain;
+  pacing_state calls; ///< unresolved calls, those of this plan among them
   std::vector<engine_view> engines;
   std::unordered_map<endpoint_id, std::size_t, id_hash> enginePositions;
   std::vector<copy_counts> models;   ///< by position in the table of models
@@ -407,12 +412,15 @@
 /// False: the report is older than what is known, and changed nothing.
 bool OnReport(tables& aTables, const report& aReport, steady_time aNow);
 
-/// The endpoint answered one copy of aOrder. aIncarnation and aSequence name
-/// the report that came with the answer, which OnReport took first.
+/// The endpoint answered one copy of aOrder. What the copy did shows in each
+/// report of aIncarnation from aSequence on.
 void OnOrderAnswered(tables& aTables,
                      order_id aOrder,
                      std::uint64_t aIncarnation,
                      std::uint64_t aSequence);
+/// The endpoint has a copy of aOrder and will act on it; the report that names
+/// the order tells the outcome.
+void OnOrderTaken(tables& aTables, order_id aOrder, std::uint64_t aIncarnation);
 /// One copy of aOrder never left: no byte of it was sent.
 void OnOrderNotSent(tables& aTables, order_id aOrder);
 
--- a/src/placement/replicas.cpp
+++ b/src/placement/replicas.cpp
@@ -151,6 +151,9 @@
     if (!HasLoadSlot(aTables, order_kind::eLoadModel, aNow)) {
       return;
     }
+    if (view.idleInDomain[wanted.domain] == 0) {
+      continue;
+    }
     const model_row& model = aTables.models.Rows()[wanted.model];
     Place(aTables,
           NeedOf(aTables, need_class::eReplica, model, wanted.domain, aNow),
--- a/src/placement/reports.cpp
+++ b/src/placement/reports.cpp
@@ -4,6 +4,7 @@
 #include "placement/systems.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace bulrush::placement {
 
@@ -109,8 +110,8 @@
   return true;
 }
 
-// The answer counts only when the report that came with it has been taken in:
-// until then the account does not show what the copy did.
+// The answer alone frees nothing: until the report that shows what the copy did
+// has been taken in, the account knows less than the engine.
 void
 OnOrderAnswered(tables& aTables,
                 order_id aOrder,
@@ -121,14 +122,32 @@
   if (order == nullptr || order->copiesOut == 0) {
     return;
   }
-  const engine_row* engine = aTables.engines.Find(order->endpoint);
-  const bool isTakenIn = engine != nullptr && engine->hasReported &&
-                         (aIncarnation < engine->incarnation ||
-                          (aIncarnation == engine->incarnation &&
-                           aSequence <= engine->reportSequence));
-  if (isTakenIn) {
-    --order->copiesOut;
+  --order->copiesOut;
+  if (aIncarnation > order->shownIncarnation) {
+    order->shownIncarnation = aIncarnation;
+    order->shownSequence = aSequence;
+  } else if (aIncarnation == order->shownIncarnation) {
+    order->shownSequence = std::max(order->shownSequence, aSequence);
+  }
+}
+
+// Only a first copy is certain to be the one that the report will name; a later
+// one may make the engine act again, so it stays out. A taken order is sent
+// again late: each load that is sent again takes from the pace of the weight
+// store.
+void
+OnOrderTaken(tables& aTables, order_id aOrder, std::uint64_t aIncarnation)
+{
+  order_row* order = aTables.orders.Find(aOrder);
+  if (order == nullptr || order->copiesOut == 0 || order->attempts != 1 ||
+      !IsUnresolved(*order)) {
+    return;
   }
+  --order->copiesOut;
+  order->isTaken = true;
+  order->shownIncarnation = aIncarnation;
+  order->shownSequence = std::numeric_limits<std::uint64_t>::max();
+  order->nextSend = order->lastSend + aTables.options.resendAtMost;
 }
 
 void
--- a/src/placement/systems.hpp
+++ b/src/placement/systems.hpp
@@ -29,6 +29,9 @@
               const engine_row& aEngine,
               steady_time aNow);
 resident_id ResidentId(endpoint_id aEndpoint, const artifact& aWhat);
+/// Row of the index; nullptr for an endpoint that has not announced itself.
+engine_view* ViewOf(tables& aTables, endpoint_id aEndpoint);
+const engine_view* ViewOf(const tables& aTables, endpoint_id aEndpoint);
 /// Builds the index over the tables.
 void BuildView(tables& aTables, steady_time aNow);
 /// Whether a copy of an unload of aWhat may still reach the engine.
@@ -45,6 +48,12 @@
                                       adapter_id aAdapter);
 /// Free bytes of an engine under its account.
 std::uint64_t FreeBytes(const engine_view& aEngine);
+/// The account of an engine with the orders that it has.
+std::uint64_t ReservedBytes(const tables& aTables,
+                            const engine_row& aEngine,
+                            std::span<const order_id> aOrders);
+/// Whether a copy of a load may make the artifact resident again.
+bool MayReturn(const tables& aTables, const resident_row& aResident);
 /// Bytes that unloading the resident would free: none while a copy of its load
 /// may still arrive.
 std::uint64_t BytesFreed(const tables& aTables, const resident_row& aResident);
@@ -73,6 +82,10 @@
                  std::uint64_t aBytes);
 void IntendUnload(tables& aTables, engine_view& aEngine, const artifact& aWhat);
 order_kind LoadKind(const artifact& aWhat);
+/// Adds a load or an adapter call to the calls in progress.
+void CountCall(pacing_state& aState, order_kind aKind);
+/// Counts the unresolved calls for the index.
+void ViewCalls(tables& aTables, steady_time aNow);
 /// Whether the pacing rule leaves room for one more order of this kind.
 bool HasLoadSlot(const tables& aTables, order_kind aKind, steady_time aNow);
 
--- a/src/placement/tick.cpp
+++ b/src/placement/tick.cpp
@@ -51,7 +51,10 @@
       order.state = order_state::eCommitted;
     }
     order.copiesOut = 0;
+    order.shownIncarnation = 0;
+    order.shownSequence = 0;
     order.attempts = 0;
+    order.isTaken = false;
     order.nextSend = {};
     order.lastSend = {};
     order.isProposed = false;
