Stop an entry host without cutting a request

Cause: SIGTERM stopped the io_contexts, which cut every open stream. Now the host first goes unready while it still serves, then refuses new requests as not run, finishes the open ones, waits until their answers have left, and exits 0.

--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <thread>
 
@@ -13,7 +14,7 @@
 
 constexpr log_part kLog{ "entry" };
 
-constexpr std::array<option_row, 7> kOptions{ {
+constexpr std::array<option_row, 8> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -42,6 +43,13 @@
     "",
     "",
     "Control processes to report to, NAME=IP:PORT, the preferred one first" },
+  { "stop-delay",
+    option_type::eDuration,
+    "",
+    "1s",
+    "0ms",
+    "10min",
+    "How long a stopping host is unready and still takes requests" },
   { "link-keys",
     option_type::eSecretFile,
     "",
@@ -120,6 +128,13 @@
 
   void RunSoon() { mTimer.RunSoon(); }
 
+  void BeginStop()
+  {
+    mTables.isStopping = true;
+    mTables.nextRenewal = steady_time{}; // tell the control host at once
+    mTimer.RunSoon();
+  }
+
   void Report(endpoint_row aRow)
   {
     mTables.reports.push_back(std::move(aRow));
@@ -182,7 +197,8 @@
 {
 public:
   explicit entry_process(const option_values& aOptions)
-    : mControl(mControlContext,
+    : mStopDelay(aOptions.Duration("stop-delay"))
+    , mControl(mControlContext,
                aOptions,
                [this](traffic_view aView) {
                  asio::post(mTrafficContext,
@@ -222,10 +238,7 @@
   {
     const auto guard = asio::make_work_guard(mTrafficContext);
     std::thread traffic([this] { mTrafficContext.run(); });
-    net::OnStopSignal(mControlContext, [this] {
-      LogInfo(kLog, "Stops");
-      mControlContext.stop();
-    });
+    net::OnStopSignal(mControlContext, [this] { BeginStop(); });
     mControl.RunSoon();
     mControlContext.run();
     mTrafficContext.stop();
@@ -233,6 +246,27 @@
   }
 
 private:
+  // First unready, so that the balancer moves on while requests are still
+  // taken; after the delay new ones are refused and those open are finished.
+  void BeginStop()
+  {
+    LogInfo(kLog, "Stops after {}", FormatDuration(mStopDelay));
+    mControl.BeginStop();
+    mStopTimer.expires_after(mStopDelay);
+    mStopTimer.async_wait([this](const std::error_code&) {
+      asio::post(mTrafficContext, [this] {
+        mTraffic.StopWhenIdle(
+          [this] { asio::post(mControlContext, [this] { EndStop(); }); });
+      });
+    });
+  }
+
+  void EndStop()
+  {
+    LogInfo(kLog, "Has finished every request");
+    mControlContext.stop();
+  }
+
   static traffic_settings TrafficSettings(const option_values& aOptions)
   {
     traffic_settings settings;
@@ -286,6 +320,8 @@
 
   asio::io_context mControlContext{ 1 };
   asio::io_context mTrafficContext{ 1 };
+  asio::steady_timer mStopTimer{ mControlContext };
+  std::chrono::milliseconds mStopDelay;
   control_thread mControl;
   traffic_thread mTraffic;
 };
--- a/src/apps/entry_requests.cpp
+++ b/src/apps/entry_requests.cpp
@@ -241,6 +241,12 @@
 
   std::size_t Open() const { return mWaiting.Size(); }
 
+  void WhenIdle(std::function<void()> aOnIdle)
+  {
+    mOnIdle = std::move(aOnIdle);
+    mTimer.RunSoon();
+  }
+
   void SetView(const traffic_view& aView)
   {
     const bool hasNewFleet = mView.fleet != aView.fleet;
@@ -438,9 +444,19 @@
       StartCall(each);
     }
     Sweep();
+    TellIfIdle();
     return mOutbox.wake;
   }
 
+  void TellIfIdle()
+  {
+    if (mOnIdle && mWaiting.Empty()) {
+      const auto hook = std::move(mOnIdle);
+      mOnIdle = nullptr;
+      hook();
+    }
+  }
+
   // Ended calls and requests that the engine no longer knows.
   void Sweep()
   {
@@ -672,6 +688,7 @@
   std::vector<attempt_id> mEnded;
   std::vector<request_id> mAnswered;
   std::unique_ptr<net::http_client> mClient;
+  std::function<void()> mOnIdle;
   net::tick_timer mTimer;
 };
 
@@ -698,6 +715,12 @@
   mImplementation->Start(std::move(aRequest));
 }
 
+void
+request_runner::WhenIdle(std::function<void()> aOnIdle)
+{
+  mImplementation->WhenIdle(std::move(aOnIdle));
+}
+
 std::size_t
 request_runner::Open() const
 {
--- a/src/apps/entry_requests.hpp
+++ b/src/apps/entry_requests.hpp
@@ -46,6 +46,8 @@
   void Start(routed_request aRequest);
   /// Requests whose callers wait, and claimed ones whose outcome is awaited.
   std::size_t Open() const;
+  /// Calls aOnIdle once, as soon as no request is open.
+  void WhenIdle(std::function<void()> aOnIdle);
 
 private:
   class implementation;
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -62,6 +62,13 @@
   }
   std::size_t OpenRequests() const { return mRunner.Open(); }
 
+  void StopWhenIdle(std::function<void()> aOnStopped)
+  {
+    mIsRefusing = true;
+    mRunner.WhenIdle(
+      [this, hook = std::move(aOnStopped)] { mServer->StopWhenFlushed(hook); });
+  }
+
 private:
   void Serve(const net::http_request& aRequest,
              std::shared_ptr<net::http_reply> aReply)
@@ -72,7 +79,15 @@
       SendError(*aReply, error, FormatId(id.value));
       return;
     }
-    if (aRequest.path == "/healthz") {
+    if (mIsRefusing) {
+      SendError(*aReply,
+                { 503,
+                  "stopping",
+                  "this host is being stopped",
+                  false,
+                  std::chrono::seconds(1) },
+                FormatId(id.value));
+    } else if (aRequest.path == "/healthz") {
       aReply->Send(200, {}, "ok\n");
     } else if (aRequest.path == "/readyz") {
       const bool isReady = HasLease() && !mView.isStopping;
@@ -274,6 +289,7 @@
   traffic_view mView;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
+  bool mIsRefusing = false;
   std::uint64_t mLastRequest = 0;
 };
 
@@ -306,6 +322,12 @@
   mImplementation->SetView(std::move(aView));
 }
 
+void
+traffic_thread::StopWhenIdle(std::function<void()> aOnStopped)
+{
+  mImplementation->StopWhenIdle(std::move(aOnStopped));
+}
+
 std::size_t
 traffic_thread::OpenRequests() const
 {
--- a/src/apps/entry_traffic.hpp
+++ b/src/apps/entry_traffic.hpp
@@ -45,6 +45,9 @@
   /// On the thread of the io_context only.
   void SetView(traffic_view aView);
   std::size_t OpenRequests() const;
+  /// Refuses new requests as not run, finishes those it has, then calls
+  /// aOnStopped, once.
+  void StopWhenIdle(std::function<void()> aOnStopped);
 
 private:
   class implementation;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -103,13 +103,37 @@
            found == kPhrases.end() ? "Status" : found->second };
 }
 
+// Answers that were handed over and have not left yet, and who waits for none.
+struct unsent_answers
+{
+  std::size_t count = 0;
+  std::function<void()> onNone;
+
+  void Begin() { ++count; }
+  void End()
+  {
+    --count;
+    TellIfNone();
+  }
+  void TellIfNone()
+  {
+    if (count == 0 && onNone) {
+      const auto hook = std::move(onNone);
+      onNone = nullptr;
+      hook();
+    }
+  }
+};
+
 class restinio_reply
   : public http_reply
   , public std::enable_shared_from_this<restinio_reply>
 {
 public:
-  explicit restinio_reply(restinio::request_handle_t aRequest)
+  restinio_reply(restinio::request_handle_t aRequest,
+                 std::shared_ptr<unsent_answers> aUnsent)
     : mRequest(std::move(aRequest))
+    , mUnsent(std::move(aUnsent))
     , mKeepsAlive(mRequest->header().should_keep_alive())
   {
   }
@@ -125,7 +149,7 @@
     auto response = mRequest->create_response(StatusLine(aStatus));
     SetFields(response, aFields);
     response.set_body(std::move(aBody));
-    response.done();
+    response.done(CountUntilSent());
   }
 
   void Start(int aStatus, const std::vector<http_field>& aFields) override
@@ -160,7 +184,7 @@
       return;
     }
     mIsEnded = true;
-    mChunks->done();
+    mChunks->done(CountUntilSent());
   }
 
   // RESTinio closes a connection whose response is dropped before done():
@@ -195,6 +219,12 @@
   }
 
 private:
+  restinio::write_status_cb_t CountUntilSent()
+  {
+    mUnsent->Begin();
+    return [unsent = mUnsent](const auto&) { unsent->End(); };
+  }
+
   template<class response>
   void SetFields(response& aResponse, const std::vector<http_field>& aFields)
   {
@@ -219,6 +249,7 @@
   }
 
   restinio::request_handle_t mRequest;
+  std::shared_ptr<unsent_answers> mUnsent;
   std::optional<restinio::response_builder_t<restinio::chunked_output_t>>
     mChunks;
   std::size_t mUnsentBytes = 0;
@@ -274,7 +305,13 @@
   }
 
   std::uint16_t Port() const override { return mPort; }
-  void StopAccepting() override { mServer.close_sync(); }
+
+  void StopWhenFlushed(std::function<void()> aOnFlushed) override
+  {
+    mServer.close_sync();
+    mUnsent->onNone = std::move(aOnFlushed);
+    mUnsent->TellIfNone();
+  }
 
 private:
   template<class settings>
@@ -325,7 +362,7 @@
                   aRequest->remote_endpoint().address().to_string(),
                   aRequest->remote_endpoint().port());
     const auto connection = aRequest->connection_id();
-    auto reply = std::make_shared<restinio_reply>(std::move(aRequest));
+    auto reply = std::make_shared<restinio_reply>(std::move(aRequest), mUnsent);
     mListener->Add(connection, reply);
     mOnRequest(std::move(request), std::move(reply));
     return restinio::request_accepted();
@@ -333,6 +370,7 @@
 
   std::shared_ptr<connection_listener> mListener;
   request_hook mOnRequest;
+  std::shared_ptr<unsent_answers> mUnsent = std::make_shared<unsent_answers>();
   std::uint16_t mPort = 0;
   restinio::http_server_t<server_traits> mServer;
 };
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -90,8 +90,9 @@
   /// The port that is listened on.
   virtual std::uint16_t Port() const = 0;
 
-  /// Takes no new connections; those open finish their answers.
-  virtual void StopAccepting() = 0;
+  /// Takes no new connections. aOnFlushed is called once, when every answer
+  /// that was given has left or lost its connection.
+  virtual void StopWhenFlushed(std::function<void()> aOnFlushed) = 0;
 };
 
 /// Listens; nullopt with a reason when the address cannot be bound.
