--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,7 @@
 
 bench: build
 	$(BUILD)/bulrush-bench
+
+# Sweeps hosts, endpoints, models and changes; prints slopes for CAPACITY.md.
+capacity: build
+	tools/capacity $(BUILD)
--- a/src/apps/swarm_main.cpp
+++ b/src/apps/swarm_main.cpp
@@ -26,13 +26,13 @@
     "",
     "",
     "Control process that is measured" },
-  { "pid",
-    option_type::eInteger,
+  { "pids",
+    option_type::eList,
+    "",
     "",
-    "0",
-    "0",
     "",
-    "Its process id, to read its processor time and memory" },
+    "",
+    "Process ids whose processor time and memory are measured" },
   { "domain",
     option_type::eText,
     "",
@@ -74,7 +74,7 @@
     "10s",
     "1s",
     "10min",
-    "How long to measure, after as long a warm-up of two seconds" },
+    "How long to measure, after a warm-up of two seconds" },
   { "link-keys",
     option_type::eSecretFile,
     "",
@@ -135,7 +135,6 @@
 public:
   swarm_process(asio::io_context& aContext, const option_values& aOptions)
     : mContext(aContext)
-    , mPid(aOptions.Integer("pid"))
     , mMeasure(aOptions.Duration("seconds"))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
     , mPhase(aContext)
@@ -150,6 +149,9 @@
     settings.reportEvery = aOptions.Duration("report-every");
     mTables.incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
+    for (const std::string& pid : aOptions.List("pids")) {
+      mPids.push_back(std::stoll(pid));
+    }
     AddHosts(mTables, std::chrono::steady_clock::now());
   }
 
@@ -193,7 +195,9 @@
 
   void Begin()
   {
-    mBefore = ReadUsage(mPid);
+    for (const std::int64_t pid : mPids) {
+      mBefore.push_back(ReadUsage(pid));
+    }
     for (swarm_host& host : mTables.hosts) {
       host.bytesSent = 0;
       host.bytesReceived = 0;
@@ -202,10 +206,11 @@
     After(mMeasure, [this] { End(); });
   }
 
-  // One CSV row: what the sweep asked for and what was measured.
+  // One CSV row: what the sweep asked for, bytes and leases for each host and
+  // second, then processor share in percent of a core and megabytes in memory
+  // for each process id.
   void End()
   {
-    const process_usage after = ReadUsage(mPid);
     std::uint64_t sent = 0;
     std::uint64_t received = 0;
     std::uint64_t leases = 0;
@@ -215,19 +220,24 @@
       leases += host.leases;
     }
     const double seconds = std::chrono::duration<double>(mMeasure).count();
-    const auto hosts = static_cast<double>(mTables.hosts.Size());
-    fmt::print(
-      "{},{},{},{:.4f},{:.2f},{:.1f},{:.1f},{:.2f}\n",
-      mTables.hosts.Size(),
-      mTables.settings.endpointsPerHost,
-      mTables.settings.residentsPerEndpoint,
-      std::chrono::duration<double>(after.processor - mBefore.processor)
-          .count() /
-        seconds * 100,
-      static_cast<double>(after.residentBytes) / 1e6,
-      static_cast<double>(sent) / hosts / seconds,
-      static_cast<double>(received) / hosts / seconds,
-      static_cast<double>(leases) / hosts / seconds);
+    const double hostSeconds =
+      static_cast<double>(mTables.hosts.Size()) * seconds;
+    fmt::print("{},{},{},{:.1f},{:.1f},{:.2f}",
+               mTables.hosts.Size(),
+               mTables.settings.endpointsPerHost,
+               mTables.settings.residentsPerEndpoint,
+               static_cast<double>(sent) / hostSeconds,
+               static_cast<double>(received) / hostSeconds,
+               static_cast<double>(leases) / hostSeconds);
+    for (std::size_t i = 0; i < mPids.size(); ++i) {
+      const process_usage after = ReadUsage(mPids[i]);
+      const std::chrono::duration<double> busy =
+        after.processor - mBefore[i].processor;
+      fmt::print(",{:.3f},{:.2f}",
+                 busy.count() / seconds * 100,
+                 static_cast<double>(after.residentBytes) / 1e6);
+    }
+    fmt::print("\n");
     mContext.stop();
   }
 
@@ -258,9 +268,9 @@
 
   asio::io_context& mContext;
   swarm_tables mTables;
-  std::int64_t mPid;
+  std::vector<std::int64_t> mPids;
   std::chrono::milliseconds mMeasure;
-  process_usage mBefore;
+  std::vector<process_usage> mBefore;
   net::tick_timer mTimer;
   asio::steady_timer mPhase;
   std::unordered_map<host_id, std::unique_ptr<net::link_client>, id_hash>
