--- a/src/apps/load_process.cpp
+++ b/src/apps/load_process.cpp
@@ -286,10 +286,10 @@
   // The ready host that was sent least; any host if none is ready.
   entry_row& ChooseEntry()
   {
-    entry_row* best = nullptr;
+    entry_row* best = &mEntries.Rows().front();
     for (entry_row& entry : mEntries) {
       const bool isBetter =
-        best == nullptr || (entry.isReady && !best->isReady) ||
+        (entry.isReady && !best->isReady) ||
         (entry.isReady == best->isReady && entry.sent < best->sent);
       if (isBetter) {
         best = &entry;
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr const char* kJsonType = "Content-Type: application/json";
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMegabyte = 1U << 20U;
 
 // A TCP connection that sends whatever a test wants.
 class raw_connection
@@ -296,8 +296,7 @@
 {
   const std::string start = "POST /v1/completions HTTP/1.1\r\nHost: a\r\n";
   for (const std::string& bytes :
-       { std::string(
-           "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 tls\r\n\r\n"),
+       { std::string("\x16\x03\x01\x02\x01\x01\xfc\x03\x03 tls\r\n\r\n"),
          std::string(100, '\0'),
          std::string("NONSENSE\r\n\r\n"),
          start + "Content-Length: many\r\n\r\n",
