--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,202 @@
+# Functions that start a fleet on loopback and stop it by process id. Sourced by
+# the scripts beside it, which set: build, manifest, domains.
+
+# ---------------------------------------------------------------- processes
+
+work=$(mktemp -d)
+declare -A pid_of
+
+# Asks every program to stop and waits for it. Not one may fail at that.
+stop_all() {
+  trap - EXIT INT TERM
+  local name status failed=0
+  for name in "${!pid_of[@]}"; do
+    kill -TERM "${pid_of[$name]}" 2>/dev/null || true
+  done
+  for name in "${!pid_of[@]}"; do
+    status=0
+    wait "${pid_of[$name]}" 2>/dev/null || status=$?
+    if [ "$status" -ne 0 ]; then
+      echo "$(basename "$0"): $name stopped with $status"
+      failed=1
+    fi
+  done
+  return $failed
+}
+finish() {
+  local code=$?
+  stop_all || code=1
+  if [ "$code" -ne 0 ]; then
+    echo "$(basename "$0"): FAILED; logs are kept in $work"
+    grep -hE " (warning|error): " "$work"/*.log | tail -n 20 || true
+  else
+    rm -rf "$work"
+  fi
+  exit "$code"
+}
+trap finish EXIT
+trap 'exit 130' INT TERM
+
+# Waits for a program's own end and gives its exit code. It is forgotten, for
+# its process id may come to belong to another.
+await_end() {
+  local pid=${pid_of[$1]}
+  unset "pid_of[$1]"
+  wait "$pid" 2>/dev/null
+}
+
+# Ends a program at once, as a crash does.
+crash() {
+  kill -KILL "${pid_of[$1]}"
+  await_end "$1" || true
+  echo "$(basename "$0"): killed $1"
+}
+
+fail() {
+  echo "$(basename "$0"): $1"
+  exit 1
+}
+
+# A port below the ephemeral range on which nobody listens now.
+last_port=$((20000 + RANDOM % 10000))
+free_port() {
+  while :; do
+    last_port=$((last_port + 1))
+    if ! (exec 3<>"/dev/tcp/127.0.0.1/$last_port") 2>/dev/null; then
+      port=$last_port
+      return
+    fi
+  done
+}
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  pid_of[$name]=$!
+}
+
+join() {
+  local IFS=,
+  echo "$*"
+}
+
+# Waits for a command to succeed, 20 s at most.
+await() {
+  local what=$1
+  shift
+  for _ in $(seq 1 200); do
+    if "$@" >/dev/null 2>&1; then
+      return
+    fi
+    sleep 0.1
+  done
+  fail "$what did not come about within 20 s"
+}
+
+ctl() {
+  "$build/bulrushctl" --control "$(join "${control_addresses[@]}")" \
+    --credential "$work/credential" --link-keys "$work/link-keys" "$@"
+}
+
+# ---------------------------------------------------------------- the fleet
+
+gigabyte=1000000000
+control_addresses=()
+control_names=()
+entries=()
+declare -A entries_of
+engines=()
+services=()
+
+# Starts control, entry hosts, engines and services of every failure domain.
+# usage: start_fleet ENTRIES_PER_DOMAIN ENGINES_PER_DOMAIN
+start_fleet() {
+  umask 077
+  head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$work/credential"
+
+  "$build/bulrushctl" keygen "$work/link-keys"
+
+  for domain in "${domains[@]}"; do
+    free_port
+    control_addresses+=("127.0.0.1:$port")
+    control_names+=("control-$domain=127.0.0.1:$port")
+  done
+
+  for i in "${!domains[@]}"; do
+    peers=()
+    for j in "${!domains[@]}"; do
+      [ "$i" -eq "$j" ] || peers+=("${control_names[$j]}")
+    done
+    mkdir -p "$work/data-${domains[$i]}"
+    start "control-${domains[$i]}" "$build/bulrush-control" \
+      --name "control-${domains[$i]}" --domain "${domains[$i]}" \
+      --listen "${control_addresses[$i]}" --peers "$(join "${peers[@]}")" \
+      --data "$work/data-${domains[$i]}" --credential "$work/credential" \
+      --link-keys "$work/link-keys"
+  done
+
+  for i in "${!domains[@]}"; do
+    domain=${domains[$i]}
+    # The control host of its own failure domain comes first.
+    controls=("${control_names[$i]}")
+    for j in "${!domains[@]}"; do
+      [ "$i" -eq "$j" ] || controls+=("${control_names[$j]}")
+    done
+    for number in $(seq 1 "$1"); do
+      free_port
+      entries+=("127.0.0.1:$port")
+      entries_of[$domain]+="${entries_of[$domain]:+,}127.0.0.1:$port"
+      start "entry-$domain-$number" "$build/bulrush-entry" \
+        --name "entry-$domain-$number" --domain "$domain" \
+        --listen "127.0.0.1:$port" --control "$(join "${controls[@]}")" \
+        --credential "$work/credential" --link-keys "$work/link-keys"
+    done
+  done
+
+  for domain in "${domains[@]}"; do
+    for number in $(seq 1 "$2"); do
+      free_port
+      engines+=("127.0.0.1:$port")
+      start "engine-$domain-$number" "$build/fake-endpoint" \
+        --name "engine-$domain-$number" --domain "$domain" \
+        --listen "127.0.0.1:$port" --report-to "${entries_of[$domain]}" \
+        --memory $((80 * gigabyte)) --slots 64 --cold-slots 16 \
+        --models "$(join diary-draft:1:$((20 * gigabyte)) \
+          almanac-draft:1:$((20 * gigabyte)) proof:1:$((10 * gigabyte)))"
+    done
+  done
+  for domain in "${domains[@]}"; do
+    free_port
+    services+=("127.0.0.1:$port")
+    start "desk-$domain" "$build/fake-endpoint" --name "desk-$domain" \
+      --domain "$domain" --listen "127.0.0.1:$port" \
+      --report-to "${entries_of[$domain]}" --services desk --slots 64
+  done
+}
+
+# Applies the manifest, issues a key to each workspace named and waits until
+# every entry host is ready.
+start_service() {
+  await "a leader" ctl status
+  ctl apply "$manifest"
+  mkdir "$work/keys"
+  for workspace in "$@"; do
+    ctl key issue "$workspace" --key-file "$work/keys/$workspace"
+  done
+  for entry in "${entries[@]}"; do
+    await "readiness of $entry" curl -fsS "http://$entry/readyz"
+  done
+}
+
+# Sends a caller's request to the first entry host. The key comes from a file of
+# options: the command line is for all to see.
+# usage: ask WORKSPACE PATH [CURL_OPTION...]
+ask() {
+  local workspace=$1 path=$2
+  shift 2
+  printf 'header = "Authorization: Bearer %s"\n' \
+    "$(cat "$work/keys/$workspace")" >"$work/curl.conf"
+  curl -sS -N --max-time 10 -K "$work/curl.conf" \
+    -H 'Content-Type: application/json' "http://${entries[0]}$path" "$@"
+}
