--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test format lint fuzz bench demo capacity
+.PHONY: deps build test format lint fuzz bench demo capacity first-token settings
 
 deps:
 	tools/install_packages
@@ -11,6 +11,15 @@
 	cmake -S . -B $(BUILD) -G Ninja
 	cmake --build $(BUILD) -j $(JOBS)
 
+demo: deps build
+	tools/demo $(BUILD)
+
+first-token: build
+	tools/first_token $(BUILD)
+
+settings: build
+	tools/write_settings $(BUILD)
+
 test: build
 	tools/run_tests $(BUILD)
 
--- a/src/settings/load.cpp
+++ b/src/settings/load.cpp
@@ -337,10 +337,15 @@
 std::string
 RangeOf(const option_row& aRow)
 {
-  if (*aRow.least == '\0' && *aRow.most == '\0') {
-    return {};
+  const std::string least = aRow.least;
+  const std::string most = aRow.most;
+  if (!least.empty() && !most.empty()) {
+    return fmt::format("{} to {}", least, most);
   }
-  return fmt::format("{} to {}", aRow.least, aRow.most);
+  if (!least.empty()) {
+    return "at least " + least;
+  }
+  return most.empty() ? std::string() : "at most " + most;
 }
 
 } // namespace
