Record metrics and spans of every hop of an entry; join them by bulrushctl trace

Change: entry_recorder stands around replies and the client, so routing knows nothing of it: a server span for the caller, a client span for each attempt, joined by traceparent; the answer names its trace in Bulrush-Trace. /metrics gives counters, histograms and the host's gauges. bulrushctl trace ID prints the hops from files of spans. Settings: spans, spans-size, trace-share, log-level. Control processes write no spans yet.

--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -422,6 +422,7 @@
       [](settings, word aName, last_reason& aWhy) {
         return MakeLinkKeyFile(aName, aWhy);
       } },
+    { "trace", "", 1, ShowTrace },
     { "key", "issue", 1, IssueKey },
     { "key",
       "withdraw",
--- a/src/apps/ctl_commands.hpp
+++ b/src/apps/ctl_commands.hpp
@@ -31,6 +31,7 @@
   std::chrono::milliseconds wait{ 8'000 }; ///< until in force everywhere
   std::optional<std::uint64_t> expectedRevision;
   std::filesystem::path keyFile;
+  std::vector<std::string> spanFiles; ///< that trace reads
   bool isJson = false;
 };
 
@@ -55,6 +56,11 @@
                const std::vector<std::string>& aWords,
                last_reason& aWhy);
 
+/// Prints the hops of a trace from files of spans, in their order.
+int ShowTrace(const call_settings& aSettings,
+              const std::string& aTrace,
+              last_reason& aWhy);
+
 } // namespace bulrush::ctl
 
 #endif
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -8,7 +8,7 @@
 
 constexpr log_part kLog{ "ctl" };
 
-constexpr std::array<option_row, 8> kOptions{ {
+constexpr std::array<option_row, 9> kOptions{ {
   { "control",
     option_type::eAddressList,
     "",
@@ -65,6 +65,13 @@
     "",
     "",
     "key issue: where to write the new key; standard output if not set" },
+  { "spans",
+    option_type::eList,
+    "",
+    "",
+    "",
+    "",
+    "trace: files of spans, gathered from the hosts" },
 } };
 
 constexpr program_options kProgram{
@@ -74,7 +81,7 @@
   "keygen FILE | apply FILE | diff FILE | check FILE | status | key issue "
   "WORKSPACE | "
   "key withdraw HASH-OR-FILE | endpoint drain NAME | endpoint undrain NAME | "
-  "domain take-out NAME | domain bring-back NAME"
+  "domain take-out NAME | domain bring-back NAME | trace ID"
 };
 
 int
@@ -92,6 +99,7 @@
   settings.timeout = options->Duration("timeout");
   settings.wait = options->Duration("wait");
   settings.isJson = options->Flag("json");
+  settings.spanFiles = options->List("spans");
   settings.keyFile = options->Path("key-file");
   if (options->Integer("expect") >= 0) {
     settings.expectedRevision =
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -13,7 +13,7 @@
 
 constexpr log_part kLog{ "entry" };
 
-constexpr std::array<option_row, 7> kOptions{ {
+constexpr std::array<option_row, 11> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -63,6 +63,34 @@
     "",
     "",
     "File with the secret that endpoints present with their reports" },
+  { "spans",
+    option_type::ePath,
+    "",
+    "",
+    "",
+    "",
+    "File for spans as OTLP/JSON lines; none are written without it" },
+  { "spans-size",
+    option_type::eInteger,
+    "bytes",
+    "67108864",
+    "1048576",
+    "",
+    "Size at which the file of spans is renamed to FILE.1" },
+  { "trace-share",
+    option_type::eDecimal,
+    "",
+    "0.01",
+    "0",
+    "1",
+    "Share of requests without a traceparent whose spans are written" },
+  { "log-level",
+    option_type::eText,
+    "",
+    "info",
+    "",
+    "",
+    "Lines that are written: debug, info, warning or error and above" },
 } };
 
 constexpr program_options kProgram{
@@ -181,7 +209,7 @@
 class entry_process
 {
 public:
-  explicit entry_process(const option_values& aOptions)
+  entry_process(const option_values& aOptions, span_writer aSpans)
     : mControl(mControlContext,
                aOptions,
                [this](traffic_view aView) {
@@ -190,7 +218,9 @@
                               mTraffic.SetView(std::move(view));
                             });
                })
-    , mTraffic(mTrafficContext, TrafficSettings(aOptions), Hooks())
+    , mTraffic(mTrafficContext,
+               TrafficSettings(aOptions, std::move(aSpans)),
+               Hooks())
   {
   }
 
@@ -233,7 +263,8 @@
   }
 
 private:
-  static traffic_settings TrafficSettings(const option_values& aOptions)
+  static traffic_settings TrafficSettings(const option_values& aOptions,
+                                          span_writer aSpans)
   {
     traffic_settings settings;
     const host_address listen = *aOptions.Address("listen");
@@ -241,6 +272,9 @@
     settings.http.port = listen.port;
     settings.hostName = aOptions.Text("name");
     settings.domain = aOptions.Text("domain");
+    settings.recording.thread = "traffic";
+    settings.recording.writer = std::move(aSpans);
+    settings.recording.traceShare = aOptions.Decimal("trace-share");
     return settings;
   }
 
@@ -290,6 +324,19 @@
   traffic_thread mTraffic;
 };
 
+std::optional<span_writer>
+OpenSpans(const option_values& aOptions, last_reason& aWhy)
+{
+  if (!aOptions.IsSet("spans")) {
+    return span_writer();
+  }
+  return FileSpanWriter(
+    aOptions.Path("spans"),
+    { "bulrush-entry", aOptions.Text("name"), aOptions.Text("domain") },
+    static_cast<std::uint64_t>(aOptions.Integer("spans-size")),
+    aWhy);
+}
+
 int
 Run(int aCount, char** aWords)
 {
@@ -298,8 +345,15 @@
   if (!options) {
     return exitCode;
   }
-  entry_process process(*options);
   last_reason why;
+  const auto level = ParseLogLevel(options->Text("log-level"), why);
+  const auto spans = level ? OpenSpans(*options, why) : std::nullopt;
+  if (!spans) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  SetLogLevel(*level);
+  entry_process process(*options, *spans);
   if (!process.Start(*options, why)) {
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
--- a/src/apps/entry_requests.cpp
+++ b/src/apps/entry_requests.cpp
@@ -230,11 +230,12 @@
 public:
   implementation(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
+                 std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand)
     : mOnCommand(std::move(aOnCommand))
     , mTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings))
-    , mClient(net::MakeHttpClient(aContext))
+    , mClient(std::move(aClient))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
   }
@@ -677,9 +678,11 @@
 
 request_runner::request_runner(asio::io_context& aContext,
                                const request_runner_settings& aSettings,
+                               std::unique_ptr<net::http_client> aClient,
                                commit_hook aOnCommand)
   : mImplementation(std::make_unique<implementation>(aContext,
                                                      aSettings,
+                                                     std::move(aClient),
                                                      std::move(aOnCommand)))
 {
 }
--- a/src/apps/entry_requests.hpp
+++ b/src/apps/entry_requests.hpp
@@ -36,6 +36,7 @@
 public:
   request_runner(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
+                 std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand);
   ~request_runner();
   request_runner(const request_runner&) = delete;
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -33,7 +33,11 @@
     : mContext(aContext)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
-    , mRunner(aContext, { mSettings.domain, NewSeed() }, mHooks.onCommand)
+    , mRecorder(Seeded(mSettings.recording))
+    , mRunner(aContext,
+              { mSettings.domain, NewSeed() },
+              mRecorder.Record(net::MakeHttpClient(aContext)),
+              mHooks.onCommand)
   {
   }
 
@@ -44,7 +48,7 @@
       mSettings.http,
       [this](net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply) {
-        Serve(aRequest, std::move(aReply));
+        Serve(std::move(aRequest), std::move(aReply));
       },
       aWhy);
     if (!server) {
@@ -63,7 +67,21 @@
   std::size_t OpenRequests() const { return mRunner.Open(); }
 
 private:
-  void Serve(const net::http_request& aRequest,
+  static recorder_settings Seeded(recorder_settings aSettings)
+  {
+    aSettings.seed = NewSeed();
+    return aSettings;
+  }
+
+  std::string MetricsPage()
+  {
+    return mRecorder.Page({ mView.fleet->revision,
+                            mView.endpoints->size(),
+                            mRunner.Open(),
+                            HasLease() });
+  }
+
+  void Serve(net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
@@ -77,15 +95,29 @@
     } else if (aRequest.path == "/readyz") {
       const bool isReady = HasLease() && !mView.isStopping;
       aReply->Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
+    } else if (aRequest.path == "/metrics") {
+      aReply->Send(200,
+                   { { "Content-Type", "text/plain; version=0.0.4" } },
+                   MetricsPage());
     } else if (aRequest.path == "/v1/endpoints/report") {
       TakeReport(aRequest, *aReply, id);
-    } else if (aRequest.path == "/v1/models") {
-      ListModels(aRequest, *aReply, id);
+    } else {
+      aReply = mRecorder.Record(aRequest, std::move(aReply));
+      ServeCaller(aRequest, std::move(aReply), id);
+    }
+  }
+
+  void ServeCaller(const net::http_request& aRequest,
+                   std::shared_ptr<net::http_reply> aReply,
+                   request_id aId)
+  {
+    if (aRequest.path == "/v1/models") {
+      ListModels(aRequest, *aReply, aId);
     } else if (aRequest.path == "/v1/completions" ||
                aRequest.path == "/v1/chat/completions") {
-      Complete(aRequest, std::move(aReply), id);
+      Complete(aRequest, std::move(aReply), aId);
     } else {
-      CallService(aRequest, std::move(aReply), id);
+      CallService(aRequest, std::move(aReply), aId);
     }
   }
 
@@ -272,6 +304,7 @@
   traffic_settings mSettings;
   control_hooks mHooks;
   traffic_view mView;
+  recorder mRecorder;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
   std::uint64_t mLastRequest = 0;
--- a/src/apps/entry_traffic.hpp
+++ b/src/apps/entry_traffic.hpp
@@ -5,6 +5,7 @@
 /// endpoints on the other. It owns its request rows and reads the view that
 /// the control thread published last.
 
+#include "apps/entry_recorder.hpp"
 #include "apps/entry_tables.hpp"
 #include "net/net.hpp"
 
@@ -26,6 +27,7 @@
   net::http_server_settings http;
   std::string hostName;
   std::string domain;
+  recorder_settings recording;
   std::string endpointSecret; ///< empty: reports need none
 };
 
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -10,12 +10,12 @@
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_requests.cpp src/apps/entry_answer.cpp
-  src/apps/entry_http.cpp)
+  src/apps/entry_http.cpp src/apps/entry_recorder.cpp)
 target_link_libraries(bulrush-entry PRIVATE bulrush_routing)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
 bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
-  src/apps/ctl_commands.cpp)
+  src/apps/ctl_commands.cpp src/apps/ctl_trace.cpp)
 bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
 target_link_libraries(bulrush-load PRIVATE bulrush_load)
 
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -347,17 +347,17 @@
 fleet::StartEntry(std::size_t aIndex)
 {
   const std::size_t domain = aIndex / mOptions.entriesPerDomain;
-  entries[aIndex] = std::make_unique<process>(
-    "bulrush-entry",
-    std::vector<std::string>{ "--name",
-                              "entry-" + std::to_string(aIndex),
-                              "--domain",
-                              mOptions.domains[domain],
-                              "--listen",
-                              EntryAddress(aIndex),
-                              "--control",
-                              ControlList(domain) },
-    folder);
+  std::vector<std::string> arguments = {
+    "--name",    "entry-" + std::to_string(aIndex),
+    "--domain",  mOptions.domains[domain],
+    "--listen",  EntryAddress(aIndex),
+    "--control", ControlList(domain),
+  };
+  arguments.insert(arguments.end(),
+                   mOptions.entryArguments.begin(),
+                   mOptions.entryArguments.end());
+  entries[aIndex] =
+    std::make_unique<process>("bulrush-entry", arguments, folder);
 }
 
 finished
@@ -375,7 +375,7 @@
 nlohmann::json
 fleet::Status() const
 {
-  const finished result = Ctl({ "--json", "true", "status" });
+  const finished result = Ctl({ "--json", "status" });
   return nlohmann::json::parse(result.output, nullptr, false);
 }
 
