--- /dev/null
+++ b/src/apps/control_log.cpp
@@ -0,0 +1,522 @@
+#include "apps/control_log.hpp"
+
+#include "apps/control_tables.hpp"
+
+#include <algorithm>
+
+namespace bulrush::control {
+namespace {
+
+constexpr std::chrono::milliseconds kHelloEvery{ 200 };
+constexpr std::chrono::milliseconds kHelloFresh{ 1'000 };
+constexpr std::chrono::milliseconds kReplaceTimeout{ 5'000 };
+constexpr std::uint32_t kMaxReplaceHops = 2;
+constexpr unsigned kTermBits = 24;
+
+// A position names one entry for good: the entry that another leader put at
+// the same index has another one, so no caller gets another's answer.
+position_id
+PositionOf(log_position aPosition)
+{
+  return position_id{ (aPosition.index << kTermBits) |
+                      (aPosition.term & ((1U << kTermBits) - 1)) };
+}
+
+replica_id
+NewIdentity()
+{
+  std::random_device device;
+  const std::uint64_t high = device();
+  const std::uint64_t low = device();
+  return replica_id{ (high << 32U) | low | 1U };
+}
+
+std::string
+NameOf(const log_tables& aLog, replica_id aIdentity)
+{
+  for (const log_member& member : aLog.replica.members) {
+    if (member.id == aIdentity) {
+      return member.name;
+    }
+  }
+  for (const known_replica& known : aLog.known) {
+    if (known.identity == aIdentity) {
+      return known.name;
+    }
+  }
+  return "";
+}
+
+const log_member*
+MemberNamed(const log_tables& aLog, const std::string& aName)
+{
+  for (const log_member& member : aLog.replica.members) {
+    if (member.name == aName) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsMember(const log_tables& aLog, replica_id aIdentity)
+{
+  return std::any_of(aLog.replica.members.begin(),
+                     aLog.replica.members.end(),
+                     [&](const log_member& aMember) {
+                       return aMember.id == aIdentity;
+                     });
+}
+
+bool
+IsVoter(const log_tables& aLog, replica_id aIdentity)
+{
+  return std::any_of(aLog.replica.members.begin(),
+                     aLog.replica.members.end(),
+                     [&](const log_member& aMember) {
+                       return aMember.id == aIdentity &&
+                              aMember.kind == member_kind::eVoter;
+                     });
+}
+
+wire::replica_hello
+HelloOf(const control_tables& aTables)
+{
+  const log_tables& log = *aTables.replicated;
+  wire::replica_hello hello;
+  hello.log = log.replica.settings.log;
+  hello.identity = log.replica.self;
+  hello.isEmpty = IsEmpty(log.replica) && log.replica.vote.term == 0;
+  hello.nonce = aTables.self.incarnation;
+  return hello;
+}
+
+// Says who runs on which folder. Only a fresh answer to a question of this
+// very process counts towards founding a log.
+void
+TakeHello(control_tables& aTables,
+          const received& aInput,
+          const wire::replica_hello& aHello,
+          steady_time aNow,
+          control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  const std::string& name = aInput.message.sender;
+  if (aHello.log != log.replica.settings.log ||
+      name == aTables.self.name) {
+    return;
+  }
+  known_replica* known = log.known.Find(IdOf<replica_id>(name));
+  if (known == nullptr) {
+    return; // not in the settings
+  }
+  known->identity = aHello.identity;
+  known->isEmpty = aHello.isEmpty;
+  known->heardAt = aNow;
+  if (aHello.isAnswer) {
+    known->hasAnswered = aHello.nonce == aTables.self.incarnation;
+    return;
+  }
+  wire::replica_hello answer = HelloOf(aTables);
+  answer.isAnswer = true;
+  answer.nonce = aHello.nonce;
+  aOutbox.messages.push_back({ "", name, std::move(answer) });
+}
+
+void
+Answer(control_outbox& aOutbox,
+       const std::string& aPeer,
+       std::uint64_t aCall,
+       wire::call_outcome aOutcome,
+       command_result aResult,
+       std::string aText)
+{
+  wire::command_reply reply;
+  reply.call = aCall;
+  reply.outcome = aOutcome;
+  reply.result = std::move(aResult);
+  reply.text = std::move(aText);
+  aOutbox.messages.push_back({ aPeer, "", std::move(reply) });
+}
+
+void
+Refuse(control_outbox& aOutbox,
+       const received& aInput,
+       std::uint64_t aCall,
+       std::string aCode,
+       std::string aText)
+{
+  command_result result;
+  result.code = std::move(aCode);
+  result.text = std::move(aText);
+  Answer(aOutbox,
+         aInput.peer,
+         aCall,
+         wire::call_outcome::eDecided,
+         std::move(result),
+         "");
+}
+
+// Passes a call on to the leader. Its answer comes back over the table of
+// calls, as that of a command does.
+void
+PassOnReplace(control_tables& aTables,
+              const received& aInput,
+              const wire::replace_call& aCall,
+              steady_time aNow,
+              control_outbox& aOutbox)
+{
+  const std::string leader = aTables.log.leaderName();
+  if (leader.empty() || leader == aTables.self.name ||
+      aCall.hops >= kMaxReplaceHops) {
+    Answer(aOutbox,
+           aInput.peer,
+           aCall.call,
+           wire::call_outcome::eNoLeader,
+           {},
+           "no leader is known");
+    return;
+  }
+  pending_call row;
+  row.id = call_id{ ++aTables.lastCall };
+  row.peer = aInput.peer;
+  row.call = aCall.call;
+  row.deadline = aNow + kReplaceTimeout;
+  aTables.calls.Insert(row);
+  wire::replace_call passed = aCall;
+  passed.call = aTables.lastCall;
+  ++passed.hops;
+  aOutbox.messages.push_back({ "", leader, std::move(passed) });
+}
+
+// A resend finds the replacement under way, or done, and changes nothing.
+void
+TakeReplace(control_tables& aTables,
+            const received& aInput,
+            const wire::replace_call& aCall,
+            steady_time aNow,
+            control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  if (aCall.credential != aTables.self.credential) {
+    Answer(aOutbox,
+           aInput.peer,
+           aCall.call,
+           wire::call_outcome::eRefused,
+           {},
+           "the credential is not accepted");
+    return;
+  }
+  if (!IsLeaseHeld(log.replica, aNow)) {
+    PassOnReplace(aTables, aInput, aCall, aNow, aOutbox);
+    return;
+  }
+  const known_replica* newcomer =
+    log.known.Find(IdOf<replica_id>(aCall.newName));
+  const bool isSelf = aCall.newName == aTables.self.name;
+  if (!isSelf && (newcomer == nullptr || !newcomer->identity)) {
+    const log_member* member = MemberNamed(log, aCall.newName);
+    Refuse(aOutbox,
+           aInput,
+           aCall.call,
+           "unknown_replica",
+           aCall.newName + (member == nullptr
+                              ? " has not been heard of"
+                              : " is a member and has no new data folder"));
+    return;
+  }
+  const replica_id newIdentity =
+    isSelf ? log.replica.self : newcomer->identity;
+  const log_member* old = MemberNamed(log, aCall.oldName);
+  replace_row row;
+  row.id = { ++log.lastReplacement };
+  row.peer = aInput.peer;
+  row.call = aCall.call;
+  row.newIdentity = newIdentity;
+  row.oldIdentity = old == nullptr ? replica_id{} : old->id;
+  row.deadline = aNow + kReplaceTimeout;
+  if (row.oldIdentity == newIdentity) {
+    row.oldIdentity = {};
+  }
+  // During a replacement by the same name both identities have that name.
+  for (const log_member& member : log.replica.members) {
+    if (member.name == aCall.oldName && member.id != newIdentity) {
+      row.oldIdentity = member.id;
+    }
+  }
+  if (!row.oldIdentity && !IsVoter(log, newIdentity)) {
+    Refuse(aOutbox,
+           aInput,
+           aCall.call,
+           "unknown_replica",
+           aCall.oldName + " is not a member");
+    return;
+  }
+  if (row.oldIdentity) {
+    last_reason reason;
+    ReplaceMember(log.replica,
+                  row.oldIdentity,
+                  { newIdentity, member_kind::eLearner, aCall.newName },
+                  reason);
+  }
+  log.replacements.Insert(row);
+}
+
+// Tells callers of replacements that are whole, or that took too long: the
+// replacement itself goes on.
+void
+AnswerReplacements(control_tables& aTables,
+                   steady_time aNow,
+                   control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  const bool isCommitted = log.replica.role == replica_role::eLeader &&
+                           log.replica.membersIndex <= log.replica.commit;
+  log.replacements.EraseIf([&](const replace_row& aRow) {
+    if (isCommitted && IsVoter(log, aRow.newIdentity) &&
+        !IsMember(log, aRow.oldIdentity)) {
+      command_result result;
+      result.isDone = true;
+      result.revision = aTables.fleet.revision;
+      result.text = NameOf(log, aRow.newIdentity) + " is a voter";
+      Answer(aOutbox,
+             aRow.peer,
+             aRow.call,
+             wire::call_outcome::eDecided,
+             std::move(result),
+             "");
+      return true;
+    }
+    if (aRow.deadline <= aNow) {
+      Answer(aOutbox,
+             aRow.peer,
+             aRow.call,
+             wire::call_outcome::eUnknown,
+             {},
+             "the replacement is under way");
+      return true;
+    }
+    aOutbox.wake.NoLaterThan(aRow.deadline);
+    return false;
+  });
+}
+
+// The process whose name sorts first founds the log, alone, once every other
+// one has answered that its folder is empty. The others get the first entry
+// from it. So no two logs are founded, also when a folder is lost meanwhile,
+// and a process whose folder was wiped later founds nothing.
+void
+FoundWhenAllAreEmpty(control_tables& aTables, steady_time aNow)
+{
+  log_tables& log = *aTables.replicated;
+  membership members{ { log.replica.self,
+                        member_kind::eVoter,
+                        aTables.self.name } };
+  for (const known_replica& known : log.known) {
+    if (known.name < aTables.self.name || !known.isEmpty ||
+        !known.hasAnswered || known.heardAt + kHelloFresh < aNow) {
+      return;
+    }
+    members.push_back({ known.identity, member_kind::eVoter, known.name });
+  }
+  last_reason reason;
+  FoundLog(log.replica, std::move(members), reason);
+}
+
+void
+SayHello(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  if (IsMember(log, log.replica.self)) {
+    return;
+  }
+  if (aNow >= log.nextHello) {
+    log.nextHello = aNow + kHelloEvery;
+    for (const known_replica& known : log.known) {
+      aOutbox.messages.push_back({ "", known.name, HelloOf(aTables) });
+    }
+  }
+  aOutbox.wake.NoLaterThan(log.nextHello);
+}
+
+void
+InstallSnapshot(control_tables& aTables,
+                const log_snapshot& aSnapshot,
+                control_outbox& aOutbox)
+{
+  last_reason reason;
+  auto state = wire::DecodeState(aSnapshot.state, reason);
+  if (!state) {
+    aOutbox.fatal = std::move(reason);
+    return;
+  }
+  aTables.fleet = std::move(*state);
+  aTables.recent.clear();
+}
+
+} // namespace
+
+std::optional<std::unique_ptr<log_tables>>
+OpenLog(const std::filesystem::path& aFolder,
+        const std::string& aName,
+        const std::vector<std::string>& aPeers,
+        steady_time aNow,
+        last_reason& aReason)
+{
+  auto log = std::make_unique<log_tables>();
+  replica_settings settings;
+  settings.name = aName;
+  recovered_log recovered;
+  log->disk = disk_log::Open(aFolder / settings.log,
+                             settings.log,
+                             NewIdentity(),
+                             PosixDisk(),
+                             recovered,
+                             aReason);
+  if (!log->disk) {
+    return std::nullopt;
+  }
+  settings.seed = NewIdentity().value;
+  log->replica = StartReplica(
+    settings, std::move(recovered), log->disk->Hooks(), aNow);
+  for (const std::string& peer : aPeers) {
+    known_replica row;
+    row.id = IdOf<replica_id>(peer);
+    row.name = peer;
+    log->known.Insert(row);
+  }
+  return log;
+}
+
+log_hooks
+MakeReplicatedLog(log_tables& aLog)
+{
+  log_hooks hooks;
+  hooks.propose = [&aLog](std::string aPayload,
+                          last_reason& aWhy) -> std::optional<position_id> {
+    const auto at = Propose(aLog.replica, std::move(aPayload), aWhy);
+    if (!at) {
+      return std::nullopt;
+    }
+    return PositionOf(*at);
+  };
+  hooks.isLeader = [&aLog](steady_time aNow) {
+    return IsLeaseHeld(aLog.replica, aNow);
+  };
+  hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
+  hooks.replicas = [&aLog] {
+    std::vector<wire::replica_status> rows;
+    for (const log_member& member : aLog.replica.members) {
+      wire::replica_status row;
+      row.name = member.name;
+      row.isLeader = member.id == aLog.replica.leader;
+      row.isVoter = member.kind == member_kind::eVoter;
+      row.term = aLog.replica.vote.term;
+      row.commit = member.id == aLog.replica.self ? aLog.replica.commit : 0;
+      if (const peer_row* peer = aLog.replica.peers.Find(member.id)) {
+        row.commit = std::min(peer->match, aLog.replica.commit);
+      }
+      rows.push_back(std::move(row));
+    }
+    return rows;
+  };
+  return hooks;
+}
+
+bool
+TakeLogMessage(control_tables& aTables,
+               const received& aInput,
+               steady_time aNow,
+               control_outbox& aOutbox)
+{
+  const wire::message_body& body = aInput.message.body;
+  if (!aTables.replicated) {
+    return false;
+  }
+  if (const auto* message = std::get_if<replica_message>(&body)) {
+    Deliver(aTables.replicated->replica, *message, aNow);
+    return true;
+  }
+  if (const auto* hello = std::get_if<wire::replica_hello>(&body)) {
+    TakeHello(aTables, aInput, *hello, aNow, aOutbox);
+    return true;
+  }
+  if (const auto* call = std::get_if<wire::replace_call>(&body)) {
+    TakeReplace(aTables, aInput, *call, aNow, aOutbox);
+    return true;
+  }
+  return false;
+}
+
+void
+RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  if (!aTables.replicated) {
+    return;
+  }
+  log_tables& log = *aTables.replicated;
+  if (IsEmpty(log.replica) && log.replica.vote.term == 0) {
+    FoundWhenAllAreEmpty(aTables, aNow);
+  }
+  SayHello(aTables, aNow, aOutbox);
+  replica_outbox outbox;
+  RunReplica(log.replica, aNow, outbox);
+  if (outbox.fatal) {
+    aOutbox.fatal = std::move(outbox.fatal);
+    return;
+  }
+  if (outbox.install) {
+    InstallSnapshot(aTables, *outbox.install, aOutbox);
+  }
+  for (log_entry& entry : outbox.committed) {
+    if (entry.kind == entry_kind::ePayload) {
+      aTables.committed.push_back({ PositionOf({ entry.index, entry.term }),
+                                    std::move(entry.payload),
+                                    false });
+    }
+  }
+  for (replica_message& message : outbox.messages) {
+    std::string name = NameOf(log, HeaderOf(message).to);
+    aOutbox.messages.push_back({ "", std::move(name), std::move(message) });
+  }
+  AnswerReplacements(aTables, aNow, aOutbox);
+  aOutbox.wake.NoLaterThan(outbox.wake.at);
+}
+
+// Runs after the committed entries were applied, so that the state is the one
+// of the last entry that the log has released.
+void
+RunLogSnapshot(control_tables& aTables, steady_time, control_outbox& aOutbox)
+{
+  if (!aTables.replicated) {
+    return;
+  }
+  replica_tables& replica = aTables.replicated->replica;
+  if (replica.released <
+      replica.snapshot.at.index + replica.settings.snapshotAfterEntries) {
+    return;
+  }
+  last_reason reason;
+  if (!SaveSnapshot(replica, wire::EncodeState(aTables.fleet), reason)) {
+    aOutbox.fatal = std::move(reason);
+  }
+}
+
+bool
+BeginHandOver(control_tables& aTables, steady_time aNow)
+{
+  if (!aTables.replicated) {
+    return false;
+  }
+  last_reason reason;
+  return HandOver(aTables.replicated->replica, aNow, reason).has_value();
+}
+
+bool
+IsHandedOver(const control_tables& aTables)
+{
+  const replica_tables& replica = aTables.replicated->replica;
+  return replica.role != replica_role::eLeader && replica.leader;
+}
+
+} // namespace bulrush::control
--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr log_part kLog{ "control" };
+constexpr int kExitBrokenLog = 3; ///< the log cannot keep its promises
 
 constexpr std::array<option_row, 7> kOptions{ {
   { "name",
@@ -83,7 +84,7 @@
     aTables.committed.push_back({ position, std::move(aPayload), false });
     return position;
   };
-  hooks.isLeader = [] { return true; };
+  hooks.isLeader = [](steady_time) { return true; };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
   return hooks;
 }
@@ -107,7 +108,7 @@
 
   bool Start(const option_values& aOptions, last_reason& aWhy)
   {
-    if (!ReadSecrets(aOptions, aWhy)) {
+    if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy)) {
       return false;
     }
     auto server = net::ListenLink(
@@ -133,7 +134,45 @@
     return true;
   }
 
+  // Hands leadership over before the end, so that no election timeout passes.
+  void BeginStop()
+  {
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!BeginHandOver(mTables, now)) {
+      mContext.stop();
+      return;
+    }
+    mStopBy = now + kHandOverLimit;
+    mTimer.RunSoon();
+  }
+
+  int ExitCode() const { return mExitCode; }
+
 private:
+  static constexpr std::chrono::milliseconds kHandOverLimit{ 2'000 };
+
+  bool OpenReplicatedLog(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!aOptions.IsSet("data")) {
+      return true;
+    }
+    std::vector<std::string> names;
+    for (const std::string& peer : aOptions.List("peers")) {
+      names.push_back(peer.substr(0, peer.find('=')));
+    }
+    auto log = OpenLog(aOptions.Path("data"),
+                       mTables.self.name,
+                       names,
+                       std::chrono::steady_clock::now(),
+                       aWhy);
+    if (!log) {
+      return false;
+    }
+    mTables.replicated = std::move(*log);
+    mTables.log = MakeReplicatedLog(*mTables.replicated);
+    return true;
+  }
+
   bool ReadSecrets(const option_values& aOptions, last_reason& aWhy)
   {
     const auto keys = ReadLinkKeys(aOptions, aWhy);
@@ -196,12 +235,25 @@
   {
     control_outbox outbox;
     RunControl(mTables, aNow, outbox);
+    if (outbox.fatal) {
+      // Nothing leaves: what this tick says may rest on a write that failed.
+      LogError(kLog, "Must stop: {}", Describe(*outbox.fatal));
+      mExitCode = kExitBrokenLog;
+      mContext.stop();
+      return {};
+    }
     for (outgoing& out : outbox.messages) {
       Send(out, aNow);
     }
     if (!mTables.committed.empty()) {
       mTimer.RunSoon();
     }
+    if (mStopBy) {
+      if (aNow >= *mStopBy || IsHandedOver(mTables)) {
+        mContext.stop();
+      }
+      outbox.wake.NoLaterThan(*mStopBy);
+    }
     return outbox.wake;
   }
 
@@ -226,6 +278,8 @@
   net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
+  std::optional<steady_time> mStopBy;
+  int mExitCode = 0;
 };
 
 int
@@ -243,12 +297,12 @@
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
   }
-  net::OnStopSignal(context, [&context] {
+  net::OnStopSignal(context, [&process] {
     LogInfo(kLog, "Stops");
-    context.stop();
+    process.BeginStop();
   });
   context.run();
-  return 0;
+  return process.ExitCode();
 }
 
 } // namespace
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -246,7 +246,7 @@
         std::get_if<withdraw_key>(&aCall.command.change)) {
     AddTombstones(aTables, { withdrawal->key });
   }
-  if (aTables.log.isLeader()) {
+  if (aTables.log.isLeader(aNow)) {
     ProposeCall(aTables, aInput, aCall, aNow, aOutbox);
   } else {
     PassOnCall(aTables, aInput, aCall, aNow, aOutbox);
@@ -315,6 +315,9 @@
 std::vector<wire::replica_status>
 ReplicaRows(const control_tables& aTables)
 {
+  if (aTables.log.replicas) {
+    return aTables.log.replicas();
+  }
   const std::string leader = aTables.log.leaderName();
   std::vector<wire::replica_status> rows;
   wire::replica_status self;
@@ -419,6 +422,8 @@
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
       TakeManifestCall(aTables, input, *text, aOutbox);
+    } else {
+      TakeLogMessage(aTables, input, aNow, aOutbox);
     }
   }
 }
@@ -629,9 +634,11 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 6> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 8> kSystems{
   { { "ingest", RunIngest },
+    { "log", RunLog },
     { "apply", RunApply },
+    { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
     { "updates", RunUpdates },
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -3,10 +3,12 @@
 
 /// Tables of bulrush-control. Its control thread owns all of them.
 
+#include "apps/control_log.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
 #include <deque>
+#include <memory>
 
 namespace bulrush::control {
 
@@ -109,9 +111,11 @@
                                            last_reason& aWhy)>
     propose;
   /// True while this process may answer from its state as the leader.
-  std::function<bool()> isLeader;
+  std::function<bool(steady_time aNow)> isLeader;
   /// Name of the leader, empty while none is known.
   std::function<std::string()> leaderName;
+  /// The members of the log; not set without a replicated one.
+  std::function<std::vector<wire::replica_status>()> replicas;
 };
 
 struct control_tables
@@ -119,6 +123,7 @@
   self_row self;
   fleet_state fleet;
   log_hooks log;
+  std::unique_ptr<log_tables> replicated; ///< none without a data folder
   table<replica_id, control_row> controls;
   table<host_id, host_row> hosts;
   table<endpoint_id, known_endpoint> endpoints;
@@ -148,6 +153,7 @@
 {
   std::vector<outgoing> messages;
   wake_time wake;
+  std::optional<last_reason> fatal; ///< the process must exit
 };
 
 /// One tick: all systems in their order.
--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -96,6 +96,22 @@
   return Finish(aSettings, Call(aSettings, std::move(call), aWhy), aWhy);
 }
 
+// OLD=NEW, or one name for a host that lost its data folder.
+int
+ReplaceControl(const call_settings& aSettings,
+               const std::string& aNames,
+               last_reason& aWhy)
+{
+  const std::size_t equals = aNames.find('=');
+  wire::replace_call call;
+  call.call = 1;
+  call.credential = aSettings.credential;
+  call.oldName = aNames.substr(0, equals);
+  call.newName =
+    equals == std::string::npos ? aNames : aNames.substr(equals + 1);
+  return Finish(aSettings, Call(aSettings, std::move(call), aWhy), aWhy);
+}
+
 std::optional<wire::manifest_reply>
 CurrentManifest(const call_settings& aSettings, last_reason& aWhy)
 {
@@ -429,6 +445,7 @@
       [](settings aSettings, word aName, last_reason& aWhy) {
         return WithdrawKey(aSettings, ReadKeyName(aName), aWhy);
       } },
+    { "control", "replace", 1, ReplaceControl },
     { "endpoint",
       "drain",
       1,
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -74,7 +74,7 @@
   "keygen FILE | apply FILE | diff FILE | check FILE | status | key issue "
   "WORKSPACE | "
   "key withdraw HASH-OR-FILE | endpoint drain NAME | endpoint undrain NAME | "
-  "domain take-out NAME | domain bring-back NAME"
+  "domain take-out NAME | domain bring-back NAME | control replace OLD[=NEW]"
 };
 
 int
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -6,7 +6,7 @@
 endfunction()
 
 bulrush_program(bulrush-control src/apps/control_main.cpp
-  src/apps/control_systems.cpp)
+  src/apps/control_log.cpp src/apps/control_systems.cpp)
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_http.cpp)
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -20,6 +20,9 @@
 void Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo);
 endpoint_row Get(const pb::Endpoint& aFrom, steady_time aNow);
 
+std::string EncodeReplica(const replica_message& aMessage);
+std::optional<replica_message> DecodeReplica(const std::string& aBytes);
+
 } // namespace bulrush::wire
 
 #endif
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -302,6 +302,34 @@
   to->set_text(aFrom.text);
 }
 
+void
+PutBody(const replica_message& aFrom, steady_time, pb::Envelope& aTo)
+{
+  aTo.set_replica(EncodeReplica(aFrom));
+}
+
+void
+PutBody(const replica_hello& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_replica_hello();
+  to->set_log(aFrom.log);
+  to->set_identity(aFrom.identity.value);
+  to->set_is_empty(aFrom.isEmpty);
+  to->set_nonce(aFrom.nonce);
+  to->set_is_answer(aFrom.isAnswer);
+}
+
+void
+PutBody(const replace_call& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_replace_call();
+  to->set_call(aFrom.call);
+  to->set_credential(aFrom.credential);
+  to->set_old_name(aFrom.oldName);
+  to->set_new_name(aFrom.newName);
+  to->set_hops(aFrom.hops);
+}
+
 std::optional<message_body>
 GetBody(const pb::CommandCall& aFrom, steady_time)
 {
@@ -454,6 +482,36 @@
                          aFrom.text() };
 }
 
+std::optional<message_body>
+GetReplicaMessage(const std::string& aBytes)
+{
+  auto message = DecodeReplica(aBytes);
+  if (!message) {
+    return std::nullopt;
+  }
+  return message_body(std::move(*message));
+}
+
+std::optional<message_body>
+GetBody(const pb::ReplicaHello& aFrom, steady_time)
+{
+  return replica_hello{ aFrom.log(),
+                        replica_id{ aFrom.identity() },
+                        aFrom.is_empty(),
+                        aFrom.nonce(),
+                        aFrom.is_answer() };
+}
+
+std::optional<message_body>
+GetBody(const pb::ReplaceCall& aFrom, steady_time)
+{
+  return replace_call{ aFrom.call(),
+                       aFrom.credential(),
+                       aFrom.old_name(),
+                       aFrom.new_name(),
+                       aFrom.hops() };
+}
+
 std::optional<message_body>
 GetBody(const pb::Envelope& aFrom, steady_time aNow)
 {
@@ -478,6 +536,12 @@
       return GetBody(aFrom.manifest_call(), aNow);
     case pb::Envelope::kManifestReply:
       return GetBody(aFrom.manifest_reply(), aNow);
+    case pb::Envelope::kReplica:
+      return GetReplicaMessage(aFrom.replica());
+    case pb::Envelope::kReplicaHello:
+      return GetBody(aFrom.replica_hello(), aNow);
+    case pb::Envelope::kReplaceCall:
+      return GetBody(aFrom.replace_call(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -6,6 +6,7 @@
 
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
+#include "replication/replication.hpp"
 
 namespace bulrush::wire {
 
@@ -151,6 +152,28 @@
   std::string text;
 };
 
+/// Which data folder a control process runs on. Sent by those whose log is
+/// empty, and answered by every one.
+struct replica_hello
+{
+  std::string log;
+  replica_id identity;
+  bool isEmpty = false;
+  std::uint64_t nonce = 0; ///< of the asking process; echoed by the answer
+  bool isAnswer = false;
+};
+
+/// Asks the leader to put one control process in another's place. Equal names
+/// stand for a host whose data folder was lost.
+struct replace_call
+{
+  std::uint64_t call = 0;
+  std::string credential;
+  std::string oldName;
+  std::string newName;
+  std::uint32_t hops = 0;
+};
+
 using message_body = std::variant<command_call,
                                   command_reply,
                                   host_report,
@@ -160,7 +183,10 @@
                                   status_call,
                                   status_reply,
                                   manifest_call,
-                                  manifest_reply>;
+                                  manifest_reply,
+                                  replica_message,
+                                  replica_hello,
+                                  replace_call>;
 
 struct message
 {
--- /dev/null
+++ b/tests/process/control_log_test.cpp
@@ -0,0 +1,237 @@
+#include "support/processes.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <set>
+
+namespace bulrush::test {
+namespace {
+
+using nlohmann::json;
+
+/// Three control processes in three failure domains, and no entry hosts.
+struct three_controls_fixture
+{
+  fleet running;
+
+  three_controls_fixture()
+    : running({ { "domain-a", "domain-b", "domain-c" }, 0, "" })
+  {
+    running.Start();
+    REQUIRE(WaitUntil([&] { return Leader().has_value(); }));
+  }
+
+  std::optional<std::size_t> Leader() const
+  {
+    const json status = running.Status();
+    if (!status.is_object()) {
+      return std::nullopt;
+    }
+    for (std::size_t i = 0; i < running.controls.size(); ++i) {
+      if (status["leader"] == running.ControlName(i)) {
+        return i;
+      }
+    }
+    return std::nullopt;
+  }
+  bool IsAnotherLeader(std::size_t aOld) const
+  {
+    const auto leader = Leader();
+    return leader && *leader != aOld;
+  }
+  finished Ctl(const std::vector<std::string>& aArguments) const
+  {
+    return running.Ctl(aArguments);
+  }
+  // Issues aCount keys; each one counts only if its command was accepted.
+  int IssueKeys(int aCount) const
+  {
+    int issued = 0;
+    for (int i = 0; i < aCount; ++i) {
+      issued += Ctl({ "key", "issue", "press" }).exitCode == 0 ? 1 : 0;
+    }
+    return issued;
+  }
+  int KeyCount() const
+  {
+    const json status = running.Status();
+    return status.is_object() ? status["keys"].get<int>() : -1;
+  }
+  void Kill(std::size_t aControl)
+  {
+    running.controls[aControl]->Signal(SIGKILL);
+    running.controls[aControl]->Wait();
+  }
+  void Restart(std::size_t aControl) { running.StartControl(aControl); }
+  // What one process knows, whichever leads.
+  json StatusAt(std::size_t aControl) const
+  {
+    const finished result =
+      RunProgram("bulrushctl",
+                 { "--control",
+                   running.ControlAddress(aControl),
+                   "--timeout",
+                   "5s",
+                   "--json",
+                   "status" });
+    return json::parse(result.output, nullptr, false);
+  }
+  int KeyCountAt(std::size_t aControl) const
+  {
+    const json status = StatusAt(aControl);
+    return status.is_object() ? status["keys"].get<int>() : -1;
+  }
+  std::filesystem::path Journal(std::size_t aControl) const
+  {
+    return running.ControlData(aControl) / "fleet" / "journal";
+  }
+};
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "Leader_KilledUnderCommands_LosesNothingAccepted",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(5) == 5);
+  const std::size_t leader = *Leader();
+  Kill(leader);
+  REQUIRE(IssueKeys(5) == 5);
+  CHECK(IsAnotherLeader(leader));
+  CHECK(KeyCount() == 10);
+  Restart(leader);
+  CHECK(WaitUntil([&] { return KeyCountAt(leader) == 10; }));
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "Leader_FrozenAndResumed_FollowsTheNewOne",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(2) == 2);
+  const std::size_t leader = *Leader();
+  running.controls[leader]->Signal(SIGSTOP);
+  REQUIRE(IssueKeys(3) == 3);
+  REQUIRE(IsAnotherLeader(leader));
+  running.controls[leader]->Signal(SIGCONT);
+  CHECK(WaitUntil([&] { return KeyCountAt(leader) == 5; }));
+  CHECK(WaitUntil([&] {
+    return StatusAt(leader)["leader"] != running.ControlName(leader);
+  }));
+  CHECK(KeyCount() == 5);
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "Fleet_WhenEveryControlIsKilled_ComesBackWithItsState",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(4) == 4);
+  const json before = running.Status();
+  for (std::size_t i = 0; i < 3; ++i) {
+    Kill(i);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    Restart(i);
+  }
+  REQUIRE(WaitUntil([&] { return KeyCount() == 4; }));
+  CHECK(IssueKeys(1) == 1);
+  const json after = running.Status();
+  CHECK(after["manifest_revision"] == before["manifest_revision"]);
+  CHECK(after["revision"] == before["revision"].get<int>() + 1);
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "DataFolder_WhenWiped_NeedsAReplacementToVoteAgain",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(3) == 3);
+  const std::size_t leader = *Leader();
+  const std::size_t wiped = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  Kill(wiped);
+  std::filesystem::remove_all(running.ControlData(wiped));
+  Restart(wiped);
+  REQUIRE(IssueKeys(1) == 1);
+  CHECK(KeyCountAt(wiped) == 0);
+  const finished replaced =
+    Ctl({ "control", "replace", running.ControlName(wiped) });
+  INFO(replaced.errors);
+  REQUIRE(replaced.exitCode == 0);
+  // A resend of the same command finds it done.
+  CHECK(Ctl({ "control", "replace", running.ControlName(wiped) }).exitCode ==
+        0);
+  CHECK(running.Status()["replicas"].size() == 3);
+  // Right after the repair a second host is lost.
+  Kill(other);
+  CHECK(IssueKeys(2) == 2);
+  CHECK(WaitUntil([&] { return KeyCountAt(wiped) == 6; }));
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "DataFolder_WhenDamaged_StopsTheStartWithTheReason",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(6) == 6);
+  const std::size_t follower = (*Leader() + 1) % 3;
+  REQUIRE(WaitUntil([&] { return KeyCountAt(follower) == 6; }));
+  Kill(follower);
+  {
+    std::fstream file(Journal(follower),
+                      std::ios::binary | std::ios::in | std::ios::out);
+    file.seekp(300);
+    file.put('X');
+    file.put('Y');
+  }
+  Restart(follower);
+  CHECK(running.controls[follower]->Wait() == 1);
+  const std::string log = running.controls[follower]->Log();
+  CHECK(log.find("read journal") != std::string::npos);
+  CHECK(log.find("damaged") != std::string::npos);
+  CHECK(IssueKeys(1) == 1);
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "Journal_WithATornTail_IsCutAndTheReplicaCatchesUp",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(4) == 4);
+  const std::size_t follower = (*Leader() + 1) % 3;
+  Kill(follower);
+  {
+    std::ofstream file(Journal(follower), std::ios::binary | std::ios::app);
+    file << "DRBLhalf of a record";
+  }
+  Restart(follower);
+  REQUIRE(IssueKeys(1) == 1);
+  CHECK(WaitUntil([&] { return KeyCountAt(follower) == 5; }));
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "Leader_AskedToStop_HandsOverAndExitsWithZero",
+                 "[process][log]")
+{
+  REQUIRE(IssueKeys(1) == 1);
+  const std::size_t leader = *Leader();
+  running.controls[leader]->Signal(SIGTERM);
+  CHECK(running.controls[leader]->Wait() == 0);
+  CHECK(IssueKeys(1) == 1);
+  CHECK(IsAnotherLeader(leader));
+}
+
+TEST_CASE_METHOD(three_controls_fixture,
+                 "DataFolder_HeldByARunningProcess_IsRefusedToASecond",
+                 "[process][log]")
+{
+  const finished second =
+    RunProgram("bulrush-control",
+               { "--name",
+                 "second",
+                 "--listen",
+                 "127.0.0.1:" + std::to_string(FreePort()),
+                 "--data",
+                 running.ControlData(0).string() });
+  CHECK(second.exitCode == 1);
+  CHECK(second.errors.find("another process holds it") != std::string::npos);
+}
+
+} // namespace
+} // namespace bulrush::test
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -375,7 +375,7 @@
 nlohmann::json
 fleet::Status() const
 {
-  const finished result = Ctl({ "--json", "true", "status" });
+  const finished result = Ctl({ "--json", "status" });
   return nlohmann::json::parse(result.output, nullptr, false);
 }
 
