--- a/src/apps/control_log.cpp
+++ b/src/apps/control_log.cpp
@@ -61,11 +61,10 @@
 bool
 IsMember(const log_tables& aLog, replica_id aIdentity)
 {
-  return std::any_of(aLog.replica.members.begin(),
-                     aLog.replica.members.end(),
-                     [&](const log_member& aMember) {
-                       return aMember.id == aIdentity;
-                     });
+  return std::any_of(
+    aLog.replica.members.begin(),
+    aLog.replica.members.end(),
+    [&](const log_member& aMember) { return aMember.id == aIdentity; });
 }
 
 bool
@@ -102,8 +101,7 @@
 {
   log_tables& log = *aTables.replicated;
   const std::string& name = aInput.message.sender;
-  if (aHello.log != log.replica.settings.log ||
-      name == aTables.self.name) {
+  if (aHello.log != log.replica.settings.log || name == aTables.self.name) {
     return;
   }
   known_replica* known = log.known.Find(IdOf<replica_id>(name));
@@ -225,8 +223,7 @@
                               : " is a member and has no new data folder"));
     return;
   }
-  const replica_id newIdentity =
-    isSelf ? log.replica.self : newcomer->identity;
+  const replica_id newIdentity = isSelf ? log.replica.self : newcomer->identity;
   const log_member* old = MemberNamed(log, aCall.oldName);
   replace_row row;
   row.id = { ++log.lastReplacement };
@@ -309,9 +306,9 @@
 FoundWhenAllAreEmpty(control_tables& aTables, steady_time aNow)
 {
   log_tables& log = *aTables.replicated;
-  membership members{ { log.replica.self,
-                        member_kind::eVoter,
-                        aTables.self.name } };
+  membership members{
+    { log.replica.self, member_kind::eVoter, aTables.self.name }
+  };
   for (const known_replica& known : log.known) {
     if (known.name < aTables.self.name || !known.isEmpty ||
         !known.hasAnswered || known.heardAt + kHelloFresh < aNow) {
@@ -377,8 +374,8 @@
     return std::nullopt;
   }
   settings.seed = NewIdentity().value;
-  log->replica = StartReplica(
-    settings, std::move(recovered), log->disk->Hooks(), aNow);
+  log->replica =
+    StartReplica(settings, std::move(recovered), log->disk->Hooks(), aNow);
   for (const std::string& peer : aPeers) {
     known_replica row;
     row.id = IdOf<replica_id>(peer);
--- a/src/wire/replica_codec.cpp
+++ b/src/wire/replica_codec.cpp
@@ -273,10 +273,9 @@
   if (!message) {
     return std::nullopt;
   }
-  const message_header header{ from.log(),
-                               replica_id{ from.from() },
-                               replica_id{ from.to() },
-                               from.term() };
+  const message_header header{
+    from.log(), replica_id{ from.from() }, replica_id{ from.to() }, from.term()
+  };
   std::visit([&](auto& aBody) { aBody.header = header; }, *message);
   return message;
 }
