--- /dev/null
+++ b/tests/process/domains_test.cpp
@@ -0,0 +1,161 @@
+#include "support/processes.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace bulrush::test {
+namespace {
+
+using nlohmann::json;
+
+// Three failure domains, each with a control process, an entry host and an
+// engine that holds the model.
+struct domains_fixture
+{
+  fleet running{ { { "north", "middle", "south" }, 1, "", {} } };
+  std::string key;
+
+  domains_fixture()
+  {
+    running.Start();
+    for (const char* domain : { "north", "middle", "south" }) {
+      running.AddEndpoint(std::string("engine-") + domain,
+                          domain,
+                          { "--memory", "10000", "--models", "draft:1:1000" });
+    }
+    key = running.IssueKey("press");
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+      REQUIRE(WaitUntil([&] { return Complete(entry).status == 200; }));
+    }
+    for (const char* domain : { "north", "middle", "south" }) {
+      REQUIRE(WaitUntil([&] { return Runs(domain) > 0 || ServeOnce(); }));
+    }
+  }
+
+  bool ServeOnce() const
+  {
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+      Complete(entry);
+    }
+    return false;
+  }
+
+  http_answer Complete(std::size_t aEntry, int aTokens = 1) const
+  {
+    return running.Post(
+      aEntry,
+      "/v1/completions",
+      key,
+      { { "model", "draft" }, { "max_tokens", aTokens }, { "stream", true } });
+  }
+
+  json Stats(const std::string& aDomain) const
+  {
+    const auto address = running.endpointAddresses.at("engine-" + aDomain);
+    return json::parse(Ask("GET", "http://" + address + "/stats").body);
+  }
+
+  std::uint64_t Runs(const std::string& aDomain) const
+  {
+    return Stats(aDomain)["runs"].get<std::uint64_t>();
+  }
+
+  // Ten requests to each host; returns how many were answered.
+  int ServeTenEach() const
+  {
+    int served = 0;
+    for (int i = 0; i < 10; ++i) {
+      for (std::size_t entry = 0; entry < 3; ++entry) {
+        served += Complete(entry).status == 200 ? 1 : 0;
+      }
+    }
+    return served;
+  }
+};
+
+TEST_CASE_METHOD(domains_fixture,
+                 "Domain_WhenTakenOut_ReceivesNoNewWorkOnceAccepted",
+                 "[process][domains]")
+{
+  REQUIRE(running.Ctl({ "domain", "take-out", "north" }).exitCode == 0);
+  const std::uint64_t before = Runs("north");
+  CHECK(ServeTenEach() == 30);
+  CHECK(Runs("north") == before);
+
+  REQUIRE(running.Ctl({ "domain", "bring-back", "north" }).exitCode == 0);
+  CHECK(ServeTenEach() == 30);
+  CHECK(Runs("north") > before);
+}
+
+TEST_CASE_METHOD(domains_fixture,
+                 "Endpoint_WhenDrained_ReceivesNoNewWorkOnceAccepted",
+                 "[process][domains]")
+{
+  REQUIRE(running.Ctl({ "endpoint", "drain", "engine-south" }).exitCode == 0);
+  const std::uint64_t before = Runs("south");
+  CHECK(ServeTenEach() == 30);
+  CHECK(Runs("south") == before);
+}
+
+TEST_CASE_METHOD(domains_fixture,
+                 "Endpoint_WhenItLeaves_FinishesItsStreamAndGetsNoNewWork",
+                 "[process][domains]")
+{
+  const std::string address = running.endpointAddresses["engine-middle"];
+  auto stream =
+    std::async(std::launch::async, [&] { return Complete(1, 800); });
+  REQUIRE(WaitUntil([&] { return Stats("middle")["running"] == 1; }));
+  Ask("POST", "http://" + address + "/faults", {}, R"({"fault":"leave"})");
+  REQUIRE(WaitUntil([&] {
+    for (const json& row : running.Status()["endpoints"]) {
+      if (row["name"] == "engine-middle") {
+        return row["leaving"] == true;
+      }
+    }
+    return true; // already forgotten
+  }));
+  const http_answer whole = stream.get();
+  CHECK(whole.body.ends_with("data: [DONE]\n\n"));
+  // Wait until requests at every host pass it by, then it must stay so.
+  std::uint64_t runs = 0;
+  REQUIRE(WaitUntil([&] {
+    runs = Runs("middle");
+    return ServeTenEach() == 30 && Runs("middle") == runs;
+  }));
+  CHECK(ServeTenEach() == 30);
+  CHECK(Runs("middle") == runs);
+}
+
+TEST_CASE_METHOD(domains_fixture,
+                 "Key_WhenWithdrawnUnderAStream_CancelsItAndStopsEverywhere",
+                 "[process][domains]")
+{
+  auto stream =
+    std::async(std::launch::async, [&] { return Complete(0, 20'000); });
+  REQUIRE(WaitUntil([&] { return Stats("north")["running"] == 1; }));
+  REQUIRE(running.Ctl({ "key", "withdraw", key }).exitCode == 0);
+  const http_answer cut = stream.get();
+  CHECK_FALSE(cut.body.ends_with("data: [DONE]\n\n"));
+  CHECK(cut.body.find("error") != std::string::npos);
+  for (std::size_t entry = 0; entry < 3; ++entry) {
+    CHECK(Complete(entry).status == 401);
+  }
+  CHECK(WaitUntil([&] { return Stats("north")["running"] == 0; }));
+}
+
+TEST_CASE_METHOD(domains_fixture,
+                 "Control_WhenTheOthersAreKilled_TakesAWithdrawalWithoutQuorum",
+                 "[process][domains]")
+{
+  running.controls[1]->Signal(SIGKILL);
+  running.controls[2]->Signal(SIGKILL);
+  const finished result =
+    running.Ctl({ "--timeout", "2s", "key", "withdraw", key });
+  CHECK(result.exitCode == 4); // unknown: it may be committed yet
+  CHECK(WaitUntil([&] { return Complete(0).status == 401; }));
+}
+
+} // namespace
+} // namespace bulrush::test
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -370,8 +370,11 @@
   for (std::size_t i = 0; i < mControlPorts.size(); ++i) {
     list += (i == 0 ? "" : ",") + ControlAddress(i);
   }
-  aArguments.insert(aArguments.begin(),
-                    { "--control", list, "--timeout", "30s" });
+  aArguments.insert(aArguments.begin(), { "--control", list });
+  if (std::find(aArguments.begin(), aArguments.end(), "--timeout") ==
+      aArguments.end()) {
+    aArguments.insert(aArguments.begin(), { "--timeout", "30s" });
+  }
   return RunProgram("bulrushctl", aArguments);
 }
 
