--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -108,21 +108,21 @@
   last_reason why;
   const auto keys = ReadLinkKeys(*options, why);
   if (!keys) {
-    LogError(kLog, "{}", Describe(why));
+    WriteLogLines(kLog, log_level::eError, Describe(why));
     return eExitUsage;
   }
   settings.linkKeys = *keys;
   if (options->IsSet("credential")) {
     const auto secret = ReadSecret(options->Path("credential"), why);
     if (!secret) {
-      LogError(kLog, "{}", Describe(why));
+      WriteLogLines(kLog, log_level::eError, Describe(why));
       return eExitUsage;
     }
     settings.credential = secret->Reveal();
   }
   const int code = RunCommand(settings, options->Arguments(), why);
   if (code != eExitDone) {
-    LogError(kLog, "{}", Describe(why));
+    WriteLogLines(kLog, log_level::eError, Describe(why));
   }
   return code;
 }
--- a/src/apps/load_main.cpp
+++ b/src/apps/load_main.cpp
@@ -236,7 +236,7 @@
                                           FormatPlotSvg(aPlan, aReport.results),
                                           why));
   if (!isWritten) {
-    LogError(kLog, "{}", Describe(why));
+    WriteLogLines(kLog, log_level::eError, Describe(why));
     return kExitFailed;
   }
   const auto wrong =
@@ -259,7 +259,7 @@
   const auto settings =
     plan ? MakeSettings(*options, *plan, why) : std::nullopt;
   if (!settings) {
-    LogError(kLog, "cannot start: {}", Describe(why));
+    WriteLogLines(kLog, log_level::eError, "cannot start: " + Describe(why));
     return kExitFailed;
   }
   asio::io_context context{ 1 };
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -198,4 +198,20 @@
   WriteToStandardError(std::move(line));
 }
 
+void
+WriteLogLines(const log_part& aPart, log_level aLevel, std::string_view aText)
+{
+  while (!aText.empty()) {
+    const std::size_t end = aText.find('\n');
+    const std::string_view line = aText.substr(0, end);
+    if (!line.empty()) {
+      WriteLog(aPart, aLevel, line);
+    }
+    if (end == std::string_view::npos) {
+      return;
+    }
+    aText.remove_prefix(end + 1);
+  }
+}
+
 } // namespace bulrush
--- a/src/observe/observe.hpp
+++ b/src/observe/observe.hpp
@@ -60,6 +60,11 @@
 /// Writes one line with the time of the call, in one piece.
 void WriteLog(const log_part& aPart, log_level aLevel, std::string_view aText);
 
+/// Writes each line of aText as a line of its own, with the prefix.
+void WriteLogLines(const log_part& aPart,
+                   log_level aLevel,
+                   std::string_view aText);
+
 template<class... arguments>
 void
 Log(const log_part& aPart,
--- a/tests/observe/log_test.cpp
+++ b/tests/observe/log_test.cpp
@@ -56,6 +56,17 @@
   CHECK(lines[0].ends_with("path /a\\x0aentry forged\\x1b[0m"));
 }
 
+TEST_CASE_METHOD(log_fixture,
+                 "WriteLogLines_OfSeveralLines_GivesEachThePrefix",
+                 "[observe]")
+{
+  WriteLogLines(kTestLog, log_level::eError, "one\n\ntwo\n");
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].starts_with("test "));
+  CHECK(lines[0].ends_with(" error: one"));
+  CHECK(lines[1].ends_with(" error: two"));
+}
+
 TEST_CASE_METHOD(log_fixture,
                  "Log_WhenTheTextHoldsABearerKey_RemovesTheKey",
                  "[observe]")
