--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -128,7 +128,7 @@
 
   void TakeReport(const net::http_request& aRequest,
                   net::http_reply& aReply,
-                  request_id aId)
+                  request_id aId) const
   {
     last_reason why;
     auto row =
