--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -346,5 +346,30 @@
   RequireServesOn();
 }
 
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Control_WhenTheBytesAreNoMessage_ServesOn",
+                 "[process]")
+{
+  const int pid = running.controls[0]->Pid();
+  // A greeting of ZeroMQ with nothing sensible behind it, among others.
+  const std::string greeting =
+    "\xff" + std::string(8, '\0') + "\x7f\x03" + std::string(200, 'N');
+  for (const std::string& bytes : { std::string("GET / HTTP/1.1\r\n\r\n"),
+                                    std::string(1'000'000, '\xff'),
+                                    std::string(100, '\0'),
+                                    greeting }) {
+    const raw_connection connection(running.ControlAddress(0));
+    REQUIRE(connection.IsConnected());
+    connection.Send(bytes);
+    connection.CloseSending();
+  }
+  REQUIRE(running.controls[0]->IsRunning());
+  CHECK(running.controls[0]->Pid() == pid);
+  const finished status = running.Ctl({ "status" });
+  INFO(status.errors);
+  CHECK(status.exitCode == 0);
+  RequireServesOn();
+}
+
 } // namespace
 } // namespace bulrush::test
