Commit manifests as patches

The leader now proposes a JSON Patch over lists keyed by name when it is shorter; version and digest go with it, so resends and races are settled as before, and a patch that does not lead to its digest changes nothing.

--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -191,6 +191,9 @@
 {
   fleet_command command = aCall.command;
   command.at = aTables.wallClock();
+  if (auto* apply = std::get_if<apply_manifest>(&command.change)) {
+    *apply = ShortenApply(aTables.fleet, std::move(*apply));
+  }
   last_reason why;
   const auto position = aTables.log.propose(wire::EncodeCommand(command), why);
   if (!position) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -120,6 +120,26 @@
 std::string ToHex(const key_hash& aHash);
 std::optional<key_hash> ParseHash(std::string_view aHex);
 
+/// The same manifest with its lists in order of their names. Throws for a text
+/// that ParseManifest would refuse.
+std::string CanonicalManifest(const std::string& aText);
+
+/// What turns one manifest into another, as a JSON Patch (RFC 6902) over lists
+/// keyed by name. Throws for texts that ParseManifest would refuse.
+std::string DiffManifests(const std::string& aFrom, const std::string& aTo);
+
+/// The canonical text of aFrom changed by aPatch.
+std::optional<std::string> PatchManifest(const std::string& aFrom,
+                                         const std::string& aPatch,
+                                         last_reason& aWhy);
+
+/// The change that a leader proposes in place of aChange: the patch when it is
+/// shorter than the text. A text that is not well-formed stays as it is, to be
+/// refused by the state machine.
+struct apply_manifest;
+struct fleet_state;
+apply_manifest ShortenApply(const fleet_state& aState, apply_manifest aChange);
+
 // ---------------------------------------------------------------- endpoints
 
 /// A model resident on an endpoint, with its loaded adapters.
@@ -168,10 +188,15 @@
 // ---------------------------------------------------------------- commands
 
 /// Replaces the manifest if the current one has the expected revision.
+/// Operators send the text; the leader puts a patch in its place when that is
+/// shorter, since every host is sent the command.
 struct apply_manifest
 {
   std::uint64_t expectedRevision = 0;
-  std::string text;
+  std::string text;         ///< empty when the patch is set
+  std::string patch = {};   ///< on the manifest of the expected revision
+  std::string version = {}; ///< with the patch: of the result
+  key_hash digest = {};     ///< with the patch: of the result
 };
 
 struct issue_key
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -82,29 +82,91 @@
   aState.versions.Insert(aRow);
 }
 
-// Compare-and-set on the manifest revision settles races of operators; the
-// version table gives a resend the answer that was lost.
+// The manifest that a change asks for, with its canonical text.
+struct wanted_manifest
+{
+  manifest parsed;
+  std::string text;
+  key_hash digest;
+};
+
+std::optional<wanted_manifest>
+ReadWanted(const std::string& aText, std::vector<manifest_fault>& aFaults)
+{
+  auto parsed = ParseManifest(aText, aFaults);
+  if (!parsed) {
+    return std::nullopt;
+  }
+  wanted_manifest wanted;
+  wanted.parsed = std::move(*parsed);
+  wanted.text = CanonicalManifest(aText);
+  wanted.digest = HashKey(wanted.text);
+  return wanted;
+}
+
+// The version table gives a resend the answer that was lost, and tells an
+// operator that lost a race who won it.
+std::optional<command_result>
+AnswerKnownVersion(const fleet_state& aState,
+                   const std::string& aVersion,
+                   const key_hash& aDigest)
+{
+  const version_row* known =
+    aState.versions.Find(IdOf<typed_id<struct version_tag>>(aVersion));
+  if (known == nullptr) {
+    return std::nullopt;
+  }
+  if (known->digest != aDigest) {
+    return Refuse(aState,
+                  "version_taken",
+                  "version " + aVersion +
+                    " was applied before with another text, digest " +
+                    ToHex(known->digest));
+  }
+  command_result again = Done(aState, "applied before");
+  again.revision = known->revision;
+  return again;
+}
+
+command_result
+PutInForce(fleet_state& aState, wanted_manifest aWanted)
+{
+  aState.declared = std::move(aWanted.parsed);
+  aState.manifestText = std::move(aWanted.text);
+  aState.manifestDigest = aWanted.digest;
+  ++aState.manifestRevision;
+  AddDeclaredKeys(aState);
+  AddDeclaredDomains(aState);
+  command_result result = DoneWithNewRevision(aState, "applied");
+  RememberVersion(aState,
+                  { IdOf<typed_id<struct version_tag>>(aState.declared.version),
+                    aState.manifestDigest,
+                    aState.manifestRevision,
+                    aState.revision });
+  return result;
+}
+
+// Compare-and-set on the manifest revision settles races of operators. A
+// patch is read only after it, so it meets the very text it was made from;
+// the digest proves that.
 command_result
 Change(fleet_state& aState, const apply_manifest& aChange, wall_time)
 {
+  const bool isPatch = !aChange.patch.empty();
   std::vector<manifest_fault> faults;
-  auto parsed = ParseManifest(aChange.text, faults);
-  if (!parsed) {
-    return Refuse(aState, "bad_manifest", Describe(faults));
-  }
-  const key_hash digest = HashKey(aChange.text);
-  const auto versionId = IdOf<typed_id<struct version_tag>>(parsed->version);
-  if (const version_row* known = aState.versions.Find(versionId)) {
-    if (known->digest != digest) {
-      return Refuse(aState,
-                    "version_taken",
-                    "version " + parsed->version +
-                      " was applied before with another text, digest " +
-                      ToHex(known->digest));
+  std::optional<wanted_manifest> wanted;
+  if (!isPatch) {
+    wanted = ReadWanted(aChange.text, faults);
+    if (!wanted) {
+      return Refuse(aState, "bad_manifest", Describe(faults));
     }
-    command_result again = Done(aState, "applied before");
-    again.revision = known->revision;
-    return again;
+  }
+  const auto known =
+    AnswerKnownVersion(aState,
+                       isPatch ? aChange.version : wanted->parsed.version,
+                       isPatch ? aChange.digest : wanted->digest);
+  if (known) {
+    return *known;
   }
   if (aChange.expectedRevision != aState.manifestRevision) {
     return Refuse(aState,
@@ -114,16 +176,15 @@
                     aState.declared.version + "), not " +
                     std::to_string(aChange.expectedRevision));
   }
-  aState.declared = std::move(*parsed);
-  aState.manifestText = aChange.text;
-  aState.manifestDigest = digest;
-  ++aState.manifestRevision;
-  AddDeclaredKeys(aState);
-  AddDeclaredDomains(aState);
-  command_result result = DoneWithNewRevision(aState, "applied");
-  RememberVersion(
-    aState, { versionId, digest, aState.manifestRevision, aState.revision });
-  return result;
+  if (isPatch) {
+    last_reason why;
+    const auto text = PatchManifest(aState.manifestText, aChange.patch, why);
+    wanted = text ? ReadWanted(*text, faults) : std::nullopt;
+    if (!wanted || wanted->digest != aChange.digest) {
+      return Refuse(aState, "bad_patch", Describe(why) + Describe(faults));
+    }
+  }
+  return PutInForce(aState, std::move(*wanted));
 }
 
 command_result
@@ -299,6 +360,27 @@
 
 } // namespace
 
+apply_manifest
+ShortenApply(const fleet_state& aState, apply_manifest aChange)
+{
+  std::vector<manifest_fault> faults;
+  const bool hasBase = !aState.manifestText.empty() &&
+                       aChange.expectedRevision == aState.manifestRevision;
+  const auto wanted = hasBase ? ReadWanted(aChange.text, faults) : std::nullopt;
+  if (!wanted) {
+    return aChange;
+  }
+  std::string patch = DiffManifests(aState.manifestText, wanted->text);
+  if (patch.size() >= aChange.text.size()) {
+    return aChange;
+  }
+  aChange.text.clear();
+  aChange.patch = std::move(patch);
+  aChange.version = wanted->parsed.version;
+  aChange.digest = wanted->digest;
+  return aChange;
+}
+
 bool
 IsConfiguration(const fleet_change& aChange)
 {
--- a/src/wire/command_codec.cpp
+++ b/src/wire/command_codec.cpp
@@ -43,6 +43,11 @@
   auto* to = aTo.mutable_apply_manifest();
   to->set_expected_revision(aFrom.expectedRevision);
   to->set_text(aFrom.text);
+  to->set_patch(aFrom.patch);
+  to->set_version(aFrom.version);
+  if (!aFrom.patch.empty()) {
+    to->set_digest(ToBytes(aFrom.digest));
+  }
 }
 
 void
@@ -116,7 +121,11 @@
 apply_manifest
 GetChange(const pb::ApplyManifest& aFrom)
 {
-  return { aFrom.expected_revision(), aFrom.text() };
+  return { aFrom.expected_revision(),
+           aFrom.text(),
+           aFrom.patch(),
+           aFrom.version(),
+           FromBytes(aFrom.digest()) };
 }
 
 issue_key
--- a/tests/fleet/state_test.cpp
+++ b/tests/fleet/state_test.cpp
@@ -79,6 +79,37 @@
   CHECK(state.declared.version == "1");
 }
 
+TEST_CASE_METHOD(state_fixture,
+                 "Apply_AsAPatch_LeadsToTheVeryStateOfTheText",
+                 "[fleet]")
+{
+  REQUIRE(Do(apply_manifest{ 0, ManifestText("1") }).isDone);
+  fleet_state byText = state;
+  const apply_manifest change{ 1, ManifestText("2", 7) };
+  const apply_manifest shortened = ShortenApply(state, change);
+  REQUIRE_FALSE(shortened.patch.empty());
+  CHECK(shortened.patch.size() < change.text.size());
+  CHECK(Do(shortened).isDone);
+  Apply(byText, { now, change });
+  CHECK(state.manifestText == byText.manifestText);
+  CHECK(state.manifestDigest == byText.manifestDigest);
+  CHECK(state.revision == byText.revision);
+  CHECK(Do(shortened).text == "applied before");
+  CHECK(Do(change).text == "applied before");
+}
+
+TEST_CASE_METHOD(state_fixture,
+                 "Apply_WithAPatchOfAnotherText_ChangesNothing",
+                 "[fleet]")
+{
+  REQUIRE(Do(apply_manifest{ 0, ManifestText("1") }).isDone);
+  apply_manifest change =
+    ShortenApply(state, apply_manifest{ 1, ManifestText("2", 7) });
+  change.digest = HashKey("another text");
+  CHECK(Do(change).code == "bad_patch");
+  CHECK(state.declared.version == "1");
+}
+
 TEST_CASE_METHOD(state_fixture,
                  "Key_WhenWithdrawnBeforeItWasIssued_NeverWorks",
                  "[fleet]")
@@ -161,7 +192,11 @@
   const auto version = std::to_string(*rc::gen::inRange(1, 6));
   const auto text = ManifestText(version, *rc::gen::inRange(0, 3));
   const auto expected = *rc::gen::inRange<std::uint64_t>(0, 6);
-  const auto result = aFleet.Do(apply_manifest{ expected, text });
+  apply_manifest change{ expected, text };
+  if (*rc::gen::arbitrary<bool>()) {
+    change = ShortenApply(aFleet.state, std::move(change));
+  }
+  const auto result = aFleet.Do(change);
   const auto known = aModel.texts.find(version);
   if (known != aModel.texts.end()) {
     RC_ASSERT(result.isDone == (known->second == text));
