Test the life of requests with real processes, and broken answers on a bare socket

Cause: at most once and truthful refusals have to hold when an entry host dies between claim and send or between send and answer, and for lost, late, crossed and truncated answers. fake-endpoint cannot break an answer off: the reply's Abort leaves the connection open. Change: tests/process/requests_test and tests/support/raw_endpoint, which closes where it is told to and counts its runs.

--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -42,7 +42,7 @@
     auto server = net::Listen(
       mContext,
       mSettings.http,
-      [this](net::http_request aRequest,
+      [this](const net::http_request& aRequest,
              std::shared_ptr<net::http_reply> aReply) {
         Serve(aRequest, std::move(aReply));
       },
@@ -96,7 +96,7 @@
 
   void TakeReport(const net::http_request& aRequest,
                   net::http_reply& aReply,
-                  request_id aId)
+                  request_id aId) const
   {
     last_reason why;
     auto row =
--- /dev/null
+++ b/tests/process/requests_test.cpp
@@ -0,0 +1,423 @@
+#include "support/processes.hpp"
+#include "support/raw_endpoint.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace bulrush::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kReleaseDeadlineMs = 3'000;
+constexpr int kStatusDeadlineMs = 6'000;
+constexpr int kNever = 600'000; ///< milliseconds, longer than any test
+
+// Two entry hosts in one failure domain; the endpoints count their runs.
+struct requests_fixture
+{
+  fleet running{ { { "domain-a" }, 2, Manifest() } };
+  std::string key;
+
+  requests_fixture()
+  {
+    running.Start();
+    key = running.IssueKey("press");
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+      REQUIRE(WaitUntil([&] {
+        const auto answer =
+          Ask("GET",
+              "http://" + running.EntryAddress(entry) + "/v1/models",
+              { "Authorization: Bearer " + key });
+        return answer.status == 200;
+      }));
+    }
+  }
+
+  static std::string Manifest()
+  {
+    json manifest = json::parse(DefaultManifest({ "domain-a" }));
+    manifest["routes"][0]["deadline_ms"] = kReleaseDeadlineMs;
+    manifest["routes"][1]["deadline_ms"] = kStatusDeadlineMs;
+    return manifest.dump();
+  }
+
+  std::unique_ptr<raw_endpoint> AddRaw(const std::string& aName) const
+  {
+    return std::make_unique<raw_endpoint>(
+      aName,
+      "domain-a",
+      std::vector{ running.EntryAddress(0), running.EntryAddress(1) });
+  }
+
+  std::string AddDesk(const std::string& aName)
+  {
+    return AddFake(aName, { "--services", "desk" });
+  }
+
+  std::string AddEngine(const std::string& aName,
+                        const std::string& aPerToken = "1ms")
+  {
+    return AddFake(aName,
+                   { "--memory",
+                     "10000",
+                     "--models",
+                     "draft:1:1000",
+                     "--per-token",
+                     aPerToken });
+  }
+
+  std::string AddFake(const std::string& aName,
+                      std::vector<std::string> aArguments)
+  {
+    const std::string address =
+      running.AddEndpoint(aName, "domain-a", std::move(aArguments));
+    REQUIRE(WaitUntil([&] {
+      return Ask("GET", "http://" + address + "/stats").status == 200;
+    }));
+    return address;
+  }
+
+  /// Waits until both hosts serve the open route.
+  void WaitForDesk() const
+  {
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+      REQUIRE(WaitUntil([&] { return Status(entry).status == 200; }));
+    }
+  }
+
+  void WaitForEngines() const
+  {
+    for (std::size_t entry = 0; entry < 2; ++entry) {
+      REQUIRE(
+        WaitUntil([&] { return Complete(entry, 1, false).status == 200; }));
+    }
+  }
+
+  http_answer Status(std::size_t aEntry) const
+  {
+    return running.Post(aEntry, "/desk/status", "", {});
+  }
+
+  http_answer Release(std::size_t aEntry,
+                      const std::string& aIdempotencyKey,
+                      const std::string& aPlate = "plate 1") const
+  {
+    std::vector<std::string> fields;
+    if (!aIdempotencyKey.empty()) {
+      fields.push_back("Idempotency-Key: " + aIdempotencyKey);
+    }
+    return running.Post(
+      aEntry, "/desk/releases", key, { { "tag", aPlate } }, fields);
+  }
+
+  std::future<http_answer> ReleaseLater(
+    std::size_t aEntry,
+    const std::string& aIdempotencyKey) const
+  {
+    return std::async(std::launch::async, [this, aEntry, aIdempotencyKey] {
+      return Release(aEntry, aIdempotencyKey);
+    });
+  }
+
+  http_answer Complete(std::size_t aEntry, int aTokens, bool aIsStream) const
+  {
+    return running.Post(aEntry,
+                        "/v1/chat/completions",
+                        key,
+                        { { "model", "draft" },
+                          { "max_tokens", aTokens },
+                          { "stream", aIsStream },
+                          { "tag", "completion" } });
+  }
+
+  static void SetFault(const std::string& aAddress,
+                       const std::string& aKind,
+                       int aCount = 1,
+                       int aMilliseconds = 0)
+  {
+    const json fault = { { "fault", aKind },
+                         { "count", aCount },
+                         { "ms", aMilliseconds } };
+    const auto answer =
+      Ask("POST", "http://" + aAddress + "/faults", {}, fault.dump());
+    REQUIRE(answer.status == 200);
+  }
+
+  static json Stats(const std::string& aAddress)
+  {
+    return json::parse(Ask("GET", "http://" + aAddress + "/stats").body);
+  }
+
+  /// How often the endpoint ran requests with this tag.
+  static int Runs(const std::string& aAddress,
+                  const std::string& aTag = "plate 1")
+  {
+    return Stats(aAddress)["runs_by_tag"].value(aTag, 0);
+  }
+
+  static json Error(const http_answer& aAnswer)
+  {
+    INFO(aAnswer.status << ' ' << aAnswer.body << ' ' << aAnswer.error);
+    const json body = json::parse(aAnswer.body, nullptr, false);
+    REQUIRE(body.contains("error"));
+    return body["error"];
+  }
+
+  void CheckError(const http_answer& aAnswer,
+                  const std::string& aCode,
+                  const std::string& aRan) const
+  {
+    const json error = Error(aAnswer);
+    CHECK(error["code"] == aCode);
+    CHECK(error["ran"] == aRan);
+  }
+
+  void KillEntry(std::size_t aEntry)
+  {
+    running.entries[aEntry]->Signal(SIGKILL);
+    running.entries[aEntry]->Wait();
+  }
+};
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_ResentToAnotherHost_GetsTheStoredAnswer",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  const http_answer first = Release(0, "release-1");
+  REQUIRE(first.status == 200);
+  http_answer second;
+  REQUIRE(WaitUntil([&] {
+    second = Release(1, "release-1");
+    return second.status == 200;
+  }));
+  CHECK(second.body == first.body);
+  CHECK(second.fields.contains("idempotent-replay"));
+  CheckError(Release(1, "release-1", "plate 2"), "claim_mismatch", "not_run");
+  CHECK(Runs(desk) == 1);
+  CHECK(Runs(desk, "plate 2") == 0);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsHostDiesBeforeSending_NeverRuns",
+                 "[process][requests]")
+{
+  // Without an endpoint the first request holds its claim and waits. Should
+  // the resend claim first, both are tried again under another key.
+  std::string idempotencyKey;
+  std::future<http_answer> first;
+  int number = 0;
+  REQUIRE(WaitUntil([&] {
+    idempotencyKey = "release-" + std::to_string(++number);
+    first = ReleaseLater(0, idempotencyKey);
+    Ask("GET", "http://" + running.EntryAddress(0) + "/healthz");
+    return Error(Release(1, idempotencyKey))["code"] == "in_progress";
+  }));
+  KillEntry(0);
+  first.wait();
+  const std::string desk = AddDesk("desk");
+  REQUIRE(WaitUntil([&] { return Status(1).status == 200; }));
+  CheckError(Release(1, idempotencyKey), "in_progress", "may_have_run");
+  CHECK(Runs(desk) == 0);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsHostDiesBeforeTheAnswer_RunsOnce",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  SetFault(desk, "late", 1, kNever);
+  auto first = ReleaseLater(0, "release-1");
+  REQUIRE(WaitUntil([&] { return Runs(desk) == 1; }));
+  KillEntry(0);
+  first.wait();
+  CheckError(Release(1, "release-1"), "in_progress", "may_have_run");
+  CHECK(Runs(desk) == 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsAnswerIsLost_SaysMayHaveRunAndRunsOnce",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  const std::string other = AddDesk("other");
+  WaitForDesk();
+  SetFault(desk, "lose_answer");
+  SetFault(other, "lose_answer");
+  CheckError(Release(0, "release-1"), "deadline_passed", "may_have_run");
+  CheckError(Release(1, "release-1"), "in_progress", "may_have_run");
+  CHECK(Runs(desk) + Runs(other) == 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsAnswerIsLate_EndsAtTheDeadlineAndIsStored",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  SetFault(desk, "late", 1, kReleaseDeadlineMs + 1'000);
+  CheckError(Release(0, "release-1"), "deadline_passed", "may_have_run");
+  http_answer again;
+  REQUIRE(WaitUntil([&] {
+    again = Release(1, "release-1");
+    return again.status == 200;
+  }));
+  CHECK(again.fields.contains("idempotent-replay"));
+  CHECK(Runs(desk) == 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenRefusedByTheEndpoint_SaysNotRunAndMayBeResent",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  SetFault(desk, "refuse");
+  CheckError(Release(0, "release-1"), "overloaded", "not_run");
+  CHECK(Runs(desk) == 0);
+  REQUIRE(WaitUntil([&] { return Release(1, "release-1").status == 200; }));
+  CHECK(Runs(desk) == 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WithoutAQuorum_IsRefusedAsNotRun",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  running.controls[0]->Signal(SIGSTOP);
+  const http_answer answer = Release(0, "release-1");
+  running.controls[0]->Signal(SIGCONT);
+  CHECK(answer.status == 503);
+  CHECK(Error(answer)["ran"] == "not_run");
+  CHECK(Runs(desk) == 0);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsAnswerIsBroken_IsNeverRepeated",
+                 "[process][requests]")
+{
+  const auto desk = AddRaw("desk");
+  const auto other = AddRaw("other");
+  WaitForDesk();
+  const raw_fate fate = GENERATE(raw_fate::eCloses, raw_fate::eTruncatesBody);
+  const std::string idempotencyKey = GENERATE("", "release-1");
+  const int before = desk->Runs() + other->Runs();
+  desk->SetFates({ fate });
+  other->SetFates({ fate });
+  CheckError(Release(0, idempotencyKey), "endpoint_failed", "may_have_run");
+  if (!idempotencyKey.empty()) {
+    CheckError(Release(1, idempotencyKey), "in_progress", "may_have_run");
+  }
+  CHECK(desk->Runs() + other->Runs() == before + 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Release_WhenItsAnswerIsCrossed_SaysMayHaveRun",
+                 "[process][requests]")
+{
+  const std::string desk = AddDesk("desk");
+  WaitForDesk();
+  SetFault(desk, "cross");
+  CheckError(Release(0, ""), "endpoint_failed", "may_have_run");
+  CHECK(Runs(desk) == 1);
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Lookup_WhenItsAnswerIsBroken_IsAnsweredByAnother",
+                 "[process][requests]")
+{
+  const auto desk = AddRaw("desk");
+  const auto other = AddRaw("other");
+  WaitForDesk();
+  const raw_fate fate = GENERATE(raw_fate::eCloses, raw_fate::eTruncatesBody);
+  desk->SetFates({ fate });
+  for (int i = 0; i < 8; ++i) {
+    const http_answer answer = Status(0);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "{\"ok\":true}");
+  }
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Lookup_WhenItsEndpointIsSlow_IsAnsweredByAnother",
+                 "[process][requests]")
+{
+  const std::string slow = AddDesk("slow");
+  const std::string other = AddDesk("other");
+  WaitForDesk();
+  REQUIRE(WaitUntil(
+    [&] { return Status(0).status == 200 && Runs(slow, "/desk/status") > 0; }));
+  REQUIRE(WaitUntil([&] {
+    return Status(0).status == 200 && Runs(other, "/desk/status") > 0;
+  }));
+  SetFault(slow, "late", 1, kNever);
+  for (int i = 0; i < 8; ++i) {
+    CHECK(Status(0).status == 200);
+  }
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Completion_WhenAnAnswerIsSpoilt_IsWholeAndItsOwn",
+                 "[process][requests]")
+{
+  const std::string engine = AddEngine("engine");
+  const std::string other = AddEngine("other");
+  WaitForEngines();
+  const std::string fault = GENERATE("cross", "refuse");
+  SetFault(engine, fault);
+  SetFault(other, fault);
+  const http_answer answer = Complete(0, 4, false);
+  INFO(fault << ' ' << answer.status << ' ' << answer.body << answer.error);
+  REQUIRE(answer.status == 200);
+  const json body = json::parse(answer.body);
+  CHECK(body["choices"][0]["message"]["content"] == "t0 t1 t2 t3 ");
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Stream_WhenItBreaks_IsResumedWithoutAGap",
+                 "[process][requests]")
+{
+  const auto engine = AddRaw("engine");
+  const auto other = AddRaw("other");
+  WaitForEngines();
+  engine->SetFates({ raw_fate::eTruncatesChunks });
+  other->SetFates({ raw_fate::eTruncatesChunks });
+  const http_answer answer = Complete(0, raw_endpoint::kTokens, true);
+  INFO(answer.body);
+  REQUIRE(answer.status == 200);
+  std::size_t position = 0;
+  for (int token = 0; token < raw_endpoint::kTokens; ++token) {
+    const std::string mark = "\"content\":\"t" + std::to_string(token) + " \"";
+    const std::size_t found = answer.body.find(mark);
+    REQUIRE(found != std::string::npos);
+    CHECK(found >= position);
+    CHECK(answer.body.find(mark, found + 1) == std::string::npos);
+    position = found;
+  }
+  CHECK(answer.body.ends_with("data: [DONE]\n\n"));
+}
+
+TEST_CASE_METHOD(requests_fixture,
+                 "Stream_WhenItsKeyIsWithdrawn_IsCutWithAnError",
+                 "[process][requests]")
+{
+  const std::string engine = AddEngine("engine", "100ms");
+  WaitForEngines();
+  auto stream = std::async(std::launch::async,
+                           [this] { return Complete(0, 100'000, true); });
+  REQUIRE(WaitUntil([&] { return Stats(engine)["running"] == 1; }));
+  REQUIRE(running.Ctl({ "key", "withdraw", key }).exitCode == 0);
+  const http_answer answer = stream.get();
+  CHECK(answer.body.find("key_withdrawn") != std::string::npos);
+  CHECK(answer.body.find("[DONE]") == std::string::npos);
+  CHECK(WaitUntil([&] { return Stats(engine)["cancelled"] == 1; }));
+}
+
+} // namespace
+} // namespace bulrush::test
--- /dev/null
+++ b/tests/support/raw_endpoint.cpp
@@ -0,0 +1,220 @@
+#include "support/raw_endpoint.hpp"
+
+#include "support/processes.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace bulrush::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kReportEveryMs = 400;
+constexpr int kBacklog = 64;
+
+std::string
+FieldOf(const std::string& aHead, const std::string& aName)
+{
+  const std::size_t found = aHead.find("\r\n" + aName + ": ");
+  if (found == std::string::npos) {
+    return "";
+  }
+  const std::size_t from = found + aName.size() + 4;
+  return aHead.substr(from, aHead.find("\r\n", from) - from);
+}
+
+// Head and body of one request; empty when the peer closed before its end.
+std::string
+ReadRequest(int aSocket)
+{
+  std::string text;
+  std::array<char, 4096> buffer{};
+  for (;;) {
+    const std::size_t end = text.find("\r\n\r\n");
+    if (end != std::string::npos) {
+      const std::string length = FieldOf(text, "Content-Length");
+      const std::size_t body = length.empty() ? 0 : std::stoul(length);
+      if (text.size() >= end + 4 + body) {
+        return text;
+      }
+    }
+    const ssize_t count = recv(aSocket, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      return "";
+    }
+    text.append(buffer.data(), static_cast<std::size_t>(count));
+  }
+}
+
+void
+SendAll(int aSocket, const std::string& aText)
+{
+  std::size_t sent = 0;
+  while (sent < aText.size()) {
+    const ssize_t count =
+      send(aSocket, aText.data() + sent, aText.size() - sent, MSG_NOSIGNAL);
+    if (count <= 0) {
+      return;
+    }
+    sent += static_cast<std::size_t>(count);
+  }
+}
+
+std::string
+Chunk(const std::string& aText)
+{
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", aText.size());
+  return size.data() + aText + "\r\n";
+}
+
+std::string
+TokenEvent(int aToken)
+{
+  const json delta = { { "content", "t" + std::to_string(aToken) + " " } };
+  const json choice = { { "index", 0 }, { "delta", delta } };
+  return "data: " + json{ { "choices", { choice } } }.dump() + "\n\n";
+}
+
+std::string
+StreamAnswer(const std::string& aHead, bool aIsTruncated)
+{
+  const std::string resume = FieldOf(aHead, "Bulrush-Resume");
+  const int from = resume.empty() ? 0 : std::stoi(resume);
+  const int to =
+    aIsTruncated ? raw_endpoint::kTokens / 2 : raw_endpoint::kTokens;
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\nConnection: close\r\n"
+                       "Bulrush-Resume: " +
+                       std::to_string(from) + "\r\nBulrush-Attempt: " +
+                       FieldOf(aHead, "Bulrush-Attempt") + "\r\n\r\n";
+  for (int token = from; token < to; ++token) {
+    answer += Chunk(TokenEvent(token));
+  }
+  if (!aIsTruncated) {
+    answer += Chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+  }
+  return answer;
+}
+
+std::string
+WholeAnswer(const std::string& aHead, bool aIsTruncated)
+{
+  const std::string body = "{\"ok\":true}";
+  return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+         "Connection: close\r\nContent-Length: " +
+         std::to_string(body.size()) +
+         "\r\nBulrush-Attempt: " + FieldOf(aHead, "Bulrush-Attempt") +
+         "\r\n\r\n" + (aIsTruncated ? body.substr(0, 4) : body);
+}
+
+} // namespace
+
+raw_endpoint::raw_endpoint(std::string aName,
+                           std::string aDomain,
+                           std::vector<std::string> aEntries)
+  : mName(std::move(aName))
+  , mDomain(std::move(aDomain))
+  , mEntries(std::move(aEntries))
+{
+  mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (bind(mListener, generic, size) != 0 || listen(mListener, kBacklog) != 0 ||
+      getsockname(mListener, generic, &size) != 0) {
+    throw std::runtime_error("no port for a raw endpoint");
+  }
+  mPort = ntohs(address.sin_port);
+  mThread = std::thread([this] { Serve(); });
+}
+
+raw_endpoint::~raw_endpoint()
+{
+  mIsStopping = true;
+  mThread.join();
+  close(mListener);
+}
+
+void
+raw_endpoint::SetFates(std::deque<raw_fate> aFates)
+{
+  const std::lock_guard guard(mMutex);
+  mFates = std::move(aFates);
+}
+
+raw_fate
+raw_endpoint::NextFate()
+{
+  const std::lock_guard guard(mMutex);
+  if (mFates.empty()) {
+    return raw_fate::eWhole;
+  }
+  const raw_fate fate = mFates.front();
+  mFates.pop_front();
+  return fate;
+}
+
+void
+raw_endpoint::Serve()
+{
+  while (!mIsStopping) {
+    Report();
+    pollfd waited{ mListener, POLLIN, 0 };
+    while (poll(&waited, 1, kReportEveryMs) > 0) {
+      const int accepted = accept(mListener, nullptr, nullptr);
+      Answer(accepted);
+      close(accepted);
+    }
+  }
+}
+
+void
+raw_endpoint::Report()
+{
+  const json draft = { { "model", "draft" }, { "version", "1" } };
+  const json report = { { "endpoint", mName },
+                        { "incarnation", 1 },
+                        { "sequence", ++mSequence },
+                        { "address", "127.0.0.1:" + std::to_string(mPort) },
+                        { "failure_domain", mDomain },
+                        { "slots", 8 },
+                        { "cold_slots", 8 },
+                        { "resume", true },
+                        { "residents", json::array({ draft }) },
+                        { "services", json::array({ "desk" }) } };
+  for (const std::string& entry : mEntries) {
+    Ask("POST",
+        "http://" + entry + "/v1/endpoints/report",
+        { "Content-Type: application/json" },
+        report.dump());
+  }
+}
+
+// A request that was read counts as run, whatever becomes of its answer.
+void
+raw_endpoint::Answer(int aSocket)
+{
+  const std::string request = ReadRequest(aSocket);
+  if (request.empty() || request.starts_with("POST /orders")) {
+    return;
+  }
+  ++mRuns;
+  const raw_fate fate = NextFate();
+  if (fate == raw_fate::eCloses) {
+    return;
+  }
+  const bool isStream = request.find("\"stream\":true") != std::string::npos;
+  SendAll(aSocket,
+          isStream ? StreamAnswer(request, fate == raw_fate::eTruncatesChunks)
+                   : WholeAnswer(request, fate == raw_fate::eTruncatesBody));
+}
+
+} // namespace bulrush::test
