--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <thread>
 
@@ -13,7 +14,7 @@
 
 constexpr log_part kLog{ "entry" };
 
-constexpr std::array<option_row, 7> kOptions{ {
+constexpr std::array<option_row, 12> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -42,6 +43,13 @@
     "",
     "",
     "Control processes to report to, NAME=IP:PORT, the preferred one first" },
+  { "stop-delay",
+    option_type::eDuration,
+    "",
+    "1s",
+    "0ms",
+    "10min",
+    "How long a stopping host is unready and still takes requests" },
   { "link-keys",
     option_type::eSecretFile,
     "",
@@ -63,6 +71,34 @@
     "",
     "",
     "File with the secret that endpoints present with their reports" },
+  { "spans",
+    option_type::ePath,
+    "",
+    "",
+    "",
+    "",
+    "File for spans as OTLP/JSON lines; none are written without it" },
+  { "spans-size",
+    option_type::eInteger,
+    "bytes",
+    "67108864",
+    "1048576",
+    "",
+    "Size at which the file of spans is renamed to FILE.1" },
+  { "trace-share",
+    option_type::eDecimal,
+    "",
+    "0.01",
+    "0",
+    "1",
+    "Share of requests without a traceparent whose spans are written" },
+  { "log-level",
+    option_type::eText,
+    "",
+    "info",
+    "",
+    "",
+    "Lines that are written: debug, info, warning or error and above" },
 } };
 
 constexpr program_options kProgram{
@@ -120,6 +156,13 @@
 
   void RunSoon() { mTimer.RunSoon(); }
 
+  void BeginStop()
+  {
+    mTables.isStopping = true;
+    mTables.nextRenewal = steady_time{}; // tell the control host at once
+    mTimer.RunSoon();
+  }
+
   void Report(endpoint_row aRow)
   {
     mTables.reports.push_back(std::move(aRow));
@@ -181,8 +224,9 @@
 class entry_process
 {
 public:
-  explicit entry_process(const option_values& aOptions)
-    : mControl(mControlContext,
+  entry_process(const option_values& aOptions, span_writer aSpans)
+    : mStopDelay(aOptions.Duration("stop-delay"))
+    , mControl(mControlContext,
                aOptions,
                [this](traffic_view aView) {
                  asio::post(mTrafficContext,
@@ -190,7 +234,9 @@
                               mTraffic.SetView(std::move(view));
                             });
                })
-    , mTraffic(mTrafficContext, TrafficSettings(aOptions), Hooks())
+    , mTraffic(mTrafficContext,
+               TrafficSettings(aOptions, std::move(aSpans)),
+               Hooks())
   {
   }
 
@@ -222,10 +268,7 @@
   {
     const auto guard = asio::make_work_guard(mTrafficContext);
     std::thread traffic([this] { mTrafficContext.run(); });
-    net::OnStopSignal(mControlContext, [this] {
-      LogInfo(kLog, "Stops");
-      mControlContext.stop();
-    });
+    net::OnStopSignal(mControlContext, [this] { BeginStop(); });
     mControl.RunSoon();
     mControlContext.run();
     mTrafficContext.stop();
@@ -233,7 +276,29 @@
   }
 
 private:
-  static traffic_settings TrafficSettings(const option_values& aOptions)
+  // First unready, so that the balancer moves on while requests are still
+  // taken; after the delay new ones are refused and those open are finished.
+  void BeginStop()
+  {
+    LogInfo(kLog, "Stops after {}", FormatDuration(mStopDelay));
+    mControl.BeginStop();
+    mStopTimer.expires_after(mStopDelay);
+    mStopTimer.async_wait([this](const std::error_code&) {
+      asio::post(mTrafficContext, [this] {
+        mTraffic.StopWhenIdle(
+          [this] { asio::post(mControlContext, [this] { EndStop(); }); });
+      });
+    });
+  }
+
+  void EndStop()
+  {
+    LogInfo(kLog, "Has finished every request");
+    mControlContext.stop();
+  }
+
+  static traffic_settings TrafficSettings(const option_values& aOptions,
+                                          span_writer aSpans)
   {
     traffic_settings settings;
     const host_address listen = *aOptions.Address("listen");
@@ -241,6 +306,9 @@
     settings.http.port = listen.port;
     settings.hostName = aOptions.Text("name");
     settings.domain = aOptions.Text("domain");
+    settings.recording.thread = "traffic";
+    settings.recording.writer = std::move(aSpans);
+    settings.recording.traceShare = aOptions.Decimal("trace-share");
     return settings;
   }
 
@@ -286,10 +354,25 @@
 
   asio::io_context mControlContext{ 1 };
   asio::io_context mTrafficContext{ 1 };
+  asio::steady_timer mStopTimer{ mControlContext };
+  std::chrono::milliseconds mStopDelay;
   control_thread mControl;
   traffic_thread mTraffic;
 };
 
+std::optional<span_writer>
+OpenSpans(const option_values& aOptions, last_reason& aWhy)
+{
+  if (!aOptions.IsSet("spans")) {
+    return span_writer();
+  }
+  return FileSpanWriter(
+    aOptions.Path("spans"),
+    { "bulrush-entry", aOptions.Text("name"), aOptions.Text("domain") },
+    static_cast<std::uint64_t>(aOptions.Integer("spans-size")),
+    aWhy);
+}
+
 int
 Run(int aCount, char** aWords)
 {
@@ -298,8 +381,15 @@
   if (!options) {
     return exitCode;
   }
-  entry_process process(*options);
   last_reason why;
+  const auto level = ParseLogLevel(options->Text("log-level"), why);
+  const auto spans = level ? OpenSpans(*options, why) : std::nullopt;
+  if (!spans) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  SetLogLevel(*level);
+  entry_process process(*options, *spans);
   if (!process.Start(*options, why)) {
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
--- a/src/apps/entry_requests.cpp
+++ b/src/apps/entry_requests.cpp
@@ -230,17 +230,24 @@
 public:
   implementation(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
+                 std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand)
     : mOnCommand(std::move(aOnCommand))
     , mTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings))
-    , mClient(net::MakeHttpClient(aContext))
+    , mClient(std::move(aClient))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
   }
 
   std::size_t Open() const { return mWaiting.Size(); }
 
+  void WhenIdle(std::function<void()> aOnIdle)
+  {
+    mOnIdle = std::move(aOnIdle);
+    mTimer.RunSoon();
+  }
+
   void SetView(const traffic_view& aView)
   {
     const bool hasNewFleet = mView.fleet != aView.fleet;
@@ -438,9 +445,19 @@
       StartCall(each);
     }
     Sweep();
+    TellIfIdle();
     return mOutbox.wake;
   }
 
+  void TellIfIdle()
+  {
+    if (mOnIdle && mWaiting.Empty()) {
+      const auto hook = std::move(mOnIdle);
+      mOnIdle = nullptr;
+      hook();
+    }
+  }
+
   // Ended calls and requests that the engine no longer knows.
   void Sweep()
   {
@@ -672,14 +689,17 @@
   std::vector<attempt_id> mEnded;
   std::vector<request_id> mAnswered;
   std::unique_ptr<net::http_client> mClient;
+  std::function<void()> mOnIdle;
   net::tick_timer mTimer;
 };
 
 request_runner::request_runner(asio::io_context& aContext,
                                const request_runner_settings& aSettings,
+                               std::unique_ptr<net::http_client> aClient,
                                commit_hook aOnCommand)
   : mImplementation(std::make_unique<implementation>(aContext,
                                                      aSettings,
+                                                     std::move(aClient),
                                                      std::move(aOnCommand)))
 {
 }
@@ -698,6 +718,12 @@
   mImplementation->Start(std::move(aRequest));
 }
 
+void
+request_runner::WhenIdle(std::function<void()> aOnIdle)
+{
+  mImplementation->WhenIdle(std::move(aOnIdle));
+}
+
 std::size_t
 request_runner::Open() const
 {
--- a/src/apps/entry_requests.hpp
+++ b/src/apps/entry_requests.hpp
@@ -36,6 +36,7 @@
 public:
   request_runner(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
+                 std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand);
   ~request_runner();
   request_runner(const request_runner&) = delete;
@@ -46,6 +47,8 @@
   void Start(routed_request aRequest);
   /// Requests whose callers wait, and claimed ones whose outcome is awaited.
   std::size_t Open() const;
+  /// Calls aOnIdle once, as soon as no request is open.
+  void WhenIdle(std::function<void()> aOnIdle);
 
 private:
   class implementation;
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -33,7 +33,11 @@
     : mContext(aContext)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
-    , mRunner(aContext, { mSettings.domain, NewSeed() }, mHooks.onCommand)
+    , mRecorder(Seeded(mSettings.recording))
+    , mRunner(aContext,
+              { mSettings.domain, NewSeed() },
+              mRecorder.Record(net::MakeHttpClient(aContext)),
+              mHooks.onCommand)
   {
   }
 
@@ -44,7 +48,7 @@
       mSettings.http,
       [this](const net::http_request& aRequest,
              std::shared_ptr<net::http_reply> aReply) {
-        Serve(aRequest, std::move(aReply));
+        Serve(std::move(aRequest), std::move(aReply));
       },
       aWhy);
     if (!server) {
@@ -62,8 +66,29 @@
   }
   std::size_t OpenRequests() const { return mRunner.Open(); }
 
+  void StopWhenIdle(std::function<void()> aOnStopped)
+  {
+    mIsRefusing = true;
+    mRunner.WhenIdle(
+      [this, hook = std::move(aOnStopped)] { mServer->StopWhenFlushed(hook); });
+  }
+
 private:
-  void Serve(const net::http_request& aRequest,
+  static recorder_settings Seeded(recorder_settings aSettings)
+  {
+    aSettings.seed = NewSeed();
+    return aSettings;
+  }
+
+  std::string MetricsPage()
+  {
+    return mRecorder.Page({ mView.fleet->revision,
+                            mView.endpoints->size(),
+                            mRunner.Open(),
+                            HasLease() });
+  }
+
+  void Serve(net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
@@ -72,20 +97,42 @@
       SendError(*aReply, error, FormatId(id.value));
       return;
     }
-    if (aRequest.path == "/healthz") {
+    if (mIsRefusing) {
+      SendError(*aReply,
+                { 503,
+                  "stopping",
+                  "this host is being stopped",
+                  false,
+                  std::chrono::seconds(1) },
+                FormatId(id.value));
+    } else if (aRequest.path == "/healthz") {
       aReply->Send(200, {}, "ok\n");
     } else if (aRequest.path == "/readyz") {
       const bool isReady = HasLease() && !mView.isStopping;
       aReply->Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
+    } else if (aRequest.path == "/metrics") {
+      aReply->Send(200,
+                   { { "Content-Type", "text/plain; version=0.0.4" } },
+                   MetricsPage());
     } else if (aRequest.path == "/v1/endpoints/report") {
       TakeReport(aRequest, *aReply, id);
-    } else if (aRequest.path == "/v1/models") {
-      ListModels(aRequest, *aReply, id);
+    } else {
+      aReply = mRecorder.Record(aRequest, std::move(aReply));
+      ServeCaller(aRequest, std::move(aReply), id);
+    }
+  }
+
+  void ServeCaller(const net::http_request& aRequest,
+                   std::shared_ptr<net::http_reply> aReply,
+                   request_id aId)
+  {
+    if (aRequest.path == "/v1/models") {
+      ListModels(aRequest, *aReply, aId);
     } else if (aRequest.path == "/v1/completions" ||
                aRequest.path == "/v1/chat/completions") {
-      Complete(aRequest, std::move(aReply), id);
+      Complete(aRequest, std::move(aReply), aId);
     } else {
-      CallService(aRequest, std::move(aReply), id);
+      CallService(aRequest, std::move(aReply), aId);
     }
   }
 
@@ -272,8 +319,10 @@
   traffic_settings mSettings;
   control_hooks mHooks;
   traffic_view mView;
+  recorder mRecorder;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
+  bool mIsRefusing = false;
   std::uint64_t mLastRequest = 0;
 };
 
@@ -306,6 +355,12 @@
   mImplementation->SetView(std::move(aView));
 }
 
+void
+traffic_thread::StopWhenIdle(std::function<void()> aOnStopped)
+{
+  mImplementation->StopWhenIdle(std::move(aOnStopped));
+}
+
 std::size_t
 traffic_thread::OpenRequests() const
 {
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -10,12 +10,12 @@
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_requests.cpp src/apps/entry_answer.cpp
-  src/apps/entry_http.cpp)
+  src/apps/entry_http.cpp src/apps/entry_recorder.cpp)
 target_link_libraries(bulrush-entry PRIVATE bulrush_routing)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
 bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
-  src/apps/ctl_commands.cpp)
+  src/apps/ctl_commands.cpp src/apps/ctl_trace.cpp)
 bulrush_program(bulrush-load src/apps/load_main.cpp src/apps/load_process.cpp)
 target_link_libraries(bulrush-load PRIVATE bulrush_load)
 
@@ -28,3 +28,5 @@
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
   "signature: 150f02ec2e8f9f13")
+bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
+  src/apps/swarm_systems.cpp)
