--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -1,6 +1,6 @@
 # One small binary per program.
 function(bulrush_program aName)
-  add_executable(${aName} ${ARGN})
+  add_executable(${aName} ${ARGN} src/apps/link_settings.cpp)
   target_link_libraries(${aName} PRIVATE bulrush_wire bulrush_net
     bulrush_observe bulrush_settings bulrush_fleet)
 endfunction()
@@ -26,3 +26,5 @@
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
   "signature: 150f02ec2e8f9f13")
+bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
+  src/apps/swarm_systems.cpp)
