Put placement under bulrush-control: orders in the log and to engines

Cause: the placement library decided, but nothing fed it or sent what it asked. Orders name the incarnation that they are for, and answers the report that went before, so that no guess frees memory. fake-endpoint keeps two versions side by side and, without checks-fencing, acts on every copy. Conclusion: a single control process loads what the manifest declares.

--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -84,6 +84,18 @@
     return position;
   };
   hooks.isLeader = [] { return true; };
+  hooks.leads = [&aTables](steady_time) -> std::optional<leader_term> {
+    if (!aTables.controls.Empty()) {
+      return std::nullopt; // several processes without a common log
+    }
+    // A process that starts again has forgotten its orders; a term that only
+    // grows keeps it from being taken for the former one.
+    constexpr std::uint64_t kNanosecondsInSecond = 1'000'000'000;
+    leader_term leads;
+    leads.term = static_cast<std::uint32_t>(aTables.self.incarnation /
+                                            kNanosecondsInSecond);
+    return leads;
+  };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
   return hooks;
 }
@@ -103,6 +115,7 @@
     mTables.self.incarnation = static_cast<std::uint64_t>(
       mTables.wallClock().time_since_epoch().count());
     mTables.log = MakeLocalLog(mTables);
+    mClient = net::MakeHttpClient(mContext);
   }
 
   bool Start(const option_values& aOptions, last_reason& aWhy)
@@ -199,6 +212,9 @@
     for (outgoing& out : outbox.messages) {
       Send(out, aNow);
     }
+    for (order_call& call : outbox.orders) {
+      SendOrder(std::move(call));
+    }
     if (!mTables.committed.empty()) {
       mTimer.RunSoon();
     }
@@ -220,11 +236,42 @@
     }
   }
 
+  // A connection of its own: the library resends nothing, and the endpoint
+  // that answers is the one that was dialled for this order.
+  void SendOrder(order_call aCall)
+  {
+    net::http_call call;
+    call.url = "http://" + aCall.address + "/orders";
+    call.fields = { { "Content-Type", "application/json" } };
+    call.body = std::move(aCall.body);
+    call.timeout = kOrderTimeout;
+    call.freshConnection = true;
+    auto answer = std::make_shared<order_answer>();
+    answer->order = aCall.order;
+    net::http_call_hooks hooks;
+    hooks.onBytes = [answer](std::string_view aBytes) {
+      if (answer->body.size() + aBytes.size() <= kMaxOrderAnswerBytes) {
+        answer->body += aBytes;
+      }
+    };
+    hooks.onEnd = [this, answer](const net::http_call_end& aEnd) {
+      answer->isSent = aEnd.anySent;
+      answer->status = aEnd.whole ? aEnd.status : 0;
+      mTables.orders.answers.push_back(std::move(*answer));
+      mTimer.RunSoon();
+    };
+    mClient->Start(std::move(call), std::move(hooks));
+  }
+
+  static constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
+  static constexpr std::size_t kMaxOrderAnswerBytes = 4096;
+
   asio::io_context& mContext;
   control_tables mTables;
   net::tick_timer mTimer;
   net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
+  std::unique_ptr<net::http_client> mClient;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
 
--- /dev/null
+++ b/src/apps/control_orders.cpp
@@ -0,0 +1,388 @@
+#include "apps/control_orders.hpp"
+
+#include "apps/control_tables.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace bulrush::control {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kDoneBefore = 200;
+constexpr int kTaken = 202;
+constexpr int kOldFencing = 409;
+constexpr int kDoesNotFit = 507;
+/// Any lease ends before a decision of the next tick leaves.
+constexpr std::chrono::milliseconds kOneTick{ 1 };
+
+std::string
+NameOf(const order_tables& aTables, std::uint64_t aId)
+{
+  const wire::artifact_name* name = aTables.names.Find({ aId });
+  return name == nullptr ? "" : name->text;
+}
+
+std::uint64_t
+BytesOf(const order_tables& aTables, std::uint64_t aId)
+{
+  const wire::artifact_name* name = aTables.names.Find({ aId });
+  return name == nullptr ? 0 : name->bytes;
+}
+
+std::uint64_t
+VersionId(const std::string& aVersion)
+{
+  return StableHash(aVersion);
+}
+
+placement::model_row
+ToPlacement(const model_row& aModel)
+{
+  placement::model_row row;
+  row.id = aModel.id;
+  row.version = VersionId(aModel.version);
+  row.bytes = aModel.bytes;
+  row.deadline = aModel.deadline;
+  row.minimumCopies = aModel.minCopies;
+  return row;
+}
+
+// An adapter has no version of its own in the manifest.
+placement::adapter_row
+ToPlacement(const adapter_row& aAdapter)
+{
+  return { aAdapter.id, aAdapter.model, 0, aAdapter.bytes };
+}
+
+void
+TakeManifest(control_tables& aTables)
+{
+  order_tables& orders = aTables.orders;
+  const fleet_state& fleet = aTables.fleet;
+  if (orders.manifestRevision == fleet.manifestRevision) {
+    return;
+  }
+  orders.manifestRevision = fleet.manifestRevision;
+  LearnNames(orders, fleet.declared);
+  std::vector<placement::model_row> models;
+  models.reserve(fleet.declared.models.Size());
+  for (const model_row& model : fleet.declared.models) {
+    models.push_back(ToPlacement(model));
+  }
+  std::vector<placement::adapter_row> adapters;
+  adapters.reserve(fleet.declared.adapters.Size());
+  for (const adapter_row& adapter : fleet.declared.adapters) {
+    adapters.push_back(ToPlacement(adapter));
+  }
+  placement::OnManifest(orders.placement, models, adapters);
+  const store_limits& store = fleet.declared.store;
+  orders.placement.pacing =
+    placement::StorePacing(store.loadsPerSecond,
+                           store.loadsAtFullSpeed,
+                           store.adapterLoadsAtFullSpeed);
+}
+
+void
+TakeDomains(control_tables& aTables)
+{
+  placement::tables& state = aTables.orders.placement;
+  for (const domain_state_row& domain : aTables.fleet.domains) {
+    const bool isKnownOut = state.takenOut.Find(domain.id) != nullptr;
+    if (domain.isOut != isKnownOut) {
+      placement::OnDomainTakenOut(state, domain.id, domain.isOut);
+    }
+  }
+}
+
+// What cannot be named cannot be ordered away: it counts in the memory that the
+// endpoint reports, and placement leaves it alone.
+placement::resident_state
+StateOf(const order_tables& aTables, const placement::artifact& aWhat)
+{
+  const bool isNamed =
+    !NameOf(aTables, aWhat.model.value).empty() &&
+    (!aWhat.adapter || !NameOf(aTables, aWhat.adapter.value).empty());
+  return isNamed ? placement::resident_state::eReady
+                 : placement::resident_state::eUnloading;
+}
+
+std::vector<placement::reported_resident>
+ResidentsOf(order_tables& aTables, const endpoint_row& aEndpoint)
+{
+  std::vector<placement::reported_resident> residents;
+  for (const resident& held : aEndpoint.residents) {
+    const std::uint64_t version = VersionId(held.version);
+    if (aTables.names.Find({ version }) == nullptr) {
+      aTables.names.Insert({ { version }, held.version, 0 });
+    }
+    const placement::artifact model{ held.model, {}, version };
+    residents.push_back(
+      { model, BytesOf(aTables, held.model.value), StateOf(aTables, model) });
+    for (const adapter_id& adapter : held.adapters) {
+      const placement::artifact what{ held.model, adapter, 0 };
+      residents.push_back(
+        { what, BytesOf(aTables, adapter.value), StateOf(aTables, what) });
+    }
+  }
+  return residents;
+}
+
+// A report names many orders; the unresolved one is what matters, whichever
+// came after it.
+const order_report*
+NamedOrder(const placement::tables& aState, const endpoint_row& aEndpoint)
+{
+  for (const order_report& named : aEndpoint.orders) {
+    const placement::order_row* order = aState.orders.Find(named.order);
+    if (order != nullptr && order->endpoint == aEndpoint.id &&
+        order->state != placement::order_state::eDone &&
+        order->state != placement::order_state::eVoid) {
+      return &named;
+    }
+  }
+  return aEndpoint.orders.empty() ? nullptr : &aEndpoint.orders.back();
+}
+
+placement::report
+ReportOf(order_tables& aTables, const endpoint_row& aEndpoint)
+{
+  placement::report report;
+  report.endpoint = aEndpoint.id;
+  report.incarnation = aEndpoint.incarnation;
+  report.sequence = aEndpoint.sequence;
+  report.memoryUsed = aEndpoint.usedBytes;
+  report.residents = ResidentsOf(aTables, aEndpoint);
+  if (const auto* named = NamedOrder(aTables.placement, aEndpoint)) {
+    report.lastOrder = named->order;
+    report.lastOutcome = named->isDone ? placement::order_state::eDone
+                                       : placement::order_state::eVoid;
+  }
+  return report;
+}
+
+void
+TakeEndpoint(control_tables& aTables, const endpoint_row& aEndpoint)
+{
+  order_tables& orders = aTables.orders;
+  const placement::engine_row* known =
+    orders.placement.engines.Find(aEndpoint.id);
+  if (known == nullptr || known->incarnation < aEndpoint.incarnation) {
+    placement::OnAnnounced(orders.placement,
+                           { aEndpoint.id,
+                             aEndpoint.domain,
+                             aEndpoint.incarnation,
+                             aEndpoint.memoryBytes,
+                             aEndpoint.checksFencing },
+                           aEndpoint.lastSeen);
+    known = orders.placement.engines.Find(aEndpoint.id);
+  }
+  const bool isDraining =
+    aEndpoint.isLeaving || aTables.fleet.drains.Find(aEndpoint.id) != nullptr;
+  if (known->isDraining != isDraining) {
+    placement::OnDraining(orders.placement, aEndpoint.id, isDraining);
+  }
+  const bool isNewer = !known->hasReported ||
+                       known->incarnation != aEndpoint.incarnation ||
+                       known->reportSequence < aEndpoint.sequence;
+  if (isNewer) {
+    placement::OnReport(
+      orders.placement, ReportOf(orders, aEndpoint), aEndpoint.lastSeen);
+  }
+}
+
+void
+TakeEndpoints(control_tables& aTables)
+{
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (known.row.memoryBytes > 0) {
+      TakeEndpoint(aTables, known.row);
+    }
+  }
+}
+
+// The answer of an engine that has acted names its incarnation and the last
+// report before it; without them the copy stays unaccounted for.
+void
+TakeAnswer(order_tables& aTables, const order_answer& aAnswer)
+{
+  if (!aAnswer.isSent) {
+    placement::OnOrderNotSent(aTables.placement, aAnswer.order);
+    return;
+  }
+  const json body = json::parse(aAnswer.body, nullptr, false);
+  if (!body.is_object() || !body.contains("incarnation") ||
+      !body.contains("sequence") || !body["incarnation"].is_number_unsigned() ||
+      !body["sequence"].is_number_unsigned()) {
+    return;
+  }
+  const auto incarnation = body["incarnation"].get<std::uint64_t>();
+  const auto sequence = body["sequence"].get<std::uint64_t>();
+  if (aAnswer.status == kTaken) {
+    placement::OnOrderTaken(aTables.placement, aAnswer.order, incarnation);
+  } else if (aAnswer.status == kDoneBefore || aAnswer.status == kOldFencing ||
+             aAnswer.status == kDoesNotFit) {
+    placement::OnOrderAnswered(
+      aTables.placement, aAnswer.order, incarnation, sequence + 1);
+  }
+}
+
+void
+TakeAnswers(order_tables& aTables)
+{
+  for (const order_answer& answer : aTables.answers) {
+    TakeAnswer(aTables, answer);
+  }
+  aTables.answers.clear();
+}
+
+void
+TakeLeadership(control_tables& aTables, steady_time aNow)
+{
+  placement::tables& state = aTables.orders.placement;
+  // Before the first manifest nothing is declared, and nothing may be removed.
+  const bool isDeclared = aTables.fleet.manifestRevision > 0;
+  const auto leads =
+    isDeclared && aTables.log.leads ? aTables.log.leads(aNow) : std::nullopt;
+  if (!leads) {
+    if (state.leader.isLeader) {
+      placement::OnDeposed(state);
+    }
+    return;
+  }
+  if (!state.leader.isLeader || state.leader.term != leads->term) {
+    placement::OnElected(
+      state, leads->term, aNow, aNow + leads->formerLease, aNow + kOneTick);
+  }
+  placement::OnLeaseRenewed(state, aNow + kOneTick);
+}
+
+std::vector<wire::artifact_name>
+NamesOf(const order_tables& aTables, const placement::artifact& aWhat)
+{
+  std::vector<wire::artifact_name> names;
+  for (const std::uint64_t id :
+       { aWhat.model.value, aWhat.adapter.value, aWhat.version }) {
+    if (const wire::artifact_name* name = aTables.names.Find({ id })) {
+      names.push_back(*name);
+    }
+  }
+  return names;
+}
+
+template<class change>
+bool
+Propose(control_tables& aTables,
+        const change& aChange,
+        std::vector<wire::artifact_name> aNames)
+{
+  last_reason why;
+  return aTables.log
+    .propose(wire::EncodeOrderEntry({ aChange, std::move(aNames) }), why)
+    .has_value();
+}
+
+void
+ProposeAll(control_tables& aTables, const placement::outbox& aOutbox)
+{
+  placement::tables& state = aTables.orders.placement;
+  for (const placement::commit_order& change : aOutbox.commits) {
+    if (!Propose(aTables, change, NamesOf(aTables.orders, change.order.what))) {
+      placement::OnCommitFailed(state, change.order.id);
+    }
+  }
+  for (const placement::settle_order& change : aOutbox.settlements) {
+    if (!Propose(aTables, change, {})) {
+      placement::OnCommitFailed(state, change.id);
+    }
+  }
+  for (const placement::close_order& change : aOutbox.closures) {
+    if (!Propose(aTables, change, {})) {
+      placement::OnCommitFailed(state, change.id);
+    }
+  }
+}
+
+const char*
+KindName(placement::order_kind aKind)
+{
+  switch (aKind) {
+    case placement::order_kind::eLoadModel:
+      return "load";
+    case placement::order_kind::eUnloadModel:
+      return "unload";
+    case placement::order_kind::eLoadAdapter:
+      return "load_adapter";
+    case placement::order_kind::eUnloadAdapter:
+      return "unload_adapter";
+    case placement::order_kind::eSetRole:
+      break;
+  }
+  return "role";
+}
+
+std::string
+HexOf(order_id aOrder)
+{
+  std::array<char, 17> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%llx",
+                static_cast<unsigned long long>(aOrder.value));
+  return text.data();
+}
+
+std::string
+BodyOf(const order_tables& aTables, const placement::order_row& aOrder)
+{
+  return json{
+    { "order", HexOf(aOrder.id) },
+    { "fencing", aOrder.fencingNumber },
+    { "incarnation", aOrder.incarnation },
+    { "kind", KindName(aOrder.kind) },
+    { "model", NameOf(aTables, aOrder.what.model.value) },
+    { "version", NameOf(aTables, aOrder.what.version) },
+    { "adapter", NameOf(aTables, aOrder.what.adapter.value) },
+    { "bytes", aOrder.bytes },
+    { "role", aOrder.role }
+  }.dump();
+}
+
+void
+SendAll(control_tables& aTables,
+        const placement::outbox& aOutbox,
+        control_outbox& aTo)
+{
+  order_tables& orders = aTables.orders;
+  for (const placement::send_order& send : aOutbox.sends) {
+    const known_endpoint* endpoint =
+      aTables.endpoints.Find(send.order.endpoint);
+    if (endpoint == nullptr) {
+      placement::OnOrderNotSent(orders.placement, send.order.id);
+      continue;
+    }
+    aTo.orders.push_back(
+      { send.order.id, endpoint->row.address, BodyOf(orders, send.order) });
+  }
+}
+
+} // namespace
+
+void
+RunOrders(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  TakeManifest(aTables);
+  TakeLeadership(aTables, aNow);
+  TakeEndpoints(aTables);
+  TakeDomains(aTables);
+  TakeAnswers(aTables.orders);
+  placement::outbox decided;
+  placement::RunPlacement(aTables.orders.placement, aNow, decided);
+  ProposeAll(aTables, decided);
+  SendAll(aTables, decided, aOutbox);
+  if (aTables.orders.placement.leader.isLeader) {
+    aOutbox.wake.NoLaterThan(decided.wake.at);
+  }
+}
+
+} // namespace bulrush::control
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -452,6 +452,9 @@
   const auto committed = std::move(aTables.committed);
   aTables.committed.clear();
   for (const committed_command& entry : committed) {
+    if (ApplyOrderEntry(aTables, entry.payload)) {
+      continue;
+    }
     last_reason why;
     const auto command = wire::DecodeCommand(entry.payload, why);
     if (!command) {
@@ -629,11 +632,12 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 6> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 7> kSystems{
   { { "ingest", RunIngest },
     { "apply", RunApply },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
+    { "orders", RunOrders },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -3,6 +3,7 @@
 
 /// Tables of bulrush-control. Its control thread owns all of them.
 
+#include "apps/control_orders.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
@@ -101,6 +102,13 @@
   bool isReplay = false; ///< restored at the start
 };
 
+/// A term in which this process leads, its log applied up to the term's start.
+struct leader_term
+{
+  std::uint32_t term = 0;
+  std::chrono::milliseconds formerLease{ 0 }; ///< the former leader may send
+};
+
 /// How the log is reached. Tests and a single process use a local one.
 struct log_hooks
 {
@@ -110,6 +118,8 @@
     propose;
   /// True while this process may answer from its state as the leader.
   std::function<bool()> isLeader;
+  /// Set while this process holds the leader's lease.
+  std::function<std::optional<leader_term>(steady_time aNow)> leads;
   /// Name of the leader, empty while none is known.
   std::function<std::string()> leaderName;
 };
@@ -128,6 +138,7 @@
   std::deque<wire::numbered_command> recent; ///< newest configuration changes
   std::vector<received> inbox;
   std::vector<committed_command> committed;
+  order_tables orders;
   std::uint64_t serial = 0;            ///< of the newest endpoint change
   std::uint64_t gossipedSerial = 0;    ///< passed on to the other controls
   std::uint64_t gossipedConfirmed = 0; ///< confirmed revision, passed on
@@ -147,6 +158,7 @@
 struct control_outbox
 {
   std::vector<outgoing> messages;
+  std::vector<order_call> orders; ///< each on a connection of its own
   wake_time wake;
 };
 
--- a/src/apps/fake_requests.cpp
+++ b/src/apps/fake_requests.cpp
@@ -82,6 +82,16 @@
            { "residents", residents } };
 }
 
+// The latest report that went out before the answer.
+std::string
+OrderAnswer(const fake_tables& aTables)
+{
+  return json{
+    { "incarnation", aTables.self.incarnation },
+    { "sequence", aTables.sequence }
+  }.dump();
+}
+
 void
 TakeOrder(fake_tables& aTables,
           const json& aBody,
@@ -96,12 +106,20 @@
   order_row row;
   row.id = { std::stoull(aBody.at("order").get<std::string>(), nullptr, 16) };
   row.fencing = aBody.at("fencing").get<std::uint64_t>();
-  if (const order_row* known = aTables.orders.Find(row.id)) {
-    aReply.Send(known->isDone ? 200 : 202, kJson, "{\"ok\":true}");
+  const auto answer = [&aTables, &aReply](int aStatus) {
+    aReply.Send(aStatus, kJson, OrderAnswer(aTables));
+  };
+  // An endpoint that checks nothing acts on each copy that it gets.
+  const order_row* known = aTables.orders.Find(row.id);
+  if (known != nullptr && aTables.self.checksFencing) {
+    answer(known->isDone ? 200 : 202);
     return;
   }
-  if (aTables.self.checksFencing && row.fencing < aTables.highestFencing) {
-    aReply.Send(409, kJson, "{\"error\":\"old fencing number\"}");
+  const std::uint64_t meant =
+    aBody.value("incarnation", aTables.self.incarnation);
+  if (aTables.self.checksFencing && (row.fencing < aTables.highestFencing ||
+                                     meant != aTables.self.incarnation)) {
+    answer(409);
     return;
   }
   aTables.highestFencing = std::max(aTables.highestFencing, row.fencing);
@@ -120,7 +138,7 @@
   if (isLost) {
     aReply.Abort();
   } else {
-    aReply.Send(202, kJson, "{\"ok\":true}");
+    answer(202);
   }
 }
 
--- a/src/apps/fake_systems.cpp
+++ b/src/apps/fake_systems.cpp
@@ -10,10 +10,21 @@
 constexpr std::chrono::milliseconds kReportEvery{ 250 };
 constexpr std::size_t kReportedOrders = 16;
 
+// Two versions of a model lie side by side while one replaces the other.
 typed_id<struct resident_tag>
-ResidentId(const std::string& aModel, const std::string& aAdapter)
+ResidentId(const std::string& aModel,
+           const std::string& aVersion,
+           const std::string& aAdapter)
 {
-  return IdOf<typed_id<struct resident_tag>>(aModel + "\n" + aAdapter);
+  return IdOf<typed_id<struct resident_tag>>(aModel + "\n" + aVersion + "\n" +
+                                             aAdapter);
+}
+
+typed_id<struct resident_tag>
+ResidentId(const order_row& aOrder)
+{
+  return aOrder.adapter.empty() ? ResidentId(aOrder.model, aOrder.version, "")
+                                : ResidentId(aOrder.model, "", aOrder.adapter);
 }
 
 std::uint64_t
@@ -41,9 +52,8 @@
   if (aOrder.kind != "load" && aOrder.kind != "load_adapter") {
     return;
   }
-  const auto id = ResidentId(aOrder.model, aOrder.adapter);
-  const resident_row* known = aTables.residents.Find(id);
-  if (known != nullptr && known->version == aOrder.version) {
+  const auto id = ResidentId(aOrder);
+  if (aTables.residents.Find(id) != nullptr) {
     return;
   }
   resident_row row;
@@ -61,8 +71,13 @@
 EndOrder(fake_tables& aTables, order_row& aOrder)
 {
   aOrder.isDone = true;
-  const auto id = ResidentId(aOrder.model, aOrder.adapter);
-  if (aOrder.kind == "unload" || aOrder.kind == "unload_adapter") {
+  const auto id = ResidentId(aOrder);
+  if (aOrder.kind == "unload") {
+    aTables.residents.EraseIf([&](const resident_row& aRow) {
+      return aRow.id == id ||
+             (aRow.model == aOrder.model && !aRow.adapter.empty());
+    });
+  } else if (aOrder.kind == "unload_adapter") {
     aTables.residents.Erase(id);
   } else if (resident_row* row = aTables.residents.Find(id)) {
     row->isReady = true;
@@ -312,7 +327,7 @@
             std::uint64_t aBytes)
 {
   resident_row row;
-  row.id = ResidentId(aModel, "");
+  row.id = ResidentId(aModel, aVersion, "");
   row.model = aModel;
   row.version = aVersion;
   row.bytes = aBytes;
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -28,3 +28,7 @@
   "signature: 150f02ec2e8f9f13")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
+
+# --- orders to engines under bulrush-control -------------------------------
+target_sources(bulrush-control PRIVATE src/apps/control_orders.cpp
+  src/apps/control_order_log.cpp)
--- a/src/placement/ledger.cpp
+++ b/src/placement/ledger.cpp
@@ -10,20 +10,11 @@
 
 namespace {
 
-constexpr std::uint32_t kTermShift = 32;
-
 order_id
 NextOrderId(leadership& aLeader)
 {
   ++aLeader.orderCount;
-  return order_id{ (std::uint64_t{ aLeader.term } << kTermShift) |
-                   aLeader.orderCount };
-}
-
-bool
-IsOfThisTerm(const leadership& aLeader, order_id aOrder)
-{
-  return aOrder.value >> kTermShift == aLeader.term;
+  return LastOrderId(aLeader);
 }
 
 const order_row*
@@ -245,14 +236,14 @@
           aEngine.reportSequence >= aOrder.shownSequence);
 }
 
-/// Whether every copy that was sent is accounted for. Those of an earlier term
-/// are not: its leader may still have one under way.
+/// Whether every copy that was sent is accounted for. Those of an earlier
+/// leader are not: it may still have one under way.
 bool
 HasNoCopyOut(const tables& aTables,
              const engine_row& aEngine,
              const order_row& aOrder)
 {
-  return aOrder.copiesOut == 0 && IsOfThisTerm(aTables.leader, aOrder.id) &&
+  return aOrder.copiesOut == 0 && IsOwn(aTables.leader, aOrder) &&
          IsShown(aEngine, aOrder);
 }
 
--- a/src/placement/pacing.cpp
+++ b/src/placement/pacing.cpp
@@ -52,19 +52,13 @@
   return aNow - heard <= aTables.options.silentLoadGrace;
 }
 
-bool
-IsOfThisTerm(const tables& aTables, const order_row& aOrder)
-{
-  return aOrder.id.value >> 32U == aTables.leader.term;
-}
-
 /// Whether a copy of it may have left, from this leader or an earlier one.
 bool
 MayHaveLeft(const tables& aTables, const order_row& aOrder)
 {
   return aOrder.state == order_state::eSent ||
          (aOrder.state == order_state::eCommitted &&
-          !IsOfThisTerm(aTables, aOrder));
+          !IsOwn(aTables.leader, aOrder));
 }
 
 /// An engine that says that it is loading needs no second copy.
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -350,6 +350,7 @@
   bool isLeader = false;
   std::uint32_t term = 0;
   std::uint32_t orderCount = 0;
+  order_id ownAfter; ///< only later orders were made since the election
   steady_time electedAt;
   steady_time sendsFrom;  ///< the former leader's lease has ended
   steady_time leaseUntil; ///< nothing leaves at or after this time
--- a/src/placement/systems.hpp
+++ b/src/placement/systems.hpp
@@ -74,6 +74,11 @@
 
 // Ledger.
 
+/// The id of the newest order that this leader has made.
+order_id LastOrderId(const leadership& aLeader);
+/// Whether this leader made the order since its election. The copies of any
+/// other are unknown to it.
+bool IsOwn(const leadership& aLeader, const order_row& aOrder);
 /// Adds an intent, if the engine is idle and the account has room for it.
 bool IntendOrder(tables& aTables,
                  engine_view& aEngine,
--- a/src/placement/tick.cpp
+++ b/src/placement/tick.cpp
@@ -7,6 +7,22 @@
 
 namespace bulrush::placement {
 
+order_id
+LastOrderId(const leadership& aLeader)
+{
+  constexpr unsigned kTermShift = 32;
+  return order_id{ (std::uint64_t{ aLeader.term } << kTermShift) |
+                   aLeader.orderCount };
+}
+
+// A leader that lost its lease may win again in the same term; what it sent
+// before has been forgotten all the same.
+bool
+IsOwn(const leadership& aLeader, const order_row& aOrder)
+{
+  return aOrder.id > aLeader.ownAfter;
+}
+
 void
 OnElected(tables& aTables,
           std::uint32_t aTerm,
@@ -21,6 +37,7 @@
   }
   leader.isLeader = true;
   leader.term = aTerm;
+  leader.ownAfter = LastOrderId(leader);
   leader.electedAt = aNow;
   leader.sendsFrom = aSendsFrom;
   leader.leaseUntil = aLeaseUntil;
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -6,6 +6,7 @@
 
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
+#include "placement/placement.hpp"
 
 namespace bulrush::wire {
 
@@ -186,6 +187,44 @@
 std::optional<fleet_state> DecodeState(const std::string& aBytes,
                                        last_reason& aWhy);
 
+using artifact_name_id = typed_id<struct artifact_name_tag>;
+
+/// The text behind the id of a model, an adapter or a version, with the memory
+/// that a model or adapter takes, in bytes.
+struct artifact_name
+{
+  artifact_name_id id;
+  std::string text;
+  std::uint64_t bytes = 0;
+};
+
+/// What the log says of an order to an engine.
+struct order_entry
+{
+  std::variant<placement::commit_order,
+               placement::settle_order,
+               placement::close_order>
+    change;
+  std::vector<artifact_name> names; ///< that a committed order needs
+};
+
+std::string EncodeOrderEntry(const order_entry& aEntry);
+/// nullopt for every other payload of the log.
+std::optional<order_entry> DecodeOrderEntry(const std::string& aBytes);
+
+/// The orders of a snapshot. Its bytes may follow those of EncodeState: either
+/// decoder passes over the other's fields.
+struct order_ledger
+{
+  std::vector<placement::order_row> orders;
+  std::vector<placement::ledger_row> ledger;
+  std::vector<artifact_name> names;
+};
+
+std::string EncodeLedger(const order_ledger& aLedger);
+std::optional<order_ledger> DecodeLedger(const std::string& aBytes,
+                                         last_reason& aWhy);
+
 } // namespace bulrush::wire
 
 #endif
--- a/tests/placement/coverage_test.cpp
+++ b/tests/placement/coverage_test.cpp
@@ -190,7 +190,7 @@
   Place(1, kept);
   order_row late;
   late.id = order_id{ 1 };
-  late.endpoint = endpoint_id{ 1 };
+  late.endpoint = endpoint_id{ 2 };
   late.incarnation = 1;
   late.kind = order_kind::eUnloadModel;
   late.what = { kept.id, {}, kept.version };
@@ -198,8 +198,8 @@
   Leader().orders.Insert(late);
   Start({ kept, Model(2, 3) });
   fleet.RunQuietly(60);
-  CHECK(fleet.engines[0].residents.contains({ model_id{ 2 }, {}, 1 }));
-  CHECK(fleet.engines[1].residents.contains({ model_id{ 1 }, {}, 1 }));
+  CHECK(fleet.engines[0].residents.contains({ model_id{ 1 }, {}, 1 }));
+  CHECK(fleet.engines[1].residents.contains({ model_id{ 2 }, {}, 1 }));
 }
 
 TEST_CASE_METHOD(coverage_fixture,
--- a/tests/placement/orders_test.cpp
+++ b/tests/placement/orders_test.cpp
@@ -117,6 +117,27 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(orders_fixture,
+                 "Unload_NotYetConfirmed_KeepsItsMemory",
+                 "[placement]")
+{
+  fleet.AddEngine(1, 1, 8 * kGigabyte, false);
+  Start({ Model(1, 3) });
+  fleet.RunQuietly(30);
+  REQUIRE(Reserved(1) == 3);
+  fleet.models.clear();
+  fleet.ApplyManifest();
+  ControlOnly(4);
+  REQUIRE_FALSE(fleet.copies.empty());
+  REQUIRE(fleet.copies.front().order.kind == order_kind::eUnloadModel);
+  // The engine has let go of the model, but not yet named the order.
+  fleet.engines[0].residents.clear();
+  ControlOnly(2);
+  CHECK(Reserved(1) == 3);
+  fleet.RunQuietly(10);
+  CHECK(Reserved(1) == 0);
+}
+
 TEST_CASE_METHOD(orders_fixture,
                  "Copy_ThatMayStillArrive_KeepsItsMemoryAfterTheUnload",
                  "[placement]")
@@ -221,6 +242,28 @@
   CHECK(row->state == order_state::eDone);
 }
 
+TEST_CASE_METHOD(orders_fixture,
+                 "Copies_SentBeforeALapseOfTheLease_AreNeverTakenForAnswered",
+                 "[placement]")
+{
+  fleet.AddEngine(1, 1, 8 * kGigabyte, false);
+  Start({ Model(1, 3) });
+  ControlOnly(8);
+  REQUIRE(fleet.copies.size() >= 1);
+  const order_id order = fleet.copies.front().order.id;
+  OnDeposed(Leader());
+  OnElected(Leader(),
+            fleet.term,
+            fleet.now,
+            fleet.now + fleet_simulation::kLease,
+            fleet.now + fleet_simulation::kLease);
+  fleet.copies.erase(fleet.copies.begin());
+  fleet.RunQuietly(40);
+  const order_row* row = Leader().orders.Find(order);
+  REQUIRE(row != nullptr);
+  CHECK(row->state == order_state::eDone);
+}
+
 TEST_CASE_METHOD(orders_fixture,
                  "NewLeader_DuringTheOldLease_SendsNothing",
                  "[placement]")
@@ -229,6 +272,11 @@
   Start({ Model(1, 3) });
   ControlOnly(8);
   REQUIRE_FALSE(fleet.copies.empty());
+  // The pace of the store must not hide what the lease forbids.
+  fleet.replicas[1].pacing =
+    [](const pacing_state&,
+       order_kind,
+       steady_time aNow) -> std::optional<steady_time> { return aNow; };
   fleet.ChangeLeader(1);
   const auto sentBy = [this](std::size_t aReplica) {
     return std::ranges::count(fleet.copies, aReplica, &copy_under_way::sender);
