Test orders with real engines that lose orders and answers

Cause: memory must fit also when an engine that ignores fencing loses answers. Change: bulrush-control has copy-lifetime; two process tests with the engines' own peak of memory as oracle.

--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -13,7 +13,7 @@
 
 constexpr log_part kLog{ "control" };
 
-constexpr std::array<option_row, 7> kOptions{ {
+constexpr std::array<option_row, 8> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -63,6 +63,14 @@
     "",
     "",
     "File with the credential that operators and hosts present" },
+  { "copy-lifetime",
+    option_type::eDuration,
+    "",
+    "1h",
+    "1s",
+    "240h",
+    "Longest life of an order under way to an engine that checks no fencing "
+    "number; until it ends the memory that it may take stays reserved" },
 } };
 
 constexpr program_options kProgram{
@@ -115,6 +123,8 @@
     mTables.self.incarnation = static_cast<std::uint64_t>(
       mTables.wallClock().time_since_epoch().count());
     mTables.log = MakeLocalLog(mTables);
+    mTables.orders.placement.options.copyLifetime =
+      aOptions.Duration("copy-lifetime");
     mClient = net::MakeHttpClient(mContext);
   }
 
--- /dev/null
+++ b/tests/process/orders_test.cpp
@@ -0,0 +1,170 @@
+#include "support/processes.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace bulrush::test {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kEngineBytes = 1'000;
+constexpr std::uint64_t kModelBytes = 300;
+
+// Engines that count their own memory and refuse nothing.
+struct orders_fixture
+{
+  std::vector<std::string> domains{ "domain-a" };
+  std::unique_ptr<fleet> running;
+  std::vector<std::string> engines; ///< addresses
+
+  std::string Manifest(const std::string& aVersion,
+                       const std::vector<std::string>& aModels) const
+  {
+    json document = json::parse(DefaultManifest(domains, aVersion));
+    json models = json::array();
+    for (const std::string& name : aModels) {
+      models.push_back({ { "name", name },
+                         { "version", aVersion },
+                         { "bytes", kModelBytes } });
+    }
+    document["models"] = models;
+    document["adapters"] = json::array();
+    document["store"] = { { "loads_per_s", 50 } };
+    return document.dump();
+  }
+
+  void Start(const std::vector<std::string>& aModels)
+  {
+    fleet_options options;
+    options.domains = domains;
+    options.manifest = Manifest("1", aModels);
+    // Longer than any copy of these tests is under way.
+    options.controlArguments = { "--copy-lifetime", "3s" };
+    running = std::make_unique<fleet>(options);
+    running->Start();
+  }
+
+  void AddEngine(const std::string& aName,
+                 const std::string& aDomain,
+                 bool aChecksFencing)
+  {
+    engines.push_back(running->AddEndpoint(
+      aName,
+      aDomain,
+      { "--memory",
+        std::to_string(kEngineBytes),
+        aChecksFencing ? "--checks-fencing=true" : "--checks-fencing=false" }));
+    const std::string address = engines.back();
+    REQUIRE(WaitUntil([&] {
+      return Ask("GET", "http://" + address + "/stats").status == 200;
+    }));
+  }
+
+  void Apply(const std::string& aVersion,
+             const std::vector<std::string>& aModels) const
+  {
+    const auto file = running->folder / ("manifest-" + aVersion + ".json");
+    std::ofstream(file) << Manifest(aVersion, aModels);
+    const finished applied = running->Ctl({ "apply", file.string() });
+    INFO(applied.errors);
+    REQUIRE(applied.exitCode == 0);
+  }
+
+  static json Stats(const std::string& aAddress)
+  {
+    return json::parse(
+      Ask("GET", "http://" + aAddress + "/stats").body, nullptr, false);
+  }
+
+  static void Fault(const std::string& aAddress, const json& aFault)
+  {
+    const http_answer answer =
+      Ask("POST", "http://" + aAddress + "/faults", {}, aFault.dump());
+    REQUIRE(answer.status == 200);
+  }
+
+  // Engines that hold the model ready in this version.
+  std::size_t Copies(const std::string& aModel,
+                     const std::string& aVersion) const
+  {
+    std::size_t copies = 0;
+    for (const std::string& address : engines) {
+      const json stats = Stats(address);
+      if (!stats.is_object()) {
+        continue;
+      }
+      for (const json& held : stats["residents"]) {
+        copies += held["model"] == aModel && held["version"] == aVersion &&
+                      held["ready"] == true
+                    ? 1
+                    : 0;
+      }
+    }
+    return copies;
+  }
+
+  bool HasAll(const std::vector<std::string>& aModels,
+              const std::string& aVersion,
+              std::size_t aCopies) const
+  {
+    return std::all_of(
+      aModels.begin(), aModels.end(), [&](const std::string& aModel) {
+        return Copies(aModel, aVersion) >= aCopies;
+      });
+  }
+
+  void CheckMemory() const
+  {
+    for (const std::string& address : engines) {
+      const json stats = Stats(address);
+      REQUIRE(stats.is_object());
+      CHECK(stats["memory_peak"].get<std::uint64_t>() <= kEngineBytes);
+    }
+  }
+};
+
+TEST_CASE_METHOD(orders_fixture,
+                 "Orders_ForDeclaredModels_MakeThemResidentAndChangeVersions",
+                 "[process]")
+{
+  const std::vector<std::string> models{ "proof", "cover", "index" };
+  Start(models);
+  AddEngine("engine-1", "domain-a", true);
+  AddEngine("engine-2", "domain-a", false);
+  CHECK(WaitUntil([&] { return HasAll(models, "1", 1); }));
+  Apply("2", models);
+  CHECK(WaitUntil([&] { return HasAll(models, "2", 1); }));
+  CHECK(WaitUntil([&] {
+    return Copies("proof", "1") + Copies("cover", "1") + Copies("index", "1") ==
+           0;
+  }));
+  CheckMemory();
+}
+
+TEST_CASE_METHOD(orders_fixture,
+                 "Orders_LostLateAndUnanswered_NeverOvercommitAnEngine",
+                 "[process]")
+{
+  const std::vector<std::string> models{ "proof", "cover", "index" };
+  Start(models);
+  AddEngine("engine-1", "domain-a", false);
+  AddEngine("engine-2", "domain-a", false);
+  for (int version = 2; version <= 4; ++version) {
+    for (const std::string& address : engines) {
+      Fault(address, { { "fault", "lose_order" }, { "count", 1 } });
+      Fault(address, { { "fault", "lose_order_answer" }, { "count", 1 } });
+      Fault(address,
+            { { "fault", "late_order" }, { "count", 1 }, { "ms", 700 } });
+    }
+    Apply(std::to_string(version), models);
+    CHECK(
+      WaitUntil([&] { return HasAll(models, std::to_string(version), 1); }));
+  }
+  CheckMemory();
+}
+
+} // namespace
+} // namespace bulrush::test
