--- a/src/apps/control_orders.cpp
+++ b/src/apps/control_orders.cpp
@@ -252,9 +252,13 @@
   }
   if (!state.leader.isLeader || state.leader.term != leads->term) {
     placement::OnElected(
-      state, leads->term, aNow, aNow + leads->formerLease, aNow + kOneTick);
+      state, leads->term, aNow, aNow + leads->formerLease, aNow);
+  }
+  // In one term there is one leader, so a lease that lapses and comes back
+  // finds what this process knows still true.
+  if (leads->holdsLease) {
+    placement::OnLeaseRenewed(state, aNow + kOneTick);
   }
-  placement::OnLeaseRenewed(state, aNow + kOneTick);
 }
 
 std::vector<wire::artifact_name>
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -3,11 +3,13 @@
 
 /// Tables of bulrush-control. Its control thread owns all of them.
 
+#include "apps/control_log.hpp"
 #include "apps/control_orders.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
 #include <deque>
+#include <memory>
 
 namespace bulrush::control {
 
@@ -107,6 +109,7 @@
 {
   std::uint32_t term = 0;
   std::chrono::milliseconds formerLease{ 0 }; ///< the former leader may send
+  bool holdsLease = false; ///< nothing may be decided or sent without
 };
 
 /// How the log is reached. Tests and a single process use a local one.
@@ -117,11 +120,13 @@
                                            last_reason& aWhy)>
     propose;
   /// True while this process may answer from its state as the leader.
-  std::function<bool()> isLeader;
-  /// Set while this process holds the leader's lease.
+  std::function<bool(steady_time aNow)> isLeader;
+  /// Set while this process leads, as far as it knows.
   std::function<std::optional<leader_term>(steady_time aNow)> leads;
   /// Name of the leader, empty while none is known.
   std::function<std::string()> leaderName;
+  /// The members of the log; not set without a replicated one.
+  std::function<std::vector<wire::replica_status>()> replicas;
 };
 
 struct control_tables
@@ -129,6 +134,7 @@
   self_row self;
   fleet_state fleet;
   log_hooks log;
+  std::unique_ptr<log_tables> replicated; ///< none without a data folder
   table<replica_id, control_row> controls;
   table<host_id, host_row> hosts;
   table<endpoint_id, known_endpoint> endpoints;
@@ -160,6 +166,7 @@
   std::vector<outgoing> messages;
   std::vector<order_call> orders; ///< each on a connection of its own
   wake_time wake;
+  std::optional<last_reason> fatal; ///< the process must exit
 };
 
 /// One tick: all systems in their order.
--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 
 namespace bulrush::test {
@@ -116,6 +117,32 @@
       });
   }
 
+  std::uint64_t OrdersReceived() const
+  {
+    std::uint64_t orders = 0;
+    for (const std::string& address : engines) {
+      orders += Stats(address).value("orders", std::uint64_t{ 0 });
+    }
+    return orders;
+  }
+
+  std::size_t LeaderIndex() const
+  {
+    std::string leader;
+    REQUIRE(WaitUntil([&] {
+      const json status = running->Status();
+      leader = status.is_object() ? status.value("leader", "") : "";
+      return !leader.empty();
+    }));
+    for (std::size_t i = 0; i < domains.size(); ++i) {
+      if (running->ControlName(i) == leader) {
+        return i;
+      }
+    }
+    FAIL("no control process is named " << leader);
+    return 0;
+  }
+
   void CheckMemory() const
   {
     for (const std::string& address : engines) {
@@ -166,5 +193,36 @@
   CheckMemory();
 }
 
+TEST_CASE_METHOD(orders_fixture,
+                 "Orders_WhenTheLeaderIsKilledAmidThem_FitEveryEngine",
+                 "[process]")
+{
+  domains = { "domain-a", "domain-b", "domain-c" };
+  const std::vector<std::string> models{ "proof", "cover" };
+  Start(models);
+  for (const std::string& domain : domains) {
+    AddEngine("engine-1-" + domain, domain, false);
+    AddEngine("engine-2-" + domain, domain, true);
+  }
+  CHECK(WaitUntil([&] { return HasAll(models, "1", 3); }));
+  for (int version = 2; version <= 3; ++version) {
+    for (const std::string& address : engines) {
+      Fault(address, { { "fault", "lose_order_answer" }, { "count", 1 } });
+      Fault(address,
+            { { "fault", "late_order" }, { "count", 1 }, { "ms", 700 } });
+    }
+    const std::uint64_t before = OrdersReceived();
+    Apply(std::to_string(version), models);
+    REQUIRE(WaitUntil([&] { return OrdersReceived() > before; }));
+    const std::size_t leader = LeaderIndex();
+    running->controls[leader]->Signal(SIGKILL);
+    running->controls[leader]->Wait();
+    CHECK(
+      WaitUntil([&] { return HasAll(models, std::to_string(version), 3); }));
+    running->StartControl(leader);
+  }
+  CheckMemory();
+}
+
 } // namespace
 } // namespace bulrush::test
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -77,8 +77,9 @@
 {
   std::vector<std::string> domains = { "domain-a" };
   std::size_t entriesPerDomain = 1;
-  std::string manifest;                      ///< empty for DefaultManifest
-  std::vector<std::string> controlArguments; ///< further ones
+  std::string manifest;                         ///< empty for DefaultManifest
+  std::vector<std::string> entryArguments = {}; ///< besides the usual ones
+  std::vector<std::string> controlArguments = {};
 };
 
 /// A fleet on loopback: a control process and entry hosts in each failure
