--- a/src/apps/fake_requests.cpp
+++ b/src/apps/fake_requests.cpp
@@ -128,6 +128,12 @@
   row.version = aBody.value("version", "");
   row.adapter = aBody.value("adapter", "");
   row.bytes = aBody.value("bytes", std::uint64_t{ 0 });
+  if (const auto held = UseFault(aTables, "hold_order")) {
+    row.doneAt = aNow + held->delay;
+    aTables.held.Insert({ row.id, row, aNow + held->delay });
+    aReply.Abort();
+    return;
+  }
   const bool isLost = UseFault(aTables, "lose_order_answer").has_value();
   row.doneAt = aNow + aTables.self.loadTime;
   if (const auto late = UseFault(aTables, "late_order")) {
--- a/src/apps/fake_systems.cpp
+++ b/src/apps/fake_systems.cpp
@@ -84,9 +84,25 @@
   }
 }
 
+void
+ReleaseHeld(fake_tables& aTables, steady_time aNow, fake_outbox& aOutbox)
+{
+  for (const held_row& held : aTables.held) {
+    if (held.arrivesAt > aNow) {
+      aOutbox.wake.NoLaterThan(held.arrivesAt);
+      continue;
+    }
+    aTables.orders.Insert(held.order);
+    aTables.orderLog.push_back(held.id);
+  }
+  aTables.held.EraseIf(
+    [aNow](const held_row& aRow) { return aRow.arrivesAt <= aNow; });
+}
+
 void
 RunOrders(fake_tables& aTables, steady_time aNow, fake_outbox& aOutbox)
 {
+  ReleaseHeld(aTables, aNow, aOutbox);
   for (order_row& order : aTables.orders) {
     if (order.isDone) {
       continue;
--- a/src/apps/fake_tables.hpp
+++ b/src/apps/fake_tables.hpp
@@ -74,11 +74,20 @@
   bool isVoid = false;
 };
 
+/// A copy of an order that is stuck on its way: it arrives later.
+struct held_row
+{
+  order_id id;
+  order_row order;
+  steady_time arrivesAt{};
+};
+
 /// A fault that holds for the next requests or orders.
 struct fault_row
 {
   typed_id<struct fault_tag> id;
-  std::string kind; ///< lose_answer, truncate, cross, refuse, late, lose_order
+  std::string kind; ///< lose_answer, truncate, cross, refuse, late, lose_order,
+                    ///< lose_order_answer, late_order, hold_order
   std::uint64_t left = 0;
   std::chrono::milliseconds delay{ 0 };
 };
@@ -101,6 +110,7 @@
   table<run_id, run_row> runs;
   table<typed_id<struct resident_tag>, resident_row> residents;
   table<order_id, order_row> orders;
+  table<order_id, held_row> held;
   std::vector<order_id> orderLog; ///< in the order of their arrival
   table<typed_id<struct fault_tag>, fault_row> faults;
   fake_counters counters;
--- a/tests/placement/coverage_test.cpp
+++ b/tests/placement/coverage_test.cpp
@@ -273,6 +273,29 @@
   CHECK(fleet.violations.empty());
 }
 
+TEST_CASE_METHOD(coverage_fixture,
+                 "Replica_WorthLittleMoreThanAnother_DoesNotDisplaceIt",
+                 "[placement]")
+{
+  fleet.AddEngine(1, 1, 2 * kGigabyte, true);
+  fleet.AddEngine(2, 1, 2 * kGigabyte, true);
+  fleet.AddEngine(3, 1, 2 * kGigabyte, true);
+  std::vector<model_row> models{ Model(1, 2), Model(2, 2) };
+  for (model_row& model : models) {
+    model.copyRate = 10;
+  }
+  Start(models);
+  fleet.RunQuietly(40);
+  Use(1, 1, 15, 240);
+  REQUIRE(fleet.CopiesOf(models[0]) == 2);
+  const std::uint64_t moves = fleet.Moves();
+  for (int i = 0; i < 240; ++i) {
+    Use(1, 1, 15, 1);
+    Use(2, 1, 20, 1);
+  }
+  CHECK(fleet.Moves() == moves);
+}
+
 TEST_CASE_METHOD(coverage_fixture,
                  "Replicas_WhenDemandMovesTenfold_FollowIt",
                  "[placement]")
--- a/tests/placement/orders_test.cpp
+++ b/tests/placement/orders_test.cpp
@@ -295,12 +295,20 @@
   fleet.AddEngine(1, 1, 8 * kGigabyte, false);
   Start({ Model(1, 3) });
   ControlOnly(6);
-  tables frozen = fleet.replicas[0];
-  frozen.leader.leaseUntil = fleet.now + std::chrono::seconds{ 1 };
-  outbox out;
-  RunPlacement(frozen, fleet.now + std::chrono::seconds{ 60 }, out);
-  CHECK(out.sends.empty());
-  CHECK(out.commits.empty());
+  REQUIRE(Leader().orders.Size() == 1);
+  ReportAll();
+  const steady_time later = fleet.now + std::chrono::milliseconds{ 4000 };
+  tables holding = Leader();
+  holding.leader.leaseUntil = later + std::chrono::milliseconds{ 1 };
+  outbox sent;
+  RunPlacement(holding, later, sent);
+  CHECK(sent.sends.size() == 1);
+  tables lapsed = Leader();
+  lapsed.leader.leaseUntil = later;
+  outbox none;
+  RunPlacement(lapsed, later, none);
+  CHECK(none.sends.empty());
+  CHECK(none.commits.empty());
 }
 
 TEST_CASE_METHOD(orders_fixture,
--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -193,6 +193,26 @@
   CheckMemory();
 }
 
+TEST_CASE_METHOD(orders_fixture,
+                 "Order_WhoseFirstCopyComesLate_KeepsItsMemoryUntilThen",
+                 "[process]")
+{
+  // Three of these models do not fit one engine, a fourth never.
+  Start({ "proof", "cover" });
+  AddEngine("engine-1", "domain-a", false);
+  REQUIRE(WaitUntil([&] { return HasAll({ "proof", "cover" }, "1", 1); }));
+  Fault(engines[0],
+        { { "fault", "hold_order" }, { "count", 1 }, { "ms", 2500 } });
+  Apply("2", { "proof" });
+  REQUIRE(WaitUntil([&] { return HasAll({ "proof" }, "2", 1); }));
+  Apply("3", { "cover", "index", "spine" });
+  CHECK(WaitUntil([&] {
+    return HasAll({ "cover", "index", "spine" }, "3", 1);
+  }));
+  CHECK(WaitUntil([&] { return Copies("proof", "2") == 0; }));
+  CheckMemory();
+}
+
 TEST_CASE_METHOD(orders_fixture,
                  "Orders_WhenTheLeaderIsKilledAmidThem_FitEveryEngine",
                  "[process]")
