--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -460,6 +460,9 @@
   const auto committed = std::move(aTables.committed);
   aTables.committed.clear();
   for (const committed_command& entry : committed) {
+    if (ApplyOrderEntry(aTables, entry.payload)) {
+      continue;
+    }
     last_reason why;
     const auto command = wire::DecodeCommand(entry.payload, why);
     if (!command) {
@@ -637,13 +640,14 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 8> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 9> kSystems{
   { { "ingest", RunIngest },
     { "log", RunLog },
     { "apply", RunApply },
     { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
+    { "orders", RunOrders },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -30,3 +30,7 @@
   "signature: 632e535e495b9aa4")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
+
+# --- orders to engines under bulrush-control -------------------------------
+target_sources(bulrush-control PRIVATE src/apps/control_orders.cpp
+  src/apps/control_order_log.cpp)
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -79,6 +79,7 @@
   std::size_t entriesPerDomain = 1;
   std::string manifest;                         ///< empty for DefaultManifest
   std::vector<std::string> entryArguments = {}; ///< besides the usual ones
+  std::vector<std::string> controlArguments = {};
 };
 
 /// A fleet on loopback: a control process and entry hosts in each failure
