Check the endpoints' secret; compare credentials in constant time

Cause: bulrush-entry took the option endpoint-secret and never looked at it, so anybody could announce an endpoint and be sent callers' requests; control processes compared credentials with !=.

Change: reports without the secret get 401, where the settings name one; fake-endpoint has an option secret; credentials go through EqualInConstantTime.

Figures: test_process Entry_WithAnEndpointSecret_TakesReportsThatShowItOnly passes, and fails without the check (reports get 200).

--- a/src/apps/control_log.cpp
+++ b/src/apps/control_log.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_log.hpp"
+#include "settings/settings.hpp"
 
 #include "apps/control_tables.hpp"
 
@@ -196,7 +197,7 @@
             control_outbox& aOutbox)
 {
   log_tables& log = *aTables.replicated;
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     Answer(aOutbox,
            aInput.peer,
            aCall.call,
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_tables.hpp"
+#include "settings/settings.hpp"
 
 namespace bulrush::control {
 namespace {
@@ -234,7 +235,7 @@
      steady_time aNow,
      control_outbox& aOutbox)
 {
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     Answer(aInput,
            aCall.call,
            wire::call_outcome::eRefused,
@@ -348,7 +349,7 @@
 {
   wire::status_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.text = "the credential is not accepted";
     aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
     return;
@@ -387,7 +388,7 @@
 {
   wire::manifest_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential == aTables.self.credential) {
+  if (EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.manifestRevision = aTables.fleet.manifestRevision;
     reply.text = aTables.fleet.manifestText;
   }
@@ -417,7 +418,7 @@
     } else if (const auto* status = std::get_if<wire::status_call>(&body)) {
       TakeStatusCall(aTables, input, *status, aNow, aOutbox);
     } else if (const auto* keys = std::get_if<wire::tombstones>(&body)) {
-      if (keys->credential == aTables.self.credential) {
+      if (EqualInConstantTime(keys->credential, aTables.self.credential)) {
         AddTombstones(aTables, keys->keys);
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -224,7 +224,9 @@
 class entry_process
 {
 public:
-  entry_process(const option_values& aOptions, span_writer aSpans)
+  entry_process(const option_values& aOptions,
+                span_writer aSpans,
+                const secret_text& aEndpointSecret)
     : mStopDelay(aOptions.Duration("stop-delay"))
     , mControl(mControlContext,
                aOptions,
@@ -235,7 +237,7 @@
                             });
                })
     , mTraffic(mTrafficContext,
-               TrafficSettings(aOptions, std::move(aSpans)),
+               TrafficSettings(aOptions, std::move(aSpans), aEndpointSecret),
                Hooks())
   {
   }
@@ -298,7 +300,8 @@
   }
 
   static traffic_settings TrafficSettings(const option_values& aOptions,
-                                          span_writer aSpans)
+                                          span_writer aSpans,
+                                          const secret_text& aEndpointSecret)
   {
     traffic_settings settings;
     const host_address listen = *aOptions.Address("listen");
@@ -306,6 +309,7 @@
     settings.http.port = listen.port;
     settings.hostName = aOptions.Text("name");
     settings.domain = aOptions.Text("domain");
+    settings.endpointSecret = aEndpointSecret.Reveal();
     settings.recording.thread = "traffic";
     settings.recording.writer = std::move(aSpans);
     settings.recording.traceShare = aOptions.Decimal("trace-share");
@@ -360,6 +364,16 @@
   traffic_thread mTraffic;
 };
 
+// Empty when the settings name none.
+std::optional<secret_text>
+ReadEndpointSecret(const option_values& aOptions, last_reason& aWhy)
+{
+  if (!aOptions.IsSet("endpoint-secret")) {
+    return secret_text();
+  }
+  return ReadSecret(aOptions.Path("endpoint-secret"), aWhy);
+}
+
 std::optional<span_writer>
 OpenSpans(const option_values& aOptions, last_reason& aWhy)
 {
@@ -384,12 +398,13 @@
   last_reason why;
   const auto level = ParseLogLevel(options->Text("log-level"), why);
   const auto spans = level ? OpenSpans(*options, why) : std::nullopt;
-  if (!spans) {
+  const auto secret = spans ? ReadEndpointSecret(*options, why) : std::nullopt;
+  if (!secret) {
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
   }
   SetLogLevel(*level);
-  entry_process process(*options, *spans);
+  entry_process process(*options, *spans, *secret);
   if (!process.Start(*options, why)) {
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/entry_http.hpp"
 #include "apps/entry_requests.hpp"
+#include "settings/settings.hpp"
 
 #include <random>
 
@@ -141,10 +142,29 @@
     return std::chrono::steady_clock::now() < mView.leaseEnd;
   }
 
+  // Whoever may announce an endpoint may have callers' requests sent to it.
+  bool IsTrusted(const net::http_request& aReport) const
+  {
+    const std::string& secret = mSettings.endpointSecret;
+    const std::string* shown = net::FindField(aReport.fields, "Bulrush-Secret");
+    return secret.empty() ||
+           (shown != nullptr && EqualInConstantTime(*shown, secret));
+  }
+
   void TakeReport(const net::http_request& aRequest,
                   net::http_reply& aReply,
                   request_id aId) const
   {
+    if (!IsTrusted(aRequest)) {
+      SendError(aReply,
+                { 401,
+                  "unauthorized",
+                  "expected the endpoints' secret in Bulrush-Secret",
+                  false,
+                  std::nullopt },
+                FormatId(aId.value));
+      return;
+    }
     last_reason why;
     auto row =
       ParseEndpointReport(aRequest.body, std::chrono::steady_clock::now(), why);
--- a/src/apps/fake_main.cpp
+++ b/src/apps/fake_main.cpp
@@ -9,7 +9,7 @@
 
 constexpr log_part kLog{ "fake" };
 
-constexpr std::array<option_row, 14> kOptions{ {
+constexpr std::array<option_row, 15> kOptions{ {
   { "name", option_type::eText, "", "fake-1", "", "", "Name of the endpoint" },
   { "domain",
     option_type::eText,
@@ -96,6 +96,13 @@
     "",
     "",
     "Whether orders with an old fencing number are refused" },
+  { "secret",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the secret that its reports present" },
 } };
 
 constexpr program_options kProgram{ "fake-endpoint",
@@ -135,6 +142,13 @@
              const option_values& aOptions,
              last_reason& aWhy)
   {
+    if (aOptions.IsSet("secret")) {
+      const auto secret = ReadSecret(aOptions.Path("secret"), aWhy);
+      if (!secret) {
+        return false;
+      }
+      mSecret = *secret;
+    }
     if (!AddModels(aOptions.List("models"), aWhy)) {
       return false;
     }
@@ -203,6 +217,9 @@
     call.url =
       "http://" + hosts[mReportHost % hosts.size()] + "/v1/endpoints/report";
     call.fields.push_back({ "Content-Type", "application/json" });
+    if (!mSecret.Empty()) {
+      call.fields.push_back({ "Bulrush-Secret", mSecret.Reveal() });
+    }
     call.body = aBody;
     call.timeout = kReportTimeout;
     net::http_call_hooks hooks;
@@ -218,6 +235,7 @@
   }
 
   fake_tables mTables;
+  secret_text mSecret;
   std::unique_ptr<net::http_client> mClient;
   net::tick_timer mTimer;
   std::unique_ptr<net::http_server> mServer;
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -6,6 +6,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fstream>
+
 namespace bulrush::test {
 namespace {
 
@@ -371,5 +373,61 @@
   RequireServesOn();
 }
 
+// A host that takes reports only with the endpoints' secret.
+struct endpoint_secret_fixture
+{
+  std::filesystem::path file = std::filesystem::temp_directory_path() /
+                               ("bulrush-secret-" + std::to_string(FreePort()));
+  fleet running{
+    { { "domain-a" }, 1, {}, { "--endpoint-secret", file.string() } }
+  };
+  std::string key;
+
+  endpoint_secret_fixture()
+  {
+    std::ofstream(file) << "shared\n";
+    std::filesystem::permissions(file,
+                                 std::filesystem::perms::owner_read |
+                                   std::filesystem::perms::owner_write);
+    running.Start();
+    key = running.IssueKey("press");
+  }
+  ~endpoint_secret_fixture() { std::filesystem::remove(file); }
+
+  http_answer Report(const std::vector<std::string>& aFields) const
+  {
+    return Ask("POST",
+               "http://" + running.EntryAddress(0) + "/v1/endpoints/report",
+               aFields,
+               R"({"endpoint":"x","incarnation":1,"sequence":1,)"
+               R"("address":"127.0.0.1:9","failure_domain":"domain-a"})");
+  }
+};
+
+TEST_CASE_METHOD(endpoint_secret_fixture,
+                 "Entry_WithAnEndpointSecret_TakesReportsThatShowItOnly",
+                 "[process]")
+{
+  CHECK(Report({}).status == 401);
+  CHECK(Report({ "Bulrush-Secret: other" }).status == 401);
+  CHECK(Report({ "Bulrush-Secret: shared" }).status == 200);
+  running.AddEndpoint("engine",
+                      "domain-a",
+                      { "--memory",
+                        "10000",
+                        "--models",
+                        "draft:1:1000",
+                        "--secret",
+                        file.string() });
+  CHECK(WaitUntil([&] {
+    return running
+             .Post(0,
+                   "/v1/completions",
+                   key,
+                   { { "model", "draft" }, { "max_tokens", 1 } })
+             .status == 200;
+  }));
+}
+
 } // namespace
 } // namespace bulrush::test
