--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_tables.hpp"
+#include "settings/settings.hpp"
 
 namespace bulrush::control {
 namespace {
@@ -237,7 +238,7 @@
      steady_time aNow,
      control_outbox& aOutbox)
 {
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     Answer(aInput,
            aCall.call,
            wire::call_outcome::eRefused,
@@ -351,7 +352,7 @@
 {
   wire::status_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.text = "the credential is not accepted";
     aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
     return;
@@ -390,7 +391,7 @@
 {
   wire::manifest_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential == aTables.self.credential) {
+  if (EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.manifestRevision = aTables.fleet.manifestRevision;
     reply.text = aTables.fleet.manifestText;
   }
@@ -420,7 +421,7 @@
     } else if (const auto* status = std::get_if<wire::status_call>(&body)) {
       TakeStatusCall(aTables, input, *status, aNow, aOutbox);
     } else if (const auto* keys = std::get_if<wire::tombstones>(&body)) {
-      if (keys->credential == aTables.self.credential) {
+      if (EqualInConstantTime(keys->credential, aTables.self.credential)) {
         AddTombstones(aTables, keys->keys);
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
