--- a/src/apps/control_log.cpp
+++ b/src/apps/control_log.cpp
@@ -355,17 +355,15 @@
 
 std::optional<std::unique_ptr<log_tables>>
 OpenLog(const std::filesystem::path& aFolder,
-        const std::string& aName,
+        replica_settings aSettings,
         const std::vector<std::string>& aPeers,
         steady_time aNow,
         last_reason& aReason)
 {
   auto log = std::make_unique<log_tables>();
-  replica_settings settings;
-  settings.name = aName;
   recovered_log recovered;
-  log->disk = disk_log::Open(aFolder / settings.log,
-                             settings.log,
+  log->disk = disk_log::Open(aFolder / aSettings.log,
+                             aSettings.log,
                              NewIdentity(),
                              PosixDisk(),
                              recovered,
@@ -373,9 +371,9 @@
   if (!log->disk) {
     return std::nullopt;
   }
-  settings.seed = NewIdentity().value;
-  log->replica =
-    StartReplica(settings, std::move(recovered), log->disk->Hooks(), aNow);
+  aSettings.seed = NewIdentity().value;
+  log->replica = StartReplica(
+    std::move(aSettings), std::move(recovered), log->disk->Hooks(), aNow);
   for (const std::string& peer : aPeers) {
     known_replica row;
     row.id = IdOf<replica_id>(peer);
--- a/src/apps/control_log.hpp
+++ b/src/apps/control_log.hpp
@@ -50,7 +50,7 @@
 /// Opens the data folder. Fails when it is damaged or held by another process.
 std::optional<std::unique_ptr<log_tables>> OpenLog(
   const std::filesystem::path& aFolder,
-  const std::string& aName,
+  replica_settings aSettings,
   const std::vector<std::string>& aPeers,
   steady_time aNow,
   last_reason& aReason);
--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <csignal>
+
 #include <unistd.h>
 
 namespace bulrush::control {
@@ -14,7 +16,7 @@
 constexpr log_part kLog{ "control" };
 constexpr int kExitBrokenLog = 3; ///< the log cannot keep its promises
 
-constexpr std::array<option_row, 7> kOptions{ {
+constexpr std::array<option_row, 8> kOptions{ {
   { "name",
     option_type::eText,
     "",
@@ -50,6 +52,13 @@
     "",
     "",
     "Folder for the log; without it state is kept in memory only" },
+  { "snapshot-after",
+    option_type::eInteger,
+    "entries",
+    "1000",
+    "5",
+    "100000",
+    "How many entries of the log one snapshot stands for" },
   { "link-keys",
     option_type::eSecretFile,
     "",
@@ -160,8 +169,14 @@
     for (const std::string& peer : aOptions.List("peers")) {
       names.push_back(peer.substr(0, peer.find('=')));
     }
+    constexpr log_index kKeptPart = 5;
+    replica_settings settings;
+    settings.name = mTables.self.name;
+    settings.snapshotAfterEntries =
+      static_cast<log_index>(aOptions.Integer("snapshot-after"));
+    settings.keptEntries = settings.snapshotAfterEntries / kKeptPart;
     auto log = OpenLog(aOptions.Path("data"),
-                       mTables.self.name,
+                       std::move(settings),
                        names,
                        std::chrono::steady_clock::now(),
                        aWhy);
@@ -290,6 +305,8 @@
   if (!options) {
     return exitCode;
   }
+  // A write beyond a limit then fails, and the reason is logged.
+  std::signal(SIGXFSZ, SIG_IGN);
   asio::io_context context{ 1 };
   control_process process(context, *options);
   last_reason why;
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -342,6 +342,9 @@
   if (!peers.empty()) {
     arguments.insert(arguments.end(), { "--peers", peers });
   }
+  arguments.insert(arguments.end(),
+                   mOptions.controlArguments.begin(),
+                   mOptions.controlArguments.end());
   controls[aIndex] =
     std::make_unique<process>("bulrush-control", arguments, folder);
 }
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -78,6 +78,7 @@
   std::vector<std::string> domains = { "domain-a" };
   std::size_t entriesPerDomain = 1;
   std::string manifest; ///< empty for DefaultManifest
+  std::vector<std::string> controlArguments = {};
 };
 
 /// A fleet on loopback: a control process and entry hosts in each failure
