--- a/tests/process/control_log_test.cpp
+++ b/tests/process/control_log_test.cpp
@@ -22,6 +22,7 @@
     : running({ { "domain-a", "domain-b", "domain-c" },
                 0,
                 "",
+                {},
                 { "--snapshot-after", "8" } })
   {
     running.Start();
