--- a/tests/process/control_log_test.cpp
+++ b/tests/process/control_log_test.cpp
@@ -231,8 +231,8 @@
 {
   REQUIRE(IssueKeys(3) == 3);
   // The first by name is the one that would found a new log.
-  constexpr std::size_t wiped = 0;
-  constexpr std::size_t other = 1;
+  const std::size_t wiped = 0;
+  const std::size_t other = 1;
   Kill(wiped);
   std::filesystem::remove_all(running.ControlData(wiped));
   Restart(wiped);
