--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -8,7 +8,7 @@
 
 constexpr log_part kLog{ "ctl" };
 
-constexpr std::array<option_row, 9> kOptions{ {
+constexpr auto kOptions = std::to_array<option_row>({
   { "control",
     option_type::eAddressList,
     "",
@@ -72,7 +72,7 @@
     "",
     "",
     "trace: files of spans, gathered from the hosts" },
-} };
+});
 
 constexpr program_options kProgram{
   "bulrushctl",
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -14,7 +14,7 @@
 
 constexpr log_part kLog{ "entry" };
 
-constexpr std::array<option_row, 12> kOptions{ {
+constexpr auto kOptions = std::to_array<option_row>({
   { "name",
     option_type::eText,
     "",
@@ -99,7 +99,7 @@
     "",
     "",
     "Lines that are written: debug, info, warning or error and above" },
-} };
+});
 
 constexpr program_options kProgram{
   "bulrush-entry",
