--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -46,7 +46,7 @@
     auto server = net::Listen(
       mContext,
       mSettings.http,
-      [this](const net::http_request& aRequest,
+      [this](net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply) {
         Serve(std::move(aRequest), std::move(aReply));
       },
