--- a/src/apps/control_log.cpp
+++ b/src/apps/control_log.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_log.hpp"
+#include "settings/settings.hpp"
 
 #include "apps/control_tables.hpp"
 
@@ -196,7 +197,7 @@
             control_outbox& aOutbox)
 {
   log_tables& log = *aTables.replicated;
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     Answer(aOutbox,
            aInput.peer,
            aCall.call,
@@ -347,6 +348,10 @@
     aOutbox.fatal = std::move(reason);
     return;
   }
+  if (!InstallOrders(aTables, aSnapshot.state, reason)) {
+    aOutbox.fatal = std::move(reason);
+    return;
+  }
   aTables.fleet = std::move(*state);
   aTables.recent.clear();
 }
@@ -400,6 +405,16 @@
   hooks.isLeader = [&aLog](steady_time aNow) {
     return IsLeaseHeld(aLog.replica, aNow);
   };
+  hooks.leads = [&aLog](steady_time aNow) -> std::optional<leader_term> {
+    const replica_tables& replica = aLog.replica;
+    if (replica.role != replica_role::eLeader ||
+        replica.released < replica.termStart) {
+      return std::nullopt;
+    }
+    return leader_term{ static_cast<std::uint32_t>(replica.vote.term),
+                        replica.settings.electionTimeout,
+                        IsLeaseHeld(replica, aNow) };
+  };
   hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
   hooks.replicas = [&aLog] {
     std::vector<wire::replica_status> rows;
@@ -494,7 +509,9 @@
     return;
   }
   last_reason reason;
-  if (!SaveSnapshot(replica, wire::EncodeState(aTables.fleet), reason)) {
+  const std::string state =
+    wire::EncodeState(aTables.fleet) + OrderSnapshot(aTables);
+  if (!SaveSnapshot(replica, state, reason)) {
     aOutbox.fatal = std::move(reason);
   }
 }
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -1,4 +1,5 @@
 #include "apps/control_tables.hpp"
+#include "settings/settings.hpp"
 
 namespace bulrush::control {
 namespace {
@@ -191,6 +192,9 @@
 {
   fleet_command command = aCall.command;
   command.at = aTables.wallClock();
+  if (auto* apply = std::get_if<apply_manifest>(&command.change)) {
+    *apply = ShortenApply(aTables.fleet, std::move(*apply));
+  }
   last_reason why;
   const auto position = aTables.log.propose(wire::EncodeCommand(command), why);
   if (!position) {
@@ -234,7 +238,7 @@
      steady_time aNow,
      control_outbox& aOutbox)
 {
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     Answer(aInput,
            aCall.call,
            wire::call_outcome::eRefused,
@@ -348,7 +352,7 @@
 {
   wire::status_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential != aTables.self.credential) {
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.text = "the credential is not accepted";
     aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
     return;
@@ -387,7 +391,7 @@
 {
   wire::manifest_reply reply;
   reply.call = aCall.call;
-  if (aCall.credential == aTables.self.credential) {
+  if (EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.manifestRevision = aTables.fleet.manifestRevision;
     reply.text = aTables.fleet.manifestText;
   }
@@ -417,7 +421,7 @@
     } else if (const auto* status = std::get_if<wire::status_call>(&body)) {
       TakeStatusCall(aTables, input, *status, aNow, aOutbox);
     } else if (const auto* keys = std::get_if<wire::tombstones>(&body)) {
-      if (keys->credential == aTables.self.credential) {
+      if (EqualInConstantTime(keys->credential, aTables.self.credential)) {
         AddTombstones(aTables, keys->keys);
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
@@ -457,6 +461,9 @@
   const auto committed = std::move(aTables.committed);
   aTables.committed.clear();
   for (const committed_command& entry : committed) {
+    if (ApplyOrderEntry(aTables, entry.payload)) {
+      continue;
+    }
     last_reason why;
     const auto command = wire::DecodeCommand(entry.payload, why);
     if (!command) {
@@ -634,13 +641,14 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 8> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 9> kSystems{
   { { "ingest", RunIngest },
     { "log", RunLog },
     { "apply", RunApply },
     { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
+    { "orders", RunOrders },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
