--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -192,6 +192,9 @@
 {
   fleet_command command = aCall.command;
   command.at = aTables.wallClock();
+  if (auto* apply = std::get_if<apply_manifest>(&command.change)) {
+    *apply = ShortenApply(aTables.fleet, std::move(*apply));
+  }
   last_reason why;
   const auto position = aTables.log.propose(wire::EncodeCommand(command), why);
   if (!position) {
@@ -458,6 +461,9 @@
   const auto committed = std::move(aTables.committed);
   aTables.committed.clear();
   for (const committed_command& entry : committed) {
+    if (ApplyOrderEntry(aTables, entry.payload)) {
+      continue;
+    }
     last_reason why;
     const auto command = wire::DecodeCommand(entry.payload, why);
     if (!command) {
@@ -635,13 +641,14 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 8> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 9> kSystems{
   { { "ingest", RunIngest },
     { "log", RunLog },
     { "apply", RunApply },
     { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
+    { "orders", RunOrders },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
