--- a/tests/placement/orders_test.cpp
+++ b/tests/placement/orders_test.cpp
@@ -233,7 +233,7 @@
   fleet.AddEngine(1, 1, 8 * kGigabyte, false);
   Start({ Model(1, 3) });
   ControlOnly(8);
-  REQUIRE(fleet.copies.size() >= 1);
+  REQUIRE_FALSE(fleet.copies.empty());
   const order_id order = fleet.copies.front().order.id;
   fleet.ChangeLeader(1);
   fleet.RunQuietly(40);
@@ -249,7 +249,7 @@
   fleet.AddEngine(1, 1, 8 * kGigabyte, false);
   Start({ Model(1, 3) });
   ControlOnly(8);
-  REQUIRE(fleet.copies.size() >= 1);
+  REQUIRE_FALSE(fleet.copies.empty());
   const order_id order = fleet.copies.front().order.id;
   OnDeposed(Leader());
   OnElected(Leader(),
