--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -138,6 +138,7 @@
   std::uint64_t accepted = 0; ///< sequence of the last answer taken
   std::uint64_t revision = 0; ///< all below the sender apply this manifest
   std::chrono::nanoseconds servesFor{}; ///< left of the lease to serve
+  bool isLeaving = false; ///< the sender serves no more and holds nothing
   std::vector<renewal_row> rows;
 };
 
@@ -335,6 +336,12 @@
                   std::uint64_t aEpoch,
                   succession aSuccession);
 
+/// Hands everything back at a planned stop; the renewal goes to the outbox.
+/// Holders below must have left, or their leases have run out.
+void Leave(escrow_tables& aTables,
+           steady_time aNow,
+           struct escrow_outbox& aOut);
+
 /// The newest revision that every process below this node applies, as far as
 /// any of them may still serve.
 std::uint64_t CoveredRevision(const escrow_tables& aTables, steady_time aNow);
--- a/src/admission/renewals.cpp
+++ b/src/admission/renewals.cpp
@@ -123,7 +123,13 @@
   // A lease from a former parent may outlive what this one would grant.
   holder.servesUntil =
     std::max(holder.servesUntil, aNow + PlusDrift(aRenewal.servesFor));
-  holder.isAnswerDue = true;
+  if (aRenewal.isLeaving) {
+    holder.servesUntil = aNow;
+  }
+  holder.isAnswerDue = !aRenewal.isLeaving;
+  if (aRenewal.isLeaving) {
+    holder.receivedAt = steady_time{}; // takes no part in the division
+  }
   for (const renewal_row& row : aRenewal.rows) {
     BookReport(aTables, holder, row, wasTaken, aNow);
   }
--- a/src/admission/reports.cpp
+++ b/src/admission/reports.cpp
@@ -105,6 +105,21 @@
 
 } // namespace
 
+void
+Leave(escrow_tables& aTables, steady_time aNow, escrow_outbox& aOut)
+{
+  aTables.link.servesUntil = aNow;
+  for (holding_row& holding : aTables.holdings) {
+    holding.granted = {};
+    holding.floor = {};
+    holding.want = {};
+    holding.returned += FitBucket(aTables, holding, aNow);
+  }
+  SendRenewal(aTables, aNow, aOut);
+  aOut.renewals.back().isLeaving = true;
+  aTables.link.isAwaiting = false; // an answer would come too late
+}
+
 void
 RunReports(escrow_tables& aTables, steady_time aNow, escrow_outbox& aOut)
 {
--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -85,6 +85,7 @@
   };
   hooks.isLeader = [] { return true; };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
+  hooks.term = [] { return std::uint64_t{ 1 }; };
   return hooks;
 }
 
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -277,6 +277,11 @@
   wire::domain_status status;
   status.name = aTables.self.domain;
   status.confirmedRevision = aTables.fleet.revision;
+  if (const auto confirmed = ConfirmedHosts(aTables, aNow)) {
+    status.confirmedRevision = confirmed->revision;
+    status.hosts = confirmed->hosts;
+    return status;
+  }
   for (const host_row& host : aTables.hosts) {
     if (host.leaseEnd > aNow) {
       ++status.hosts;
@@ -419,6 +424,10 @@
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
       TakeManifestCall(aTables, input, *text, aOutbox);
+    } else if (const auto* renewal = std::get_if<wire::share_renewal>(&body)) {
+      TakeRenewal(aTables, input, *renewal);
+    } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
+      TakeGrant(aTables, *grant);
     }
   }
 }
@@ -629,11 +638,12 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 6> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 7> kSystems{
   { { "ingest", RunIngest },
     { "apply", RunApply },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
+    { "leases", RunLeases },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -3,6 +3,7 @@
 
 /// Tables of bulrush-control. Its control thread owns all of them.
 
+#include "admission/admission.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
@@ -112,6 +113,45 @@
   std::function<bool()> isLeader;
   /// Name of the leader, empty while none is known.
   std::function<std::string()> leaderName;
+  /// Rises with each change of leader.
+  std::function<std::uint64_t()> term;
+};
+
+/// The delegate part: leases and shares for the hosts of one failure domain.
+struct delegate_row
+{
+  domain_id id;
+  std::uint64_t epoch = 0;
+  admission::escrow_tables escrow;
+  bool isRetiring = false; ///< another one was named
+  steady_time retiresAt{}; ///< the last lease of a host has run out by then
+};
+
+/// To whom the answers for a holder go.
+struct holder_peer_row
+{
+  admission::holder_id id;
+  std::string peer; ///< identity on the link; empty for this process
+};
+
+/// A resource that the root divides.
+struct limited_row
+{
+  admission::resource_id id;
+  admission::resource what;
+};
+
+/// Leases and shares: the root while this process leads, and its delegates.
+struct lease_tables
+{
+  bool isRoot = false;
+  admission::escrow_tables root;
+  std::uint64_t limitsRevision = 0; ///< of the manifest that the root divides
+  table<admission::resource_id, limited_row> limits;
+  table<domain_id, delegate_row> delegates;
+  table<admission::holder_id, holder_peer_row> holders;
+  steady_time leadsSince{};
+  steady_time nextNaming{};
 };
 
 struct control_tables
@@ -125,6 +165,7 @@
   table<endpoint_id, gone_endpoint> gone;
   table<call_id, pending_call> calls;
   table<key_hash, tombstone_row> tombstones;
+  lease_tables leases;
   std::deque<wire::numbered_command> recent; ///< newest configuration changes
   std::vector<received> inbox;
   std::vector<committed_command> committed;
@@ -150,6 +191,27 @@
   wake_time wake;
 };
 
+/// Input of the lease system.
+void TakeRenewal(control_tables& aTables,
+                 const received& aInput,
+                 const wire::share_renewal& aRenewal);
+void TakeGrant(control_tables& aTables, const wire::share_grant& aGrant);
+
+/// The lease system: names delegates, divides limits, answers renewals.
+void RunLeases(control_tables& aTables,
+               steady_time aNow,
+               control_outbox& aOutbox);
+
+/// The revision that every host of the own failure domain confirmed, and how
+/// many hold a lease; nullopt while this process is not its delegate.
+struct confirmed_hosts
+{
+  std::uint64_t revision = 0;
+  std::uint32_t hosts = 0;
+};
+std::optional<confirmed_hosts> ConfirmedHosts(const control_tables& aTables,
+                                              steady_time aNow);
+
 /// One tick: all systems in their order.
 void RunControl(control_tables& aTables,
                 steady_time aNow,
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -6,10 +6,10 @@
 endfunction()
 
 bulrush_program(bulrush-control src/apps/control_main.cpp
-  src/apps/control_systems.cpp)
+  src/apps/control_systems.cpp src/apps/control_leases.cpp)
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
-  src/apps/entry_http.cpp)
+  src/apps/entry_http.cpp src/apps/entry_admission.cpp)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
 bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -20,6 +20,11 @@
 void Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo);
 endpoint_row Get(const pb::Endpoint& aFrom, steady_time aNow);
 
+void Put(const admission::renewal& aFrom, pb::ShareRenewal& aTo);
+std::optional<admission::renewal> Get(const pb::ShareRenewal& aFrom);
+void Put(const admission::grant& aFrom, pb::ShareGrant& aTo);
+std::optional<admission::grant> Get(const pb::ShareGrant& aFrom);
+
 } // namespace bulrush::wire
 
 #endif
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -454,6 +454,43 @@
                          aFrom.text() };
 }
 
+void
+PutBody(const share_renewal& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_share_renewal();
+  Put(aFrom.renewal, *to);
+  to->set_domain(aFrom.domain);
+  to->set_is_to_root(aFrom.isToRoot);
+}
+
+void
+PutBody(const share_grant& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom.grant, *aTo.mutable_share_grant());
+}
+
+std::optional<message_body>
+GetBody(const pb::ShareRenewal& aFrom, steady_time)
+{
+  auto renewal = Get(aFrom);
+  if (!renewal) {
+    return std::nullopt;
+  }
+  return share_renewal{ std::move(*renewal),
+                        aFrom.domain(),
+                        aFrom.is_to_root() };
+}
+
+std::optional<message_body>
+GetBody(const pb::ShareGrant& aFrom, steady_time)
+{
+  auto grant = Get(aFrom);
+  if (!grant) {
+    return std::nullopt;
+  }
+  return share_grant{ std::move(*grant) };
+}
+
 std::optional<message_body>
 GetBody(const pb::Envelope& aFrom, steady_time aNow)
 {
@@ -478,6 +515,10 @@
       return GetBody(aFrom.manifest_call(), aNow);
     case pb::Envelope::kManifestReply:
       return GetBody(aFrom.manifest_reply(), aNow);
+    case pb::Envelope::kShareRenewal:
+      return GetBody(aFrom.share_renewal(), aNow);
+    case pb::Envelope::kShareGrant:
+      return GetBody(aFrom.share_grant(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- /dev/null
+++ b/src/wire/share_codec.cpp
@@ -0,0 +1,141 @@
+#include "wire/convert.hpp"
+
+namespace bulrush::wire {
+
+namespace {
+
+using admission::resource_kind;
+using std::chrono::nanoseconds;
+
+void
+Put(const admission::resource& aFrom, pb::Resource& aTo)
+{
+  aTo.set_kind(static_cast<std::uint32_t>(aFrom.kind));
+  aTo.set_subject(aFrom.subject);
+  aTo.set_incarnation(aFrom.incarnation);
+}
+
+void
+Put(const admission::share& aFrom, pb::Share& aTo)
+{
+  aTo.set_rate(aFrom.rate);
+  aTo.set_size(aFrom.size);
+}
+
+// A kind of a newer release is not understood and so not divided.
+std::optional<admission::resource>
+Get(const pb::Resource& aFrom)
+{
+  const auto kind = static_cast<resource_kind>(aFrom.kind());
+  if (kind != resource_kind::eRate && kind != resource_kind::eSlots) {
+    return std::nullopt;
+  }
+  return admission::resource{ kind, aFrom.subject(), aFrom.incarnation() };
+}
+
+// Amounts below zero would break the books, so they make a message malformed.
+std::optional<admission::share>
+Get(const pb::Share& aFrom)
+{
+  if (aFrom.rate() < 0 || aFrom.size() < 0) {
+    return std::nullopt;
+  }
+  return admission::share{ aFrom.rate(), aFrom.size() };
+}
+
+} // namespace
+
+void
+Put(const admission::renewal& aFrom, pb::ShareRenewal& aTo)
+{
+  aTo.set_holder(aFrom.holder.value);
+  aTo.set_incarnation(aFrom.incarnation);
+  aTo.set_epoch(aFrom.epoch);
+  aTo.set_sequence(aFrom.sequence);
+  aTo.set_accepted(aFrom.accepted);
+  aTo.set_revision(aFrom.revision);
+  aTo.set_serves_for_ns(aFrom.servesFor.count());
+  aTo.set_is_leaving(aFrom.isLeaving);
+  for (const admission::renewal_row& from : aFrom.rows) {
+    pb::RenewalRow& to = *aTo.add_rows();
+    Put(from.what, *to.mutable_what());
+    Put(from.held, *to.mutable_held());
+    Put(from.floor, *to.mutable_floor());
+    Put(from.want, *to.mutable_want());
+    to.set_returned(from.returned);
+  }
+}
+
+std::optional<admission::renewal>
+Get(const pb::ShareRenewal& aFrom)
+{
+  admission::renewal renewal;
+  renewal.holder = { aFrom.holder() };
+  renewal.incarnation = aFrom.incarnation();
+  renewal.epoch = aFrom.epoch();
+  renewal.sequence = aFrom.sequence();
+  renewal.accepted = aFrom.accepted();
+  renewal.revision = aFrom.revision();
+  renewal.servesFor = nanoseconds{ aFrom.serves_for_ns() };
+  renewal.isLeaving = aFrom.is_leaving();
+  for (const pb::RenewalRow& row : aFrom.rows()) {
+    const auto what = Get(row.what());
+    const auto held = Get(row.held());
+    const auto floor = Get(row.floor());
+    const auto want = Get(row.want());
+    if (!what || !held || !floor || !want) {
+      return std::nullopt;
+    }
+    renewal.rows.push_back({ *what, *held, *floor, *want, row.returned() });
+  }
+  return renewal;
+}
+
+void
+Put(const admission::grant& aFrom, pb::ShareGrant& aTo)
+{
+  aTo.set_holder(aFrom.holder.value);
+  aTo.set_incarnation(aFrom.incarnation);
+  aTo.set_epoch(aFrom.epoch);
+  aTo.set_sequence(aFrom.sequence);
+  aTo.set_serve_for_ns(aFrom.serveFor.count());
+  aTo.set_reaches_root(aFrom.reachesRoot);
+  for (const admission::grant_row& from : aFrom.rows) {
+    pb::GrantRow& to = *aTo.add_rows();
+    Put(from.what, *to.mutable_what());
+    Put(from.share, *to.mutable_share());
+    Put(from.floor, *to.mutable_floor());
+    to.set_tokens(from.tokens);
+    to.set_lasts_ns(from.lasts.count());
+    to.set_floor_lasts_ns(from.floorLasts.count());
+  }
+}
+
+std::optional<admission::grant>
+Get(const pb::ShareGrant& aFrom)
+{
+  admission::grant grant;
+  grant.holder = { aFrom.holder() };
+  grant.incarnation = aFrom.incarnation();
+  grant.epoch = aFrom.epoch();
+  grant.sequence = aFrom.sequence();
+  grant.serveFor = nanoseconds{ aFrom.serve_for_ns() };
+  grant.reachesRoot = aFrom.reaches_root();
+  for (const pb::GrantRow& row : aFrom.rows()) {
+    const auto what = Get(row.what());
+    const auto share = Get(row.share());
+    const auto floor = Get(row.floor());
+    if (!what || !share || !floor || row.tokens() < 0) {
+      return std::nullopt;
+    }
+    grant.rows.push_back({ *what,
+                           *share,
+                           *floor,
+                           row.tokens(),
+                           nanoseconds{ row.lasts_ns() },
+                           nanoseconds{ row.floor_lasts_ns() } });
+  }
+  return grant;
+}
+
+} // namespace bulrush::wire
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -4,6 +4,7 @@
 /// Public header of the wire library: the messages between our own processes
 /// as plain structs, and their encoding. Source: protobuf, bulrush.proto.
 
+#include "admission/admission.hpp"
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
 
@@ -151,6 +152,20 @@
   std::string text;
 };
 
+/// A host to its delegate, or a delegate to the leader.
+struct share_renewal
+{
+  admission::renewal renewal;
+  std::string domain;    ///< of the sender
+  bool isToRoot = false; ///< from a delegate
+};
+
+/// The answer to a share_renewal.
+struct share_grant
+{
+  admission::grant grant;
+};
+
 using message_body = std::variant<command_call,
                                   command_reply,
                                   host_report,
@@ -160,7 +175,9 @@
                                   status_call,
                                   status_reply,
                                   manifest_call,
-                                  manifest_reply>;
+                                  manifest_reply,
+                                  share_renewal,
+                                  share_grant>;
 
 struct message
 {
