--- a/src/apps/entry_admission.cpp
+++ b/src/apps/entry_admission.cpp
@@ -46,10 +46,10 @@
            admission_outbox& aOutbox)
 {
   const bool isNew = aRow.state == admission_state::eNew;
-  const auto waited = isNew ? std::chrono::nanoseconds{ 0 }
-                            : std::max(std::chrono::nanoseconds{ 1 },
-                                       std::chrono::nanoseconds{
-                                         aNow - aRow.arrivedAt });
+  const auto waited =
+    isNew ? std::chrono::nanoseconds{ 0 }
+          : std::max(std::chrono::nanoseconds{ 1 },
+                     std::chrono::nanoseconds{ aNow - aRow.arrivedAt });
   const auto answer = admission::ReserveTokens(
     aTables.escrow, aRow.workspace, aRow.tokens, waited, aNow);
   switch (answer.outcome) {
@@ -62,10 +62,8 @@
       aOutbox.wake.NoLaterThan(aNow + answer.retryAfter);
       return;
     case reserve_outcome::eOverRate:
-      Refuse(aTables,
-             aRow,
-             { refusal_kind::eOverRate, answer.retryAfter },
-             aOutbox);
+      Refuse(
+        aTables, aRow, { refusal_kind::eOverRate, answer.retryAfter }, aOutbox);
       return;
     case reserve_outcome::eCutOff:
       Refuse(
@@ -107,9 +105,8 @@
 void
 RunTurns(admission_tables& aTables, steady_time aNow, admission_outbox& aOutbox)
 {
-  aTables.queue.maySend = aTables.capacity > aTables.running
-                            ? aTables.capacity - aTables.running
-                            : 0;
+  aTables.queue.maySend =
+    aTables.capacity > aTables.running ? aTables.capacity - aTables.running : 0;
   admission::queue_outbox out;
   RunTick(admission::kQueueSystems, aTables.queue, aNow, out);
   aOutbox.wake.NoLaterThan(out.wake.at);
@@ -163,9 +160,8 @@
   }
   const domain_state_row* domain = aFleet.domains.Find(aDomain);
   if (domain != nullptr && domain->delegate) {
-    admission::FollowParent(aTables.escrow,
-                            domain->epoch,
-                            admission::succession::eStartsNew);
+    admission::FollowParent(
+      aTables.escrow, domain->epoch, admission::succession::eStartsNew);
   }
 }
 
--- a/src/apps/entry_control.cpp
+++ b/src/apps/entry_control.cpp
@@ -3,11 +3,9 @@
 namespace bulrush::entry {
 namespace {
 
-constexpr std::chrono::milliseconds kRenewEvery{ 1'000 };
+constexpr std::chrono::milliseconds kReportEvery{ 1'000 };
 constexpr std::chrono::milliseconds kControlSilence{ 1'500 };
-constexpr std::chrono::milliseconds kDriftMargin{ 100 };
 constexpr std::chrono::milliseconds kCommandRetry{ 700 };
-constexpr std::size_t kMaxRenewals = 16;
 
 // A host applies the very commands that the log holds, so the configuration
 // it serves by is the one that was committed. Anything out of order is left
@@ -60,20 +58,6 @@
   return true;
 }
 
-// The lease counts from before its renewal was sent, less a margin for drift
-// between the two clocks.
-void
-TakeLease(entry_tables& aTables, const wire::host_update& aUpdate)
-{
-  const typed_id<struct renewal_tag> id{ aUpdate.renewal };
-  const renewal_row* renewal = aTables.renewals.Find(id);
-  if (renewal == nullptr || aUpdate.lease.count() == 0) {
-    return;
-  }
-  const steady_time end = renewal->sentAt + aUpdate.lease - kDriftMargin;
-  aTables.leaseEnd = std::max(aTables.leaseEnd, end);
-}
-
 void
 TakeTombstones(entry_tables& aTables, const std::vector<key_hash>& aKeys)
 {
@@ -90,7 +74,6 @@
 {
   TakeTombstones(aTables, aUpdate.tombstones);
   TakeConfiguration(aTables, aUpdate);
-  TakeLease(aTables, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
     TakeEndpoint(aTables, row);
   }
@@ -129,6 +112,9 @@
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       Take(aTables, *update);
+    } else if (const auto* granted =
+                 std::get_if<wire::share_grant>(&message.body)) {
+      aOutbox.grants.push_back(granted->grant);
     } else if (const auto* reply =
                  std::get_if<wire::command_reply>(&message.body)) {
       Take(aTables, *reply, aOutbox);
@@ -143,33 +129,53 @@
   }
 }
 
-// Renews in good time, and earlier when endpoints reported.
+// The delegate of the own failure domain, as the configuration names it.
+const control_row*
+Delegate(const entry_tables& aTables)
+{
+  const auto domain = IdOf<domain_id>(aTables.self.domain);
+  const domain_state_row* state = aTables.fleet->domains.Find(domain);
+  return state == nullptr ? nullptr : aTables.controls.Find(state->delegate);
+}
+
+// Renewals that nobody can take are dropped; the next ones stand for them.
+void
+RunRenewals(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
+{
+  const control_row* delegate = Delegate(aTables);
+  for (admission::renewal& next : aTables.renewals) {
+    if (delegate != nullptr) {
+      wire::share_renewal sent{ std::move(next), aTables.self.domain, false };
+      aOutbox.messages.push_back({ delegate->address, std::move(sent) });
+    }
+  }
+  aTables.renewals.clear();
+}
+
+// Reports in good time, and earlier when endpoints reported.
 void
-RunRenewal(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+RunReport(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
-  const bool isDue = aNow >= aTables.nextRenewal;
+  const bool isDue = aNow >= aTables.nextReport;
   if (!isDue && aTables.unsent.empty()) {
-    aOutbox.wake.NoLaterThan(aTables.nextRenewal);
+    aOutbox.wake.NoLaterThan(aTables.nextReport);
     return;
   }
   const control_row* control = CurrentControl(aTables, aNow);
   if (control == nullptr) {
     return;
   }
-  const typed_id<struct renewal_tag> id{ ++aTables.lastRenewal };
-  aTables.renewals.Insert({ id, aNow });
-  aTables.renewals.Erase({ id.value - std::min(id.value, kMaxRenewals) });
   wire::host_report report;
   report.domain = aTables.self.domain;
-  report.renewal = id.value;
+  report.renewal = ++aTables.lastReport;
   report.revision = aTables.fleet->revision;
   report.endpoints = std::move(aTables.unsent);
   report.httpAddress = aTables.self.httpAddress;
   report.isLeaving = aTables.isStopping;
   aTables.unsent.clear();
   aOutbox.messages.push_back({ control->address, std::move(report) });
-  aTables.nextRenewal = aNow + kRenewEvery;
-  aOutbox.wake.NoLaterThan(aTables.nextRenewal);
+  aTables.nextReport = aNow + kReportEvery;
+  aOutbox.wake.NoLaterThan(aTables.nextReport);
 }
 
 void
@@ -208,7 +214,6 @@
   traffic_view& view = aTables.published;
   const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
                       !aTables.hasNewTombstones &&
-                      view.leaseEnd == aTables.leaseEnd &&
                       view.isStopping == aTables.isStopping;
   if (isSame) {
     return;
@@ -229,7 +234,6 @@
       std::make_shared<const std::unordered_set<key_hash, id_hash>>(
         std::move(keys));
   }
-  view.leaseEnd = aTables.leaseEnd;
   view.isStopping = aTables.isStopping;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
@@ -237,9 +241,10 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 4> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 5> kSystems{
   { { "ingest", RunIngest },
-    { "renewal", RunRenewal },
+    { "renewals", RunRenewals },
+    { "report", RunReport },
     { "commands", RunCommands },
     { "publish", RunPublish } }
 };
@@ -257,7 +262,7 @@
     if (isAlive && (best == nullptr || row.preference < best->preference)) {
       best = &row;
     }
-    const std::uint64_t turn = aTables.lastRenewal % aTables.controls.Size();
+    const std::uint64_t turn = aTables.lastReport % aTables.controls.Size();
     if (row.preference == turn) {
       inTurn = &row;
     }
--- a/src/apps/entry_http.cpp
+++ b/src/apps/entry_http.cpp
@@ -285,6 +285,21 @@
   return isAllowed;
 }
 
+std::optional<std::int64_t>
+ReadUsage(const std::string& aBody)
+{
+  const json document = json::parse(aBody, nullptr, false);
+  if (!document.is_object()) {
+    return std::nullopt;
+  }
+  const json usage = document.value("usage", json::object());
+  if (!usage.is_object() || !usage.contains("total_tokens") ||
+      !usage["total_tokens"].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return usage["total_tokens"].get<std::int64_t>();
+}
+
 std::optional<std::string>
 ParseBearer(const net::http_request& aRequest, caller_error& aError)
 {
--- a/src/apps/entry_http.hpp
+++ b/src/apps/entry_http.hpp
@@ -46,6 +46,9 @@
                   std::size_t aMaxBodyBytes,
                   caller_error& aError);
 
+/// Tokens that an answer says it used; nullopt when it does not say.
+std::optional<std::int64_t> ReadUsage(const std::string& aBody);
+
 /// The key of an Authorization: Bearer field. A key in the query string is
 /// refused, since proxies log it.
 std::optional<std::string> ParseBearer(const net::http_request& aRequest,
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -77,9 +77,11 @@
 public:
   control_thread(asio::io_context& aContext,
                  const option_values& aOptions,
-                 std::function<void(traffic_view)> aPublish)
+                 std::function<void(traffic_view)> aPublish,
+                 std::function<void(admission::grant)> aOnGrant)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
+    , mOnGrant(std::move(aOnGrant))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.Text("name");
@@ -120,6 +122,12 @@
 
   void RunSoon() { mTimer.RunSoon(); }
 
+  void Renew(admission::renewal aRenewal)
+  {
+    mTables.renewals.push_back(std::move(aRenewal));
+    mTimer.RunSoon();
+  }
+
   void Report(endpoint_row aRow)
   {
     mTables.reports.push_back(std::move(aRow));
@@ -168,12 +176,16 @@
     if (outbox.view) {
       mPublish(std::move(*outbox.view));
     }
+    for (admission::grant& next : outbox.grants) {
+      mOnGrant(std::move(next));
+    }
     return outbox.wake;
   }
 
   asio::io_context& mContext;
   entry_tables mTables;
   std::function<void(traffic_view)> mPublish;
+  std::function<void(admission::grant)> mOnGrant;
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
@@ -182,14 +194,21 @@
 {
 public:
   explicit entry_process(const option_values& aOptions)
-    : mControl(mControlContext,
-               aOptions,
-               [this](traffic_view aView) {
-                 asio::post(mTrafficContext,
-                            [this, view = std::move(aView)]() mutable {
-                              mTraffic.SetView(std::move(view));
-                            });
-               })
+    : mControl(
+        mControlContext,
+        aOptions,
+        [this](traffic_view aView) {
+          asio::post(mTrafficContext,
+                     [this, view = std::move(aView)]() mutable {
+                       mTraffic.SetView(std::move(view));
+                     });
+        },
+        [this](admission::grant aGrant) {
+          asio::post(mTrafficContext,
+                     [this, grant = std::move(aGrant)]() mutable {
+                       mTraffic.TakeGrant(std::move(grant));
+                     });
+        })
     , mTraffic(mTrafficContext, TrafficSettings(aOptions), Hooks())
   {
   }
@@ -233,13 +252,14 @@
   }
 
 private:
-  static traffic_settings TrafficSettings(const option_values& aOptions)
+  traffic_settings TrafficSettings(const option_values& aOptions)
   {
     traffic_settings settings;
     const host_address listen = *aOptions.Address("listen");
     settings.http.address = listen.ip;
     settings.http.port = listen.port;
     settings.hostName = aOptions.Text("name");
+    settings.incarnation = mControl.Tables().self.incarnation;
     settings.domain = aOptions.Text("domain");
     return settings;
   }
@@ -247,6 +267,12 @@
   control_hooks Hooks()
   {
     control_hooks hooks;
+    hooks.onRenewal = [this](admission::renewal aRenewal) {
+      asio::post(mControlContext,
+                 [this, renewal = std::move(aRenewal)]() mutable {
+                   mControl.Renew(std::move(renewal));
+                 });
+    };
     hooks.onReport = [this](endpoint_row aRow) {
       asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
         mControl.Report(std::move(row));
--- a/src/apps/entry_requests.cpp
+++ b/src/apps/entry_requests.cpp
@@ -543,6 +543,9 @@
     net::http_reply& reply = *row.request.reply;
     reply.onGone = nullptr;
     reply.onDrained = nullptr;
+    if (row.request.onEnded) {
+      row.request.onEnded(UsedTokens(aEnd, row));
+    }
     if (aEnd.outcome == request_outcome::eCallerGone) {
       return;
     }
@@ -562,6 +565,17 @@
     }
   }
 
+  // What a stream used is not known, so its whole bound counts.
+  static std::optional<std::int64_t> UsedTokens(
+    const routing::end_request& aEnd,
+    const waiting_row& aRow)
+  {
+    if (aEnd.ran == routing::ran_state::eNotRun) {
+      return 0;
+    }
+    return aRow.isStarted ? std::nullopt : ReadUsage(aRow.wholeBody);
+  }
+
   static void EndWhole(waiting_row& aRow)
   {
     net::http_reply& reply = *aRow.request.reply;
--- a/src/apps/entry_requests.hpp
+++ b/src/apps/entry_requests.hpp
@@ -19,6 +19,8 @@
   net::http_call call; ///< without address, attempt and connection
   std::string path;
   std::shared_ptr<net::http_reply> reply;
+  /// Called once at the end with the tokens used, if the answer says so.
+  std::function<void(std::optional<std::int64_t> aUsedTokens)> onEnded;
 };
 
 struct request_runner_settings
--- a/src/apps/entry_tables.hpp
+++ b/src/apps/entry_tables.hpp
@@ -23,7 +23,6 @@
     std::make_shared<const std::vector<endpoint_row>>();
   std::shared_ptr<const std::unordered_set<key_hash, id_hash>> tombstones =
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
-  steady_time leaseEnd{}; ///< keyed requests are served before it only
   bool isStopping = false;
 };
 
@@ -62,13 +61,6 @@
   std::string credential;
 };
 
-/// A renewal that has not been answered: the lease counts from its sending.
-struct renewal_row
-{
-  typed_id<struct renewal_tag> id;
-  steady_time sentAt{};
-};
-
 struct entry_tables
 {
   self_row self;
@@ -77,14 +69,13 @@
   table<endpoint_id, endpoint_row> endpoints;
   table<key_hash, tombstone_row> tombstones;
   table<call_id, pending_command> commands;
-  table<typed_id<struct renewal_tag>, renewal_row> renewals;
   std::vector<endpoint_row> reports; ///< from endpoints since the last tick
   std::vector<wire::message> inbox;  ///< from control since the last tick
   std::vector<endpoint_row> unsent;  ///< to be told to control
-  std::uint64_t lastRenewal = 0;
+  std::vector<admission::renewal> renewals; ///< from the traffic thread
+  std::uint64_t lastReport = 0;
   std::uint64_t lastCall = 0;
-  steady_time nextRenewal{};
-  steady_time leaseEnd{};
+  steady_time nextReport{};
   traffic_view published; ///< the latest one
   bool isStopping = false;
   bool hasNewFleet = true;
@@ -102,7 +93,8 @@
 {
   std::vector<outgoing> messages;
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
-  std::optional<traffic_view> view; ///< to be published
+  std::optional<traffic_view> view;     ///< to be published
+  std::vector<admission::grant> grants; ///< for the traffic thread
   wake_time wake;
 };
 
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -1,8 +1,10 @@
 #include "apps/entry_traffic.hpp"
 
+#include "apps/entry_admission.hpp"
 #include "apps/entry_http.hpp"
 #include "apps/entry_requests.hpp"
 
+#include <cmath>
 #include <random>
 
 namespace bulrush::entry {
@@ -13,6 +15,43 @@
 constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
 constexpr std::size_t kMaxIdempotencyKey = 128;
 
+// A host that knows no endpoint yet lets routing say so.
+constexpr std::size_t kLeastCapacity = 16;
+
+caller_error
+ErrorOf(const refusal& aRefusal)
+{
+  caller_error error;
+  error.retryAfter =
+    std::max(std::chrono::seconds{ 1 },
+             std::chrono::ceil<std::chrono::seconds>(aRefusal.retryAfter));
+  switch (aRefusal.kind) {
+    case refusal_kind::eOverRate:
+      error.status = 429;
+      error.code = "rate_limited";
+      error.text = "the workspace has used up its rate and burst";
+      break;
+    case refusal_kind::eCutOff:
+      error.status = 503;
+      error.code = "rate_unreachable";
+      error.text = "this host has used up its share of the workspace's rate "
+                   "and cannot ask for more";
+      break;
+    case refusal_kind::eTooLarge:
+      error.status = 429;
+      error.code = "over_burst";
+      error.text = "the request may use more tokens than the workspace's burst";
+      error.retryAfter = std::nullopt;
+      break;
+    case refusal_kind::eLate:
+      error.status = 503;
+      error.code = "overloaded";
+      error.text = "the request could not make its deadline";
+      break;
+  }
+  return error;
+}
+
 // New at each start, so that no id of an earlier life comes again.
 std::uint64_t
 NewSeed()
@@ -33,6 +72,10 @@
     : mContext(aContext)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
+    , mAdmission(
+        MakeAdmission(IdOf<host_id>(mSettings.hostName), mSettings.incarnation))
+    , mAdmissionTimer(aContext,
+                      [this](steady_time aNow) { return TickAdmission(aNow); })
     , mRunner(aContext, { mSettings.domain, NewSeed() }, mHooks.onCommand)
   {
   }
@@ -59,6 +102,14 @@
   {
     mView = std::move(aView);
     mRunner.SetView(mView);
+    SetFleet(mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain));
+    mAdmission.capacity = Capacity();
+    mAdmissionTimer.RunSoon();
+  }
+  void TakeGrant(admission::grant aGrant)
+  {
+    mAdmission.escrow.grants.push_back(std::move(aGrant));
+    mAdmissionTimer.RunSoon();
   }
   std::size_t OpenRequests() const { return mRunner.Open(); }
 
@@ -91,7 +142,19 @@
 
   bool HasLease() const
   {
-    return std::chrono::steady_clock::now() < mView.leaseEnd;
+    return admission::MayServe(mAdmission.escrow.link,
+                               std::chrono::steady_clock::now());
+  }
+
+  // What the endpoints bear at once; more would only wait there.
+  std::size_t Capacity() const
+  {
+    std::size_t slots = 0;
+    for (const endpoint_row& row : *mView.endpoints) {
+      const bool isUsable = !row.isLeaving && !IsOut(*mView.fleet, row.domain);
+      slots += isUsable ? row.slots : 0;
+    }
+    return std::max(slots, kLeastCapacity);
   }
 
   void TakeReport(const net::http_request& aRequest,
@@ -120,11 +183,7 @@
       return nullptr;
     }
     if (!HasLease()) {
-      aError = { 503,
-                 "no_lease",
-                 "this host has lost touch with its control hosts",
-                 false,
-                 std::chrono::seconds(1) };
+      aError = NoLease();
       return nullptr;
     }
     const key_hash hash = HashKey(*key);
@@ -185,7 +244,9 @@
     }
     facts.deadline = std::chrono::steady_clock::now() + row->deadline;
     SetCaller(facts, aRequest, false);
-    Route(aRequest, std::move(facts), call->body, std::move(aReply));
+    const auto tokens =
+      static_cast<std::int64_t>(call->promptTokens + call->maxTokens);
+    Route(aRequest, std::move(facts), call->body, tokens, std::move(aReply));
   }
 
   void CallService(const net::http_request& aRequest,
@@ -210,7 +271,8 @@
       SendError(*aReply, error, FormatId(aId.value));
       return;
     }
-    Route(aRequest, std::move(facts), aRequest.body, std::move(aReply));
+    const auto tokens = static_cast<std::int64_t>(std::ceil(route->tokens));
+    Route(aRequest, std::move(facts), aRequest.body, tokens, std::move(aReply));
   }
 
   // On an open route there is no workspace that a key could be scoped to.
@@ -252,6 +314,7 @@
   void Route(const net::http_request& aRequest,
              routing::request_facts aFacts,
              std::string aBody,
+             std::int64_t aTokens,
              std::shared_ptr<net::http_reply> aReply)
   {
     routed_request routed;
@@ -265,13 +328,103 @@
         routed.call.fields.push_back({ name, *value });
       }
     }
-    mRunner.Start(std::move(routed));
+    if (routed.facts.workspace) {
+      Admit(std::move(routed), aTokens);
+    } else {
+      mRunner.Start(std::move(routed)); // an open route has no rate
+    }
+  }
+
+  // The request waits for tokens and its turn before it is routed.
+  void Admit(routed_request aRouted, std::int64_t aTokens)
+  {
+    const auto* workspace =
+      mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
+    if (workspace != nullptr &&
+        static_cast<double>(aTokens) > workspace->burstTokens) {
+      SendError(*aRouted.reply,
+                ErrorOf({ refusal_kind::eTooLarge, {} }),
+                FormatId(aRouted.facts.id.value));
+      return;
+    }
+    const request_id id = aRouted.facts.id;
+    admitted_row row;
+    row.id = id;
+    row.workspace = aRouted.facts.workspace;
+    row.tokens = aTokens;
+    row.arrivedAt = std::chrono::steady_clock::now();
+    row.deadline = aRouted.facts.deadline;
+    row.onRefused = [reply = aRouted.reply, id](const refusal& aRefusal) {
+      SendError(*reply, ErrorOf(aRefusal), FormatId(id.value));
+    };
+    aRouted.reply->onGone = [this, id] { Release(id, 0); };
+    aRouted.onEnded = [this, id, aTokens](std::optional<std::int64_t> aUsed) {
+      Release(id, aUsed.value_or(aTokens));
+    };
+    auto routed = std::make_shared<routed_request>(std::move(aRouted));
+    row.onAdmitted = [this, routed](steady_time aNow) {
+      Begin(std::move(*routed), aNow);
+    };
+    entry::Admit(mAdmission, std::move(row));
+    mAdmissionTimer.RunSoon();
+  }
+
+  // Checked once more: the lease and the key may have ended while it waited.
+  void Begin(routed_request aRouted, steady_time aNow)
+  {
+    const key_hash& key = aRouted.facts.key;
+    const bool isKeyGood =
+      FindWorkspace(*mView.fleet, key) && !mView.tombstones->contains(key);
+    if (isKeyGood && admission::MayServe(mAdmission.escrow.link, aNow)) {
+      mRunner.Start(std::move(aRouted));
+      return;
+    }
+    Release(aRouted.facts.id, 0);
+    const caller_error error =
+      isKeyGood ? NoLease()
+                : caller_error{
+                    401, "key_withdrawn", "the key was withdrawn", false, {}
+                  };
+    SendError(*aRouted.reply, error, FormatId(aRouted.facts.id.value));
+  }
+
+  static caller_error NoLease()
+  {
+    return { 503,
+             "no_lease",
+             "this host has lost touch with its control hosts",
+             false,
+             std::chrono::seconds(1) };
+  }
+
+  void Release(request_id aRequest, std::int64_t aUsedTokens)
+  {
+    Finish(mAdmission, aRequest, aUsedTokens, std::chrono::steady_clock::now());
+    mAdmissionTimer.RunSoon();
+  }
+
+  wake_time TickAdmission(steady_time aNow)
+  {
+    admission_outbox out;
+    RunAdmission(mAdmission, aNow, out);
+    for (admission::renewal& report : out.renewals) {
+      mHooks.onRenewal(std::move(report));
+    }
+    for (const auto& [hook, why] : out.refused) {
+      hook(why);
+    }
+    for (const admit_hook& hook : out.admitted) {
+      hook(aNow);
+    }
+    return out.wake;
   }
 
   asio::io_context& mContext;
   traffic_settings mSettings;
   control_hooks mHooks;
   traffic_view mView;
+  admission_tables mAdmission;
+  net::tick_timer mAdmissionTimer;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
   std::uint64_t mLastRequest = 0;
@@ -306,6 +459,12 @@
   mImplementation->SetView(std::move(aView));
 }
 
+void
+traffic_thread::TakeGrant(admission::grant aGrant)
+{
+  mImplementation->TakeGrant(std::move(aGrant));
+}
+
 std::size_t
 traffic_thread::OpenRequests() const
 {
--- a/src/apps/entry_traffic.hpp
+++ b/src/apps/entry_traffic.hpp
@@ -19,12 +19,14 @@
   std::function<void(endpoint_row)> onReport;
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>
     onCommand;
+  std::function<void(admission::renewal)> onRenewal; ///< to the delegate
 };
 
 struct traffic_settings
 {
   net::http_server_settings http;
   std::string hostName;
+  std::uint64_t incarnation = 0; ///< of this process
   std::string domain;
   std::string endpointSecret; ///< empty: reports need none
 };
@@ -44,6 +46,7 @@
 
   /// On the thread of the io_context only.
   void SetView(traffic_view aView);
+  void TakeGrant(admission::grant aGrant);
   std::size_t OpenRequests() const;
 
 private:
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -9,9 +9,8 @@
   src/apps/control_systems.cpp src/apps/control_leases.cpp)
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
-  src/apps/entry_http.cpp src/apps/entry_admission.cpp)
-  src/apps/entry_requests.cpp src/apps/entry_answer.cpp
-  src/apps/entry_http.cpp)
+  src/apps/entry_http.cpp src/apps/entry_admission.cpp
+  src/apps/entry_requests.cpp src/apps/entry_answer.cpp)
 target_link_libraries(bulrush-entry PRIVATE bulrush_routing)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
