--- /dev/null
+++ b/tests/admission/messages_test.cpp
@@ -0,0 +1,211 @@
+/// One link by hand-made messages: late, repeated and reordered ones.
+
+#include "admission/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush::admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr steady_time kStart{ 1h };
+const resource kRate = RateOf(workspace_id{ 7 });
+const holder_id kHolder{ 5 };
+
+class messages_fixture
+{
+public:
+  escrow_tables parent;
+  escrow_tables holder;
+
+  messages_fixture()
+  {
+    parent.settings.isRoot = true;
+    parent.settings.epoch = 1;
+    SetLimit(parent, kRate, { 1000, 8000 }, kStart - 1h);
+    holder.link.self = kHolder;
+    holder.link.incarnation = 1;
+    holder.link.epoch = 1;
+    // A request that is under way keeps the row.
+    HoldingOf(holder, kRate, kStart).reservations = 1;
+  }
+  static escrow_outbox Tick(escrow_tables& aTables, steady_time aNow)
+  {
+    escrow_outbox out;
+    RunTick(kEscrowSystems, aTables, aNow, out);
+    return out;
+  }
+  renewal Renew(steady_time aNow)
+  {
+    holder.link.renewAt = aNow;
+    HoldingOf(holder, kRate, aNow).demandUnits = 4000;
+    const auto out = Tick(holder, aNow);
+    REQUIRE(out.renewals.size() == 1);
+    return out.renewals[0];
+  }
+  grant Answer(const renewal& aRenewal, steady_time aNow)
+  {
+    parent.renewals.push_back(aRenewal);
+    const auto out = Tick(parent, aNow);
+    REQUIRE(out.grants.size() == 1);
+    return out.grants[0];
+  }
+  void Take(const grant& aGrant, steady_time aNow)
+  {
+    holder.grants.push_back(aGrant);
+    Tick(holder, aNow);
+  }
+  const holding_row& Held() const
+  {
+    return *holder.holdings.Find(IdOfResource(kRate));
+  }
+  const holding_row& Pool() const
+  {
+    return *parent.holdings.Find(IdOfResource(kRate));
+  }
+  /// A grant with tokens, as the parent would send it.
+  grant HandMade(const renewal& aRenewal, std::int64_t aTokens) const
+  {
+    grant made;
+    made.holder = kHolder;
+    made.incarnation = 1;
+    made.epoch = 1;
+    made.sequence = aRenewal.sequence;
+    made.serveFor = 3s;
+    made.rows.push_back({ kRate, { 0, 8000 }, {}, aTokens, 3s, 0s });
+    return made;
+  }
+};
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Grant_WhenRepeated_GivesItsTokensOnce",
+                 "[admission]")
+{
+  const grant answer = HandMade(Renew(kStart), 1000);
+  Take(answer, kStart + 1ms);
+  Take(answer, kStart + 2ms);
+  CHECK(Held().undivided.level == 1000);
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Grant_ThatAnswersAnEarlierRenewal_IsNotTaken",
+                 "[admission]")
+{
+  const grant old = HandMade(Renew(kStart), 1000);
+  Renew(kStart + 600ms);
+  Take(old, kStart + 601ms);
+  CHECK(Held().granted == share{});
+  CHECK_FALSE(MayServe(holder.link, kStart + 601ms));
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Grant_ThatComesLate_IsNotTaken",
+                 "[admission]")
+{
+  const grant late = HandMade(Renew(kStart), 1000);
+  holder.grants.push_back(late);
+  Tick(holder, kStart + holder.settings.answerWithin);
+  CHECK(Held().granted == share{});
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Grant_OfAnotherEpochOrProcess_IsNotTaken",
+                 "[admission]")
+{
+  const renewal sent = Renew(kStart);
+  grant other = HandMade(sent, 1000);
+  other.epoch = 2;
+  Take(other, kStart + 1ms);
+  other = HandMade(sent, 1000);
+  other.incarnation = 2;
+  Take(other, kStart + 2ms);
+  CHECK(Held().granted == share{});
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Renewal_WhenRepeated_IsAnsweredOnce",
+                 "[admission]")
+{
+  const renewal sent = Renew(kStart);
+  Answer(sent, kStart);
+  parent.renewals.push_back(sent);
+  CHECK(Tick(parent, kStart + 1ms).grants.empty());
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Grant_WhenLost_ReturnsItsTokensWithTheNextRenewal",
+                 "[admission]")
+{
+  const std::int64_t before = Pool().undivided.level;
+  const grant lost = Answer(Renew(kStart), kStart);
+  REQUIRE(lost.rows.size() == 1);
+  REQUIRE(lost.rows[0].tokens > 0);
+  parent.settings.divide = [](const share&, std::span<division_row>) {};
+  const renewal next = Renew(kStart + 600ms);
+  REQUIRE(next.accepted == 0);
+  parent.renewals.push_back(next);
+  Tick(parent, kStart + 600ms);
+  // Taken back in full: the bucket was full before.
+  CHECK(Pool().undivided.level + 600 >= before);
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Renewal_ThatReturnsTokensWithoutAShare_AddsNone",
+                 "[admission]")
+{
+  Take(Answer(Renew(kStart), kStart), kStart);
+  const renewal honest = Renew(kStart + 1s);
+  const std::int64_t held = honest.rows[0].held.size;
+  REQUIRE(held > 0);
+  // All undivided tokens are gone.
+  holding_row& pool = *parent.holdings.Find(IdOfResource(kRate));
+  Refill(pool.undivided, kStart + 1s);
+  pool.undivided.level = 0;
+  renewal wrong = honest;
+  wrong.rows[0].returned += 1'000'000;
+  parent.renewals.push_back(wrong);
+  Tick(parent, kStart + 1s);
+  CHECK(Pool().undivided.level == 0);
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Holding_WhenItLapsedDuringAFreeze_FillsAtItsFloorSince",
+                 "[admission]")
+{
+  const renewal sent = Renew(kStart);
+  grant answer = HandMade(sent, 0);
+  answer.rows[0].share = { 10'000, 900'000 };
+  answer.rows[0].floor = { 1'000, 500'000 };
+  answer.rows[0].lasts = 2s;
+  answer.rows[0].floorLasts = 1h;
+  Take(answer, kStart);
+  Tick(holder, kStart + 12s);
+  const auto lapsed =
+    std::chrono::duration_cast<std::chrono::milliseconds>(LessDrift(2s));
+  const std::int64_t before = 10'000 * lapsed.count() / 1000;
+  const std::int64_t since = 1'000 * (12'000 - lapsed.count()) / 1000;
+  CHECK(Held().granted == share{ 1'000, 500'000 });
+  CHECK(Held().undivided.level == before + since);
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Holder_ThatLeaves_HandsBackItsShareAndItsTokens",
+                 "[admission]")
+{
+  Take(Answer(Renew(kStart), kStart), kStart);
+  REQUIRE(Pool().divided.size > 0);
+  const std::int64_t inPool = Pool().undivided.level;
+  const std::int64_t inHand = Held().undivided.level;
+  REQUIRE(inHand > 0);
+  escrow_outbox out;
+  Leave(holder, kStart + 1ms, out);
+  CHECK_FALSE(MayServe(holder.link, kStart + 1ms));
+  parent.renewals.push_back(out.renewals.at(0));
+  CHECK(Tick(parent, kStart + 1ms).grants.empty());
+  CHECK(Pool().divided == share{});
+  CHECK(Pool().undivided.level >= inPool + inHand);
+}
+
+} // namespace
+} // namespace bulrush::admission
