--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -111,7 +111,17 @@
     mAdmission.escrow.grants.push_back(std::move(aGrant));
     mAdmissionTimer.RunSoon();
   }
-  std::size_t OpenRequests() const { return mRunner.Open(); }
+  std::size_t OpenRequests() const
+  {
+    return std::max(mRunner.Open(), mAdmission.requests.Size());
+  }
+
+  void StopWhenIdle(std::function<void()> aOnStopped)
+  {
+    mIsRefusing = true;
+    mOnStopped = std::move(aOnStopped);
+    mAdmissionTimer.RunSoon();
+  }
 
 private:
   void Serve(const net::http_request& aRequest,
@@ -123,7 +133,15 @@
       SendError(*aReply, error, FormatId(id.value));
       return;
     }
-    if (aRequest.path == "/healthz") {
+    if (mIsRefusing) {
+      SendError(*aReply,
+                { 503,
+                  "stopping",
+                  "this host is being stopped",
+                  false,
+                  std::chrono::seconds(1) },
+                FormatId(id.value));
+    } else if (aRequest.path == "/healthz") {
       aReply->Send(200, {}, "ok\n");
     } else if (aRequest.path == "/readyz") {
       const bool isReady = HasLease() && !mView.isStopping;
@@ -416,9 +434,23 @@
     for (const admit_hook& hook : out.admitted) {
       hook(aNow);
     }
+    if (mOnStopped && mAdmission.requests.Empty()) {
+      Leave(aNow);
+    }
     return out.wake;
   }
 
+  // Once no request waits or runs, the shares go back and the server closes.
+  void Leave(steady_time aNow)
+  {
+    admission::escrow_outbox out;
+    admission::Leave(mAdmission.escrow, aNow, out);
+    mHooks.onRenewal(std::move(out.renewals.front()));
+    mRunner.WhenIdle([this, hook = std::exchange(mOnStopped, nullptr)] {
+      mServer->StopWhenFlushed(hook);
+    });
+  }
+
   asio::io_context& mContext;
   traffic_settings mSettings;
   control_hooks mHooks;
@@ -427,6 +459,8 @@
   net::tick_timer mAdmissionTimer;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
+  bool mIsRefusing = false;
+  std::function<void()> mOnStopped; ///< set while requests are finished
   std::uint64_t mLastRequest = 0;
 };
 
@@ -465,6 +499,12 @@
   mImplementation->TakeGrant(std::move(aGrant));
 }
 
+void
+traffic_thread::StopWhenIdle(std::function<void()> aOnStopped)
+{
+  mImplementation->StopWhenIdle(std::move(aOnStopped));
+}
+
 std::size_t
 traffic_thread::OpenRequests() const
 {
--- a/src/apps/entry_traffic.hpp
+++ b/src/apps/entry_traffic.hpp
@@ -48,6 +48,9 @@
   void SetView(traffic_view aView);
   void TakeGrant(admission::grant aGrant);
   std::size_t OpenRequests() const;
+  /// Refuses new requests as not run, finishes those it has, then calls
+  /// aOnStopped, once.
+  void StopWhenIdle(std::function<void()> aOnStopped);
 
 private:
   class implementation;
