Measure sharing; ask steadily, count waiting requests once, keep returned tokens

Change: waiting counts once; asks every 100 ms; patience 1 s; a delegate passes such tokens on to its parent as long as their share is booked there.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -181,7 +181,6 @@
   steady_time servesUntil; ///< lease to serve, after the margin for drift
   bool isAwaiting = false;
   bool isShort = false;     ///< some resource is short: ask at once
-  int shortAsks = 0;        ///< renewals in a row that were sent for a shortage
   bool reachesRoot = false; ///< according to the last answer
 };
 
@@ -193,6 +192,7 @@
   share granted; ///< by the parent; at the root the limit
   share floor;
   share divided; ///< over holders; at a host the slots in use
+  share covered; ///< part of what is held that this node's parent has booked
   share want;
   steady_time lapsesAt;
   steady_time floorLapsesAt;
@@ -202,6 +202,7 @@
   double demandRate = 0;         ///< units per second, moving average
   std::int64_t demandUnits = 0;  ///< asked for since demandSince
   std::int64_t waiting = 0;      ///< units that short requests wait for
+  steady_time waitingAt;         ///< when they were counted last
   std::int64_t reservations = 0; ///< not settled yet
   steady_time demandSince;
 };
@@ -276,7 +277,7 @@
   /// An answer that takes longer counts as lost.
   std::chrono::nanoseconds answerWithin = std::chrono::milliseconds{ 500 };
   /// Longest wait of a request for its tokens before it is refused.
-  std::chrono::nanoseconds patience = std::chrono::milliseconds{ 300 };
+  std::chrono::nanoseconds patience = std::chrono::milliseconds{ 1000 };
   /// Part of a limit that is dealt out as floors, in thousandths.
   std::int64_t floorMille = 0;
   /// Holders among which the floors are dealt out.
--- a/src/admission/books.cpp
+++ b/src/admission/books.cpp
@@ -37,6 +37,8 @@
 std::int64_t
 FitBucket(const escrow_tables& aTables, holding_row& aHolding, steady_time aNow)
 {
+  aHolding.covered =
+    Largest(aHolding.granted, Smallest(aHolding.covered, aHolding.divided));
   const share left = Undivided(aTables, aHolding, aNow);
   return Resize(aHolding.undivided, left, aNow);
 }
@@ -51,11 +53,13 @@
 {
   if (aNow >= aHolding.lapsesAt) {
     aHolding.granted = Smallest(aHolding.granted, aHolding.floor);
+    aHolding.covered = aHolding.granted;
     FitBucket(aTables, aHolding, aHolding.lapsesAt);
   }
   if (aNow >= aHolding.floorLapsesAt) {
     aHolding.floor = {};
     aHolding.granted = aNow >= aHolding.lapsesAt ? share{} : aHolding.granted;
+    aHolding.covered = aHolding.granted;
     FitBucket(aTables, aHolding, aHolding.floorLapsesAt);
   }
   FitBucket(aTables, aHolding, aNow);
--- a/src/admission/grants.cpp
+++ b/src/admission/grants.cpp
@@ -20,7 +20,6 @@
   aHolding.lapsesAt = sentAt + LessDrift(aRow.lasts);
   aHolding.floorLapsesAt = sentAt + LessDrift(aRow.floorLasts);
   aHolding.epoch = aTables.link.epoch;
-  aHolding.waiting = 0;
   if (aNow >= aHolding.lapsesAt) {
     LapseHolding(aTables, aHolding, aNow);
     return;
--- a/src/admission/renewals.cpp
+++ b/src/admission/renewals.cpp
@@ -14,7 +14,7 @@
            const renewal_row& aRow,
            bool aWasLastGrantTaken)
 {
-  if (!Fits(aHolding.divided, aHolding.granted)) {
+  if (!Fits(aHolding.divided, aHolding.covered)) {
     return 0;
   }
   const std::int64_t room = aAccount.held.size - aRow.held.size;
@@ -44,7 +44,10 @@
   const std::int64_t back =
     TokensBack(holding, account, aRow, aWasLastGrantTaken);
   Book(aTables, holding, account, aRow.held, aNow);
-  Put(holding.undivided, back, aNow);
+  const std::int64_t fitting =
+    std::min(back, holding.undivided.share.size - holding.undivided.level);
+  Put(holding.undivided, fitting, aNow);
+  holding.returned += back - fitting; // this node gives its own share back
   account.floor = aRow.floor;
   account.want = aRow.want;
   account.returned = aRow.returned;
--- a/src/admission/reports.cpp
+++ b/src/admission/reports.cpp
@@ -12,10 +12,8 @@
 /// Weight of the newest interval in the moving average of demand.
 constexpr double kDemandGain = 0.5;
 
-/// After so many asks in a row the next ones are spaced out more widely.
-constexpr int kQuickAsks = 3;
-
-constexpr int kSlowAskFactor = 5;
+/// Requests that have not tried again for so long wait no more.
+constexpr std::chrono::milliseconds kWaitingCounts{ 300 };
 
 // A host's want follows what its callers asked for, met or not.
 void
@@ -26,9 +24,11 @@
   if (seconds <= 0) {
     return;
   }
+  if (aNow > aHolding.waitingAt + kWaitingCounts) {
+    aHolding.waiting = 0;
+  }
   if (aHolding.what.kind == resource_kind::eSlots) {
     aHolding.want = { 0, aHolding.divided.size + aHolding.waiting };
-    aHolding.waiting = 0;
     return;
   }
   const double newest = static_cast<double>(aHolding.demandUnits) / seconds;
@@ -68,7 +68,6 @@
   link.sentAt = aNow;
   link.renewAt = aNow + aTables.settings.renewEvery;
   link.isAwaiting = true;
-  link.shortAsks = link.isShort ? link.shortAsks + 1 : 0;
   link.isShort = false;
   renewal report;
   report.holder = link.self;
@@ -99,8 +98,7 @@
   if (!link.isShort) {
     return link.renewAt;
   }
-  const int factor = link.shortAsks < kQuickAsks ? 1 : kSlowAskFactor;
-  return std::min(link.renewAt, link.sentAt + settings.askAgain * factor);
+  return std::min(link.renewAt, link.sentAt + settings.askAgain);
 }
 
 } // namespace
--- a/src/admission/reservations.cpp
+++ b/src/admission/reservations.cpp
@@ -23,6 +23,17 @@
   return answer;
 }
 
+// Waiting requests try again in each tick; they count once.
+void
+CountWaiting(holding_row& aHolding, std::int64_t aUnits, steady_time aNow)
+{
+  if (aNow != aHolding.waitingAt) {
+    aHolding.waiting = 0;
+    aHolding.waitingAt = aNow;
+  }
+  aHolding.waiting += aUnits;
+}
+
 } // namespace
 
 // A share is checked against its lease here, at the point of use: a process
@@ -47,7 +58,7 @@
   if (aWaited >= aTables.settings.patience) {
     return Refuse(aTables, holding, units, aNow);
   }
-  holding.waiting += units;
+  CountWaiting(holding, units, aNow);
   aTables.link.isShort = true;
   return { reserve_outcome::eShort, aTables.settings.patience - aWaited, {} };
 }
@@ -89,7 +100,7 @@
     ++holding.divided.size;
     return true;
   }
-  ++holding.waiting;
+  CountWaiting(holding, 1, aNow);
   aTables.link.isShort = true;
   return false;
 }
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -30,3 +30,6 @@
   "signature: 150f02ec2e8f9f13")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
+
+add_executable(bulrush-bench-admission src/apps/bench_admission.cpp)
+target_link_libraries(bulrush-bench-admission PRIVATE bulrush_admission fmt::fmt)
