--- a/src/apps/control_leases.cpp
+++ b/src/apps/control_leases.cpp
@@ -371,10 +371,10 @@
 RunLeases(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   lease_tables& leases = aTables.leases;
-  const bool leads = aTables.log.isLeader();
-  const bool isNewTerm =
-    leads && leases.root.settings.epoch != aTables.log.term();
-  if (leads && (!leases.isRoot || isNewTerm)) {
+  const bool leads = aTables.log.isLeader(aNow);
+  // A lease of the leader that lapsed and came back in one term leaves its
+  // books as they were: nobody else can have led meanwhile.
+  if (leads && leases.root.settings.epoch != aTables.log.term()) {
     StartRoot(aTables, aNow);
   }
   leases.isRoot = leads;
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -246,7 +246,7 @@
         std::get_if<withdraw_key>(&aCall.command.change)) {
     AddTombstones(aTables, { withdrawal->key });
   }
-  if (aTables.log.isLeader()) {
+  if (aTables.log.isLeader(aNow)) {
     ProposeCall(aTables, aInput, aCall, aNow, aOutbox);
   } else {
     PassOnCall(aTables, aInput, aCall, aNow, aOutbox);
@@ -320,6 +320,9 @@
 std::vector<wire::replica_status>
 ReplicaRows(const control_tables& aTables)
 {
+  if (aTables.log.replicas) {
+    return aTables.log.replicas();
+  }
   const std::string leader = aTables.log.leaderName();
   std::vector<wire::replica_status> rows;
   wire::replica_status self;
@@ -428,6 +431,8 @@
       TakeRenewal(aTables, input, *renewal);
     } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
       TakeGrant(aTables, *grant);
+    } else {
+      TakeLogMessage(aTables, input, aNow, aOutbox);
     }
   }
 }
@@ -638,9 +643,11 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 7> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 9> kSystems{
   { { "ingest", RunIngest },
+    { "log", RunLog },
     { "apply", RunApply },
+    { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
     { "leases", RunLeases },
--- a/src/apps/control_tables.hpp
+++ b/src/apps/control_tables.hpp
@@ -4,10 +4,12 @@
 /// Tables of bulrush-control. Its control thread owns all of them.
 
 #include "admission/admission.hpp"
+#include "apps/control_log.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
 #include <deque>
+#include <memory>
 
 namespace bulrush::control {
 
@@ -110,11 +112,13 @@
                                            last_reason& aWhy)>
     propose;
   /// True while this process may answer from its state as the leader.
-  std::function<bool()> isLeader;
+  std::function<bool(steady_time aNow)> isLeader;
   /// Name of the leader, empty while none is known.
   std::function<std::string()> leaderName;
   /// Rises with each change of leader.
   std::function<std::uint64_t()> term;
+  /// The members of the log; not set without a replicated one.
+  std::function<std::vector<wire::replica_status>()> replicas;
 };
 
 /// The delegate part: leases and shares for the hosts of one failure domain.
@@ -159,6 +163,7 @@
   self_row self;
   fleet_state fleet;
   log_hooks log;
+  std::unique_ptr<log_tables> replicated; ///< none without a data folder
   table<replica_id, control_row> controls;
   table<host_id, host_row> hosts;
   table<endpoint_id, known_endpoint> endpoints;
@@ -189,6 +194,7 @@
 {
   std::vector<outgoing> messages;
   wake_time wake;
+  std::optional<last_reason> fatal; ///< the process must exit
 };
 
 /// Input of the lease system.
--- a/src/apps/entry_traffic.cpp
+++ b/src/apps/entry_traffic.cpp
@@ -76,7 +76,11 @@
         MakeAdmission(IdOf<host_id>(mSettings.hostName), mSettings.incarnation))
     , mAdmissionTimer(aContext,
                       [this](steady_time aNow) { return TickAdmission(aNow); })
-    , mRunner(aContext, { mSettings.domain, NewSeed() }, mHooks.onCommand)
+    , mRecorder(Seeded(mSettings.recording))
+    , mRunner(aContext,
+              { mSettings.domain, NewSeed() },
+              mRecorder.Record(net::MakeHttpClient(aContext)),
+              mHooks.onCommand)
   {
   }
 
@@ -87,7 +91,7 @@
       mSettings.http,
       [this](net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply) {
-        Serve(aRequest, std::move(aReply));
+        Serve(std::move(aRequest), std::move(aReply));
       },
       aWhy);
     if (!server) {
@@ -124,7 +128,21 @@
   }
 
 private:
-  void Serve(const net::http_request& aRequest,
+  static recorder_settings Seeded(recorder_settings aSettings)
+  {
+    aSettings.seed = NewSeed();
+    return aSettings;
+  }
+
+  std::string MetricsPage()
+  {
+    return mRecorder.Page({ mView.fleet->revision,
+                            mView.endpoints->size(),
+                            mRunner.Open(),
+                            HasLease() });
+  }
+
+  void Serve(net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
@@ -146,15 +164,29 @@
     } else if (aRequest.path == "/readyz") {
       const bool isReady = HasLease() && !mView.isStopping;
       aReply->Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
+    } else if (aRequest.path == "/metrics") {
+      aReply->Send(200,
+                   { { "Content-Type", "text/plain; version=0.0.4" } },
+                   MetricsPage());
     } else if (aRequest.path == "/v1/endpoints/report") {
       TakeReport(aRequest, *aReply, id);
-    } else if (aRequest.path == "/v1/models") {
-      ListModels(aRequest, *aReply, id);
+    } else {
+      aReply = mRecorder.Record(aRequest, std::move(aReply));
+      ServeCaller(aRequest, std::move(aReply), id);
+    }
+  }
+
+  void ServeCaller(const net::http_request& aRequest,
+                   std::shared_ptr<net::http_reply> aReply,
+                   request_id aId)
+  {
+    if (aRequest.path == "/v1/models") {
+      ListModels(aRequest, *aReply, aId);
     } else if (aRequest.path == "/v1/completions" ||
                aRequest.path == "/v1/chat/completions") {
-      Complete(aRequest, std::move(aReply), id);
+      Complete(aRequest, std::move(aReply), aId);
     } else {
-      CallService(aRequest, std::move(aReply), id);
+      CallService(aRequest, std::move(aReply), aId);
     }
   }
 
@@ -177,7 +209,7 @@
 
   void TakeReport(const net::http_request& aRequest,
                   net::http_reply& aReply,
-                  request_id aId)
+                  request_id aId) const
   {
     last_reason why;
     auto row =
@@ -457,6 +489,7 @@
   traffic_view mView;
   admission_tables mAdmission;
   net::tick_timer mAdmissionTimer;
+  recorder mRecorder;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
   bool mIsRefusing = false;
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -24,6 +24,8 @@
 std::optional<admission::renewal> Get(const pb::ShareRenewal& aFrom);
 void Put(const admission::grant& aFrom, pb::ShareGrant& aTo);
 std::optional<admission::grant> Get(const pb::ShareGrant& aFrom);
+std::string EncodeReplica(const replica_message& aMessage);
+std::optional<replica_message> DecodeReplica(const std::string& aBytes);
 
 } // namespace bulrush::wire
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -7,6 +7,7 @@
 #include "admission/admission.hpp"
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
+#include "replication/replication.hpp"
 
 namespace bulrush::wire {
 
@@ -166,6 +167,28 @@
   admission::grant grant;
 };
 
+/// Which data folder a control process runs on. Sent by those whose log is
+/// empty, and answered by every one.
+struct replica_hello
+{
+  std::string log;
+  replica_id identity;
+  bool isEmpty = false;
+  std::uint64_t nonce = 0; ///< of the asking process; echoed by the answer
+  bool isAnswer = false;
+};
+
+/// Asks the leader to put one control process in another's place. Equal names
+/// stand for a host whose data folder was lost.
+struct replace_call
+{
+  std::uint64_t call = 0;
+  std::string credential;
+  std::string oldName;
+  std::string newName;
+  std::uint32_t hops = 0;
+};
+
 using message_body = std::variant<command_call,
                                   command_reply,
                                   host_report,
@@ -177,7 +200,10 @@
                                   manifest_call,
                                   manifest_reply,
                                   share_renewal,
-                                  share_grant>;
+                                  share_grant,
+                                  replica_message,
+                                  replica_hello,
+                                  replace_call>;
 
 struct message
 {
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 constexpr const char* kJsonType = "Content-Type: application/json";
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMegabyte = 1U << 20U;
 
 // A TCP connection that sends whatever a test wants.
 class raw_connection
@@ -296,8 +296,7 @@
 {
   const std::string start = "POST /v1/completions HTTP/1.1\r\nHost: a\r\n";
   for (const std::string& bytes :
-       { std::string(
-           "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 tls\r\n\r\n"),
+       { std::string("\x16\x03\x01\x02\x01\x01\xfc\x03\x03 tls\r\n\r\n"),
          std::string(100, '\0'),
          std::string("NONSENSE\r\n\r\n"),
          start + "Content-Length: many\r\n\r\n",
@@ -347,5 +346,30 @@
   RequireServesOn();
 }
 
+TEST_CASE_METHOD(bad_input_fixture,
+                 "Control_WhenTheBytesAreNoMessage_ServesOn",
+                 "[process]")
+{
+  const int pid = running.controls[0]->Pid();
+  // A greeting of ZeroMQ with nothing sensible behind it, among others.
+  const std::string greeting =
+    "\xff" + std::string(8, '\0') + "\x7f\x03" + std::string(200, 'N');
+  for (const std::string& bytes : { std::string("GET / HTTP/1.1\r\n\r\n"),
+                                    std::string(1'000'000, '\xff'),
+                                    std::string(100, '\0'),
+                                    greeting }) {
+    const raw_connection connection(running.ControlAddress(0));
+    REQUIRE(connection.IsConnected());
+    connection.Send(bytes);
+    connection.CloseSending();
+  }
+  REQUIRE(running.controls[0]->IsRunning());
+  CHECK(running.controls[0]->Pid() == pid);
+  const finished status = running.Ctl({ "status" });
+  INFO(status.errors);
+  CHECK(status.exitCode == 0);
+  RequireServesOn();
+}
+
 } // namespace
 } // namespace bulrush::test
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -350,17 +350,17 @@
 fleet::StartEntry(std::size_t aIndex)
 {
   const std::size_t domain = aIndex / mOptions.entriesPerDomain;
-  entries[aIndex] = std::make_unique<process>(
-    "bulrush-entry",
-    std::vector<std::string>{ "--name",
-                              "entry-" + std::to_string(aIndex),
-                              "--domain",
-                              mOptions.domains[domain],
-                              "--listen",
-                              EntryAddress(aIndex),
-                              "--control",
-                              ControlList(domain) },
-    folder);
+  std::vector<std::string> arguments = {
+    "--name",    "entry-" + std::to_string(aIndex),
+    "--domain",  mOptions.domains[domain],
+    "--listen",  EntryAddress(aIndex),
+    "--control", ControlList(domain),
+  };
+  arguments.insert(arguments.end(),
+                   mOptions.entryArguments.begin(),
+                   mOptions.entryArguments.end());
+  entries[aIndex] =
+    std::make_unique<process>("bulrush-entry", arguments, folder);
 }
 
 finished
@@ -370,15 +370,18 @@
   for (std::size_t i = 0; i < mControlPorts.size(); ++i) {
     list += (i == 0 ? "" : ",") + ControlAddress(i);
   }
-  aArguments.insert(aArguments.begin(),
-                    { "--control", list, "--timeout", "30s" });
+  aArguments.insert(aArguments.begin(), { "--control", list });
+  if (std::find(aArguments.begin(), aArguments.end(), "--timeout") ==
+      aArguments.end()) {
+    aArguments.insert(aArguments.begin(), { "--timeout", "30s" });
+  }
   return RunProgram("bulrushctl", aArguments);
 }
 
 nlohmann::json
 fleet::Status() const
 {
-  const finished result = Ctl({ "--json", "true", "status" });
+  const finished result = Ctl({ "--json", "status" });
   return nlohmann::json::parse(result.output, nullptr, false);
 }
 
