--- a/tests/admission/messages_test.cpp
+++ b/tests/admission/messages_test.cpp
@@ -207,5 +207,47 @@
   CHECK(Pool().undivided.level >= inPool + inHand);
 }
 
+TEST_CASE_METHOD(messages_fixture,
+                 "Delegate_WhoseShareLapsesSoon_LendsItNoLongerThanItIsHeld",
+                 "[admission]")
+{
+  parent.settings.isRoot = false;
+  holding_row& own = *parent.holdings.Find(IdOfResource(kRate));
+  own.lapsesAt = kStart + 1s;
+  own.floorLapsesAt = kStart + 1h;
+  own.floor = { 1, 1 };
+  parent.link.servesUntil = kStart + 1h;
+  // Half of the share, which the floor does not cover.
+  parent.settings.divide = [](const share&, std::span<division_row> aRows) {
+    aRows[0].target = { 500, 4000 };
+  };
+  const grant answer = Answer(Renew(kStart), kStart);
+  REQUIRE(answer.rows.size() == 1);
+  CHECK(answer.rows[0].lasts <= 1s);
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Root_WithAnAssumedFloor_GrantsOnlyTheRest",
+                 "[admission]")
+{
+  AssumeHeld(parent, holder_id{ 9 }, kRate, { 400, 3000 }, kStart + 1h, kStart);
+  parent.settings.divide = [](const share&, std::span<division_row> aRows) {
+    aRows[0].target = { 1000, 8000 };
+  };
+  const grant answer = Answer(Renew(kStart), kStart);
+  REQUIRE(answer.rows.size() == 1);
+  CHECK(answer.rows[0].share == share{ 600, 5000 });
+}
+
+TEST_CASE_METHOD(messages_fixture,
+                 "Delegate_ThatIsNew_CoversNoRevisionBeforeFormerLeasesEnd",
+                 "[admission]")
+{
+  parent.revision = 4;
+  parent.settings.coversFrom = kStart + 3s;
+  CHECK(CoveredRevision(parent, kStart + 2s) == 0);
+  CHECK(CoveredRevision(parent, kStart + 3s) == 4);
+}
+
 } // namespace
 } // namespace bulrush::admission
--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -60,7 +60,8 @@
                  "Workspace_FloodingTwoHosts_GetsItsRateAndBurstAtMost",
                  "[process]")
 {
-  constexpr std::size_t kCallers = 6;
+  // So many that most wait for longer than a host lets them.
+  constexpr std::size_t kCallers = 32;
   constexpr std::chrono::seconds kFlood{ 6 };
   std::atomic<std::int64_t> used{ 0 };
   std::atomic<std::size_t> answered{ 0 };
