--- a/tests/process/admission_test.cpp
+++ b/tests/process/admission_test.cpp
@@ -47,12 +47,12 @@
     }
   }
 
-  http_answer Complete(std::size_t aEntry) const
+  http_answer Complete(std::size_t aEntry, int aTokens = 20) const
   {
     return running.Post(aEntry,
                         "/v1/completions",
                         key,
-                        { { "model", "draft" }, { "max_tokens", 20 } });
+                        { { "model", "draft" }, { "max_tokens", aTokens } });
   }
 };
 
@@ -72,7 +72,7 @@
   for (std::size_t caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       while (std::chrono::steady_clock::now() < start + kFlood) {
-        const http_answer answer = Complete(caller % 2);
+        const http_answer answer = Complete(caller % 2, 200);
         if (answer.status == 200) {
           ++answered;
           used += json::parse(answer.body)["usage"]["total_tokens"]
