--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -138,6 +138,7 @@
   std::uint64_t accepted = 0; ///< sequence of the last answer taken
   std::uint64_t revision = 0; ///< all below the sender apply this manifest
   std::chrono::nanoseconds servesFor{}; ///< left of the lease to serve
+  bool isLeaving = false; ///< the sender serves no more and holds nothing
   std::vector<renewal_row> rows;
 };
 
@@ -180,7 +181,6 @@
   steady_time servesUntil; ///< lease to serve, after the margin for drift
   bool isAwaiting = false;
   bool isShort = false;     ///< some resource is short: ask at once
-  int shortAsks = 0;        ///< renewals in a row that were sent for a shortage
   bool reachesRoot = false; ///< according to the last answer
 };
 
@@ -192,6 +192,7 @@
   share granted; ///< by the parent; at the root the limit
   share floor;
   share divided; ///< over holders; at a host the slots in use
+  share covered; ///< part of what is held that this node's parent has booked
   share want;
   steady_time lapsesAt;
   steady_time floorLapsesAt;
@@ -201,6 +202,7 @@
   double demandRate = 0;         ///< units per second, moving average
   std::int64_t demandUnits = 0;  ///< asked for since demandSince
   std::int64_t waiting = 0;      ///< units that short requests wait for
+  steady_time waitingAt;         ///< when they were counted last
   std::int64_t reservations = 0; ///< not settled yet
   steady_time demandSince;
 };
@@ -275,7 +277,7 @@
   /// An answer that takes longer counts as lost.
   std::chrono::nanoseconds answerWithin = std::chrono::milliseconds{ 500 };
   /// Longest wait of a request for its tokens before it is refused.
-  std::chrono::nanoseconds patience = std::chrono::milliseconds{ 300 };
+  std::chrono::nanoseconds patience = std::chrono::milliseconds{ 1000 };
   /// Part of a limit that is dealt out as floors, in thousandths.
   std::int64_t floorMille = 0;
   /// Holders among which the floors are dealt out.
@@ -335,6 +337,12 @@
                   std::uint64_t aEpoch,
                   succession aSuccession);
 
+/// Hands everything back at a planned stop; the renewal goes to the outbox.
+/// Holders below must have left, or their leases have run out.
+void Leave(escrow_tables& aTables,
+           steady_time aNow,
+           struct escrow_outbox& aOut);
+
 /// The newest revision that every process below this node applies, as far as
 /// any of them may still serve.
 std::uint64_t CoveredRevision(const escrow_tables& aTables, steady_time aNow);
--- a/src/apps/control_log.cpp
+++ b/src/apps/control_log.cpp
@@ -413,6 +413,7 @@
                         replica.settings.electionTimeout,
                         IsLeaseHeld(replica, aNow) };
   };
+  hooks.term = [&aLog] { return aLog.replica.vote.term; };
   hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
   hooks.replicas = [&aLog] {
     std::vector<wire::replica_status> rows;
--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -116,6 +116,7 @@
     return leads;
   };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
+  hooks.term = [] { return std::uint64_t{ 1 }; };
   return hooks;
 }
 
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -281,6 +281,11 @@
   wire::domain_status status;
   status.name = aTables.self.domain;
   status.confirmedRevision = aTables.fleet.revision;
+  if (const auto confirmed = ConfirmedHosts(aTables, aNow)) {
+    status.confirmedRevision = confirmed->revision;
+    status.hosts = confirmed->hosts;
+    return status;
+  }
   for (const host_row& host : aTables.hosts) {
     if (host.leaseEnd > aNow) {
       ++status.hosts;
@@ -426,6 +431,10 @@
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
       TakeManifestCall(aTables, input, *text, aOutbox);
+    } else if (const auto* renewal = std::get_if<wire::share_renewal>(&body)) {
+      TakeRenewal(aTables, input, *renewal);
+    } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
+      TakeGrant(aTables, *grant);
     } else {
       TakeLogMessage(aTables, input, aNow, aOutbox);
     }
@@ -641,7 +650,7 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 9> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 10> kSystems{
   { { "ingest", RunIngest },
     { "log", RunLog },
     { "apply", RunApply },
@@ -649,6 +658,7 @@
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
     { "orders", RunOrders },
+    { "leases", RunLeases },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -113,9 +113,11 @@
 public:
   control_thread(asio::io_context& aContext,
                  const option_values& aOptions,
-                 std::function<void(traffic_view)> aPublish)
+                 std::function<void(traffic_view)> aPublish,
+                 std::function<void(admission::grant)> aOnGrant)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
+    , mOnGrant(std::move(aOnGrant))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.Text("name");
@@ -156,10 +158,16 @@
 
   void RunSoon() { mTimer.RunSoon(); }
 
+  void Renew(admission::renewal aRenewal)
+  {
+    mTables.renewals.push_back(std::move(aRenewal));
+    mTimer.RunSoon();
+  }
+
   void BeginStop()
   {
     mTables.isStopping = true;
-    mTables.nextRenewal = steady_time{}; // tell the control host at once
+    mTables.nextReport = steady_time{}; // tell the control host at once
     mTimer.RunSoon();
   }
 
@@ -211,12 +219,16 @@
     if (outbox.view) {
       mPublish(std::move(*outbox.view));
     }
+    for (admission::grant& next : outbox.grants) {
+      mOnGrant(std::move(next));
+    }
     return outbox.wake;
   }
 
   asio::io_context& mContext;
   entry_tables mTables;
   std::function<void(traffic_view)> mPublish;
+  std::function<void(admission::grant)> mOnGrant;
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
@@ -228,14 +240,21 @@
                 span_writer aSpans,
                 const secret_text& aEndpointSecret)
     : mStopDelay(aOptions.Duration("stop-delay"))
-    , mControl(mControlContext,
-               aOptions,
-               [this](traffic_view aView) {
-                 asio::post(mTrafficContext,
-                            [this, view = std::move(aView)]() mutable {
-                              mTraffic.SetView(std::move(view));
-                            });
-               })
+    , mControl(
+        mControlContext,
+        aOptions,
+        [this](traffic_view aView) {
+          asio::post(mTrafficContext,
+                     [this, view = std::move(aView)]() mutable {
+                       mTraffic.SetView(std::move(view));
+                     });
+        },
+        [this](admission::grant aGrant) {
+          asio::post(mTrafficContext,
+                     [this, grant = std::move(aGrant)]() mutable {
+                       mTraffic.TakeGrant(std::move(grant));
+                     });
+        })
     , mTraffic(mTrafficContext,
                TrafficSettings(aOptions, std::move(aSpans), aEndpointSecret),
                Hooks())
@@ -299,15 +318,16 @@
     mControlContext.stop();
   }
 
-  static traffic_settings TrafficSettings(const option_values& aOptions,
-                                          span_writer aSpans,
-                                          const secret_text& aEndpointSecret)
+  traffic_settings TrafficSettings(const option_values& aOptions,
+                                   span_writer aSpans,
+                                   const secret_text& aEndpointSecret)
   {
     traffic_settings settings;
     const host_address listen = *aOptions.Address("listen");
     settings.http.address = listen.ip;
     settings.http.port = listen.port;
     settings.hostName = aOptions.Text("name");
+    settings.incarnation = mControl.Tables().self.incarnation;
     settings.domain = aOptions.Text("domain");
     settings.endpointSecret = aEndpointSecret.Reveal();
     settings.recording.thread = "traffic";
@@ -319,6 +339,12 @@
   control_hooks Hooks()
   {
     control_hooks hooks;
+    hooks.onRenewal = [this](admission::renewal aRenewal) {
+      asio::post(mControlContext,
+                 [this, renewal = std::move(aRenewal)]() mutable {
+                   mControl.Renew(std::move(renewal));
+                 });
+    };
     hooks.onReport = [this](endpoint_row aRow) {
       asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
         mControl.Report(std::move(row));
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -6,11 +6,13 @@
 endfunction()
 
 bulrush_program(bulrush-control src/apps/control_main.cpp
-  src/apps/control_log.cpp src/apps/control_systems.cpp)
+  src/apps/control_log.cpp src/apps/control_systems.cpp
+  src/apps/control_leases.cpp)
 bulrush_program(bulrush-entry src/apps/entry_main.cpp
   src/apps/entry_control.cpp src/apps/entry_traffic.cpp
   src/apps/entry_requests.cpp src/apps/entry_answer.cpp
-  src/apps/entry_http.cpp src/apps/entry_recorder.cpp)
+  src/apps/entry_http.cpp src/apps/entry_recorder.cpp
+  src/apps/entry_admission.cpp)
 target_link_libraries(bulrush-entry PRIVATE bulrush_routing)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
@@ -34,3 +36,8 @@
 # --- orders to engines under bulrush-control -------------------------------
 target_sources(bulrush-control PRIVATE src/apps/control_orders.cpp
   src/apps/control_order_log.cpp)
+add_executable(bulrush-bench-admission src/apps/bench_admission.cpp)
+target_link_libraries(bulrush-bench-admission PRIVATE bulrush_admission fmt::fmt)
+add_test(NAME bench_admission_signature COMMAND bulrush-bench-admission)
+set_tests_properties(bench_admission_signature PROPERTIES PASS_REGULAR_EXPRESSION
+  "signature: 99ce824d25f4940d")
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -4,6 +4,7 @@
 /// Public header of the wire library: the messages between our own processes
 /// as plain structs, and their encoding. Source: protobuf, bulrush.proto.
 
+#include "admission/admission.hpp"
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
 #include "placement/placement.hpp"
@@ -153,6 +154,20 @@
   std::string text;
 };
 
+/// A host to its delegate, or a delegate to the leader.
+struct share_renewal
+{
+  admission::renewal renewal;
+  std::string domain;    ///< of the sender
+  bool isToRoot = false; ///< from a delegate
+};
+
+/// The answer to a share_renewal.
+struct share_grant
+{
+  admission::grant grant;
+};
+
 /// Which data folder a control process runs on. Sent by those whose log is
 /// empty, and answered by every one.
 struct replica_hello
@@ -185,6 +200,8 @@
                                   status_reply,
                                   manifest_call,
                                   manifest_reply,
+                                  share_renewal,
+                                  share_grant,
                                   replica_message,
                                   replica_hello,
                                   replace_call>;
