--- a/src/apps/control_orders.cpp
+++ b/src/apps/control_orders.cpp
@@ -55,6 +55,28 @@
   return { aAdapter.id, aAdapter.model, 0, aAdapter.bytes };
 }
 
+std::vector<placement::model_row>
+ModelRows(const manifest& aManifest)
+{
+  std::vector<placement::model_row> rows;
+  rows.reserve(aManifest.models.Size());
+  for (const model_row& model : aManifest.models) {
+    rows.push_back(ToPlacement(model));
+  }
+  return rows;
+}
+
+std::vector<placement::adapter_row>
+AdapterRows(const manifest& aManifest)
+{
+  std::vector<placement::adapter_row> rows;
+  rows.reserve(aManifest.adapters.Size());
+  for (const adapter_row& adapter : aManifest.adapters) {
+    rows.push_back(ToPlacement(adapter));
+  }
+  return rows;
+}
+
 void
 TakeManifest(control_tables& aTables)
 {
@@ -65,17 +87,8 @@
   }
   orders.manifestRevision = fleet.manifestRevision;
   LearnNames(orders, fleet.declared);
-  std::vector<placement::model_row> models;
-  models.reserve(fleet.declared.models.Size());
-  for (const model_row& model : fleet.declared.models) {
-    models.push_back(ToPlacement(model));
-  }
-  std::vector<placement::adapter_row> adapters;
-  adapters.reserve(fleet.declared.adapters.Size());
-  for (const adapter_row& adapter : fleet.declared.adapters) {
-    adapters.push_back(ToPlacement(adapter));
-  }
-  placement::OnManifest(orders.placement, models, adapters);
+  placement::OnManifest(
+    orders.placement, ModelRows(fleet.declared), AdapterRows(fleet.declared));
   const store_limits& store = fleet.declared.store;
   orders.placement.pacing =
     placement::StorePacing(store.loadsPerSecond,
@@ -372,6 +385,19 @@
 
 } // namespace
 
+// With no engine announced there is nothing to hold it against: a fleet may be
+// given its manifest before its engines start.
+bool
+CanHold(const control_tables& aTables,
+        const manifest& aManifest,
+        last_reason& aWhy)
+{
+  const auto& engines = aTables.orders.placement.engines;
+  return engines.Empty() ||
+         placement::PlanFits(
+           engines.Rows(), ModelRows(aManifest), AdapterRows(aManifest), aWhy);
+}
+
 void
 RunOrders(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
--- a/src/apps/control_orders.hpp
+++ b/src/apps/control_orders.hpp
@@ -51,6 +51,11 @@
 /// be named in an order after it is no longer declared.
 void LearnNames(order_tables& aTables, const manifest& aManifest);
 
+/// Whether the engines that have announced themselves can hold a manifest.
+bool CanHold(const control_tables& aTables,
+             const manifest& aManifest,
+             last_reason& aWhy);
+
 /// System: decides on placement, proposes commands and sends orders.
 void RunOrders(control_tables& aTables,
                steady_time aNow,
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -181,6 +181,29 @@
   aTables.calls.Insert(row);
 }
 
+// A manifest that the engines cannot hold is refused whole, before it enters
+// the log. One that was applied before is left to the state machine, which
+// gives the first answer again.
+std::optional<command_result>
+RefuseUnheld(const control_tables& aTables, const apply_manifest& aChange)
+{
+  std::vector<manifest_fault> faults;
+  const auto parsed = ParseManifest(aChange.text, faults);
+  if (!parsed || aTables.fleet.versions.Find(
+                   IdOf<typed_id<struct version_tag>>(parsed->version))) {
+    return std::nullopt;
+  }
+  last_reason why;
+  if (CanHold(aTables, *parsed, why)) {
+    return std::nullopt;
+  }
+  command_result result;
+  result.code = "does_not_fit";
+  result.text = Describe(why);
+  result.revision = aTables.fleet.revision;
+  return result;
+}
+
 // Only the leader stamps the time, so commands from hosts with wrong clocks
 // do no harm.
 void
@@ -193,6 +216,14 @@
   fleet_command command = aCall.command;
   command.at = aTables.wallClock();
   if (auto* apply = std::get_if<apply_manifest>(&command.change)) {
+    if (auto refusal = RefuseUnheld(aTables, *apply)) {
+      wire::command_reply reply;
+      reply.call = aCall.call;
+      reply.outcome = wire::call_outcome::eDecided;
+      reply.result = std::move(*refusal);
+      aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+      return;
+    }
     *apply = ShortenApply(aTables.fleet, std::move(*apply));
   }
   last_reason why;
