--- a/tests/process/domains_test.cpp
+++ b/tests/process/domains_test.cpp
@@ -157,5 +157,37 @@
   CHECK(WaitUntil([&] { return Complete(0).status == 401; }));
 }
 
+TEST_CASE_METHOD(domains_fixture,
+                 "Domain_WhenCutOffFromTheOthers_GoesOnServing",
+                 "[process][domains]")
+{
+  running.AddEndpoint("desk", "middle", { "--services", "desk" });
+  const auto lookUp = [&] {
+    return running.Post(1, "/desk/status", "", {}).status;
+  };
+  REQUIRE(WaitUntil([&] { return lookUp() == 200; }));
+  running.controls[1]->Signal(SIGSTOP);
+  running.controls[2]->Signal(SIGSTOP);
+  // A host that lost its control host refuses keyed requests as not run.
+  http_answer refused;
+  REQUIRE(WaitUntil([&] {
+    refused = Complete(1);
+    return refused.status == 503;
+  }));
+  const json error = json::parse(refused.body)["error"];
+  CHECK(error["code"] == "no_lease");
+  CHECK(error["ran"] == "not_run");
+  const std::string ready = "http://" + running.EntryAddress(1) + "/readyz";
+  CHECK(Ask("GET", ready).status == 503);
+  CHECK(lookUp() == 200); // open to all
+  // The host whose control host is only cut off from the others serves on.
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Complete(0).status == 200);
+  }
+  running.controls[1]->Signal(SIGCONT);
+  running.controls[2]->Signal(SIGCONT);
+  CHECK(WaitUntil([&] { return Complete(1).status == 200; }));
+}
+
 } // namespace
 } // namespace bulrush::test
