--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,12 @@
 
 bench: build
 	$(BUILD)/bulrush-bench
+	$(BUILD)/bulrush-bench-admission
+
+# Longer fuzz runs; prints the seed that repeats them. `make fuzz SEED=7`
+SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+fuzz: build
+	tools/fuzz $(BUILD) $(SEED)
 
 # Sweeps hosts, endpoints, models and changes; prints slopes for CAPACITY.md.
 capacity: build
--- a/src/apps/bench_main.cpp
+++ b/src/apps/bench_main.cpp
@@ -1,6 +1,7 @@
 /// bulrush-bench: deterministic work through the decision libraries. Prints a
 /// signature, which changes only when a decision does, and the time taken.
 
+#include "placement/bench.hpp"
 #include "routing/routing.hpp"
 
 #include <CLI/CLI.hpp>
@@ -213,13 +214,27 @@
              each.count());
 }
 
+// The first rounds fill the fleet; the later ones follow demand.
+std::vector<bench_result>
+BenchPlacement()
+{
+  constexpr std::size_t kRounds = 100;
+  const auto begin = bench_clock::now();
+  const auto done =
+    placement::BenchPlacementRounds(kEndpoints, kModels, kRounds);
+  return { { "placement round, 110 engines, 1,700 models",
+             done.signature,
+             static_cast<int>(done.rounds),
+             bench_clock::now() - begin } };
+}
+
 int
 Run(int aCount, char** aArguments)
 {
   CLI::App app{ "Decision benchmarks: a fixed signature, and timings" };
   CLI11_PARSE(app, aCount, aArguments);
   std::uint64_t signature = 0;
-  for (const bench_function bench : { BenchRouting }) {
+  for (const bench_function bench : { BenchRouting, BenchPlacement }) {
     for (const bench_result& result : bench()) {
       Print(result);
       Mix(signature, result.signature);
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -24,12 +24,12 @@
 # --- bulrush-bench ---------------------------------------------------------
 find_package(CLI11 REQUIRED)
 add_executable(bulrush-bench src/apps/bench_main.cpp)
-target_link_libraries(bulrush-bench PRIVATE bulrush_routing CLI11::CLI11
+target_link_libraries(bulrush-bench PRIVATE bulrush_routing bulrush_placement CLI11::CLI11
   fmt::fmt)
 # Changes when a decision does; the commit that does so quotes the new one.
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
-  "signature: 632e535e495b9aa4")
+  "signature: 251f0d9c0cf83030")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
 
