--- a/tests/admission/fair_queue_test.cpp
+++ b/tests/admission/fair_queue_test.cpp
@@ -65,8 +65,8 @@
     Add(kSchool, 100);
   }
   const queue_outbox out = Run(100);
-  CHECK(TokensOf(kSchool, out) == 50 * 100);
-  CHECK(TokensOf(kDealer, out) == 50 * 100);
+  CHECK(TokensOf(kSchool, out) == 5'000);
+  CHECK(TokensOf(kDealer, out) == 5'000);
 }
 
 TEST_CASE_METHOD(queue_fixture,
@@ -93,8 +93,8 @@
     Add(kSchool, 100);
   }
   const queue_outbox out = Run(100);
-  CHECK(TokensOf(kDealer, out) >= 49 * 100);
-  CHECK(TokensOf(kSchool, out) >= 49 * 100);
+  CHECK(TokensOf(kDealer, out) >= 4'900);
+  CHECK(TokensOf(kSchool, out) >= 4'900);
 }
 
 TEST_CASE_METHOD(queue_fixture,
--- a/tests/admission/leases_test.cpp
+++ b/tests/admission/leases_test.cpp
@@ -102,7 +102,7 @@
   world.Advance(behind[0].until - world.Now(), {});
   CHECK(CoveredRevision(root, world.Now()) == accepted + 1);
   CHECK_FALSE(world.HostMayServe(0));
-  CHECK(world.Fault() == "");
+  CHECK(world.Fault().empty());
 }
 
 TEST_CASE_METHOD(leases_fixture,
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -52,8 +52,10 @@
                  "Entry_WhenStoppedUnderLoad_FinishesEveryStream",
                  "[process]")
 {
+  constexpr int kStreams = 6;
   std::vector<std::future<http_answer>> answers;
-  for (int i = 0; i < 6; ++i) {
+  answers.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
     answers.push_back(
       std::async(std::launch::async, [this] { return Complete(100); }));
   }
@@ -61,7 +63,7 @@
     const auto stats = nlohmann::json::parse(
       Ask("GET", "http://" + running.endpointAddresses["engine"] + "/stats")
         .body);
-    return stats["running"] == 6;
+    return stats["running"] == kStreams;
   }));
   running.entries[0]->Signal(SIGTERM);
   CHECK(WaitUntil([&] { return ReadyStatus() != 200; }));
