--- a/tests/process/manifest_test.cpp
+++ b/tests/process/manifest_test.cpp
@@ -21,7 +21,7 @@
   std::string WriteManifest(const std::string& aFile,
                             const std::string& aVersion,
                             int aRate,
-                            std::uint64_t aModelBytes = 1'000)
+                            std::uint64_t aModelBytes = 1'000) const
   {
     json document =
       json::parse(DefaultManifest({ "north", "south" }, aVersion));
