--- a/src/apps/bench_admission.cpp
+++ b/src/apps/bench_admission.cpp
@@ -3,6 +3,7 @@
 /// allotment round, and a signature that changes only when a decision does.
 
 #include "admission/admission.hpp"
+#include "apps/bench_signature.hpp"
 
 #include <fmt/format.h>
 
@@ -23,16 +24,6 @@
 constexpr std::int64_t kTokensPerSecond = 2'000;
 constexpr std::int64_t kBurstTokens = 8'000;
 
-// Order matters: the same decisions in another order are another signature.
-void
-Mix(std::uint64_t& aSignature, std::uint64_t aValue)
-{
-  constexpr std::uint64_t kPrime = 0x100000001B3ULL;
-  constexpr unsigned kShift = 29;
-  aSignature = (aSignature ^ aValue) * kPrime;
-  aSignature ^= aSignature >> kShift;
-}
-
 resource
 Rate(std::size_t aWorkspace)
 {
--- a/src/apps/bench_main.cpp
+++ b/src/apps/bench_main.cpp
@@ -1,6 +1,7 @@
 /// bulrush-bench: deterministic work through the decision libraries. Prints a
 /// signature, which changes only when a decision does, and the time taken.
 
+#include "apps/bench_signature.hpp"
 #include "placement/bench.hpp"
 #include "routing/routing.hpp"
 
@@ -36,16 +37,6 @@
 
 using bench_function = std::vector<bench_result> (*)();
 
-// Order matters: the same decisions in another order are another signature.
-void
-Mix(std::uint64_t& aSignature, std::uint64_t aValue)
-{
-  constexpr std::uint64_t kPrime = 0x100000001B3ULL;
-  constexpr unsigned kShift = 29;
-  aSignature = (aSignature ^ aValue) * kPrime;
-  aSignature ^= aSignature >> kShift;
-}
-
 model_id
 Model(std::uint64_t aNumber)
 {
--- a/src/apps/control_main.cpp
+++ b/src/apps/control_main.cpp
@@ -220,10 +220,7 @@
       return false;
     }
     mLinkKeys = *keys;
-    if (!aOptions.IsSet("credential")) {
-      return true;
-    }
-    const auto secret = ReadSecret(aOptions.Path("credential"), aWhy);
+    const auto secret = ReadSecretOption(aOptions, "credential", aWhy);
     if (!secret) {
       return false;
     }
--- a/src/apps/control_systems.cpp
+++ b/src/apps/control_systems.cpp
@@ -25,14 +25,6 @@
          aLeft.services == aRight.services;
 }
 
-bool
-IsNewer(const endpoint_row& aNew, const endpoint_row& aOld)
-{
-  return aNew.incarnation > aOld.incarnation ||
-         (aNew.incarnation == aOld.incarnation &&
-          aNew.sequence > aOld.sequence);
-}
-
 void
 TakeEndpoint(control_tables& aTables, const endpoint_row& aRow, bool aIsOwn)
 {
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -113,14 +113,12 @@
     return eExitUsage;
   }
   settings.linkKeys = *keys;
-  if (options->IsSet("credential")) {
-    const auto secret = ReadSecret(options->Path("credential"), why);
-    if (!secret) {
-      WriteLogLines(kLog, log_level::eError, Describe(why));
-      return eExitUsage;
-    }
-    settings.credential = secret->Reveal();
+  const auto credential = ReadSecretOption(*options, "credential", why);
+  if (!credential) {
+    WriteLogLines(kLog, log_level::eError, Describe(why));
+    return eExitUsage;
   }
+  settings.credential = credential->Reveal();
   const int code = RunCommand(settings, options->Arguments(), why);
   if (code != eExitDone) {
     WriteLogLines(kLog, log_level::eError, Describe(why));
--- a/src/apps/entry_control.cpp
+++ b/src/apps/entry_control.cpp
@@ -38,14 +38,6 @@
   }
 }
 
-bool
-IsNewer(const endpoint_row& aNew, const endpoint_row& aOld)
-{
-  return aNew.incarnation > aOld.incarnation ||
-         (aNew.incarnation == aOld.incarnation &&
-          aNew.sequence > aOld.sequence);
-}
-
 bool
 TakeEndpoint(entry_tables& aTables, const endpoint_row& aRow)
 {
--- a/src/apps/entry_main.cpp
+++ b/src/apps/entry_main.cpp
@@ -371,10 +371,7 @@
 
   bool ReadCredential(const option_values& aOptions, last_reason& aWhy)
   {
-    if (!aOptions.IsSet("credential")) {
-      return true;
-    }
-    const auto secret = ReadSecret(aOptions.Path("credential"), aWhy);
+    const auto secret = ReadSecretOption(aOptions, "credential", aWhy);
     if (!secret) {
       return false;
     }
@@ -390,16 +387,6 @@
   traffic_thread mTraffic;
 };
 
-// Empty when the settings name none.
-std::optional<secret_text>
-ReadEndpointSecret(const option_values& aOptions, last_reason& aWhy)
-{
-  if (!aOptions.IsSet("endpoint-secret")) {
-    return secret_text();
-  }
-  return ReadSecret(aOptions.Path("endpoint-secret"), aWhy);
-}
-
 std::optional<span_writer>
 OpenSpans(const option_values& aOptions, last_reason& aWhy)
 {
@@ -424,7 +411,8 @@
   last_reason why;
   const auto level = ParseLogLevel(options->Text("log-level"), why);
   const auto spans = level ? OpenSpans(*options, why) : std::nullopt;
-  const auto secret = spans ? ReadEndpointSecret(*options, why) : std::nullopt;
+  const auto secret =
+    spans ? ReadSecretOption(*options, "endpoint-secret", why) : std::nullopt;
   if (!secret) {
     LogError(kLog, "Cannot start: {}", Describe(why));
     return 1;
--- a/src/apps/link_settings.cpp
+++ b/src/apps/link_settings.cpp
@@ -5,13 +5,13 @@
 std::optional<net::link_keys>
 ReadLinkKeys(const option_values& aOptions, last_reason& aWhy)
 {
-  if (!aOptions.IsSet("link-keys")) {
-    return net::link_keys{};
-  }
-  const auto secret = ReadSecret(aOptions.Path("link-keys"), aWhy);
+  const auto secret = ReadSecretOption(aOptions, "link-keys", aWhy);
   if (!secret) {
     return std::nullopt;
   }
+  if (secret->Empty()) {
+    return net::link_keys{};
+  }
   return net::ParseLinkKeys(secret->Reveal(), aWhy);
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -185,6 +185,9 @@
   steady_time lastSeen{};
 };
 
+/// Whether aNew was reported after aOld, by a later process or later in it.
+bool IsNewer(const endpoint_row& aNew, const endpoint_row& aOld);
+
 // ---------------------------------------------------------------- commands
 
 /// Replaces the manifest if the current one has the expected revision.
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -381,6 +381,14 @@
   return aChange;
 }
 
+bool
+IsNewer(const endpoint_row& aNew, const endpoint_row& aOld)
+{
+  return aNew.incarnation > aOld.incarnation ||
+         (aNew.incarnation == aOld.incarnation &&
+          aNew.sequence > aOld.sequence);
+}
+
 bool
 IsConfiguration(const fleet_change& aChange)
 {
--- a/src/settings/secret.cpp
+++ b/src/settings/secret.cpp
@@ -93,6 +93,17 @@
   return secret_text(std::move(bytes));
 }
 
+std::optional<secret_text>
+ReadSecretOption(const option_values& aOptions,
+                 std::string_view aOption,
+                 last_reason& aReason)
+{
+  if (!aOptions.IsSet(aOption)) {
+    return secret_text();
+  }
+  return ReadSecret(aOptions.Path(aOption), aReason);
+}
+
 bool
 WriteSecret(const std::filesystem::path& aFile,
             const secret_text& aSecret,
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -178,6 +178,12 @@
 std::optional<secret_text> ReadSecret(const std::filesystem::path& aFile,
                                       last_reason& aReason);
 
+/// The secret in the file that an option names; an empty one when the option is
+/// not set; nullopt when the file cannot be used.
+std::optional<secret_text> ReadSecretOption(const option_values& aOptions,
+                                            std::string_view aOption,
+                                            last_reason& aReason);
+
 /// Creates aFile with mode 0600; refused when it is there already.
 bool WriteSecret(const std::filesystem::path& aFile,
                  const secret_text& aSecret,
