--- a/tests/process/link_keys_test.cpp
+++ b/tests/process/link_keys_test.cpp
@@ -12,7 +12,7 @@
 
   std::string MakeKeys(const std::string& aName) const
   {
-    const auto file = (running.folder / aName).string();
+    auto file = (running.folder / aName).string();
     REQUIRE(RunProgram("bulrushctl", { "keygen", file }).exitCode == 0);
     return file;
   }
