Refuse a manifest only when it cannot be held, not when it leaves no room to change versions

Cause: apply was refused by PlanFits, which also asks for room to change the largest model's version; three models that fit exactly were turned away (Order_WhoseFirstCopyComesLate, exit 1). PlanHolds is the part that speaks of holding; that test and [manifest] pass, test_placement 35 of 35.

--- a/src/apps/control_orders.cpp
+++ b/src/apps/control_orders.cpp
@@ -394,7 +394,7 @@
 {
   const auto& engines = aTables.orders.placement.engines;
   return engines.Empty() ||
-         placement::PlanFits(
+         placement::PlanHolds(
            engines.Rows(), ModelRows(aManifest), AdapterRows(aManifest), aWhy);
 }
 
--- a/src/placement/packing.cpp
+++ b/src/placement/packing.cpp
@@ -52,10 +52,10 @@
 } // namespace
 
 std::optional<fit>
-PlanFits(std::span<const engine_row> aEngines,
-         std::span<const model_row> aModels,
-         std::span<const adapter_row> aAdapters,
-         last_reason& aReason)
+PlanHolds(std::span<const engine_row> aEngines,
+          std::span<const model_row> aModels,
+          std::span<const adapter_row> aAdapters,
+          last_reason& aReason)
 {
   fit result;
   std::vector<std::uint64_t> room;
@@ -79,14 +79,25 @@
     result.bytesNeeded += item.bytes;
   }
   result.largestHole = room.empty() ? 0 : *std::ranges::max_element(room);
-  if (!packed.empty() && result.largestHole < packed.front().bytes) {
+  return result;
+}
+
+std::optional<fit>
+PlanFits(std::span<const engine_row> aEngines,
+         std::span<const model_row> aModels,
+         std::span<const adapter_row> aAdapters,
+         last_reason& aReason)
+{
+  auto result = PlanHolds(aEngines, aModels, aAdapters, aReason);
+  const std::vector<packed_model> packed = LargestFirst(aModels, aAdapters);
+  if (result && !packed.empty() && result->largestHole < packed.front().bytes) {
     return Fail(aReason,
                 "place manifest",
                 std::to_string(packed.front().model->id.value),
                 "no engine keeps " + std::to_string(packed.front().bytes) +
                   " bytes free to change versions of the largest model; the "
                   "largest hole is " +
-                  std::to_string(result.largestHole));
+                  std::to_string(result->largestHole));
   }
   return result;
 }
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -459,11 +459,17 @@
 };
 
 /// Whether the engines can hold the declared minimum of every model, with the
-/// adapters beside them, and still have room on one engine for the largest
-/// model, so that versions can change one copy at a time.
-/// A fit is a proof: the packing was found. A refusal is cautious: a packing
-/// that first-fit decreasing does not find may exist. A copy in each failure
-/// domain is not part of the promise.
+/// adapters beside them. A refusal is cautious, as that of PlanFits is.
+std::optional<fit> PlanHolds(std::span<const engine_row> aEngines,
+                             std::span<const model_row> aModels,
+                             std::span<const adapter_row> aAdapters,
+                             last_reason& aReason);
+
+/// Whether PlanHolds is true and the engines still have room on one engine for
+/// the largest model, so that versions can change one copy at a time. A fit is
+/// a proof: the packing was found. A refusal is cautious: a packing that
+/// first-fit decreasing does not find may exist. A copy in each failure domain
+/// is not part of the promise.
 /// @param aReason names the model and the bytes that are missing.
 std::optional<fit> PlanFits(std::span<const engine_row> aEngines,
                             std::span<const model_row> aModels,
