--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -1,5 +1,5 @@
 #include "apps/ctl_commands.hpp"
-#include "apps/link_settings.hpp"
+#include "program/program.hpp"
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -1,19 +1,14 @@
 # One small binary per program.
 function(bulrush_program aName)
-  add_executable(${aName} ${ARGN} src/apps/link_settings.cpp)
-  target_link_libraries(${aName} PRIVATE bulrush_wire bulrush_net
-    bulrush_observe bulrush_settings bulrush_fleet)
+  add_executable(${aName} ${ARGN})
+  target_link_libraries(${aName} PRIVATE bulrush_program bulrush_wire
+    bulrush_net bulrush_observe bulrush_settings bulrush_fleet)
 endfunction()
 
-bulrush_program(bulrush-control src/apps/control_main.cpp
-  src/apps/control_log.cpp src/apps/control_systems.cpp
-  src/apps/control_leases.cpp)
-bulrush_program(bulrush-entry src/apps/entry_main.cpp
-  src/apps/entry_control.cpp src/apps/entry_traffic.cpp
-  src/apps/entry_requests.cpp src/apps/entry_answer.cpp
-  src/apps/entry_http.cpp src/apps/entry_recorder.cpp
-  src/apps/entry_admission.cpp)
-target_link_libraries(bulrush-entry PRIVATE bulrush_routing)
+bulrush_program(bulrush-control src/apps/control_main.cpp)
+target_link_libraries(bulrush-control PRIVATE bulrush_control bulrush_platform)
+bulrush_program(bulrush-entry src/apps/entry_main.cpp)
+target_link_libraries(bulrush-entry PRIVATE bulrush_entry bulrush_platform)
 bulrush_program(fake-endpoint src/apps/fake_main.cpp
   src/apps/fake_requests.cpp src/apps/fake_systems.cpp)
 bulrush_program(bulrushctl src/apps/ctl_main.cpp src/apps/ctl_call.cpp
@@ -33,9 +28,6 @@
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
 
-# --- orders to engines under bulrush-control -------------------------------
-target_sources(bulrush-control PRIVATE src/apps/control_orders.cpp
-  src/apps/control_order_log.cpp)
 add_executable(bulrush-bench-admission src/apps/bench_admission.cpp)
 target_link_libraries(bulrush-bench-admission PRIVATE bulrush_admission fmt::fmt)
 add_test(NAME bench_admission_signature COMMAND bulrush-bench-admission)
--- a/src/apps/swarm_main.cpp
+++ b/src/apps/swarm_main.cpp
@@ -1,4 +1,4 @@
-#include "apps/link_settings.hpp"
+#include "program/program.hpp"
 #include "apps/swarm_tables.hpp"
 #include "net/net.hpp"
 #include "observe/observe.hpp"
--- /dev/null
+++ b/src/control/endpoints.cpp
@@ -0,0 +1,89 @@
+#include "control/tables.hpp"
+
+namespace bulrush::control {
+namespace {
+
+// Load figures change with each report; passing each on to every host would
+// cost more than the target allows, so only other changes count as such.
+bool
+IsSameButLoad(const endpoint_row& aLeft, const endpoint_row& aRight)
+{
+  return aLeft.incarnation == aRight.incarnation &&
+         aLeft.address == aRight.address && aLeft.slots == aRight.slots &&
+         aLeft.coldSlots == aRight.coldSlots && aLeft.isCold == aRight.isCold &&
+         aLeft.isLeaving == aRight.isLeaving &&
+         aLeft.residents == aRight.residents &&
+         aLeft.services == aRight.services;
+}
+
+// A process that starts at an address ends what was there before it. What an
+// earlier one says later, as a delayed message, is of no use.
+bool
+IsOvertakenAtItsAddress(control_tables& aTables, const endpoint_row& aRow)
+{
+  std::vector<endpoint_id> older;
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (known.id == aRow.id || known.row.address != aRow.address) {
+      continue;
+    }
+    if (known.row.incarnation > aRow.incarnation) {
+      return true;
+    }
+    older.push_back(known.id);
+  }
+  for (const endpoint_id id : older) {
+    DropEndpoint(aTables, id, true);
+  }
+  return false;
+}
+
+// An endpoint that left comes back as another process only.
+bool
+HasLeft(const control_tables& aTables, const endpoint_row& aRow)
+{
+  const gone_endpoint* gone = aTables.gone.Find(aRow.id);
+  return gone != nullptr && gone->hasLeft &&
+         aRow.incarnation <= gone->incarnation;
+}
+
+} // namespace
+
+void
+TakeEndpoint(control_tables& aTables, const endpoint_row& aRow, bool aIsOwn)
+{
+  known_endpoint* known = aTables.endpoints.Find(aRow.id);
+  if (known == nullptr) {
+    if (HasLeft(aTables, aRow) || IsOvertakenAtItsAddress(aTables, aRow)) {
+      return;
+    }
+    aTables.gone.Erase(aRow.id);
+    aTables.endpoints.Insert({ aRow.id, aRow, ++aTables.serial, aIsOwn });
+    return;
+  }
+  if (!IsNewer(aRow, known->row)) {
+    return;
+  }
+  const bool isSame = IsSameButLoad(aRow, known->row);
+  known->row = aRow;
+  known->isOwn = aIsOwn;
+  if (!isSame) {
+    known->serial = ++aTables.serial;
+  }
+}
+
+void
+DropEndpoint(control_tables& aTables, endpoint_id aEndpoint, bool aHasLeft)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aEndpoint);
+  if (known == nullptr) {
+    return;
+  }
+  aTables.gone.Insert({ aEndpoint,
+                        ++aTables.serial,
+                        known->isOwn,
+                        aHasLeft,
+                        known->row.incarnation });
+  aTables.endpoints.Erase(aEndpoint);
+}
+
+} // namespace bulrush::control
--- a/src/apps/control_leases.cpp
+++ b/src/control/leases.cpp
@@ -1,7 +1,7 @@
 /// Leases and shares in bulrush-control: the root while it leads, and the
 /// delegates of failure domains. Decisions are those of the admission library.
 
-#include "apps/control_tables.hpp"
+#include "control/tables.hpp"
 
 #include <cmath>
 
--- a/src/apps/control_log.hpp
+++ b/src/control/log.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_CONTROL_LOG_HPP
-#define BULRUSH_APPS_CONTROL_LOG_HPP
+#ifndef BULRUSH_CONTROL_LOG_HPP
+#define BULRUSH_CONTROL_LOG_HPP
 
 /// The replicated log under bulrush-control: founding, replacement of members
 /// and the way of commands through the log.
@@ -14,7 +14,7 @@
 struct received;
 struct log_hooks;
 
-/// A control process of the settings, as its latest hello described it.
+/// Another control process, as its latest hello described it.
 struct known_replica
 {
   replica_id id; ///< IdOf its name
@@ -22,6 +22,7 @@
   replica_id identity; ///< of its data folder
   bool isEmpty = false;
   bool hasAnswered = false; ///< a question of this process
+  bool isFounder = false;   ///< named by the settings
   steady_time heardAt{};
 };
 
@@ -45,6 +46,10 @@
   table<typed_id<struct replace_tag>, replace_row> replacements;
   std::uint64_t lastReplacement = 0;
   steady_time nextHello{};
+  bool mayFound = true; ///< this may be the first start of the fleet
+  /// Processes are named by the addresses of their links, may join unasked and
+  /// take the place of members that are lost.
+  bool repairsItself = false;
 };
 
 /// Opens the data folder. Fails when it is damaged or held by another process.
--- a/src/apps/control_order_log.cpp
+++ b/src/control/order_log.cpp
@@ -1,5 +1,5 @@
-#include "apps/control_orders.hpp"
-#include "apps/control_tables.hpp"
+#include "control/orders.hpp"
+#include "control/tables.hpp"
 
 namespace bulrush::control {
 namespace {
--- a/src/apps/control_orders.cpp
+++ b/src/control/orders.cpp
@@ -1,6 +1,6 @@
-#include "apps/control_orders.hpp"
+#include "control/orders.hpp"
 
-#include "apps/control_tables.hpp"
+#include "control/tables.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/apps/control_orders.hpp
+++ b/src/control/orders.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_CONTROL_ORDERS_HPP
-#define BULRUSH_APPS_CONTROL_ORDERS_HPP
+#ifndef BULRUSH_CONTROL_ORDERS_HPP
+#define BULRUSH_CONTROL_ORDERS_HPP
 
 /// Placement under bulrush-control: what endpoints report becomes rows of the
 /// placement tables, its commands go through the log, its orders to engines.
--- /dev/null
+++ b/src/control/process.cpp
@@ -0,0 +1,582 @@
+#include "control/control.hpp"
+#include "control/tables.hpp"
+#include "program/program.hpp"
+#include "net/net.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <csignal>
+
+#include <unistd.h>
+
+namespace bulrush::control {
+namespace {
+
+constexpr log_part kLog{ "control" };
+constexpr int kExitBrokenLog = 3; ///< the log cannot keep its promises
+
+constexpr auto kOptions = std::to_array<option_row>({
+  { "name",
+    option_type::eText,
+    "",
+    "control-a",
+    "",
+    "",
+    "Name of this control process, unlike any other" },
+  { "domain",
+    option_type::eText,
+    "",
+    "domain-a",
+    "",
+    "",
+    "Failure domain that this host is in" },
+  { "listen",
+    option_type::eAddress,
+    "",
+    "127.0.0.1:7100",
+    "",
+    "",
+    "Address for links of hosts, operators and other control processes" },
+  { "peers",
+    option_type::eList,
+    "",
+    "",
+    "",
+    "",
+    "Other control processes, NAME=IP:PORT with commas between them" },
+  { "seeds",
+    option_type::eAddressList,
+    "",
+    "",
+    "",
+    "",
+    "In place of peers: addresses of some control processes, of which the IP "
+    "numbers count; this process joins those it finds there" },
+  { "first-start",
+    option_type::eBool,
+    "",
+    "true",
+    "",
+    "",
+    "Whether the fleet may be starting for the first time; a log is founded "
+    "only then" },
+  { "domains",
+    option_type::eList,
+    "",
+    "",
+    "",
+    "",
+    "Failure domains of the fleet, NAME or NAME=REGION, for front ends whose "
+    "manifests do not name them" },
+  { "front-end",
+    option_type::eText,
+    "",
+    "none",
+    "",
+    "",
+    "How endpoints and operators speak over HTTP: none, or a name that the "
+    "program was built with" },
+  { "http-listen",
+    option_type::eAddress,
+    "",
+    "",
+    "",
+    "",
+    "Address for calls over HTTP, with a front end" },
+  { "log-level",
+    option_type::eText,
+    "",
+    "info",
+    "",
+    "",
+    "Lines that are written: debug, info, warning or error and above" },
+  { "data",
+    option_type::ePath,
+    "",
+    "",
+    "",
+    "",
+    "Folder for the log; without it state is kept in memory only" },
+  { "snapshot-after",
+    option_type::eInteger,
+    "entries",
+    "1000",
+    "5",
+    "100000",
+    "How many entries of the log one snapshot stands for" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys, made by bulrushctl keygen" },
+  { "credential",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the credential that operators and hosts present" },
+  { "copy-lifetime",
+    option_type::eDuration,
+    "",
+    "1h",
+    "1s",
+    "240h",
+    "Longest life of an order under way to an engine that checks no fencing "
+    "number; until it ends the memory that it may take stays reserved" },
+});
+
+constexpr program_options kProgram{
+  "bulrush-control",
+  "Decides the fleet's configuration, leases, placement and endpoint table",
+  kOptions
+};
+
+// The log of a single process: what is proposed is committed at once.
+log_hooks
+MakeLocalLog(control_tables& aTables)
+{
+  log_hooks hooks;
+  hooks.propose = [&aTables, last = std::uint64_t{ 0 }](
+                    std::string aPayload,
+                    last_reason&) mutable -> std::optional<position_id> {
+    const position_id position{ ++last };
+    aTables.committed.push_back({ position, std::move(aPayload), false });
+    return position;
+  };
+  hooks.isLeader = [](steady_time) { return true; };
+  hooks.leads = [&aTables](steady_time) -> std::optional<leader_term> {
+    if (!aTables.controls.Empty()) {
+      return std::nullopt; // several processes without a common log
+    }
+    // A process that starts again has forgotten its orders; a term that only
+    // grows keeps it from being taken for the former one.
+    constexpr std::uint64_t kNanosecondsInSecond = 1'000'000'000;
+    leader_term leads;
+    leads.term = static_cast<std::uint32_t>(aTables.self.incarnation /
+                                            kNanosecondsInSecond);
+    leads.holdsLease = true;
+    return leads;
+  };
+  hooks.leaderName = [&aTables] { return aTables.self.name; };
+  hooks.term = [] { return std::uint64_t{ 1 }; };
+  return hooks;
+}
+
+// Everything the process holds. The members after the tables refer to them.
+class control_process
+{
+public:
+  control_process(asio::io_context& aContext, const option_values& aOptions)
+    : mContext(aContext)
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+  {
+    mTables.self.name = aOptions.IsSet("seeds")
+                          ? FormatAddress(*aOptions.Address("listen"))
+                          : aOptions.Text("name");
+    mTables.self.domain = aOptions.Text("domain");
+    mTables.self.linkAddress = FormatAddress(*aOptions.Address("listen"));
+    mTables.wallClock = [] { return std::chrono::system_clock::now(); };
+    mTables.self.incarnation = static_cast<std::uint64_t>(
+      mTables.wallClock().time_since_epoch().count());
+    mTables.log = MakeLocalLog(mTables);
+    mTables.orders.placement.options.copyLifetime =
+      aOptions.Duration("copy-lifetime");
+    mClient = net::MakeHttpClient(mContext);
+  }
+
+  bool Start(const option_values& aOptions, front_end aFront, last_reason& aWhy)
+  {
+    mFront = std::move(aFront);
+    ReadDomains(aOptions);
+    if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy) ||
+        !ListenHttp(aOptions, aWhy)) {
+      return false;
+    }
+    auto server = net::ListenLink(
+      mContext,
+      mTables.self.linkAddress,
+      mLinkKeys,
+      [this](std::string aPeer, const std::string& aBytes) {
+        Receive(std::move(aPeer), aBytes);
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mServer = std::move(*server);
+    for (const wire::control_address& peer : mPeers) {
+      if (!Link(peer, aWhy)) {
+        return false;
+      }
+    }
+    LogInfo(
+      kLog, "{} listens on {}", mTables.self.name, mTables.self.linkAddress);
+    mTimer.RunSoon();
+    return true;
+  }
+
+  // Hands leadership over before the end, so that no election timeout passes.
+  void BeginStop()
+  {
+    const steady_time now = std::chrono::steady_clock::now();
+    if (!BeginHandOver(mTables, now)) {
+      mContext.stop();
+      return;
+    }
+    mStopBy = now + kHandOverLimit;
+    mTimer.RunSoon();
+  }
+
+  int ExitCode() const { return mExitCode; }
+
+private:
+  static constexpr std::chrono::milliseconds kHandOverLimit{ 2'000 };
+
+  bool OpenReplicatedLog(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!ReadPeers(aOptions, aWhy)) {
+      return false;
+    }
+    if (!aOptions.IsSet("data")) {
+      return true;
+    }
+    std::vector<std::string> names;
+    for (const wire::control_address& peer : mPeers) {
+      names.push_back(peer.name);
+    }
+    constexpr log_index kKeptPart = 5;
+    replica_settings settings;
+    settings.name = mTables.self.name;
+    settings.snapshotAfterEntries =
+      static_cast<log_index>(aOptions.Integer("snapshot-after"));
+    settings.keptEntries = settings.snapshotAfterEntries / kKeptPart;
+    auto log = OpenLog(aOptions.Path("data"),
+                       std::move(settings),
+                       names,
+                       std::chrono::steady_clock::now(),
+                       aWhy);
+    if (!log) {
+      return false;
+    }
+    mTables.replicated = std::move(*log);
+    mTables.replicated->repairsItself = aOptions.IsSet("seeds");
+    mTables.replicated->mayFound = aOptions.Flag("first-start") && mIsFounder;
+    mTables.log = MakeReplicatedLog(*mTables.replicated);
+    return true;
+  }
+
+  bool ReadSecrets(const option_values& aOptions, last_reason& aWhy)
+  {
+    const auto keys = ReadLinkKeys(aOptions, aWhy);
+    if (!keys) {
+      return false;
+    }
+    mLinkKeys = *keys;
+    const auto secret = ReadSecretOption(aOptions, "credential", aWhy);
+    if (!secret) {
+      return false;
+    }
+    mTables.self.credential = secret->Reveal();
+    return true;
+  }
+
+  // Seeds give the IP numbers of control processes; their links listen at the
+  // port of this one's.
+  bool ReadPeers(const option_values& aOptions, last_reason& aWhy)
+  {
+    const std::uint16_t port = aOptions.Address("listen")->port;
+    for (const host_address& seed : aOptions.Addresses("seeds")) {
+      const std::string address = FormatAddress({ seed.ip, port });
+      if (address == mTables.self.name) {
+        mIsFounder = true;
+      } else {
+        mPeers.push_back({ address, address });
+      }
+    }
+    if (aOptions.IsSet("seeds")) {
+      return true;
+    }
+    mIsFounder = true;
+    for (const std::string& peer : aOptions.List("peers")) {
+      const std::size_t equals = peer.find('=');
+      if (equals == std::string::npos) {
+        Fail(aWhy, "read peers", peer, "expected NAME=IP:PORT");
+        return false;
+      }
+      mPeers.push_back({ peer.substr(0, equals), peer.substr(equals + 1) });
+    }
+    return true;
+  }
+
+  void ReadDomains(const option_values& aOptions)
+  {
+    for (const std::string& text : aOptions.List("domains")) {
+      const std::size_t equals = std::min(text.find('='), text.size());
+      domain_row row;
+      row.name = text.substr(0, equals);
+      row.id = IdOf<domain_id>(row.name);
+      row.region = equals < text.size() ? text.substr(equals + 1) : "";
+      mDomains.push_back(std::move(row));
+    }
+  }
+
+  bool ListenHttp(const option_values& aOptions, last_reason& aWhy)
+  {
+    const auto listen = aOptions.Address("http-listen");
+    if (!mFront.readCall || !listen) {
+      return true;
+    }
+    net::http_server_settings settings;
+    settings.address = listen->ip;
+    settings.port = listen->port;
+    auto server = net::Listen(
+      mContext,
+      settings,
+      [this](net::http_request aRequest,
+             std::shared_ptr<net::http_reply> aReply) {
+        TakeHttp(std::move(aRequest), std::move(aReply));
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mHttp = std::move(*server);
+    mTables.self.httpAddress = FormatAddress({ listen->ip, mHttp->Port() });
+    return true;
+  }
+
+  void TakeHttp(net::http_request aRequest,
+                std::shared_ptr<net::http_reply> aReply)
+  {
+    last_reason why;
+    const steady_time now = std::chrono::steady_clock::now();
+    auto call = mFront.readCall(aRequest, { mDomains, now }, why);
+    if (!call) {
+      LogWarning(kLog, "A call is refused: {}", Describe(why));
+      mFront.sendAnswer(
+        *aReply, aRequest, { answer_kind::eInvalid, Describe(why) });
+      return;
+    }
+    const http_call_id id{ ++mLastHttpCall };
+    mTables.httpInbox.push_back({ id, std::move(*call) });
+    aRequest.body.clear();
+    mHttpReplies.emplace(
+      id, waiting_reply{ std::move(aRequest), std::move(aReply) });
+    mTimer.RunSoon();
+  }
+
+  void AnswerHttp(const answered_call& aAnswer)
+  {
+    const auto found = mHttpReplies.find(aAnswer.id);
+    mFront.sendAnswer(
+      *found->second.reply, found->second.request, aAnswer.answer);
+    mHttpReplies.erase(found);
+  }
+
+  bool Link(const wire::control_address& aPeer, last_reason& aWhy)
+  {
+    if (mLinks.contains(aPeer.name)) {
+      return true;
+    }
+    auto link = net::ConnectLink(
+      mContext,
+      aPeer.address,
+      mTables.self.name,
+      mLinkKeys,
+      [this, name = aPeer.name](const std::string& aBytes) {
+        Receive(name, aBytes);
+      },
+      aWhy);
+    if (!link) {
+      return false;
+    }
+    mLinks.emplace(aPeer.name, std::move(*link));
+    control_row row;
+    row.name = aPeer.name;
+    row.address = aPeer.address;
+    row.id = IdOf<replica_id>(row.name);
+    if (mTables.controls.Find(row.id) == nullptr) {
+      mTables.controls.Insert(std::move(row));
+    }
+    return true;
+  }
+
+  void Receive(std::string aPeer, const std::string& aBytes)
+  {
+    last_reason why;
+    auto message = wire::Decode(aBytes, std::chrono::steady_clock::now(), why);
+    if (!message) {
+      LogWarning(kLog, "Message from {} is dropped: {}", aPeer, Describe(why));
+      return;
+    }
+    mTables.inbox.push_back({ std::move(aPeer), std::move(*message) });
+    mTimer.RunSoon();
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    control_outbox outbox;
+    RunControl(mTables, aNow, outbox);
+    if (outbox.fatal) {
+      // Nothing leaves: what this tick says may rest on a write that failed.
+      LogError(kLog, "Must stop: {}", Describe(*outbox.fatal));
+      mExitCode = kExitBrokenLog;
+      mContext.stop();
+      return {};
+    }
+    for (const wire::control_address& peer : outbox.links) {
+      last_reason why;
+      if (!Link(peer, why)) {
+        LogWarning(kLog, "No link to {}: {}", peer.name, Describe(why));
+      }
+    }
+    for (outgoing& out : outbox.messages) {
+      Send(out, aNow);
+    }
+    for (const answered_call& answer : outbox.httpAnswers) {
+      AnswerHttp(answer);
+    }
+    for (order_call& call : outbox.orders) {
+      SendOrder(std::move(call));
+    }
+    if (!mTables.committed.empty()) {
+      mTimer.RunSoon();
+    }
+    if (mStopBy) {
+      if (aNow >= *mStopBy || IsHandedOver(mTables)) {
+        mContext.stop();
+      }
+      outbox.wake.NoLaterThan(*mStopBy);
+    }
+    return outbox.wake;
+  }
+
+  void Send(outgoing& aOut, steady_time aNow)
+  {
+    const std::string bytes = wire::Encode(
+      { mTables.self.name, mTables.self.incarnation, std::move(aOut.body) },
+      aNow);
+    if (aOut.control.empty()) {
+      mServer->Send(aOut.peer, bytes);
+      return;
+    }
+    const auto link = mLinks.find(aOut.control);
+    if (link != mLinks.end()) {
+      link->second->Send(bytes);
+    }
+  }
+
+  // A connection of its own: the library resends nothing, and the endpoint
+  // that answers is the one that was dialled for this order.
+  void SendOrder(order_call aCall)
+  {
+    net::http_call call;
+    call.url = "http://" + aCall.address + "/orders";
+    call.fields = { { "Content-Type", "application/json" } };
+    call.body = std::move(aCall.body);
+    call.timeout = kOrderTimeout;
+    call.freshConnection = true;
+    auto answer = std::make_shared<order_answer>();
+    answer->order = aCall.order;
+    net::http_call_hooks hooks;
+    hooks.onBytes = [answer](std::string_view aBytes) {
+      if (answer->body.size() + aBytes.size() <= kMaxOrderAnswerBytes) {
+        answer->body += aBytes;
+      }
+    };
+    hooks.onEnd = [this, answer](const net::http_call_end& aEnd) {
+      answer->isSent = aEnd.anySent;
+      answer->status = aEnd.whole ? aEnd.status : 0;
+      mTables.orders.answers.push_back(std::move(*answer));
+      mTimer.RunSoon();
+    };
+    mClient->Start(std::move(call), std::move(hooks));
+  }
+
+  static constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
+  static constexpr std::size_t kMaxOrderAnswerBytes = 4096;
+
+  /// A call over HTTP that waits for its answer.
+  struct waiting_reply
+  {
+    net::http_request request;
+    std::shared_ptr<net::http_reply> reply;
+  };
+
+  asio::io_context& mContext;
+  control_tables mTables;
+  front_end mFront;
+  std::vector<domain_row> mDomains;
+  std::vector<wire::control_address> mPeers;
+  bool mIsFounder = false;
+  std::unordered_map<http_call_id, waiting_reply, id_hash> mHttpReplies;
+  std::uint64_t mLastHttpCall = 0;
+  std::unique_ptr<net::http_server> mHttp;
+  net::tick_timer mTimer;
+  net::link_keys mLinkKeys;
+  std::unique_ptr<net::link_server> mServer;
+  std::unique_ptr<net::http_client> mClient;
+  std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
+  std::optional<steady_time> mStopBy;
+  int mExitCode = 0;
+};
+
+std::optional<front_end>
+FindFrontEnd(const std::string& aName,
+             std::span<const named_front_end> aFrontEnds,
+             last_reason& aWhy)
+{
+  if (aName == "none") {
+    return front_end{};
+  }
+  for (const named_front_end& each : aFrontEnds) {
+    if (each.name == aName) {
+      return each.make();
+    }
+  }
+  return Fail(aWhy, "choose front end", aName, "no such front end");
+}
+
+} // namespace
+
+int
+RunControlHost(int aCount,
+               char** aWords,
+               std::span<const named_front_end> aFrontEnds)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  // A write beyond a limit then fails, and the reason is logged.
+  std::signal(SIGXFSZ, SIG_IGN);
+  asio::io_context context{ 1 };
+  last_reason why;
+  const auto level = ParseLogLevel(options->Text("log-level"), why);
+  auto front = level ? FindFrontEnd(options->Text("front-end"), aFrontEnds, why)
+                     : std::nullopt;
+  if (!front) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return kBadSettings;
+  }
+  SetLogLevel(*level);
+  control_process process(context, *options);
+  if (!process.Start(*options, std::move(*front), why)) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  net::OnStopSignal(context, [&process] {
+    LogInfo(kLog, "Stops");
+    process.BeginStop();
+  });
+  context.run();
+  return process.ExitCode();
+}
+
+} // namespace bulrush::control
--- a/src/apps/control_systems.cpp
+++ b/src/control/systems.cpp
@@ -1,4 +1,4 @@
-#include "apps/control_tables.hpp"
+#include "control/tables.hpp"
 #include "settings/settings.hpp"
 
 namespace bulrush::control {
@@ -12,50 +12,6 @@
 constexpr std::size_t kRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
-// Load figures change with each report; passing each on to every host would
-// cost more than the target allows, so only other changes count as such.
-bool
-IsSameButLoad(const endpoint_row& aLeft, const endpoint_row& aRight)
-{
-  return aLeft.incarnation == aRight.incarnation &&
-         aLeft.address == aRight.address && aLeft.slots == aRight.slots &&
-         aLeft.coldSlots == aRight.coldSlots && aLeft.isCold == aRight.isCold &&
-         aLeft.isLeaving == aRight.isLeaving &&
-         aLeft.residents == aRight.residents &&
-         aLeft.services == aRight.services;
-}
-
-void
-TakeEndpoint(control_tables& aTables, const endpoint_row& aRow, bool aIsOwn)
-{
-  known_endpoint* known = aTables.endpoints.Find(aRow.id);
-  if (known == nullptr) {
-    aTables.gone.Erase(aRow.id);
-    aTables.endpoints.Insert({ aRow.id, aRow, ++aTables.serial, aIsOwn });
-    return;
-  }
-  if (!IsNewer(aRow, known->row)) {
-    return;
-  }
-  const bool isSame = IsSameButLoad(aRow, known->row);
-  known->row = aRow;
-  known->isOwn = aIsOwn;
-  if (!isSame) {
-    known->serial = ++aTables.serial;
-  }
-}
-
-void
-DropEndpoint(control_tables& aTables, endpoint_id aEndpoint, steady_time)
-{
-  const known_endpoint* known = aTables.endpoints.Find(aEndpoint);
-  if (known == nullptr) {
-    return;
-  }
-  aTables.gone.Insert({ aEndpoint, ++aTables.serial, known->isOwn });
-  aTables.endpoints.Erase(aEndpoint);
-}
-
 // A report renews the host's lease and says which revision it runs. A host
 // that restarted confirms nothing it heard before.
 void
@@ -125,8 +81,7 @@
 void
 Take(control_tables& aTables,
      const received& aInput,
-     const wire::endpoint_gossip& aGossip,
-     steady_time aNow)
+     const wire::endpoint_gossip& aGossip)
 {
   AddTombstones(aTables, aGossip.tombstones);
   if (control_row* control =
@@ -134,12 +89,13 @@
     control->domain = aGossip.domain;
     control->confirmedRevision = aGossip.confirmedRevision;
     control->hosts = aGossip.hosts;
+    control->httpAddress = aGossip.httpAddress;
   }
   for (const endpoint_row& row : aGossip.endpoints) {
     TakeEndpoint(aTables, row, false);
   }
   for (const endpoint_id& id : aGossip.gone) {
-    DropEndpoint(aTables, id, aNow);
+    DropEndpoint(aTables, id, false);
   }
 }
 
@@ -290,9 +246,7 @@
   if (call == nullptr) {
     return; // timed out meanwhile
   }
-  wire::command_reply reply = aReply;
-  reply.call = call->call;
-  aOutbox.messages.push_back({ call->peer, "", std::move(reply) });
+  AnswerCall(*call, aReply, aOutbox);
   aTables.calls.Erase(call_id{ aReply.call });
 }
 
@@ -441,7 +395,7 @@
     if (const auto* report = std::get_if<wire::host_report>(&body)) {
       Take(aTables, input, *report, aNow);
     } else if (const auto* gossip = std::get_if<wire::endpoint_gossip>(&body)) {
-      Take(aTables, input, *gossip, aNow);
+      Take(aTables, input, *gossip);
     } else if (const auto* call = std::get_if<wire::command_call>(&body)) {
       Take(aTables, input, *call, aNow, aOutbox);
     } else if (const auto* reply = std::get_if<wire::command_reply>(&body)) {
@@ -475,10 +429,9 @@
       continue;
     }
     wire::command_reply reply;
-    reply.call = call.call;
     reply.outcome = wire::call_outcome::eDecided;
     reply.result = aResult;
-    aOutbox.messages.push_back({ call.peer, "", std::move(reply) });
+    AnswerCall(call, reply, aOutbox);
     const call_id id = call.id;
     aTables.calls.Erase(id);
     return;
@@ -533,7 +486,7 @@
     }
   }
   for (const endpoint_id& id : silent) {
-    DropEndpoint(aTables, id, aNow);
+    DropEndpoint(aTables, id, false);
   }
   aTables.hosts.EraseIf([&](const host_row& aHost) {
     return aHost.lastSeen + kHostSilence <= aNow;
@@ -556,10 +509,9 @@
   }
   for (const pending_call& call : late) {
     wire::command_reply reply;
-    reply.call = call.call;
     reply.outcome = wire::call_outcome::eUnknown;
     reply.text = "no decision within the time limit";
-    aOutbox.messages.push_back({ call.peer, "", std::move(reply) });
+    AnswerCall(call, reply, aOutbox);
     aTables.calls.Erase(call.id);
   }
 }
@@ -606,6 +558,19 @@
   }
 }
 
+void
+AddControls(const control_tables& aTables, wire::host_update& aUpdate)
+{
+  aUpdate.controls.push_back(
+    { aTables.self.name, aTables.self.linkAddress });
+  aUpdate.hosts = static_cast<std::uint32_t>(aTables.hosts.Size());
+  for (const control_row& control : aTables.controls) {
+    aUpdate.controls.push_back({ control.name, control.address });
+    aUpdate.hosts += control.hosts;
+  }
+  aUpdate.leader = aTables.log.leaderName();
+}
+
 // A host hears when it asked (a renewal) or when something changed.
 void
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
@@ -634,6 +599,7 @@
                  update.endpoints,
                  update.goneEndpoints);
     update.tombstones = TombstoneKeys(aTables);
+    AddControls(aTables, update);
     host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
     host.wantsUpdate = false;
@@ -662,6 +628,7 @@
   gossip.tombstones = TombstoneKeys(aTables);
   gossip.confirmedRevision = own.confirmedRevision;
   gossip.hosts = own.hosts;
+  gossip.httpAddress = aTables.self.httpAddress;
   aTables.gossipedSerial = aTables.serial;
   aTables.gossipedConfirmed = own.confirmedRevision;
   if (isPeriodic) {
@@ -673,8 +640,9 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 10> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 11> kSystems{
   { { "ingest", RunIngest },
+    { "http_calls", RunHttpCalls },
     { "log", RunLog },
     { "apply", RunApply },
     { "log_snapshot", RunLogSnapshot },
--- a/src/apps/control_tables.hpp
+++ b/src/control/tables.hpp
@@ -1,11 +1,12 @@
-#ifndef BULRUSH_APPS_CONTROL_TABLES_HPP
-#define BULRUSH_APPS_CONTROL_TABLES_HPP
+#ifndef BULRUSH_CONTROL_TABLES_HPP
+#define BULRUSH_CONTROL_TABLES_HPP
 
 /// Tables of bulrush-control. Its control thread owns all of them.
 
 #include "admission/admission.hpp"
-#include "apps/control_log.hpp"
-#include "apps/control_orders.hpp"
+#include "control/control.hpp"
+#include "control/log.hpp"
+#include "control/orders.hpp"
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
@@ -23,6 +24,7 @@
   std::string name;
   std::string domain;
   std::string linkAddress;
+  std::string httpAddress; ///< empty: none
   std::uint64_t incarnation = 0;
   std::string credential; ///< what operators and hosts must present
 };
@@ -34,6 +36,7 @@
   std::string name;
   std::string address;
   std::string domain;
+  std::string httpAddress;             ///< empty: none
   std::uint64_t confirmedRevision = 0; ///< in its domain, as it said last
   std::uint32_t hosts = 0;
   steady_time lastHeard{};
@@ -78,6 +81,8 @@
   endpoint_id id;
   std::uint64_t serial = 0;
   bool isOwn = false;
+  bool hasLeft = false; ///< said so: nothing older brings it back
+  std::uint64_t incarnation = 0;
 };
 
 /// A message that arrived since the last tick.
@@ -87,11 +92,28 @@
   wire::message message;
 };
 
+using http_call_id = typed_id<struct http_call_tag>;
+
+/// A call over HTTP since the last tick.
+struct received_call
+{
+  http_call_id id;
+  http_call call;
+};
+
+/// The answer to a call over HTTP.
+struct answered_call
+{
+  http_call_id id;
+  http_answer answer;
+};
+
 /// A command on its way through the log.
 struct pending_call
 {
   call_id id;
   std::string peer;
+  http_call_id http; ///< set in place of the peer
   std::uint64_t call = 0; ///< the peer's own number
   position_id position;   ///< in our log; none while passed on to the leader
   steady_time deadline{};
@@ -184,6 +206,7 @@
   lease_tables leases;
   std::deque<wire::numbered_command> recent; ///< newest configuration changes
   std::vector<received> inbox;
+  std::vector<received_call> httpInbox;
   std::vector<committed_command> committed;
   order_tables orders;
   std::uint64_t serial = 0;            ///< of the newest endpoint change
@@ -206,6 +229,8 @@
 {
   std::vector<outgoing> messages;
   std::vector<order_call> orders; ///< each on a connection of its own
+  std::vector<answered_call> httpAnswers;
+  std::vector<wire::control_address> links; ///< control processes to link to
   wake_time wake;
   std::optional<last_reason> fatal; ///< the process must exit
 };
@@ -216,6 +241,22 @@
                  const wire::share_renewal& aRenewal);
 void TakeGrant(control_tables& aTables, const wire::share_grant& aGrant);
 
+/// Takes the calls that came over HTTP.
+void RunHttpCalls(control_tables& aTables,
+                  steady_time aNow,
+                  control_outbox& aOutbox);
+
+/// Answers whoever waits for a command that the log has decided.
+void AnswerCall(const pending_call& aCall,
+                const wire::command_reply& aReply,
+                control_outbox& aOutbox);
+
+/// Takes what an endpoint tells of itself; older news changes nothing.
+void TakeEndpoint(control_tables& aTables,
+                  const endpoint_row& aRow,
+                  bool aIsOwn);
+void DropEndpoint(control_tables& aTables, endpoint_id aEndpoint, bool aHasLeft);
+
 /// The lease system: names delegates, divides limits, answers renewals.
 void RunLeases(control_tables& aTables,
                steady_time aNow,
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -60,6 +60,7 @@
 using model_id = typed_id<struct model_tag>;
 using adapter_id = typed_id<struct adapter_tag>;
 using route_id = typed_id<struct route_tag>;
+using service_id = typed_id<struct service_tag>;
 using domain_id = typed_id<struct domain_tag>;
 using host_id = typed_id<struct host_tag>;
 using endpoint_id = typed_id<struct endpoint_tag>;
--- a/src/apps/entry_admission.cpp
+++ b/src/entry/admission.cpp
@@ -1,4 +1,4 @@
-#include "apps/entry_admission.hpp"
+#include "entry/admission.hpp"
 
 #include <algorithm>
 
--- a/src/apps/entry_admission.hpp
+++ b/src/entry/admission.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_ENTRY_ADMISSION_HPP
-#define BULRUSH_APPS_ENTRY_ADMISSION_HPP
+#ifndef BULRUSH_ENTRY_ADMISSION_HPP
+#define BULRUSH_ENTRY_ADMISSION_HPP
 
 /// Admission on a traffic thread: the thread is a holder of leases and shares,
 /// reserves tokens at the point of use and lets requests wait in the fair
--- a/src/apps/entry_answer.cpp
+++ b/src/entry/answer.cpp
@@ -1,4 +1,4 @@
-#include "apps/entry_answer.hpp"
+#include "entry/answer.hpp"
 
 namespace bulrush::entry {
 
@@ -21,6 +21,30 @@
   return plain + std::string_view("\n\n").size();
 }
 
+// The "id" field of an event, which stands at the start of a line.
+std::string
+EventId(std::string_view aEvent)
+{
+  constexpr std::string_view kField = "id:";
+  std::size_t line = 0;
+  while (line < aEvent.size()) {
+    const std::size_t end = std::min(aEvent.find('\n', line), aEvent.size());
+    std::string_view text = aEvent.substr(line, end - line);
+    if (text.starts_with(kField)) {
+      text.remove_prefix(kField.size());
+      if (text.starts_with(' ')) {
+        text.remove_prefix(1);
+      }
+      if (text.ends_with('\r')) {
+        text.remove_suffix(1);
+      }
+      return std::string(text);
+    }
+    line = end + 1;
+  }
+  return "";
+}
+
 } // namespace
 
 answer_buffer::answer_buffer(bool aIsStream, std::uint64_t aOffset)
@@ -57,6 +81,17 @@
   return completed;
 }
 
+std::uint64_t
+answer_buffer::EndWhole()
+{
+  if (!mIsStream || mTail.empty()) {
+    return 0;
+  }
+  mEvents.push_back(std::exchange(mTail, {}));
+  ++mNextUnit;
+  return 1;
+}
+
 std::string
 answer_buffer::Take(std::uint64_t aCount)
 {
@@ -66,6 +101,8 @@
   }
   std::string taken;
   for (std::uint64_t i = 0; i < aCount && !mEvents.empty(); ++i) {
+    const std::string id = EventId(mEvents.front());
+    mLastEvent = id.empty() ? mLastEvent : id;
     taken += mEvents.front();
     mEvents.pop_front();
   }
--- a/src/apps/entry_answer.hpp
+++ b/src/entry/answer.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_ENTRY_ANSWER_HPP
-#define BULRUSH_APPS_ENTRY_ANSWER_HPP
+#ifndef BULRUSH_ENTRY_ANSWER_HPP
+#define BULRUSH_ENTRY_ANSWER_HPP
 
 /// The bytes of one attempt's answer, cut into the units that routing counts:
 /// events of a stream, bytes of anything else.
@@ -27,6 +27,12 @@
   bool IsStream() const { return mIsStream; }
   /// True once the stream's end mark was seen.
   bool HasEndMark() const { return mHasEndMark; }
+  /// The message ended whole: what is left of a stream is its last unit.
+  /// Returns how many units that completed.
+  std::uint64_t EndWhole();
+
+  /// Value of the "id" field of the last event that was taken; empty: none.
+  const std::string& LastEvent() const { return mLastEvent; }
   std::size_t HeldBytes() const { return mHeldBytes; }
 
 private:
@@ -37,6 +43,7 @@
   std::uint64_t mNextUnit;
   std::size_t mHeldBytes = 0;
   std::string mTail; ///< of an event that is not complete; or the whole body
+  std::string mLastEvent;
   std::deque<std::string> mEvents;
 };
 
--- a/src/apps/entry_control.cpp
+++ b/src/entry/control_systems.cpp
@@ -1,4 +1,4 @@
-#include "apps/entry_tables.hpp"
+#include "entry/tables.hpp"
 
 namespace bulrush::entry {
 namespace {
@@ -61,9 +61,29 @@
   }
 }
 
+// Control processes join and leave; the update names those there are.
 void
-Take(entry_tables& aTables, const wire::host_update& aUpdate)
+TakeControls(entry_tables& aTables,
+             const wire::host_update& aUpdate,
+             entry_outbox& aOutbox)
 {
+  for (const wire::control_address& control : aUpdate.controls) {
+    if (aTables.controls.Find(IdOf<replica_id>(control.name)) == nullptr) {
+      aOutbox.links.push_back(control);
+    }
+  }
+  aTables.leader = aUpdate.leader;
+  const std::uint32_t hosts = std::max(1U, aUpdate.hosts);
+  aTables.hasNewEndpoints |= hosts != aTables.hosts;
+  aTables.hosts = hosts;
+}
+
+void
+Take(entry_tables& aTables,
+     const wire::host_update& aUpdate,
+     entry_outbox& aOutbox)
+{
+  TakeControls(aTables, aUpdate, aOutbox);
   TakeTombstones(aTables, aUpdate.tombstones);
   TakeConfiguration(aTables, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
@@ -103,7 +123,7 @@
       control->lastHeard = aNow;
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
-      Take(aTables, *update);
+      Take(aTables, *update, aOutbox);
     } else if (const auto* granted =
                  std::get_if<wire::share_grant>(&message.body)) {
       aOutbox.grants.push_back(granted->grant);
@@ -227,6 +247,7 @@
         std::move(keys));
   }
   view.isStopping = aTables.isStopping;
+  view.hosts = aTables.hosts;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
--- a/src/apps/entry_http.cpp
+++ b/src/entry/openai.cpp
@@ -1,9 +1,11 @@
-#include "apps/entry_http.hpp"
+#include "entry/openai.hpp"
 
+#include "entry/requests.hpp"
 #include "settings/settings.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
 #include <limits>
 #include <stdexcept>
 
@@ -14,6 +16,7 @@
 
 constexpr std::uint64_t kDefaultMaxTokens = 256;
 constexpr std::uint64_t kMostMaxTokens = 131'072;
+constexpr int kUnauthorized = 401;
 
 caller_error
 BadRequest(std::string aText)
@@ -204,12 +207,150 @@
     { "Bulrush-Request", aRequestId },
   };
   if (aError.retryAfter) {
-    fields.push_back(
-      { "Retry-After", std::to_string(aError.retryAfter->count()) });
+    // Whole seconds, and never "at once".
+    const auto seconds = std::max(
+      std::chrono::seconds{ 1 },
+      std::chrono::ceil<std::chrono::seconds>(*aError.retryAfter));
+    fields.push_back({ "Retry-After", std::to_string(seconds.count()) });
   }
   aReply.Send(aError.status, fields, FormatError(aError, aRequestId));
 }
 
+namespace {
+
+constexpr int kHexadecimal = 16;
+constexpr attempt_id kUnreadableEcho{ ~std::uint64_t{ 0 } };
+
+attempt_id
+ParseAttempt(const std::string* aText)
+{
+  if (aText == nullptr) {
+    return {};
+  }
+  attempt_id id;
+  const char* end = aText->data() + aText->size();
+  const auto read = std::from_chars(aText->data(), end, id.value, kHexadecimal);
+  const bool isWhole = read.ec == std::errc{} && read.ptr == end;
+  return isWhole && id ? id : kUnreadableEcho;
+}
+
+std::uint64_t
+ParseNumber(const std::string* aText)
+{
+  std::uint64_t number = 0;
+  if (aText != nullptr) {
+    std::from_chars(aText->data(), aText->data() + aText->size(), number);
+  }
+  return number;
+}
+
+bool
+IsCompletion(const std::string& aPath)
+{
+  return aPath == "/v1/completions" || aPath == "/v1/chat/completions";
+}
+
+std::optional<caller_call>
+ReadCall(const net::http_request& aRequest, caller_error& aError)
+{
+  caller_call call;
+  if (IsCompletion(aRequest.path)) {
+    auto completion = ParseCompletion(aRequest, aError);
+    if (!completion) {
+      return std::nullopt;
+    }
+    call.isByModel = true;
+    call.model = std::move(completion->modelName);
+    call.isStreamed = completion->isStream;
+    call.answerTokens = static_cast<std::int64_t>(completion->maxTokens);
+    call.tokens = static_cast<std::int64_t>(completion->promptTokens) +
+                  call.answerTokens;
+    call.body = std::move(completion->body);
+  } else {
+    call.body = aRequest.body;
+  }
+  caller_error noKey; // the route decides whether one is needed
+  if (const auto key = ParseBearer(aRequest, noKey)) {
+    call.key = *key;
+  } else if (noKey.status != kUnauthorized) {
+    aError = std::move(noKey);
+    return std::nullopt;
+  }
+  // The endpoint sees an allow-list of header fields, never the key.
+  for (const char* name : { "Content-Type", "Accept", "traceparent" }) {
+    if (const std::string* value = net::FindField(aRequest.fields, name)) {
+      call.fields.push_back({ name, *value });
+    }
+  }
+  return call;
+}
+
+void
+WriteAttempt(const attempt_call& aAttempt, std::vector<net::http_field>& aTo)
+{
+  aTo.push_back({ "Bulrush-Attempt", FormatId(aAttempt.attempt.value) });
+  if (aAttempt.resumeOffset > 0) {
+    aTo.push_back(
+      { "Bulrush-Resume", std::to_string(aAttempt.resumeOffset) });
+  }
+}
+
+routing::answer_head
+ReadAnswer(const attempt_call& /*aAttempt*/,
+           int aStatus,
+           const std::vector<net::http_field>& aFields)
+{
+  const std::string* notRun = net::FindField(aFields, "Bulrush-Not-Run");
+  routing::answer_head head;
+  head.status = aStatus;
+  head.echoed = ParseAttempt(net::FindField(aFields, "Bulrush-Attempt"));
+  head.saysNotRun = notRun != nullptr && *notRun == "true";
+  head.startOffset = ParseNumber(net::FindField(aFields, "Bulrush-Resume"));
+  return head;
+}
+
+std::vector<net::http_field>
+AnswerFields(const std::vector<net::http_field>& aFields)
+{
+  const std::string* type = net::FindField(aFields, "Content-Type");
+  return { { "Content-Type", type == nullptr ? "" : *type } };
+}
+
+void
+BreakStream(net::http_reply& aReply,
+            const caller_error& aError,
+            const std::string& aRequestId)
+{
+  aReply.Write("event: error\ndata: " + FormatError(aError, aRequestId) +
+               "\n\n");
+  aReply.Finish();
+}
+
+} // namespace
+
+front_end
+OpenAiFrontEnd()
+{
+  front_end front;
+  front.readCall = ReadCall;
+  front.writeAttempt = WriteAttempt;
+  front.readAnswer = ReadAnswer;
+  front.readLoad = [](const std::vector<net::http_field>&) {
+    return std::optional<endpoint_load>();
+  };
+  front.answerFields = AnswerFields;
+  front.sendError = SendError;
+  front.breakStream = BreakStream;
+  front.readUsage = ReadUsage;
+  front.modelName = [](const std::string&, const std::string& aModel) {
+    return aModel;
+  };
+  front.adapterName = [](const std::string&,
+                         const std::string&,
+                         const std::string& aAdapter) { return aAdapter; };
+  return front;
+}
+
 // The engine is sent the very max_tokens that was reserved, so it cannot
 // generate more than the workspace was charged for.
 std::optional<completion_call>
--- a/src/apps/entry_http.hpp
+++ b/src/entry/openai.hpp
@@ -1,23 +1,13 @@
-#ifndef BULRUSH_APPS_ENTRY_HTTP_HPP
-#define BULRUSH_APPS_ENTRY_HTTP_HPP
+#ifndef BULRUSH_ENTRY_OPENAI_HPP
+#define BULRUSH_ENTRY_OPENAI_HPP
 
-/// What bulrush-entry reads from HTTP requests and writes into answers.
+/// The completions interface: what it reads from HTTP requests and writes into
+/// answers.
 
-#include "fleet/fleet.hpp"
-#include "net/net.hpp"
+#include "entry/entry.hpp"
 
 namespace bulrush::entry {
 
-/// Why a caller's request was not answered as asked.
-struct caller_error
-{
-  int status = 500;
-  std::string code;
-  std::string text;
-  bool mayHaveRun = false;
-  std::optional<std::chrono::seconds> retryAfter;
-};
-
 std::string FormatError(const caller_error& aError,
                         const std::string& aRequestId);
 
--- /dev/null
+++ b/src/entry/process.cpp
@@ -0,0 +1,536 @@
+#include "entry/traffic.hpp"
+#include "program/program.hpp"
+#include "observe/observe.hpp"
+#include "settings/settings.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <thread>
+
+namespace bulrush::entry {
+namespace {
+
+constexpr log_part kLog{ "entry" };
+
+constexpr auto kOptions = std::to_array<option_row>({
+  { "name",
+    option_type::eText,
+    "",
+    "entry-a",
+    "",
+    "",
+    "Name of this host, unlike any other" },
+  { "domain",
+    option_type::eText,
+    "",
+    "domain-a",
+    "",
+    "",
+    "Failure domain that this host is in" },
+  { "listen",
+    option_type::eAddress,
+    "",
+    "127.0.0.1:8080",
+    "",
+    "",
+    "Address for callers and endpoints" },
+  { "control",
+    option_type::eList,
+    "",
+    "control-a=127.0.0.1:7100",
+    "",
+    "",
+    "Control processes to report to, NAME=IP:PORT, the preferred one first" },
+  { "seeds",
+    option_type::eAddressList,
+    "",
+    "",
+    "",
+    "",
+    "In place of control: addresses of some control processes, of which the IP "
+    "numbers count; they tell of the others" },
+  { "seed-port",
+    option_type::eInteger,
+    "",
+    "7100",
+    "1",
+    "65535",
+    "Port of the links of control processes, with seeds" },
+  { "front-end",
+    option_type::eText,
+    "",
+    "openai",
+    "",
+    "",
+    "How callers and endpoints speak: openai, or another name that the program "
+    "was built with" },
+  { "ready-listen",
+    option_type::eAddress,
+    "",
+    "",
+    "",
+    "",
+    "Address that answers 200 to any question while this host takes requests" },
+  { "serve-without-lease",
+    option_type::eBool,
+    "",
+    "false",
+    "",
+    "",
+    "Serve known keys also while no control process can be reached; a key that "
+    "was withdrawn meanwhile then works until one is" },
+  { "stop-delay",
+    option_type::eDuration,
+    "",
+    "1s",
+    "0ms",
+    "10min",
+    "How long a stopping host is unready and still takes requests" },
+  { "link-keys",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the fleet's link keys, made by bulrushctl keygen" },
+  { "credential",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the credential that control processes expect" },
+  { "endpoint-secret",
+    option_type::eSecretFile,
+    "",
+    "",
+    "",
+    "",
+    "File with the secret that endpoints present with their reports" },
+  { "spans",
+    option_type::ePath,
+    "",
+    "",
+    "",
+    "",
+    "File for spans as OTLP/JSON lines; none are written without it" },
+  { "spans-size",
+    option_type::eInteger,
+    "bytes",
+    "67108864",
+    "1048576",
+    "",
+    "Size at which the file of spans is renamed to FILE.1" },
+  { "trace-share",
+    option_type::eDecimal,
+    "",
+    "0.01",
+    "0",
+    "1",
+    "Share of requests without a traceparent whose spans are written" },
+  { "log-level",
+    option_type::eText,
+    "",
+    "info",
+    "",
+    "",
+    "Lines that are written: debug, info, warning or error and above" },
+});
+
+constexpr program_options kProgram{
+  "bulrush-entry",
+  "Takes callers' requests and sends them to endpoints",
+  kOptions
+};
+
+// The control thread's side of the process.
+class control_thread
+{
+public:
+  control_thread(asio::io_context& aContext,
+                 const option_values& aOptions,
+                 std::function<void(traffic_view)> aPublish,
+                 std::function<void(admission::grant)> aOnGrant)
+    : mContext(aContext)
+    , mPublish(std::move(aPublish))
+    , mOnGrant(std::move(aOnGrant))
+    , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+  {
+    mTables.self.name = aOptions.Text("name");
+    mTables.self.domain = aOptions.Text("domain");
+    mTables.self.incarnation = static_cast<std::uint64_t>(
+      std::chrono::system_clock::now().time_since_epoch().count());
+  }
+
+  entry_tables& Tables() { return mTables; }
+
+  void SetLinkKeys(net::link_keys aKeys) { mLinkKeys = std::move(aKeys); }
+
+  bool Connect(const wire::control_address& aControl, last_reason& aWhy)
+  {
+    if (mLinks.contains(aControl.address)) {
+      return true;
+    }
+    control_row row;
+    row.id = IdOf<replica_id>(aControl.name);
+    row.address = aControl.address;
+    row.preference = mTables.controls.Size();
+    auto link = net::ConnectLink(
+      mContext,
+      row.address,
+      mTables.self.name,
+      mLinkKeys,
+      [this](const std::string& aBytes) { Receive(aBytes); },
+      aWhy);
+    if (!link) {
+      return false;
+    }
+    mLinks.emplace(row.address, std::move(*link));
+    mTables.controls.Insert(row);
+    return true;
+  }
+
+  void RunSoon() { mTimer.RunSoon(); }
+
+  void Renew(admission::renewal aRenewal)
+  {
+    mTables.renewals.push_back(std::move(aRenewal));
+    mTimer.RunSoon();
+  }
+
+  void BeginStop()
+  {
+    mTables.isStopping = true;
+    mTables.nextReport = steady_time{}; // tell the control host at once
+    mTimer.RunSoon();
+  }
+
+  void Report(endpoint_row aRow)
+  {
+    mTables.reports.push_back(std::move(aRow));
+    mTimer.RunSoon();
+  }
+
+  void Command(fleet_command aCommand,
+               steady_time aDeadline,
+               command_hook aOnReply)
+  {
+    pending_command row;
+    row.id = call_id{ ++mTables.lastCall };
+    row.command = std::move(aCommand);
+    row.onReply = std::move(aOnReply);
+    row.deadline = aDeadline;
+    mTables.commands.Insert(std::move(row));
+    mTimer.RunSoon();
+  }
+
+private:
+  void Receive(const std::string& aBytes)
+  {
+    last_reason why;
+    auto message = wire::Decode(aBytes, std::chrono::steady_clock::now(), why);
+    if (!message) {
+      LogWarning(kLog, "A message is dropped: {}", Describe(why));
+      return;
+    }
+    mTables.inbox.push_back(std::move(*message));
+    mTimer.RunSoon();
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    entry_outbox outbox;
+    RunEntryControl(mTables, aNow, outbox);
+    for (const wire::control_address& control : outbox.links) {
+      last_reason why;
+      if (!Connect(control, why)) {
+        LogWarning(kLog, "No link to {}: {}", control.name, Describe(why));
+      }
+    }
+    for (outgoing& out : outbox.messages) {
+      const auto link = mLinks.find(out.controlAddress);
+      link->second->Send(wire::Encode(
+        { mTables.self.name, mTables.self.incarnation, std::move(out.body) },
+        aNow));
+    }
+    for (const auto& [hook, reply] : outbox.replies) {
+      hook(reply);
+    }
+    if (outbox.view) {
+      mPublish(std::move(*outbox.view));
+    }
+    for (admission::grant& next : outbox.grants) {
+      mOnGrant(std::move(next));
+    }
+    return outbox.wake;
+  }
+
+  asio::io_context& mContext;
+  entry_tables mTables;
+  net::link_keys mLinkKeys;
+  std::function<void(traffic_view)> mPublish;
+  std::function<void(admission::grant)> mOnGrant;
+  net::tick_timer mTimer;
+  std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
+};
+
+class entry_process
+{
+public:
+  entry_process(const option_values& aOptions,
+                span_writer aSpans,
+                const secret_text& aEndpointSecret,
+                front_end aFront)
+    : mStopDelay(aOptions.Duration("stop-delay"))
+    , mControl(
+        mControlContext,
+        aOptions,
+        [this](traffic_view aView) {
+          asio::post(mTrafficContext,
+                     [this, view = std::move(aView)]() mutable {
+                       mTraffic.SetView(std::move(view));
+                     });
+        },
+        [this](admission::grant aGrant) {
+          asio::post(mTrafficContext,
+                     [this, grant = std::move(aGrant)]() mutable {
+                       mTraffic.TakeGrant(std::move(grant));
+                     });
+        })
+    , mTraffic(mTrafficContext,
+               TrafficSettings(aOptions,
+                               std::move(aSpans),
+                               aEndpointSecret,
+                               std::move(aFront)),
+               Hooks())
+  {
+  }
+
+  bool Start(const option_values& aOptions, last_reason& aWhy)
+  {
+    if (!ReadCredential(aOptions, aWhy) || !mTraffic.Start(aWhy)) {
+      return false;
+    }
+    const host_address listen = *aOptions.Address("listen");
+    mControl.Tables().self.httpAddress =
+      FormatAddress({ listen.ip, mTraffic.Port() });
+    const auto keys = ReadLinkKeys(aOptions, aWhy);
+    if (!keys) {
+      return false;
+    }
+    mControl.SetLinkKeys(*keys);
+    const auto controls = ReadControls(aOptions, aWhy);
+    if (!controls) {
+      return false;
+    }
+    for (const wire::control_address& control : *controls) {
+      if (!mControl.Connect(control, aWhy)) {
+        return false;
+      }
+    }
+    LogInfo(kLog,
+            "{} listens on {}",
+            mControl.Tables().self.name,
+            mControl.Tables().self.httpAddress);
+    return true;
+  }
+
+  void Run()
+  {
+    const auto guard = asio::make_work_guard(mTrafficContext);
+    std::thread traffic([this] { mTrafficContext.run(); });
+    net::OnStopSignal(mControlContext, [this] { BeginStop(); });
+    mControl.RunSoon();
+    mControlContext.run();
+    mTrafficContext.stop();
+    traffic.join();
+  }
+
+private:
+  // First unready, so that the balancer moves on while requests are still
+  // taken; after the delay new ones are refused and those open are finished.
+  void BeginStop()
+  {
+    LogInfo(kLog, "Stops after {}", FormatDuration(mStopDelay));
+    mControl.BeginStop();
+    mStopTimer.expires_after(mStopDelay);
+    mStopTimer.async_wait([this](const std::error_code&) {
+      asio::post(mTrafficContext, [this] {
+        mTraffic.StopWhenIdle(
+          [this] { asio::post(mControlContext, [this] { EndStop(); }); });
+      });
+    });
+  }
+
+  void EndStop()
+  {
+    LogInfo(kLog, "Has finished every request");
+    mControlContext.stop();
+  }
+
+  // With seeds, control processes are named by the addresses of their links.
+  static std::optional<std::vector<wire::control_address>> ReadControls(
+    const option_values& aOptions,
+    last_reason& aWhy)
+  {
+    std::vector<wire::control_address> controls;
+    const auto port = static_cast<std::uint16_t>(aOptions.Integer("seed-port"));
+    for (const host_address& seed : aOptions.Addresses("seeds")) {
+      const std::string address = FormatAddress({ seed.ip, port });
+      controls.push_back({ address, address });
+    }
+    if (!controls.empty()) {
+      return controls;
+    }
+    for (const std::string& control : aOptions.List("control")) {
+      const std::size_t equals = control.find('=');
+      if (equals == std::string::npos) {
+        return Fail(aWhy, "read control", control, "expected NAME=IP:PORT");
+      }
+      controls.push_back(
+        { control.substr(0, equals), control.substr(equals + 1) });
+    }
+    return controls;
+  }
+
+  traffic_settings TrafficSettings(const option_values& aOptions,
+                                   span_writer aSpans,
+                                   const secret_text& aEndpointSecret,
+                                   front_end aFront)
+  {
+    traffic_settings settings;
+    settings.front = std::move(aFront);
+    settings.servesWithoutLease = aOptions.Flag("serve-without-lease");
+    if (const auto ready = aOptions.Address("ready-listen")) {
+      settings.ready.emplace();
+      settings.ready->address = ready->ip;
+      settings.ready->port = ready->port;
+    }
+    const host_address listen = *aOptions.Address("listen");
+    settings.http.address = listen.ip;
+    settings.http.port = listen.port;
+    settings.hostName = aOptions.Text("name");
+    settings.incarnation = mControl.Tables().self.incarnation;
+    settings.domain = aOptions.Text("domain");
+    settings.endpointSecret = aEndpointSecret.Reveal();
+    settings.recording.thread = "traffic";
+    settings.recording.writer = std::move(aSpans);
+    settings.recording.traceShare = aOptions.Decimal("trace-share");
+    return settings;
+  }
+
+  control_hooks Hooks()
+  {
+    control_hooks hooks;
+    hooks.onRenewal = [this](admission::renewal aRenewal) {
+      asio::post(mControlContext,
+                 [this, renewal = std::move(aRenewal)]() mutable {
+                   mControl.Renew(std::move(renewal));
+                 });
+    };
+    hooks.onReport = [this](endpoint_row aRow) {
+      asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
+        mControl.Report(std::move(row));
+      });
+    };
+    hooks.onCommand = [this](fleet_command aCommand,
+                             steady_time aDeadline,
+                             command_hook aOnReply) {
+      auto replyOnTraffic =
+        [this, hook = std::move(aOnReply)](const wire::command_reply& aReply) {
+          asio::post(mTrafficContext, [hook, aReply] { hook(aReply); });
+        };
+      asio::post(mControlContext,
+                 [this,
+                  command = std::move(aCommand),
+                  aDeadline,
+                  hook = std::move(replyOnTraffic)]() mutable {
+                   mControl.Command(
+                     std::move(command), aDeadline, std::move(hook));
+                 });
+    };
+    return hooks;
+  }
+
+  bool ReadCredential(const option_values& aOptions, last_reason& aWhy)
+  {
+    const auto secret = ReadSecretOption(aOptions, "credential", aWhy);
+    if (!secret) {
+      return false;
+    }
+    mControl.Tables().self.credential = secret->Reveal();
+    return true;
+  }
+
+  asio::io_context mControlContext{ 1 };
+  asio::io_context mTrafficContext{ 1 };
+  asio::steady_timer mStopTimer{ mControlContext };
+  std::chrono::milliseconds mStopDelay;
+  control_thread mControl;
+  traffic_thread mTraffic;
+};
+
+std::optional<span_writer>
+OpenSpans(const option_values& aOptions, last_reason& aWhy)
+{
+  if (!aOptions.IsSet("spans")) {
+    return span_writer();
+  }
+  return FileSpanWriter(
+    aOptions.Path("spans"),
+    { "bulrush-entry", aOptions.Text("name"), aOptions.Text("domain") },
+    static_cast<std::uint64_t>(aOptions.Integer("spans-size")),
+    aWhy);
+}
+
+std::optional<front_end>
+FindFrontEnd(const std::string& aName,
+             std::span<const named_front_end> aFrontEnds,
+             last_reason& aWhy)
+{
+  if (aName == "openai") {
+    return OpenAiFrontEnd();
+  }
+  for (const named_front_end& each : aFrontEnds) {
+    if (each.name == aName) {
+      return each.make();
+    }
+  }
+  return Fail(aWhy, "choose front end", aName, "no such front end");
+}
+
+} // namespace
+
+int
+RunEntry(int aCount, char** aWords, std::span<const named_front_end> aFrontEnds)
+{
+  int exitCode = 0;
+  const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
+  if (!options) {
+    return exitCode;
+  }
+  last_reason why;
+  const auto level = ParseLogLevel(options->Text("log-level"), why);
+  const auto spans = level ? OpenSpans(*options, why) : std::nullopt;
+  const auto secret =
+    spans ? ReadSecretOption(*options, "endpoint-secret", why) : std::nullopt;
+  auto front = secret
+                 ? FindFrontEnd(options->Text("front-end"), aFrontEnds, why)
+                 : std::nullopt;
+  if (!front) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  SetLogLevel(*level);
+  entry_process process(*options, *spans, *secret, std::move(*front));
+  if (!process.Start(*options, why)) {
+    LogError(kLog, "Cannot start: {}", Describe(why));
+    return 1;
+  }
+  process.Run();
+  return 0;
+}
+
+} // namespace bulrush::entry
--- a/src/apps/entry_recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -1,4 +1,4 @@
-#include "apps/entry_recorder.hpp"
+#include "entry/recorder.hpp"
 
 namespace bulrush::entry {
 namespace {
--- a/src/apps/entry_recorder.hpp
+++ b/src/entry/recorder.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_ENTRY_RECORDER_HPP
-#define BULRUSH_APPS_ENTRY_RECORDER_HPP
+#ifndef BULRUSH_ENTRY_RECORDER_HPP
+#define BULRUSH_ENTRY_RECORDER_HPP
 
 /// Metrics and spans of one traffic thread of bulrush-entry. It stands around
 /// replies and the client, so that what serves requests knows nothing of it.
--- a/src/apps/entry_requests.cpp
+++ b/src/entry/requests.cpp
@@ -1,7 +1,6 @@
-#include "apps/entry_requests.hpp"
+#include "entry/requests.hpp"
 
-#include "apps/entry_answer.hpp"
-#include "apps/entry_http.hpp"
+#include "entry/answer.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -13,11 +12,11 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
+constexpr std::chrono::milliseconds kRetryAfter{ 250 };
 constexpr std::chrono::milliseconds kConnectWithin{ 1'000 };
 constexpr std::size_t kMostHeldBytes = 33'554'432;
 constexpr std::size_t kMostStoredBytes = 65'536;
 constexpr std::size_t kPauseAtBytes = 262'144;
-constexpr attempt_id kUnreadableEcho{ ~std::uint64_t{ 0 } };
 
 /// A caller who waits, or whose claimed request still runs.
 struct waiting_row
@@ -26,10 +25,11 @@
   routed_request request;
   claim_id claim;
   std::uint64_t token = 0;
-  std::string contentType;
+  std::vector<net::http_field> answerFields; ///< that the caller is shown
   std::string wholeBody; ///< of an answer that is not a stream
   int status = 0;
   bool isStarted = false; ///< a stream whose head the caller has
+  std::string lastEvent;  ///< id of the last event that the caller has
 };
 
 /// A call to an endpoint.
@@ -38,7 +38,8 @@
   attempt_id id;
   request_id request;
   net::http_client::call_number call = 0;
-  std::string contentType;
+  attempt_call told; ///< what the endpoint was told
+  std::vector<net::http_field> answerFields;
   bool isStreamed = false;
   bool isPaused = false;
   std::unique_ptr<answer_buffer> answer;
@@ -133,33 +134,19 @@
   error.text = found->text;
   error.mayHaveRun = aEnd.ran != routing::ran_state::eNotRun;
   if (found->isWorthRetrying) {
-    error.retryAfter = std::chrono::seconds(1);
+    error.retryAfter = kRetryAfter;
   }
   return error;
 }
 
-attempt_id
-ParseAttempt(const std::string* aText)
+// What a stored outcome keeps of the fields.
+std::string
+ContentTypeOf(const std::vector<net::http_field>& aFields)
 {
-  if (aText == nullptr) {
-    return {};
-  }
-  attempt_id id;
-  const char* end = aText->data() + aText->size();
-  const auto read = std::from_chars(aText->data(), end, id.value, kHexadecimal);
-  const bool isWhole = read.ec == std::errc{} && read.ptr == end;
-  return isWhole && id ? id : kUnreadableEcho;
+  const std::string* type = net::FindField(aFields, "Content-Type");
+  return type == nullptr ? "" : *type;
 }
 
-std::uint64_t
-ParseNumber(const std::string* aText)
-{
-  std::uint64_t number = 0;
-  if (aText != nullptr) {
-    std::from_chars(aText->data(), aText->data() + aText->size(), number);
-  }
-  return number;
-}
 
 std::vector<routing::resident>
 ResidentsOf(const endpoint_row& aRow)
@@ -178,19 +165,38 @@
   return residents;
 }
 
+// What a cold endpoint bears is divided over the hosts.
+double
+ColdRate(const endpoint_row& aRow, const traffic_view& aView)
+{
+  for (const std::string& service : aRow.services) {
+    const service_row* row =
+      aView.fleet->declared.services.Find(IdOf<service_id>(service));
+    if (row != nullptr) {
+      return row->coldPerSecond / aView.hosts;
+    }
+  }
+  return 0;
+}
+
 // Until a host is told its allotment of an endpoint, it may use what the
 // endpoint bears.
 routing::endpoint_facts
-FactsOf(const endpoint_row& aRow, const fleet_state& aFleet)
+FactsOf(const endpoint_row& aRow,
+        const traffic_view& aView,
+        const front_end& aFront)
 {
+  const fleet_state& fleet = *aView.fleet;
   routing::endpoint_facts facts;
   facts.id = aRow.id;
   facts.incarnation = aRow.incarnation;
   facts.domain = aRow.domain;
   facts.address = aRow.address;
-  facts.isDraining = aRow.isLeaving || aFleet.drains.Find(aRow.id) != nullptr;
-  facts.isDomainOut = IsOut(aFleet, aRow.domain);
+  facts.isDraining = aRow.isLeaving || fleet.drains.Find(aRow.id) != nullptr;
+  facts.isDomainOut = IsOut(fleet, aRow.domain);
   facts.canResume = aRow.canResume;
+  facts.saysWhenCold = aFront.endpointsSayWhenCold;
+  facts.coldRate = ColdRate(aRow, aView);
   facts.reportsCold = aRow.isCold;
   facts.slots = aRow.slots;
   facts.coldSlots = aRow.coldSlots;
@@ -232,7 +238,8 @@
                  const request_runner_settings& aSettings,
                  std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand)
-    : mOnCommand(std::move(aOnCommand))
+    : mFront(*aSettings.front)
+    , mOnCommand(std::move(aOnCommand))
     , mTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings))
     , mClient(std::move(aClient))
@@ -250,7 +257,8 @@
 
   void SetView(const traffic_view& aView)
   {
-    const bool hasNewFleet = mView.fleet != aView.fleet;
+    const bool hasNewFleet =
+      mView.fleet != aView.fleet || mView.hosts != aView.hosts;
     const bool hasNewKeys = hasNewFleet || mView.tombstones != aView.tombstones;
     mView = aView;
     TakeEndpoints(hasNewFleet);
@@ -281,6 +289,7 @@
     routing::options options;
     options.ownDomain = IdOf<domain_id>(aSettings.domain);
     options.seed = aSettings.seed;
+    options.trustsRefusals = aSettings.front->trustsRefusals;
     return options;
   }
 
@@ -312,7 +321,8 @@
         continue;
       }
       mReports.Insert(latest);
-      routing::UpdateEndpoint(mEngine, FactsOf(row, *mView.fleet));
+      mEndpointNames[row.id] = row.name;
+      routing::UpdateEndpoint(mEngine, FactsOf(row, mView, mFront));
       routing::SetResidents(mEngine, row.id, ResidentsOf(row));
     }
     if (mReports.Size() != mView.endpoints->size()) {
@@ -330,6 +340,7 @@
       const bool isGone = !present.contains(aKnown.id);
       if (isGone) {
         routing::RemoveEndpoint(mEngine, aKnown.id);
+        mEndpointNames.erase(aKnown.id);
       }
       return isGone;
     });
@@ -358,15 +369,12 @@
                  const std::vector<net::http_field>& aFields)
   {
     call_row* row = mCalls.Find(aAttempt);
-    if (const std::string* type = net::FindField(aFields, "Content-Type")) {
-      row->contentType = *type;
-    }
-    const std::string* notRun = net::FindField(aFields, "Bulrush-Not-Run");
-    routing::answer_head head;
-    head.status = aStatus;
-    head.echoed = ParseAttempt(net::FindField(aFields, "Bulrush-Attempt"));
-    head.saysNotRun = notRun != nullptr && *notRun == "true";
-    head.startOffset = ParseNumber(net::FindField(aFields, "Bulrush-Resume"));
+    row->answerFields = mFront.answerFields(aFields);
+    if (const auto load = mFront.readLoad(aFields)) {
+      TakeLoad(aAttempt, *load);
+    }
+    const routing::answer_head head =
+      mFront.readAnswer(row->told, aStatus, aFields);
     const bool isSuccess = aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
     row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
                                                   head.startOffset);
@@ -374,6 +382,14 @@
     mTimer.RunSoon();
   }
 
+  void TakeLoad(attempt_id aAttempt, const endpoint_load& aLoad)
+  {
+    if (const auto* attempt = mEngine.attempts.Find(aAttempt)) {
+      routing::OnEndpointLoad(
+        mEngine, attempt->endpoint, aLoad.running + aLoad.queued, Now());
+    }
+  }
+
   void OnBytes(attempt_id aAttempt, std::string_view aBytes)
   {
     call_row* row = mCalls.Find(aAttempt);
@@ -393,7 +409,12 @@
 
   void OnEnd(attempt_id aAttempt, const net::http_call_end& aEnd)
   {
-    const call_row& row = *mCalls.Find(aAttempt);
+    call_row& row = *mCalls.Find(aAttempt);
+    if (aEnd.whole && row.answer != nullptr && !mFront.streamsHaveEndMark) {
+      const std::uint64_t first = row.answer->NextUnit();
+      routing::OnAttemptBytes(
+        mEngine, aAttempt, first, row.answer->EndWhole(), Now());
+    }
     auto how = routing::attempt_end::eLost;
     if (!aEnd.anySent) {
       how = routing::attempt_end::eNotSent;
@@ -406,10 +427,11 @@
   }
 
   // A stream without its end mark broke off, however politely.
-  static bool IsWhole(const call_row& aRow)
+  bool IsWhole(const call_row& aRow) const
   {
     return aRow.answer != nullptr &&
-           (!aRow.answer->IsStream() || aRow.answer->HasEndMark());
+           (!aRow.answer->IsStream() || !mFront.streamsHaveEndMark ||
+            aRow.answer->HasEndMark());
   }
 
   // The row stays until the engine has taken its bytes.
@@ -482,18 +504,14 @@
   void StartCall(const routing::start_attempt& aStart)
   {
     const waiting_row& waiting = *mWaiting.Find(aStart.request);
+    call_row row;
+    row.told = AttemptOf(aStart, waiting);
     net::http_call call = waiting.request.call;
-    call.url = "http://" + aStart.address + waiting.request.path;
-    call.fields.push_back(
-      { "Bulrush-Attempt", FormatId(aStart.attempt.value) });
-    if (aStart.resumeOffset > 0) {
-      call.fields.push_back(
-        { "Bulrush-Resume", std::to_string(aStart.resumeOffset) });
-    }
+    call.url = "http://" + aStart.address + waiting.request.target;
+    mFront.writeAttempt(row.told, call.fields);
     call.freshConnection = aStart.freshConnection;
     call.connectTimeout = std::min(kConnectWithin, aStart.timeout);
     const attempt_id attempt = aStart.attempt;
-    call_row row;
     row.id = attempt;
     row.request = aStart.request;
     row.isStreamed = waiting.request.facts.isStreamed;
@@ -509,6 +527,28 @@
     mCalls.Insert(std::move(row));
   }
 
+  attempt_call AttemptOf(const routing::start_attempt& aStart,
+                         const waiting_row& aWaiting) const
+  {
+    attempt_call told;
+    told.attempt = aStart.attempt;
+    told.callerId = aWaiting.request.callerId;
+    told.workspace = aWaiting.request.workspaceName;
+    const auto name = mEndpointNames.find(aStart.endpoint);
+    told.endpoint = name == mEndpointNames.end() ? "" : name->second;
+    const auto& facts = aWaiting.request.facts;
+    const steady_time end =
+      facts.isStreamed && facts.endBy != steady_time::max() ? facts.endBy
+                                                            : facts.deadline;
+    told.timeLeft = std::max(
+      std::chrono::milliseconds{ 1 },
+      std::chrono::floor<std::chrono::milliseconds>(end - Now()));
+    told.resumeOffset = aStart.resumeOffset;
+    told.resumeAfter = aWaiting.lastEvent.empty() ? aWaiting.request.resumeAfter
+                                                  : aWaiting.lastEvent;
+    return told;
+  }
+
   // No hook of a cancelled call is called, so its end is told here. The
   // connection is closed, which is how an endpoint hears of it.
   void Cancel(attempt_id aAttempt)
@@ -524,7 +564,7 @@
     call_row& row = *mCalls.Find(aForward.attempt);
     waiting_row& waiting = *mWaiting.Find(aForward.request);
     waiting.status = aForward.status;
-    waiting.contentType = row.contentType;
+    waiting.answerFields = row.answerFields;
     std::string bytes = row.answer->Take(aForward.count);
     if (!row.answer->IsStream()) {
       waiting.wholeBody = std::move(bytes);
@@ -533,7 +573,10 @@
     net::http_reply& reply = *waiting.request.reply;
     if (!waiting.isStarted) {
       waiting.isStarted = true;
-      reply.Start(aForward.status, { { "Content-Type", row.contentType } });
+      reply.Start(aForward.status, row.answerFields);
+    }
+    if (!row.answer->LastEvent().empty()) {
+      waiting.lastEvent = row.answer->LastEvent();
     }
     reply.Write(std::move(bytes));
     if (reply.UnsentBytes() > kPauseAtBytes && !row.isPaused) {
@@ -570,27 +613,26 @@
       EndWhole(row);
     } else if (aEnd.outcome == request_outcome::eStoredAnswer) {
       reply.Send(row.status,
-                 { { "Content-Type", row.contentType },
+                 { { "Content-Type", ContentTypeOf(row.answerFields) },
                    { "Idempotent-Replay", "true" } },
                  std::move(row.wholeBody));
     } else if (row.isStarted) {
-      reply.Write("event: error\ndata: " +
-                  FormatError(ErrorOf(aEnd), FormatId(row.id.value)) + "\n\n");
-      reply.Finish();
+      mFront.breakStream(reply, ErrorOf(aEnd), FormatId(row.id.value));
     } else {
-      SendError(reply, ErrorOf(aEnd), FormatId(row.id.value));
+      mFront.sendError(reply, ErrorOf(aEnd), FormatId(row.id.value));
     }
   }
 
   // What a stream used is not known, so its whole bound counts.
-  static std::optional<std::int64_t> UsedTokens(
-    const routing::end_request& aEnd,
-    const waiting_row& aRow)
+  std::optional<std::int64_t> UsedTokens(const routing::end_request& aEnd,
+                                         const waiting_row& aRow) const
   {
     if (aEnd.ran == routing::ran_state::eNotRun) {
       return 0;
     }
-    return aRow.isStarted ? std::nullopt : ReadUsage(aRow.wholeBody);
+    return aRow.isStarted || !mFront.readUsage
+             ? std::nullopt
+             : mFront.readUsage(aRow.wholeBody);
   }
 
   static void EndWhole(waiting_row& aRow)
@@ -600,10 +642,9 @@
       reply.Finish();
       return;
     }
-    reply.Send(aRow.status,
-               { { "Content-Type", aRow.contentType },
-                 { "Bulrush-Request", FormatId(aRow.id.value) } },
-               std::move(aRow.wholeBody));
+    std::vector<net::http_field> fields = std::move(aRow.answerFields);
+    fields.push_back({ "Bulrush-Request", FormatId(aRow.id.value) });
+    reply.Send(aRow.status, fields, std::move(aRow.wholeBody));
   }
 
   // Claims ------------------------------------------------------------------
@@ -635,7 +676,8 @@
     }
     if (waiting_row* row = mWaiting.Find(aRequest)) {
       row->status = aReply.result.storedStatus;
-      row->contentType = aReply.result.storedContentType;
+      row->answerFields = { { "Content-Type",
+                              aReply.result.storedContentType } };
       row->wholeBody = aReply.result.storedBody;
     }
     routing::OnClaimAnswer(mEngine, aRequest, ClaimAnswerOf(aReply));
@@ -658,7 +700,7 @@
     outcome.claim = row.claim;
     outcome.token = row.token;
     outcome.status = aRecord.status;
-    outcome.contentType = call.contentType;
+    outcome.contentType = ContentTypeOf(call.answerFields);
     outcome.body = row.wholeBody.empty() ? call.answer->Take(0) : row.wholeBody;
     if (outcome.body.size() <= kMostStoredBytes) {
       Commit(outcome, aNow + kRecordWithin, {});
@@ -692,12 +734,14 @@
     bool operator==(const report_key&) const = default;
   };
 
+  const front_end& mFront;
   commit_hook mOnCommand;
   random_engine mTokens;
   traffic_view mView;
   routing::tables mEngine;
   routing::outbox mOutbox;
   table<endpoint_id, report_key> mReports;
+  std::unordered_map<endpoint_id, std::string, id_hash> mEndpointNames;
   table<request_id, waiting_row> mWaiting;
   table<attempt_id, call_row> mCalls;
   std::vector<attempt_id> mEnded;
--- a/src/apps/entry_requests.hpp
+++ b/src/entry/requests.hpp
@@ -1,10 +1,11 @@
-#ifndef BULRUSH_APPS_ENTRY_REQUESTS_HPP
-#define BULRUSH_APPS_ENTRY_REQUESTS_HPP
+#ifndef BULRUSH_ENTRY_REQUESTS_HPP
+#define BULRUSH_ENTRY_REQUESTS_HPP
 
 /// Carries out what the routing library decides for one traffic thread: calls
 /// to endpoints, answers to callers, claims in the fleet's log.
 
-#include "apps/entry_tables.hpp"
+#include "entry/entry.hpp"
+#include "entry/tables.hpp"
 #include "net/net.hpp"
 #include "routing/routing.hpp"
 
@@ -18,6 +19,10 @@
   routing::request_facts facts;
   net::http_call call; ///< without address, attempt and connection
   std::string path;
+  std::string target; ///< path and query, as the caller sent them
+  std::string callerId;
+  std::string workspaceName;
+  std::string resumeAfter; ///< id of the last event that the caller has
   std::shared_ptr<net::http_reply> reply;
   /// Called once at the end with the tokens used, if the answer says so.
   std::function<void(std::optional<std::int64_t> aUsedTokens)> onEnded;
@@ -27,6 +32,7 @@
 {
   std::string domain;
   std::uint64_t seed = 1; ///< of attempt ids and claim tokens: new each start
+  const front_end* front = nullptr; ///< outlives the runner
 };
 
 /// Asks the control thread to have a command committed; answers on this thread.
--- a/src/apps/entry_tables.hpp
+++ b/src/entry/tables.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_ENTRY_TABLES_HPP
-#define BULRUSH_APPS_ENTRY_TABLES_HPP
+#ifndef BULRUSH_ENTRY_TABLES_HPP
+#define BULRUSH_ENTRY_TABLES_HPP
 
 /// Tables of bulrush-entry's control thread, and the view of them that its
 /// traffic threads read.
@@ -24,6 +24,7 @@
   std::shared_ptr<const std::unordered_set<key_hash, id_hash>> tombstones =
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
   bool isStopping = false;
+  std::uint32_t hosts = 1; ///< entry hosts, this one among them
 };
 
 /// A control process that this host may report to, in order of preference.
@@ -76,6 +77,8 @@
   std::uint64_t lastReport = 0;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
+  std::string leader;     ///< name of the control process that leads
+  std::uint32_t hosts = 1; ///< entry hosts, as control knows
   traffic_view published; ///< the latest one
   bool isStopping = false;
   bool hasNewFleet = true;
@@ -91,6 +94,7 @@
 
 struct entry_outbox
 {
+  std::vector<wire::control_address> links; ///< control processes to link to
   std::vector<outgoing> messages;
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
   std::optional<traffic_view> view;     ///< to be published
--- a/src/apps/entry_traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,8 +1,8 @@
-#include "apps/entry_traffic.hpp"
+#include "entry/traffic.hpp"
 
-#include "apps/entry_admission.hpp"
-#include "apps/entry_http.hpp"
-#include "apps/entry_requests.hpp"
+#include "entry/admission.hpp"
+#include "entry/openai.hpp"
+#include "entry/requests.hpp"
 #include "settings/settings.hpp"
 
 #include <cmath>
@@ -15,6 +15,7 @@
 // comes whole is not cut off before it can have been generated.
 constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
 constexpr std::size_t kMaxIdempotencyKey = 128;
+constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 // A host that knows no endpoint yet lets routing say so.
 constexpr std::size_t kLeastCapacity = 16;
@@ -24,8 +25,7 @@
 {
   caller_error error;
   error.retryAfter =
-    std::max(std::chrono::seconds{ 1 },
-             std::chrono::ceil<std::chrono::seconds>(aRefusal.retryAfter));
+    std::chrono::ceil<std::chrono::milliseconds>(aRefusal.retryAfter);
   switch (aRefusal.kind) {
     case refusal_kind::eOverRate:
       error.status = 429;
@@ -78,8 +78,9 @@
     , mAdmissionTimer(aContext,
                       [this](steady_time aNow) { return TickAdmission(aNow); })
     , mRecorder(Seeded(mSettings.recording))
+    , mRandom(NewSeed())
     , mRunner(aContext,
-              { mSettings.domain, NewSeed() },
+              { mSettings.domain, NewSeed(), &mSettings.front },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand)
   {
@@ -99,7 +100,7 @@
       return false;
     }
     mServer = std::move(*server);
-    return true;
+    return !mSettings.ready || StartReadiness(aWhy);
   }
 
   std::uint16_t Port() const { return mServer->Port(); }
@@ -143,52 +144,112 @@
                             HasLease() });
   }
 
+  // A balancer that asks at an address of its own gets one page there.
+  bool StartReadiness(last_reason& aWhy)
+  {
+    auto server = net::Listen(
+      mContext,
+      *mSettings.ready,
+      [this](const net::http_request&,
+             const std::shared_ptr<net::http_reply>& aReply) {
+        SendReadiness(*aReply);
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mReadiness = std::move(*server);
+    return true;
+  }
+
+  void SendReadiness(net::http_reply& aReply) const
+  {
+    const bool isReady = !mIsRefusing && !mView.isStopping && MayServeKeys() &&
+                         mView.fleet->manifestRevision > 0 &&
+                         (!mSettings.ready || !mView.endpoints->empty());
+    aReply.Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
+  }
+
+  bool MayServeKeys() const
+  {
+    return mSettings.servesWithoutLease || HasLease();
+  }
+
+  void SendError(net::http_reply& aReply,
+                 const caller_error& aError,
+                 request_id aId) const
+  {
+    mSettings.front.sendError(aReply, aError, FormatId(aId.value));
+  }
+
   void Serve(net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
-    caller_error error;
-    if (!CheckRequest(aRequest, mSettings.http.maxBodyBytes, error)) {
-      SendError(*aReply, error, FormatId(id.value));
+    if (mSettings.front.servesPages && ServePage(aRequest, *aReply, id)) {
       return;
     }
     if (mIsRefusing) {
-      SendError(*aReply,
-                { 503,
-                  "stopping",
-                  "this host is being stopped",
-                  false,
-                  std::chrono::seconds(1) },
-                FormatId(id.value));
+      SendError(*aReply, Stopping(), id);
+      return;
+    }
+    aReply = mRecorder.Record(aRequest, std::move(aReply));
+    ServeCaller(aRequest, std::move(aReply), id);
+  }
+
+  // The pages beside callers' requests; false for any other path.
+  bool ServePage(const net::http_request& aRequest,
+                 net::http_reply& aReply,
+                 request_id aId)
+  {
+    caller_error error;
+    if (!CheckRequest(aRequest, mSettings.http.maxBodyBytes, error)) {
+      SendError(aReply, error, aId);
+    } else if (mIsRefusing) {
+      SendError(aReply, Stopping(), aId);
     } else if (aRequest.path == "/healthz") {
-      aReply->Send(200, {}, "ok\n");
+      aReply.Send(200, {}, "ok\n");
     } else if (aRequest.path == "/readyz") {
-      const bool isReady = HasLease() && !mView.isStopping;
-      aReply->Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
+      SendReadiness(aReply);
     } else if (aRequest.path == "/metrics") {
-      aReply->Send(200,
-                   { { "Content-Type", "text/plain; version=0.0.4" } },
-                   MetricsPage());
+      aReply.Send(200,
+                  { { "Content-Type", "text/plain; version=0.0.4" } },
+                  MetricsPage());
     } else if (aRequest.path == "/v1/endpoints/report") {
-      TakeReport(aRequest, *aReply, id);
+      TakeReport(aRequest, aReply, aId);
+    } else if (aRequest.path == "/v1/models") {
+      ListModels(aRequest, aReply, aId);
     } else {
-      aReply = mRecorder.Record(aRequest, std::move(aReply));
-      ServeCaller(aRequest, std::move(aReply), id);
+      return false;
     }
+    return true;
+  }
+
+  static caller_error Stopping()
+  {
+    return { 503,
+             "stopping",
+             "this host is being stopped",
+             false,
+             std::chrono::seconds(1) };
   }
 
   void ServeCaller(const net::http_request& aRequest,
                    std::shared_ptr<net::http_reply> aReply,
                    request_id aId)
   {
-    if (aRequest.path == "/v1/models") {
-      ListModels(aRequest, *aReply, aId);
-    } else if (aRequest.path == "/v1/completions" ||
-               aRequest.path == "/v1/chat/completions") {
-      Complete(aRequest, std::move(aReply), aId);
-    } else {
-      CallService(aRequest, std::move(aReply), aId);
+    caller_error error;
+    auto call = mSettings.front.readCall(aRequest, error);
+    resolved_call resolved;
+    resolved.facts.id = aId;
+    const bool isResolved =
+      call && (call->isByModel ? ResolveModel(*call, resolved, error)
+                               : ResolveRoute(aRequest, *call, resolved, error));
+    if (!isResolved) {
+      SendError(*aReply, error, aId);
+      return;
     }
+    Route(aRequest, std::move(*call), std::move(resolved), std::move(aReply));
   }
 
   bool HasLease() const
@@ -228,7 +289,7 @@
                   "expected the endpoints' secret in Bulrush-Secret",
                   false,
                   std::nullopt },
-                FormatId(aId.value));
+                aId);
       return;
     }
     last_reason why;
@@ -237,7 +298,7 @@
     if (!row) {
       SendError(aReply,
                 { 400, "bad_request", Describe(why), false, std::nullopt },
-                FormatId(aId.value));
+                aId);
       return;
     }
     mHooks.onReport(std::move(*row));
@@ -245,18 +306,30 @@
       200, { { "Content-Type", "application/json" } }, "{\"ok\":true}");
   }
 
-  const workspace_row* Authorise(const net::http_request& aRequest,
+  // What the manifest says of a call.
+  struct resolved_call
+  {
+    routing::request_facts facts;
+    const workspace_row* workspace = nullptr; ///< none on open routes
+    std::int64_t tokens = 0;
+  };
+
+  const workspace_row* Authorise(const std::string& aKey,
                                  caller_error& aError) const
   {
-    const auto key = ParseBearer(aRequest, aError);
-    if (!key) {
+    if (mView.fleet->manifestRevision == 0) {
+      aError = NoConfiguration();
+      return nullptr;
+    }
+    if (aKey.empty()) {
+      aError = { 401, "unauthorized", "expected a key", false, {} };
       return nullptr;
     }
-    if (!HasLease()) {
+    if (!MayServeKeys()) {
       aError = NoLease();
       return nullptr;
     }
-    const key_hash hash = HashKey(*key);
+    const key_hash hash = HashKey(aKey);
     const auto workspace = FindWorkspace(*mView.fleet, hash);
     if (!workspace || mView.tombstones->contains(hash)) {
       aError = { 401, "unauthorized", "the key is not known", false, {} };
@@ -270,9 +343,10 @@
                   request_id aId)
   {
     caller_error error;
-    const workspace_row* workspace = Authorise(aRequest, error);
+    const auto key = ParseBearer(aRequest, error);
+    const workspace_row* workspace = key ? Authorise(*key, error) : nullptr;
     if (workspace == nullptr) {
-      SendError(aReply, error, FormatId(aId.value));
+      SendError(aReply, error, aId);
       return;
     }
     aReply.Send(200,
@@ -280,83 +354,147 @@
                 FormatModelList(mView.fleet->declared, *workspace));
   }
 
-  void Complete(const net::http_request& aRequest,
-                std::shared_ptr<net::http_reply> aReply,
-                request_id aId)
+  bool ResolveModel(const caller_call& aCall,
+                    resolved_call& aTo,
+                    caller_error& aError) const
   {
-    caller_error error;
-    const auto call = ParseCompletion(aRequest, error);
-    if (!call || Authorise(aRequest, error) == nullptr) {
-      SendError(*aReply, error, FormatId(aId.value));
-      return;
+    aTo.workspace = Authorise(aCall.key, aError);
+    if (aTo.workspace == nullptr) {
+      return false;
     }
     const manifest& declared = mView.fleet->declared;
-    routing::request_facts facts;
-    facts.id = aId;
-    facts.model = IdOf<model_id>(call->modelName);
+    routing::request_facts& facts = aTo.facts;
+    facts.model = IdOf<model_id>(aCall.model);
     if (const auto* adapter =
-          declared.adapters.Find(IdOf<adapter_id>(call->modelName))) {
+          declared.adapters.Find(IdOf<adapter_id>(aCall.model))) {
       facts.model = adapter->model;
       facts.adapter = adapter->id;
     }
     const model_row* row = declared.models.Find(facts.model);
     if (row == nullptr) {
-      SendError(*aReply,
-                { 404, "not_found", "no such model", false, std::nullopt },
-                FormatId(aId.value));
-      return;
+      aError = { 404, "not_found", "no such model", false, std::nullopt };
+      return false;
     }
     facts.version = VersionOf(row->version);
-    facts.isStreamed = call->isStream;
-    if (!call->isStream) {
-      facts.expected =
-        static_cast<std::int64_t>(call->maxTokens) * kExpectedPerToken;
+    facts.isStreamed = aCall.isStreamed;
+    if (!aCall.isStreamed) {
+      facts.expected = aCall.answerTokens * kExpectedPerToken;
     }
     facts.deadline = std::chrono::steady_clock::now() + row->deadline;
-    SetCaller(facts, aRequest, false);
-    const auto tokens =
-      static_cast<std::int64_t>(call->promptTokens + call->maxTokens);
-    Route(aRequest, std::move(facts), call->body, tokens, std::move(aReply));
+    aTo.tokens = aCall.tokens.value_or(0);
+    SetCaller(aCall, aTo);
+    return true;
   }
 
-  void CallService(const net::http_request& aRequest,
-                   std::shared_ptr<net::http_reply> aReply,
-                   request_id aId)
+  bool ResolveRoute(const net::http_request& aRequest,
+                    const caller_call& aCall,
+                    resolved_call& aTo,
+                    caller_error& aError)
   {
     const route_row* route =
-      mView.fleet->declared.routes.Find(IdOf<route_id>(aRequest.path));
-    caller_error error{ 404, "not_found", "no such path", false, std::nullopt };
-    if (route == nullptr ||
-        (!route->isOpen && Authorise(aRequest, error) == nullptr)) {
-      SendError(*aReply, error, FormatId(aId.value));
-      return;
+      FindRoute(mView.fleet->declared, aCall.host, aRequest.path);
+    if (mView.fleet->manifestRevision == 0) {
+      aError = NoConfiguration();
+      return false;
     }
-    routing::request_facts facts;
-    facts.id = aId;
-    facts.model = ServiceId(route->service);
-    facts.isIdempotent = route->isIdempotent;
-    facts.deadline = std::chrono::steady_clock::now() + route->deadline;
-    SetCaller(facts, aRequest, route->isOpen);
-    if (!TakeIdempotencyKey(aRequest, facts, error)) {
-      SendError(*aReply, error, FormatId(aId.value));
-      return;
+    if (route == nullptr) {
+      aError = { 404, "not_found", "no such path", false, std::nullopt };
+      return false;
+    }
+    if (!route->isOpen) {
+      aTo.workspace = Authorise(aCall.key, aError);
+      if (aTo.workspace == nullptr) {
+        return false;
+      }
+    }
+    SetRoute(*route, aCall, aTo);
+    SetCaller(aCall, aTo);
+    return TakeIdempotencyKey(aRequest, aTo.facts, aError);
+  }
+
+  // A stream that may be resumed may as well begin anew; any other runs once.
+  void SetRoute(const route_row& aRoute,
+                const caller_call& aCall,
+                resolved_call& aTo)
+  {
+    routing::request_facts& facts = aTo.facts;
+    facts.isStreamed = aRoute.isStreamed;
+    facts.isIdempotent =
+      aRoute.isStreamed ? aRoute.canResume : aRoute.isIdempotent;
+    facts.maxAttempts = aRoute.maxAttempts;
+    const auto patience = std::min(
+      aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
+    facts.deadline = std::chrono::steady_clock::now() + patience;
+    facts.endBy = facts.deadline;
+    facts.prefix = PrefixOf(aCall.prompt);
+    const std::string& service = PickTarget(aRoute);
+    facts.model = ServiceId(service);
+    if (!aCall.model.empty()) {
+      facts.model =
+        IdOf<model_id>(mSettings.front.modelName(service, aCall.model));
+    }
+    if (!aCall.adapter.empty()) {
+      facts.adapter = IdOf<adapter_id>(
+        mSettings.front.adapterName(service, aCall.model, aCall.adapter));
+    }
+    aTo.tokens = aCall.tokens.value_or(
+      static_cast<std::int64_t>(std::ceil(aRoute.tokens)));
+    if (aTo.workspace != nullptr) {
+      facts.priority = -(kRankStep * aTo.workspace->rank + aRoute.rank);
+      aTo.tokens = TokensOf(*aTo.workspace, aCall, aTo.tokens);
     }
-    const auto tokens = static_cast<std::int64_t>(std::ceil(route->tokens));
-    Route(aRequest, std::move(facts), aRequest.body, tokens, std::move(aReply));
+  }
+
+  static std::int64_t TokensOf(const workspace_row& aWorkspace,
+                               const caller_call& aCall,
+                               std::int64_t aTokens)
+  {
+    if (aWorkspace.countsRequests) {
+      return 1;
+    }
+    const auto plain =
+      static_cast<std::int64_t>(std::ceil(aWorkspace.plainTokens));
+    return aCall.tokens ? aTokens : std::max(aTokens, plain);
+  }
+
+  // The last part is the request's own or its session's; the one before it is
+  // what others share with it.
+  static std::uint64_t PrefixOf(const std::vector<prompt_part>& aPrompt)
+  {
+    if (aPrompt.empty()) {
+      return 0;
+    }
+    return aPrompt[aPrompt.size() > 1 ? aPrompt.size() - 2 : 0].id;
+  }
+
+  const std::string& PickTarget(const route_row& aRoute)
+  {
+    double sum = 0;
+    for (const route_target& target : aRoute.targets) {
+      sum += target.weight;
+    }
+    double draw = std::uniform_real_distribution<double>(0.0, sum)(mRandom);
+    const route_target* picked = nullptr;
+    for (const route_target& target : aRoute.targets) {
+      if (target.weight <= 0) {
+        continue;
+      }
+      picked = &target;
+      draw -= target.weight;
+      if (draw < 0) {
+        break;
+      }
+    }
+    return picked->service;
   }
 
   // On an open route there is no workspace that a key could be scoped to.
-  void SetCaller(routing::request_facts& aFacts,
-                 const net::http_request& aRequest,
-                 bool aIsOpen) const
+  static void SetCaller(const caller_call& aCall, resolved_call& aTo)
   {
-    caller_error unused;
-    const auto key = ParseBearer(aRequest, unused);
-    if (aIsOpen || !key) {
-      return;
+    if (aTo.workspace != nullptr) {
+      aTo.facts.key = HashKey(aCall.key);
+      aTo.facts.workspace = aTo.workspace->id;
     }
-    aFacts.key = HashKey(*key);
-    aFacts.workspace = *FindWorkspace(*mView.fleet, aFacts.key);
   }
 
   static bool TakeIdempotencyKey(const net::http_request& aRequest,
@@ -364,7 +502,8 @@
                                  caller_error& aError)
   {
     const std::string* key = net::FindField(aRequest.fields, "Idempotency-Key");
-    if (key == nullptr || aFacts.isIdempotent || !aFacts.workspace) {
+    if (key == nullptr || aFacts.isIdempotent || aFacts.isStreamed ||
+        !aFacts.workspace) {
       return true;
     }
     if (key->empty() || key->size() > kMaxIdempotencyKey) {
@@ -380,28 +519,30 @@
     return true;
   }
 
-  // The endpoint sees an allow-list of header fields, never the key.
   void Route(const net::http_request& aRequest,
-             routing::request_facts aFacts,
-             std::string aBody,
-             std::int64_t aTokens,
+             caller_call aCall,
+             resolved_call aResolved,
              std::shared_ptr<net::http_reply> aReply)
   {
     routed_request routed;
-    routed.facts = std::move(aFacts);
+    routed.facts = std::move(aResolved.facts);
     routed.path = aRequest.path;
+    routed.target = aRequest.target;
+    routed.callerId = std::move(aCall.id);
+    routed.resumeAfter = std::move(aCall.resumeAfter);
     routed.reply = std::move(aReply);
     routed.call.method = aRequest.method;
-    routed.call.body = std::move(aBody);
-    for (const char* name : { "Content-Type", "Accept", "traceparent" }) {
-      if (const std::string* value = net::FindField(aRequest.fields, name)) {
-        routed.call.fields.push_back({ name, *value });
-      }
+    routed.call.fields = std::move(aCall.fields);
+    routed.call.body = std::move(aCall.body);
+    if (aResolved.workspace != nullptr) {
+      routed.workspaceName = aResolved.workspace->name;
     }
-    if (routed.facts.workspace) {
-      Admit(std::move(routed), aTokens);
+    const bool isLimited = aResolved.workspace != nullptr &&
+                           aResolved.workspace->tokensPerSecond > 0;
+    if (isLimited) {
+      Admit(std::move(routed), aResolved.tokens);
     } else {
-      mRunner.Start(std::move(routed)); // an open route has no rate
+      mRunner.Start(std::move(routed)); // there is no rate
     }
   }
 
@@ -414,7 +555,7 @@
         static_cast<double>(aTokens) > workspace->burstTokens) {
       SendError(*aRouted.reply,
                 ErrorOf({ refusal_kind::eTooLarge, {} }),
-                FormatId(aRouted.facts.id.value));
+                aRouted.facts.id);
       return;
     }
     const request_id id = aRouted.facts.id;
@@ -424,8 +565,8 @@
     row.tokens = aTokens;
     row.arrivedAt = std::chrono::steady_clock::now();
     row.deadline = aRouted.facts.deadline;
-    row.onRefused = [reply = aRouted.reply, id](const refusal& aRefusal) {
-      SendError(*reply, ErrorOf(aRefusal), FormatId(id.value));
+    row.onRefused = [this, reply = aRouted.reply, id](const refusal& aRefusal) {
+      SendError(*reply, ErrorOf(aRefusal), id);
     };
     aRouted.reply->onGone = [this, id] { Release(id, 0); };
     aRouted.onEnded = [this, id, aTokens](std::optional<std::int64_t> aUsed) {
@@ -445,7 +586,9 @@
     const key_hash& key = aRouted.facts.key;
     const bool isKeyGood =
       FindWorkspace(*mView.fleet, key) && !mView.tombstones->contains(key);
-    if (isKeyGood && admission::MayServe(mAdmission.escrow.link, aNow)) {
+    const bool hasLease = mSettings.servesWithoutLease ||
+                          admission::MayServe(mAdmission.escrow.link, aNow);
+    if (isKeyGood && hasLease) {
       mRunner.Start(std::move(aRouted));
       return;
     }
@@ -455,7 +598,16 @@
                 : caller_error{
                     401, "key_withdrawn", "the key was withdrawn", false, {}
                   };
-    SendError(*aRouted.reply, error, FormatId(aRouted.facts.id.value));
+    SendError(*aRouted.reply, error, aRouted.facts.id);
+  }
+
+  static caller_error NoConfiguration()
+  {
+    return { 503,
+             "no_configuration",
+             "this host has not been told the configuration yet",
+             false,
+             std::chrono::seconds(1) };
   }
 
   static caller_error NoLease()
@@ -510,8 +662,10 @@
   admission_tables mAdmission;
   net::tick_timer mAdmissionTimer;
   recorder mRecorder;
+  random_engine mRandom;
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
+  std::unique_ptr<net::http_server> mReadiness;
   bool mIsRefusing = false;
   std::function<void()> mOnStopped; ///< set while requests are finished
   std::uint64_t mLastRequest = 0;
--- a/src/apps/entry_traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -1,12 +1,13 @@
-#ifndef BULRUSH_APPS_ENTRY_TRAFFIC_HPP
-#define BULRUSH_APPS_ENTRY_TRAFFIC_HPP
+#ifndef BULRUSH_ENTRY_TRAFFIC_HPP
+#define BULRUSH_ENTRY_TRAFFIC_HPP
 
 /// A traffic thread of bulrush-entry: callers' HTTP on one side, calls to
 /// endpoints on the other. It owns its request rows and reads the view that
 /// the control thread published last.
 
-#include "apps/entry_recorder.hpp"
-#include "apps/entry_tables.hpp"
+#include "entry/entry.hpp"
+#include "entry/recorder.hpp"
+#include "entry/tables.hpp"
 #include "net/net.hpp"
 
 #include <asio/io_context.hpp>
@@ -31,6 +32,11 @@
   std::string domain;
   recorder_settings recording;
   std::string endpointSecret; ///< empty: reports need none
+  front_end front;
+  /// Address of its own for the balancer's question; none: a page.
+  std::optional<net::http_server_settings> ready;
+  /// Known keys are served also while the lease has lapsed.
+  bool servesWithoutLease = false;
 };
 
 class traffic_thread
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -23,6 +23,7 @@
   std::chrono::milliseconds deadline{ 0 }; ///< to the end of the answer
   std::uint32_t minCopies = 1;
   bool isOpen = false; ///< served without a key
+  std::string service; ///< whose engines hold it; empty: any engine
 };
 
 /// An adapter on top of a model. Source: manifest, "adapters".
@@ -40,8 +41,11 @@
   workspace_id id;
   std::string name;
   double weight = 1.0;
-  double tokensPerSecond = 0.0; ///< over all hosts together
+  double tokensPerSecond = 0.0; ///< over all hosts together; 0: no limit
   double burstTokens = 0.0;     ///< over all hosts together
+  bool countsRequests = false;  ///< each request counts as one token
+  double plainTokens = 1.0;     ///< of a request that states no tokens
+  int rank = 0;                 ///< 0 is served first, before a route's rank
   std::vector<model_id> models; ///< may use these; empty for all
 };
 
@@ -53,16 +57,58 @@
   std::string region;
 };
 
-/// A path served by plain services. Source: manifest, "routes".
+/// A kind of endpoint. Source: manifest, "services". A service that only routes
+/// name needs no row; its endpoints then have no limits of their own.
+struct service_row
+{
+  service_id id;
+  std::string name;
+  std::uint32_t maxConnections = 0;     ///< of one endpoint; 0: no limit
+  double coldPerSecond = 0.0;           ///< requests that a cold endpoint bears
+  std::chrono::milliseconds coldFor{ 0 }; ///< after its start
+  bool isEngine = false;                ///< holds models
+  std::uint64_t memoryBytes = 0;        ///< of one engine, for weights
+  std::uint32_t adapterPlaces = 0;      ///< of one engine; 0: no limit
+  std::uint64_t cacheTokens = 0;        ///< of one engine, for prompts
+};
+
+/// A service that a route sends to, with its share of the requests.
+struct route_target
+{
+  std::string service;
+  double weight = 1.0;
+};
+
+/// A path with what serves it. Source: manifest, "routes".
 struct route_row
 {
   route_id id;
-  std::string path;
-  std::string service;
-  std::chrono::milliseconds deadline{ 0 };
+  std::string name;
+  std::string host; ///< of the request; empty: any
+  std::string path; ///< exact; of a prefix route, the prefix with its slashes
+  bool isPrefix = false;
+  std::vector<route_target> targets;
+  std::chrono::milliseconds deadline{ 0 }; ///< to the end of the answer
+  std::chrono::milliseconds target{ 0 };   ///< on time until then; 0: deadline
+  std::chrono::milliseconds targetGap{ 0 }; ///< longest pause of a stream
   double tokens = 0.0; ///< what one call costs the workspace
+  int rank = 0;        ///< 0 is served first
+  std::uint32_t maxAttempts = 0; ///< endpoints that one request may see; 0: any
   bool isIdempotent = true;
-  bool isOpen = false; ///< served without a key
+  bool isStreamed = false;
+  bool canResume = false; ///< a broken stream may go on at another endpoint
+  bool isOpen = false;    ///< served without a key
+};
+
+/// What callers may send. Source: manifest, "callers".
+struct caller_limits
+{
+  std::size_t maxHeaderBytes = 16'384;
+  std::size_t maxBodyBytes = 4'194'304;
+  std::chrono::milliseconds headerTimeout{ 20'000 };
+  std::chrono::milliseconds idleTimeout{ 60'000 };
+
+  bool operator==(const caller_limits&) const = default;
 };
 
 /// Limits of the weight store. Source: manifest, "store".
@@ -85,10 +131,16 @@
 {
   std::string name;
   std::string version;
+  /// Manifests with a number replace those with a lower one, whatever revision
+  /// they were made for; 0: compare-and-set on the revision.
+  std::uint64_t number = 0;
+  std::string source; ///< the text that the manifest was translated from
   policy_goal goal = policy_goal::eWorstWorkspace;
   std::chrono::seconds cutOffGrace{ 3600 };
   std::chrono::seconds claimWindow{ 86'400 };
   store_limits store;
+  caller_limits callers;
+  table<service_id, service_row> services;
   table<model_id, model_row> models;
   table<adapter_id, adapter_row> adapters;
   table<workspace_id, workspace_row> workspaces;
@@ -313,6 +365,7 @@
   key_hash id;
   workspace_id workspace;
   bool isWithdrawn = false;
+  bool isDeclared = false; ///< by the manifest, and gone with it
 };
 
 struct domain_state_row
@@ -374,6 +427,15 @@
 std::optional<workspace_id> FindWorkspace(const fleet_state& aState,
                                           const key_hash& aKey);
 
+/// The id of a route.
+route_id RouteId(const std::string& aHost, const std::string& aPath);
+
+/// The route for a host and path: an exact one, else the longest prefix that
+/// begins the path; routes that name the host go before those for any host.
+const route_row* FindRoute(const manifest& aManifest,
+                           const std::string& aHost,
+                           const std::string& aPath);
+
 /// True while the failure domain has been taken out.
 bool IsOut(const fleet_state& aState, domain_id aDomain);
 
--- a/src/fleet/manifest.cpp
+++ b/src/fleet/manifest.cpp
@@ -15,6 +15,11 @@
 constexpr std::uint64_t kMaxBytes = 1ULL << 50U;
 constexpr std::int64_t kMaxDeadlineMs = 3'600'000;
 constexpr std::int64_t kMaxGraceSeconds = 604'800;
+constexpr std::int64_t kMaxNumber = 1LL << 53U; // exact in JSON
+constexpr std::int64_t kMaxRank = 1'000;
+constexpr std::int64_t kMaxAttempts = 100;
+constexpr std::int64_t kMaxSmallCount = 1'000'000'000;
+constexpr double kMaxWeight = 1e9;
 
 // Reads one JSON object field by field. Faults are collected instead of
 // thrown, so that an operator sees all of them at once.
@@ -191,6 +196,7 @@
   row.minCopies =
     static_cast<std::uint32_t>(aReader.Integer("min_copies", 1, 1, 1'000));
   row.isOpen = aReader.Flag("open", false);
+  row.service = aReader.Text("service", "");
   return row;
 }
 
@@ -221,11 +227,11 @@
   row.weight = aReader.Number("weight", 1.0, 0.001, 1'000.0);
   row.tokensPerSecond = aReader.Number("tokens_per_s", 0.0, 0.001, kMaxTokens);
   row.burstTokens = aReader.Number("burst_tokens", 0.0, 1.0, kMaxTokens);
-  if (row.tokensPerSecond == 0.0) {
-    aReader.Add("tokens_per_s", "is required");
-  }
-  if (row.burstTokens == 0.0) {
-    aReader.Add("burst_tokens", "is required");
+  row.countsRequests = aReader.Flag("counts_requests", false);
+  row.plainTokens = aReader.Number("plain_tokens", 1.0, 0.0, kMaxTokens);
+  row.rank = static_cast<int>(aReader.Integer("rank", 0, 0, kMaxRank));
+  if ((row.tokensPerSecond == 0.0) != (row.burstTokens == 0.0)) {
+    aReader.Add("tokens_per_s", "expected together with burst_tokens");
   }
   for (const json& name : aReader.List("models")) {
     const auto id =
@@ -257,24 +263,114 @@
   return row;
 }
 
+std::chrono::milliseconds
+ReadMilliseconds(object_reader& aReader,
+                 const char* aKey,
+                 std::int64_t aDefault,
+                 std::int64_t aMin)
+{
+  return std::chrono::milliseconds(
+    aReader.Integer(aKey, aDefault, aMin, kMaxDeadlineMs));
+}
+
+service_row
+ReadService(object_reader& aReader)
+{
+  service_row row;
+  row.name = aReader.Name("name");
+  row.id = IdOf<service_id>(row.name);
+  row.maxConnections = static_cast<std::uint32_t>(
+    aReader.Integer("max_connections", 0, 0, kMaxSmallCount));
+  row.coldPerSecond = aReader.Number("cold_per_s", 0.0, 0.0, kMaxTokens);
+  row.coldFor = ReadMilliseconds(aReader, "cold_for_ms", 0, 0);
+  row.isEngine = aReader.Flag("engine", false);
+  row.memoryBytes = static_cast<std::uint64_t>(aReader.Integer(
+    "memory_bytes", 0, 0, static_cast<std::int64_t>(kMaxBytes)));
+  row.adapterPlaces = static_cast<std::uint32_t>(
+    aReader.Integer("adapter_places", 0, 0, kMaxSmallCount));
+  row.cacheTokens = static_cast<std::uint64_t>(
+    aReader.Integer("cache_tokens", 0, 0, kMaxSmallCount));
+  return row;
+}
+
+// Either one "service", or "targets" with weights of which one is above zero.
+std::vector<route_target>
+ReadTargets(object_reader& aReader, std::vector<manifest_fault>& aFaults)
+{
+  std::vector<route_target> targets;
+  const json& list = aReader.List("targets");
+  if (list.empty()) {
+    targets.push_back({ aReader.Name("service"), 1.0 });
+    return targets;
+  }
+  double sum = 0.0;
+  for (const json& element : list) {
+    object_reader reader(element, aReader.Path() + "/targets", aFaults);
+    route_target target{ reader.Name("service"),
+                         reader.Number("weight", 1.0, 0.0, kMaxWeight) };
+    reader.RefuseUnknownKeys();
+    sum += target.weight;
+    targets.push_back(std::move(target));
+  }
+  if (sum <= 0.0) {
+    aReader.Add("targets", "expected a weight above 0");
+  }
+  return targets;
+}
+
+void
+CheckPath(object_reader& aReader, const route_row& aRow)
+{
+  if (!aRow.path.starts_with("/")) {
+    aReader.Add("path", "expected a path that starts with /");
+  } else if (aRow.host.empty() && aRow.path.starts_with("/v1/")) {
+    aReader.Add("path", "expected a path that does not start with /v1/");
+  } else if (aRow.isPrefix && !aRow.path.ends_with("/")) {
+    aReader.Add("path", "expected a prefix that ends with /");
+  }
+}
+
 route_row
-ReadRoute(object_reader& aReader)
+ReadRoute(object_reader& aReader, std::vector<manifest_fault>& aFaults)
 {
   route_row row;
   row.path = aReader.Name("path");
-  row.id = IdOf<route_id>(row.path);
-  if (!row.path.starts_with("/") || row.path.starts_with("/v1/")) {
-    aReader.Add("path", "expected a path that starts with / and not with /v1/");
-  }
-  row.service = aReader.Name("service");
-  row.deadline = std::chrono::milliseconds(
-    aReader.Integer("deadline_ms", 10'000, 1, kMaxDeadlineMs));
+  row.host = aReader.Text("host", "");
+  row.name = aReader.Text("name", row.host + row.path);
+  row.id = RouteId(row.host, row.path);
+  row.isPrefix = aReader.Flag("prefix", false);
+  CheckPath(aReader, row);
+  row.targets = ReadTargets(aReader, aFaults);
+  row.deadline = ReadMilliseconds(aReader, "deadline_ms", 10'000, 1);
+  row.target = ReadMilliseconds(aReader, "target_ms", 0, 0);
+  row.targetGap = ReadMilliseconds(aReader, "target_gap_ms", 0, 0);
   row.tokens = aReader.Number("tokens", 1.0, 0.0, kMaxTokens);
+  row.rank = static_cast<int>(aReader.Integer("rank", 0, 0, kMaxRank));
+  row.maxAttempts = static_cast<std::uint32_t>(
+    aReader.Integer("max_attempts", 0, 0, kMaxAttempts));
   row.isIdempotent = aReader.Flag("idempotent", true);
+  row.isStreamed = aReader.Flag("stream", false);
+  row.canResume = aReader.Flag("resumable", false);
   row.isOpen = aReader.Flag("open", false);
   return row;
 }
 
+void
+ReadCallers(object_reader& aReader, caller_limits& aLimits)
+{
+  const auto size = [&](const char* aKey, std::size_t aDefault) {
+    return static_cast<std::size_t>(aReader.Integer(
+      aKey, static_cast<std::int64_t>(aDefault), 1, kMaxSmallCount));
+  };
+  aLimits.maxHeaderBytes = size("max_header_bytes", aLimits.maxHeaderBytes);
+  aLimits.maxBodyBytes = size("max_body_bytes", aLimits.maxBodyBytes);
+  aLimits.headerTimeout = ReadMilliseconds(
+    aReader, "header_timeout_ms", aLimits.headerTimeout.count(), 1);
+  aLimits.idleTimeout = ReadMilliseconds(
+    aReader, "idle_timeout_ms", aLimits.idleTimeout.count(), 1);
+  aReader.RefuseUnknownKeys();
+}
+
 void
 ReadStore(object_reader& aReader, store_limits& aStore)
 {
@@ -328,6 +424,9 @@
 {
   aManifest.name = aRoot.Name("name");
   aManifest.version = aRoot.Name("version");
+  aManifest.number =
+    static_cast<std::uint64_t>(aRoot.Integer("number", 0, 0, kMaxNumber));
+  aManifest.source = aRoot.Text("source", "");
   aManifest.goal = ReadGoal(aRoot);
   aManifest.cutOffGrace = std::chrono::seconds(
     aRoot.Integer("cut_off_grace_s", 3'600, 1, kMaxGraceSeconds));
@@ -337,7 +436,12 @@
     object_reader reader(*store, "/store", aFaults);
     ReadStore(reader, aManifest.store);
   }
+  if (const json* callers = aRoot.Object("callers")) {
+    object_reader reader(*callers, "/callers", aFaults);
+    ReadCallers(reader, aManifest.callers);
+  }
   ReadList(aRoot, "failure_domains", aFaults, aManifest.domains, ReadDomain);
+  ReadList(aRoot, "services", aFaults, aManifest.services, ReadService);
   ReadList(aRoot, "models", aFaults, aManifest.models, ReadModel);
   ReadList(
     aRoot,
@@ -351,7 +455,11 @@
     aFaults,
     aManifest.workspaces,
     [&](object_reader& aReader) { return ReadWorkspace(aReader, aManifest); });
-  ReadList(aRoot, "routes", aFaults, aManifest.routes, ReadRoute);
+  ReadList(aRoot,
+           "routes",
+           aFaults,
+           aManifest.routes,
+           [&](object_reader& aReader) { return ReadRoute(aReader, aFaults); });
   aRoot.RefuseUnknownKeys();
 }
 
@@ -370,6 +478,26 @@
   }
 }
 
+// A manifest that declares services declares them all: a route to any other
+// would serve nobody.
+void
+RefuseUnknownServices(const manifest& aManifest,
+                      std::vector<manifest_fault>& aFaults)
+{
+  if (aManifest.services.Empty()) {
+    return;
+  }
+  for (const route_row& route : aManifest.routes) {
+    for (const route_target& target : route.targets) {
+      if (!aManifest.services.Find(IdOf<service_id>(target.service))) {
+        aFaults.push_back({ "/routes",
+                            route.name + ": no such service is declared: " +
+                              target.service });
+      }
+    }
+  }
+}
+
 template<class table_type>
 void
 CompareNames(const char* aKind,
@@ -406,6 +534,7 @@
   object_reader root(document, "", aFaults);
   ReadAll(root, result, aFaults);
   RefuseSharedKeys(result, aFaults);
+  RefuseUnknownServices(result, aFaults);
   if (result.domains.Empty()) {
     aFaults.push_back({ "/failure_domains", "expected at least one" });
   }
@@ -415,6 +544,51 @@
   return result;
 }
 
+route_id
+RouteId(const std::string& aHost, const std::string& aPath)
+{
+  return IdOf<route_id>(aHost.empty() ? aPath : aHost + "\n" + aPath);
+}
+
+namespace {
+
+// Prefixes end with a slash, so only the path's slashes are worth a look.
+const route_row*
+FindPrefix(const manifest& aManifest,
+           const std::string& aHost,
+           const std::string& aPath)
+{
+  std::size_t slash = aPath.rfind('/');
+  while (slash != std::string::npos) {
+    const route_row* row =
+      aManifest.routes.Find(RouteId(aHost, aPath.substr(0, slash + 1)));
+    if (row != nullptr && row->isPrefix) {
+      return row;
+    }
+    slash = slash == 0 ? std::string::npos : aPath.rfind('/', slash - 1);
+  }
+  return nullptr;
+}
+
+} // namespace
+
+const route_row*
+FindRoute(const manifest& aManifest,
+          const std::string& aHost,
+          const std::string& aPath)
+{
+  for (const std::string& host : { aHost, std::string() }) {
+    const route_row* exact = aManifest.routes.Find(RouteId(host, aPath));
+    if (exact != nullptr) {
+      return exact;
+    }
+    if (const route_row* prefix = FindPrefix(aManifest, host, aPath)) {
+      return prefix;
+    }
+  }
+  return nullptr;
+}
+
 std::string
 Describe(const std::vector<manifest_fault>& aFaults)
 {
--- a/src/fleet/patch.cpp
+++ b/src/fleet/patch.cpp
@@ -7,31 +7,65 @@
 
 using nlohmann::json;
 
-// Lists whose elements have a name of their own; "routes" have a path.
-constexpr std::array<std::pair<const char*, const char*>, 5> kNamedLists{
-  { { "failure_domains", "name" },
-    { "models", "name" },
-    { "adapters", "name" },
-    { "workspaces", "name" },
-    { "routes", "path" } }
+// Lists whose elements are told apart by one field, or by two: routes for any
+// host have a path only.
+struct named_list
+{
+  const char* list;
+  const char* name;
+  const char* scope = nullptr;
 };
+constexpr std::array<named_list, 6> kNamedLists{ { { "failure_domains", "name" },
+                                                   { "services", "name" },
+                                                   { "models", "name" },
+                                                   { "adapters", "name" },
+                                                   { "workspaces", "name" },
+                                                   { "routes",
+                                                     "path",
+                                                     "host" } } };
+
+constexpr char kScopeEnd = '\n';
+
+// Takes the fields that name an element out of it and returns them as one key.
+std::string
+TakeKey(const named_list& aList, json& aElement)
+{
+  auto key = aElement.at(aList.name).get<std::string>();
+  aElement.erase(aList.name);
+  if (aList.scope != nullptr && aElement.contains(aList.scope)) {
+    key = aElement.at(aList.scope).get<std::string>() + kScopeEnd + key;
+    aElement.erase(aList.scope);
+  }
+  return key;
+}
+
+void
+PutKey(const named_list& aList, const std::string& aKey, json& aElement)
+{
+  const std::size_t end = aKey.find(kScopeEnd);
+  if (end == std::string::npos) {
+    aElement[aList.name] = aKey;
+    return;
+  }
+  aElement[aList.scope] = aKey.substr(0, end);
+  aElement[aList.name] = aKey.substr(end + 1);
+}
 
 // Turns named lists into objects by name. A JSON Patch addresses elements of a
 // list by position, so one model more at the front would rewrite them all.
 json
 KeyByName(json aDocument)
 {
-  for (const auto& [list, name] : kNamedLists) {
-    if (!aDocument.contains(list)) {
+  for (const named_list& each : kNamedLists) {
+    if (!aDocument.contains(each.list)) {
       continue;
     }
     json keyed = json::object();
-    for (json& element : aDocument[list]) {
-      const auto key = element.at(name).get<std::string>();
-      element.erase(name);
+    for (json& element : aDocument[each.list]) {
+      const std::string key = TakeKey(each, element);
       keyed[key] = std::move(element);
     }
-    aDocument[list] = std::move(keyed);
+    aDocument[each.list] = std::move(keyed);
   }
   return aDocument;
 }
@@ -39,16 +73,16 @@
 json
 ListByName(json aDocument)
 {
-  for (const auto& [list, name] : kNamedLists) {
-    if (!aDocument.contains(list)) {
+  for (const named_list& each : kNamedLists) {
+    if (!aDocument.contains(each.list)) {
       continue;
     }
     json elements = json::array();
-    for (auto& [key, element] : aDocument[list].items()) {
-      element[name] = key;
+    for (auto& [key, element] : aDocument[each.list].items()) {
+      PutKey(each, key, element);
       elements.push_back(std::move(element));
     }
-    aDocument[list] = std::move(elements);
+    aDocument[each.list] = std::move(elements);
   }
   return aDocument;
 }
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -36,15 +36,17 @@
   return Done(aState, std::move(aText));
 }
 
-// Keys that the manifest declares are added; keys that it no longer declares
-// stay, since keys issued by command are not in it. Withdrawn ones stay
-// withdrawn whatever the manifest says.
+// Keys that the manifest declares come and go with it; keys issued by command
+// stay. Withdrawn ones stay withdrawn whatever the manifest says.
 void
-AddDeclaredKeys(fleet_state& aState)
+FollowDeclaredKeys(fleet_state& aState)
 {
+  aState.keys.EraseIf([](const key_row& aRow) {
+    return aRow.isDeclared && !aRow.isWithdrawn;
+  });
   for (const auto& [hash, workspace] : aState.declared.keys) {
     if (aState.keys.Find(hash) == nullptr) {
-      aState.keys.Insert({ hash, workspace, false });
+      aState.keys.Insert({ hash, workspace, false, true });
     }
   }
 }
@@ -135,7 +137,7 @@
   aState.manifestText = std::move(aWanted.text);
   aState.manifestDigest = aWanted.digest;
   ++aState.manifestRevision;
-  AddDeclaredKeys(aState);
+  FollowDeclaredKeys(aState);
   AddDeclaredDomains(aState);
   command_result result = DoneWithNewRevision(aState, "applied");
   RememberVersion(aState,
@@ -146,6 +148,17 @@
   return result;
 }
 
+// Among numbered manifests the highest number is in force; a resend, or one
+// that was overtaken, is done already and changes nothing.
+command_result
+ChangeByNumber(fleet_state& aState, wanted_manifest aWanted)
+{
+  if (aWanted.parsed.number <= aState.declared.number) {
+    return Done(aState, "not above the number in force");
+  }
+  return PutInForce(aState, std::move(aWanted));
+}
+
 // Compare-and-set on the manifest revision settles races of operators. A
 // patch is read only after it, so it meets the very text it was made from;
 // the digest proves that.
@@ -161,6 +174,9 @@
       return Refuse(aState, "bad_manifest", Describe(faults));
     }
   }
+  if (wanted && wanted->parsed.number > 0) {
+    return ChangeByNumber(aState, std::move(*wanted));
+  }
   const auto known =
     AnswerKnownVersion(aState,
                        isPatch ? aChange.version : wanted->parsed.version,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -180,17 +180,33 @@
     });
   }
 
+  // Only the fields of the call are sent: a line "Name:" keeps libcurl from
+  // adding one, and "Name;" sends one that is empty.
+  static void AddFields(running_call& aCall)
+  {
+    const auto add = [&aCall](const std::string& aLine) {
+      aCall.fieldList = curl_slist_append(aCall.fieldList, aLine.c_str());
+    };
+    for (const http_field& field : aCall.call.fields) {
+      add(field.value.empty() ? field.name + ";"
+                              : field.name + ": " + field.value);
+    }
+    for (const char* name : { "Accept", "Content-Type" }) {
+      if (FindField(aCall.call.fields, name) == nullptr) {
+        add(std::string(name) + ":");
+      }
+    }
+    add("Expect:");
+  }
+
   // Expect is emptied because a 100-continue answer would delay the body and
   // blur whether any of it was sent; redirects are never followed.
   static void Configure(running_call& aCall)
   {
     CURL* easy = aCall.easy;
     const http_call& call = aCall.call;
-    for (const http_field& field : call.fields) {
-      const std::string line = field.name + ": " + field.value;
-      aCall.fieldList = curl_slist_append(aCall.fieldList, line.c_str());
-    }
-    aCall.fieldList = curl_slist_append(aCall.fieldList, "Expect:");
+    AddFields(aCall);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.fieldList);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -355,6 +355,7 @@
     request.method = header.method().c_str();
     request.path = std::string(header.path());
     request.query = std::string(header.query());
+    request.target = header.request_target();
     request.fields = CopyFields(header);
     request.body = aRequest->body();
     request.peer =
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -26,6 +26,7 @@
   std::string method;
   std::string path;  ///< without the query string
   std::string query; ///< without the question mark
+  std::string target; ///< path and query, as they came
   std::vector<http_field> fields;
   std::string body;
   std::string peer; ///< remote address and port
--- a/src/apps/link_settings.cpp
+++ b/src/program/program.cpp
@@ -1,4 +1,4 @@
-#include "apps/link_settings.hpp"
+#include "program/program.hpp"
 
 namespace bulrush {
 
--- a/src/apps/link_settings.hpp
+++ b/src/program/program.hpp
@@ -1,5 +1,5 @@
-#ifndef BULRUSH_APPS_LINK_SETTINGS_HPP
-#define BULRUSH_APPS_LINK_SETTINGS_HPP
+#ifndef BULRUSH_PROGRAM_PROGRAM_HPP
+#define BULRUSH_PROGRAM_PROGRAM_HPP
 
 /// The settings of links that several programs share.
 
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -82,7 +82,7 @@
   if (!IsLive(aRequest)) {
     aAttempt.dueAt = steady_time::max();
   } else if (IsForwardedEarly(aRequest, aAttempt)) {
-    aAttempt.dueAt = aNow + aOptions.streamIdle;
+    aAttempt.dueAt = std::min(aNow + aOptions.streamIdle, aRequest.facts.endBy);
   } else {
     aAttempt.dueAt = aRequest.facts.deadline;
   }
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -79,15 +79,17 @@
 
 look
 LookAt(const tables& aTables,
-       const endpoint_row& aEndpoint,
-       const request_row& aRequest)
+       endpoint_row& aEndpoint,
+       const request_row& aRequest,
+       steady_time aNow)
 {
   look seen;
   if (!IsServing(aEndpoint) || !CanContinue(aEndpoint, aRequest)) {
     return seen;
   }
   seen.isUsable = true;
-  if (aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint)) {
+  if (aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint) ||
+      !MayStartCold(aEndpoint, aNow)) {
     return seen;
   }
   if (HasTried(aRequest, aEndpoint.id)) {
@@ -162,6 +164,7 @@
   aRequest.attempt = attempt.id;
   aRequest.state = request_state::eRunning;
   ++aEndpoint.inFlight;
+  aEndpoint.coldBudget -= aEndpoint.coldStart.isCold ? 1.0 : 0.0;
   attempt.wasBusy = 2 * aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint);
   aOutbox.starts.push_back(
     { attempt.id,
@@ -342,11 +345,11 @@
   bool hasUntried = false;
   const auto rows = aTables.endpoints.Rows();
   for (const holder& each : found->second) {
-    const endpoint_row& endpoint = rows[each.position];
+    endpoint_row& endpoint = rows[each.position];
     if (!HasVersion(each, facts)) {
       continue;
     }
-    const look seen = LookAt(aTables, endpoint, aRequest);
+    const look seen = LookAt(aTables, endpoint, aRequest, aNow);
     hasUsable |= seen.isUsable;
     hasUntried |= seen.isUsable && !HasTried(aRequest, endpoint.id);
     if (seen.rank == tier::eNone || seen.rank > best) {
--- a/src/routing/cold_start.cpp
+++ b/src/routing/cold_start.cpp
@@ -68,6 +68,9 @@
     if (endpoint == nullptr || result.coldEpoch != endpoint->coldStart.epoch) {
       continue;
     }
+    if (endpoint->facts.saysWhenCold) {
+      continue;
+    }
     if (aTables.policy.detectColdStart(endpoint->coldStart, result)) {
       DropToCold(*endpoint);
       continue;
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -19,14 +19,18 @@
 }
 
 // A host that meets an endpoint for the first time cannot know whether it is
-// warm, so it takes it for cold.
+// warm, so it takes it for cold, unless the endpoint says when it is.
 static void
 AddEndpoint(tables& aTables, const endpoint_facts& aFacts)
 {
   endpoint_row row;
   row.id = aFacts.id;
   row.facts = aFacts;
-  DropToCold(row);
+  if (!aFacts.saysWhenCold || aFacts.reportsCold) {
+    DropToCold(row);
+  } else {
+    row.coldStart.isCold = false;
+  }
   aTables.endpoints.Insert(std::move(row));
   aTables.holdersAreStale = true;
 }
@@ -47,11 +51,46 @@
   }
   row->facts = aFacts;
   row->isGone = false;
-  if (isRestarted || aFacts.reportsCold) {
+  if (aFacts.saysWhenCold) {
+    row->coldStart.isCold = aFacts.reportsCold;
+    row->coldStart.limit = aFacts.coldSlots;
+  } else if (isRestarted || aFacts.reportsCold) {
     DropToCold(*row);
   }
 }
 
+void
+OnEndpointLoad(tables& aTables,
+               endpoint_id aEndpoint,
+               std::uint32_t aInFlight,
+               steady_time aNow)
+{
+  endpoint_row* row = aTables.endpoints.Find(aEndpoint);
+  if (row != nullptr) {
+    row->facts.reportedInFlight = aInFlight;
+    row->facts.reportedAt = aNow;
+    row->ownWhenReported = row->inFlight;
+  }
+}
+
+// A whole second's share is never saved up: the endpoint bears a rate, not a
+// burst after a pause.
+bool
+MayStartCold(endpoint_row& aEndpoint, steady_time aNow)
+{
+  const double rate = aEndpoint.facts.coldRate;
+  if (!aEndpoint.coldStart.isCold || rate <= 0) {
+    return true;
+  }
+  constexpr double kSavedSeconds = 0.25;
+  const std::chrono::duration<double> since = aNow - aEndpoint.coldSince;
+  aEndpoint.coldSince = aNow;
+  aEndpoint.coldBudget =
+    std::min(std::max(1.0, rate * kSavedSeconds),
+             aEndpoint.coldBudget + rate * since.count());
+  return aEndpoint.coldBudget >= 1.0;
+}
+
 // The row stays while attempts are in flight: their ends have to find it.
 void
 RemoveEndpoint(tables& aTables, endpoint_id aEndpoint)
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -26,6 +26,9 @@
 void IndexHolders(tables& aTables);
 
 /// Drops an endpoint to its cold limit.
+/// Whether a cold endpoint bears one request more now.
+bool MayStartCold(endpoint_row& aEndpoint, steady_time aNow);
+
 void DropToCold(endpoint_row& aEndpoint);
 
 /// Nothing of the attempt counts from here on; its slot stays taken.
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -7,14 +7,22 @@
 namespace {
 
 // At most once. A non-idempotent request is tried again only when no byte of
-// it left, which an endpoint's word alone does not prove.
+// it left, or when the endpoint vouches for it and is trusted to.
 bool
-MayRunAgain(const request_row& aRequest)
+MayRunAgain(const options& aOptions, const request_row& aRequest)
 {
   if (aRequest.facts.isIdempotent) {
     return true;
   }
-  return aRequest.lastFailure == attempt_failure::eNotSent;
+  return aRequest.lastFailure == attempt_failure::eNotSent ||
+         (aOptions.trustsRefusals && !aRequest.mayHaveRun);
+}
+
+std::uint32_t
+MaxAttempts(const options& aOptions, const request_row& aRequest)
+{
+  return aRequest.facts.maxAttempts == 0 ? aOptions.maxAttempts
+                                         : aRequest.facts.maxAttempts;
 }
 
 bool
@@ -49,16 +57,18 @@
                   steady_time aNow)
 {
   aRequest.facts.deadline =
-    std::max(aRequest.facts.deadline, aNow + aOptions.resumeWait);
+    std::min(aRequest.facts.endBy,
+             std::max(aRequest.facts.deadline, aNow + aOptions.resumeWait));
 }
 
 bool
 ShouldRetry(tables& aTables, request_row& aRequest, steady_time aNow)
 {
-  if (!MayRunAgain(aRequest)) {
+  if (!MayRunAgain(aTables.settings, aRequest)) {
     return false;
   }
-  if (aRequest.attemptsMade >= aTables.settings.maxAttempts) {
+  const std::uint32_t maxAttempts = MaxAttempts(aTables.settings, aRequest);
+  if (aRequest.attemptsMade >= maxAttempts) {
     return false;
   }
   if (MustResume(aRequest)) {
@@ -70,7 +80,7 @@
   return aTables.policy.retry({ aRequest,
                                 aTables.retryBudget,
                                 TimeLeft(aRequest, aNow),
-                                aTables.settings.maxAttempts });
+                                maxAttempts });
 }
 
 } // namespace
@@ -90,11 +100,12 @@
                const request_row& aRequest,
                std::chrono::milliseconds aTimeLeft)
 {
+  const std::uint32_t maxAttempts = MaxAttempts(aOptions, aRequest);
   if (!aRequest.facts.isIdempotent ||
-      aRequest.attemptsMade + 1 >= aOptions.maxAttempts) {
+      aRequest.attemptsMade + 1 >= maxAttempts) {
     return aTimeLeft;
   }
-  const auto attemptsLeft = aOptions.maxAttempts - aRequest.attemptsMade;
+  const auto attemptsLeft = maxAttempts - aRequest.attemptsMade;
   const auto share = std::max(
     { aTimeLeft / attemptsLeft, aRequest.facts.expected, aOptions.minAttempt });
   return std::min(share, aTimeLeft);
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -63,6 +63,8 @@
   bool canResume = false;                ///< resumes a stream from an offset
   bool echoesAttempt = true;             ///< plain services may not
   bool reportsCold = false;              ///< its own report says cold
+  bool saysWhenCold = false;             ///< warm unless its report says cold
+  double coldRate = 0; ///< requests/s from this thread while cold; 0: no limit
   std::uint32_t slots = 0;               ///< concurrent requests when warm
   std::uint32_t coldSlots = 1;           ///< concurrent requests when cold
   std::uint32_t allottedSlots = 0;       ///< of these, for this traffic thread
@@ -86,6 +88,8 @@
   endpoint_id id;
   endpoint_facts facts;
   cold_start_state coldStart;
+  double coldBudget = 0;  ///< requests that may start now while it is cold
+  steady_time coldSince;  ///< when the budget was last filled
   std::uint32_t inFlight = 0;        ///< attempts of this thread
   std::uint32_t ownWhenReported = 0; ///< inFlight when the report came
   bool isGone = false;               ///< erased once nothing is in flight
@@ -166,6 +170,8 @@
   std::chrono::milliseconds expected{
     0
   }; ///< time to the first byte; 0: unknown
+  steady_time endBy = steady_time::max(); ///< of a stream its last byte
+  std::uint32_t maxAttempts = 0; ///< 0: as the options say
 };
 
 inline constexpr std::size_t kTriedEndpoints = 4;
@@ -313,6 +319,8 @@
   domain_id ownDomain;
   std::uint64_t seed = 1;        ///< of choices and attempt ids
   std::uint32_t maxAttempts = 3; ///< of an idempotent request, 1 to 4
+  /// An endpoint's word that a request did not run is proof of it.
+  bool trustsRefusals = false;
   double retryShare = 0.2;       ///< retries per request, long run
   double retryBurst = 20;        ///< retries at once
   std::chrono::milliseconds minAttempt{ 50 };
@@ -480,6 +488,11 @@
 void UpdateEndpoint(tables& aTables, const endpoint_facts& aFacts);
 /// The endpoint left; its attempts in flight go on.
 void RemoveEndpoint(tables& aTables, endpoint_id aEndpoint);
+/// An endpoint said how many requests of all hosts it has.
+void OnEndpointLoad(tables& aTables,
+                    endpoint_id aEndpoint,
+                    std::uint32_t aInFlight,
+                    steady_time aNow);
 /// Replaces the residents of an endpoint.
 void SetResidents(tables& aTables,
                   endpoint_id aEndpoint,
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -169,6 +169,28 @@
   to->set_text(aFrom.text);
 }
 
+template<class list>
+void
+PutControls(const std::vector<control_address>& aFrom, list& aTo)
+{
+  for (const control_address& control : aFrom) {
+    auto* address = aTo.Add();
+    address->set_name(control.name);
+    address->set_address(control.address);
+  }
+}
+
+template<class list>
+std::vector<control_address>
+GetControls(const list& aFrom)
+{
+  std::vector<control_address> controls;
+  for (const auto& control : aFrom) {
+    controls.push_back({ control.name(), control.address() });
+  }
+  return controls;
+}
+
 void
 PutBody(const host_report& aFrom, steady_time aNow, pb::Envelope& aTo)
 {
@@ -200,6 +222,22 @@
     to->add_gone_endpoints(gone.value);
   }
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
+  PutControls(aFrom.controls, *to->mutable_controls());
+  to->set_leader(aFrom.leader);
+  to->set_hosts(aFrom.hosts);
+}
+
+void
+PutBody(const wanted_models& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_wanted_models();
+  for (const wanted_model& from : aFrom.models) {
+    auto* wanted = to->add_models();
+    wanted->set_model(from.model.value);
+    wanted->set_adapter(from.adapter.value);
+    wanted->set_requests(from.requests);
+    wanted->set_waiting(from.waiting);
+  }
 }
 
 void
@@ -214,6 +252,7 @@
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   to->set_confirmed_revision(aFrom.confirmedRevision);
   to->set_hosts(aFrom.hosts);
+  to->set_http_address(aFrom.httpAddress);
 }
 
 void
@@ -317,6 +356,8 @@
   to->set_is_empty(aFrom.isEmpty);
   to->set_nonce(aFrom.nonce);
   to->set_is_answer(aFrom.isAnswer);
+  to->set_address(aFrom.address);
+  PutControls(aFrom.controls, *to->mutable_controls());
 }
 
 void
@@ -387,9 +428,23 @@
     update.goneEndpoints.push_back({ gone });
   }
   update.tombstones = GetKeys(aFrom.tombstones());
+  update.controls = GetControls(aFrom.controls());
+  update.leader = aFrom.leader();
+  update.hosts = aFrom.hosts();
   return update;
 }
 
+std::optional<message_body>
+GetBody(const pb::WantedModels& aFrom, steady_time)
+{
+  wanted_models models;
+  for (const auto& from : aFrom.models()) {
+    models.models.push_back(
+      { { from.model() }, { from.adapter() }, from.requests(), from.waiting() });
+  }
+  return models;
+}
+
 std::optional<message_body>
 GetBody(const pb::EndpointGossip& aFrom, steady_time aNow)
 {
@@ -402,6 +457,7 @@
   gossip.tombstones = GetKeys(aFrom.tombstones());
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
+  gossip.httpAddress = aFrom.http_address();
   return gossip;
 }
 
@@ -536,7 +592,9 @@
                         replica_id{ aFrom.identity() },
                         aFrom.is_empty(),
                         aFrom.nonce(),
-                        aFrom.is_answer() };
+                        aFrom.is_answer(),
+                        aFrom.address(),
+                        GetControls(aFrom.controls()) };
 }
 
 std::optional<message_body>
@@ -583,6 +641,8 @@
       return GetBody(aFrom.replica_hello(), aNow);
     case pb::Envelope::kReplaceCall:
       return GetBody(aFrom.replace_call(), aNow);
+    case pb::Envelope::kWantedModels:
+      return GetBody(aFrom.wanted_models(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -39,8 +39,10 @@
 GetTables(const pb::FleetState& aFrom, fleet_state& aTo)
 {
   for (const auto& row : aFrom.keys()) {
-    aTo.keys.Insert(
-      { FromBytes(row.key()), { row.workspace() }, row.is_withdrawn() });
+    aTo.keys.Insert({ FromBytes(row.key()),
+                      { row.workspace() },
+                      row.is_withdrawn(),
+                      row.is_declared() });
   }
   for (const auto& row : aFrom.domains()) {
     aTo.domains.Insert(
@@ -68,6 +70,7 @@
     to->set_key(ToBytes(row.id));
     to->set_workspace(row.workspace.value);
     to->set_is_withdrawn(row.isWithdrawn);
+    to->set_is_declared(row.isDeclared);
   }
   for (const domain_state_row& row : aFrom.domains) {
     auto* to = aTo.add_domains();
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -54,6 +54,28 @@
   fleet_command command;
 };
 
+/// A control process with the address of its links.
+struct control_address
+{
+  std::string name;
+  std::string address;
+};
+
+/// Requests for a model, or for an adapter of it, at one host.
+struct wanted_model
+{
+  model_id model;
+  adapter_id adapter;
+  std::uint32_t requests = 0; ///< since the last message
+  std::uint32_t waiting = 0;  ///< now, as nothing holds it
+};
+
+/// A host to the leader: what its callers ask for.
+struct wanted_models
+{
+  std::vector<wanted_model> models;
+};
+
 /// The answer to a host_report, also sent whenever something changed.
 struct host_update
 {
@@ -66,6 +88,9 @@
   std::vector<endpoint_row> endpoints;
   std::vector<endpoint_id> goneEndpoints;
   std::vector<key_hash> tombstones; ///< withdrawn, not yet in the log
+  std::vector<control_address> controls; ///< all that are known
+  std::string leader;      ///< name of the leader; empty while none is known
+  std::uint32_t hosts = 0; ///< entry hosts that report to any of them
 };
 
 /// What the control host of a failure domain tells the others of it.
@@ -77,6 +102,7 @@
   std::vector<key_hash> tombstones;    ///< withdrawn, not yet in the log
   std::uint64_t confirmedRevision = 0; ///< in force on every serving host
   std::uint32_t hosts = 0;             ///< that hold a lease
+  std::string httpAddress;             ///< for callers over HTTP; empty: none
 };
 
 /// Withdrawn keys, passed on ahead of the log.
@@ -177,6 +203,8 @@
   bool isEmpty = false;
   std::uint64_t nonce = 0; ///< of the asking process; echoed by the answer
   bool isAnswer = false;
+  std::string address; ///< of the sender's links
+  std::vector<control_address> controls; ///< others that the sender knows
 };
 
 /// Asks the leader to put one control process in another's place. Equal names
@@ -204,7 +232,8 @@
                                   share_grant,
                                   replica_message,
                                   replica_hello,
-                                  replace_call>;
+                                  replace_call,
+                                  wanted_models>;
 
 struct message
 {
