Order models and adapters by demand on engines that take conditional orders

Cause: adapters and models that no engine holds were never ordered on the platform, and one average of service times let the queue shed lookups behind streams.

--- a/src/control/control.hpp
+++ b/src/control/control.hpp
@@ -6,6 +6,7 @@
 
 #include "fleet/fleet.hpp"
 #include "net/net.hpp"
+#include "residency/residency.hpp"
 
 #include <variant>
 
@@ -65,6 +66,27 @@
   steady_time now;
 };
 
+/// An order to an engine that carries it out on a condition only.
+struct engine_order
+{
+  std::string endpoint; ///< name
+  std::string address;  ///< IP:port
+  residency::order_kind kind = residency::order_kind::eLoadModel;
+  std::string model;    ///< names as the manifest has them
+  std::string adapter;  ///< empty: the model itself
+  std::uint64_t expectedOrders = 0;
+  std::string holder;      ///< name of this process
+  std::uint64_t fence = 0; ///< grows with each leader
+};
+
+/// What a question for an engine's state is made of.
+struct engine_question
+{
+  std::string endpoint;
+  std::string address;
+  std::string service;
+};
+
 /// How endpoints and operators speak over HTTP. Plain translation.
 struct front_end
 {
@@ -77,6 +99,16 @@
                      const net::http_request&,
                      const http_answer&)>
     sendAnswer;
+  /// Calls to engines that take conditional orders; not set: orders go by the
+  /// ledger of the placement library.
+  std::function<net::http_call(const engine_order&)> writeOrder;
+  std::function<residency::order_answer(int aStatus)> readOrderAnswer;
+  std::function<net::http_call(const engine_question&)> writeQuestion;
+  std::function<std::optional<residency::engine_state>(
+    const engine_question&,
+    const std::string& aBody,
+    last_reason&)>
+    readState;
 };
 
 /// Runs bulrush-control with the front end that the settings name; none serves
--- a/src/control/orders.cpp
+++ b/src/control/orders.cpp
@@ -401,6 +401,9 @@
 void
 RunOrders(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
+  if (aTables.residency.isUsed) {
+    return;
+  }
   TakeManifest(aTables);
   TakeLeadership(aTables, aNow);
   TakeEndpoints(aTables);
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -85,6 +85,14 @@
     "",
     "",
     "Address for calls over HTTP, with a front end" },
+  { "order-hand-over",
+    option_type::eDuration,
+    "",
+    "3s",
+    "0ms",
+    "1h",
+    "With conditional orders: how long a new leader waits after the former "
+    "one's lease before its first order" },
   { "log-level",
     option_type::eText,
     "",
@@ -192,6 +200,8 @@
   bool Start(const option_values& aOptions, front_end aFront, last_reason& aWhy)
   {
     mFront = std::move(aFront);
+    mTables.residency.isUsed = static_cast<bool>(mFront.writeOrder);
+    mTables.residency.handOver = aOptions.Duration("order-hand-over");
     ReadDomains(aOptions);
     if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy) ||
         !ListenHttp(aOptions, aWhy)) {
@@ -441,6 +451,12 @@
     for (const answered_call& answer : outbox.httpAnswers) {
       AnswerHttp(answer);
     }
+    for (const auto& [engine, order] : outbox.engineOrders) {
+      SendEngineOrder(engine, order);
+    }
+    for (const auto& [engine, question] : outbox.questions) {
+      SendQuestion(engine, question);
+    }
     for (order_call& call : outbox.orders) {
       SendOrder(std::move(call));
     }
@@ -471,6 +487,57 @@
     }
   }
 
+  // The condition in the order makes a resend harmless, so connections may be
+  // kept.
+  void SendEngineOrder(endpoint_id aEngine, const engine_order& aOrder)
+  {
+    net::http_call call = mFront.writeOrder(aOrder);
+    call.timeout = kEngineTimeout;
+    net::http_call_hooks hooks;
+    hooks.onEnd = [this, aEngine](const net::http_call_end& aEnd) {
+      engine_answer answer;
+      answer.engine = aEngine;
+      answer.order = aEnd.whole ? mFront.readOrderAnswer(aEnd.status)
+                                : residency::order_answer::eNone;
+      mTables.residency.answers.push_back(std::move(answer));
+      mTimer.RunSoon();
+    };
+    mClient->Start(std::move(call), std::move(hooks));
+  }
+
+  void SendQuestion(endpoint_id aEngine, const engine_question& aQuestion)
+  {
+    net::http_call call = mFront.writeQuestion(aQuestion);
+    call.timeout = kEngineTimeout;
+    auto body = std::make_shared<std::string>();
+    net::http_call_hooks hooks;
+    hooks.onBytes = [body](std::string_view aBytes) {
+      if (body->size() + aBytes.size() <= kMaxStateBytes) {
+        *body += aBytes;
+      }
+    };
+    hooks.onEnd = [this, aEngine, aQuestion, body](
+                    const net::http_call_end& aEnd) {
+      engine_answer answer;
+      answer.engine = aEngine;
+      last_reason why;
+      if (aEnd.whole && aEnd.status == 200) {
+        answer.state = mFront.readState(aQuestion, *body, why);
+      }
+      if (!answer.state) {
+        LogWarning(kLog,
+                   "No state of engine {}: status {} {} {}",
+                   aQuestion.endpoint,
+                   aEnd.status,
+                   aEnd.error,
+                   Describe(why));
+      }
+      mTables.residency.answers.push_back(std::move(answer));
+      mTimer.RunSoon();
+    };
+    mClient->Start(std::move(call), std::move(hooks));
+  }
+
   // A connection of its own: the library resends nothing, and the endpoint
   // that answers is the one that was dialled for this order.
   void SendOrder(order_call aCall)
@@ -500,6 +567,9 @@
 
   static constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
   static constexpr std::size_t kMaxOrderAnswerBytes = 4096;
+  /// An engine answers orders and questions without waiting for a slot.
+  static constexpr std::chrono::milliseconds kEngineTimeout{ 1'000 };
+  static constexpr std::size_t kMaxStateBytes = 1'048'576;
 
   /// A call over HTTP that waits for its answer.
   struct waiting_reply
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -412,6 +412,8 @@
       TakeRenewal(aTables, input, *renewal);
     } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
       TakeGrant(aTables, *grant);
+    } else if (const auto* wanted = std::get_if<wire::wanted_models>(&body)) {
+      TakeDemand(aTables, input, *wanted, aNow);
     } else {
       TakeLogMessage(aTables, input, aNow, aOutbox);
     }
@@ -640,7 +642,7 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 11> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 12> kSystems{
   { { "ingest", RunIngest },
     { "http_calls", RunHttpCalls },
     { "log", RunLog },
@@ -649,6 +651,7 @@
     { "expiry", RunExpiry },
     { "call_timeouts", RunCallTimeouts },
     { "orders", RunOrders },
+    { "residents", RunResidents },
     { "leases", RunLeases },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -191,6 +191,45 @@
   steady_time nextNaming{};
 };
 
+/// A host that asks for models, and what it was told of engines.
+struct asking_host
+{
+  host_id id;
+  std::string peer; ///< identity on the link
+  std::uint64_t incarnation = 0;
+  std::uint64_t sentSerial = 0;
+  steady_time heardAt;
+};
+
+/// What an engine holds, with the serial of its latest change.
+struct held_row
+{
+  endpoint_id id;
+  std::uint64_t serial = 0;
+  wire::held_models held;
+};
+
+/// The answer of an engine to an order or to a question.
+struct engine_answer
+{
+  endpoint_id engine;
+  std::optional<residency::order_answer> order;
+  std::optional<residency::engine_state> state;
+};
+
+/// Residency by demand, where the front end can give conditional orders.
+struct residency_tables
+{
+  bool isUsed = false;
+  residency::tables decisions;
+  std::uint64_t manifestRevision = 0; ///< that the decisions rest on
+  table<host_id, asking_host> hosts;
+  table<endpoint_id, held_row> held;
+  std::uint64_t serial = 0;
+  std::vector<engine_answer> answers; ///< since the last tick
+  std::chrono::milliseconds handOver{ 3'000 }; ///< between holders of orders
+};
+
 struct control_tables
 {
   self_row self;
@@ -209,6 +248,7 @@
   std::vector<received_call> httpInbox;
   std::vector<committed_command> committed;
   order_tables orders;
+  residency_tables residency;
   std::uint64_t serial = 0;            ///< of the newest endpoint change
   std::uint64_t gossipedSerial = 0;    ///< passed on to the other controls
   std::uint64_t gossipedConfirmed = 0; ///< confirmed revision, passed on
@@ -230,6 +270,8 @@
   std::vector<outgoing> messages;
   std::vector<order_call> orders; ///< each on a connection of its own
   std::vector<answered_call> httpAnswers;
+  std::vector<std::pair<endpoint_id, engine_order>> engineOrders;
+  std::vector<std::pair<endpoint_id, engine_question>> questions;
   std::vector<wire::control_address> links; ///< control processes to link to
   wake_time wake;
   std::optional<last_reason> fatal; ///< the process must exit
@@ -246,6 +288,17 @@
                   steady_time aNow,
                   control_outbox& aOutbox);
 
+/// A host tells what its callers ask for.
+void TakeDemand(control_tables& aTables,
+                const received& aInput,
+                const wire::wanted_models& aWanted,
+                steady_time aNow);
+
+/// Orders models and adapters by demand, and tells hosts what engines hold.
+void RunResidents(control_tables& aTables,
+                  steady_time aNow,
+                  control_outbox& aOutbox);
+
 /// Answers whoever waits for a command that the log has decided.
 void AnswerCall(const pending_call& aCall,
                 const wire::command_reply& aReply,
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -26,7 +26,10 @@
 Enqueue(admission_tables& aTables, admitted_row& aRow)
 {
   aRow.state = admission_state::eQueued;
-  const std::chrono::duration<double> service{ aTables.serviceSeconds };
+  const kind_row* kind = aTables.kinds.Find(aRow.kind);
+  const std::chrono::duration<double> service{
+    kind == nullptr ? 0.0 : kind->serviceSeconds
+  };
   admission::queued_row queued;
   queued.id = aRow.id;
   queued.workspace = aRow.workspace;
@@ -131,11 +134,18 @@
     { "turns", RunTurns },
   } };
 
+// Kinds are kept apart: a stream of seconds says nothing of a lookup.
 void
-NoteServiceTime(admission_tables& aTables, std::chrono::nanoseconds aTime)
+NoteServiceTime(admission_tables& aTables,
+                kind_id aKind,
+                std::chrono::nanoseconds aTime)
 {
+  kind_row* kind = aTables.kinds.Find(aKind);
+  if (kind == nullptr) {
+    kind = &aTables.kinds.Insert({ aKind, 0 });
+  }
   const double seconds = std::chrono::duration<double>{ aTime }.count();
-  aTables.serviceSeconds += kServiceGain * (seconds - aTables.serviceSeconds);
+  kind->serviceSeconds += kServiceGain * (seconds - kind->serviceSeconds);
 }
 
 } // namespace
@@ -186,7 +196,7 @@
     admission::SettleTokens(aTables.escrow, row->reserved, 0, aNow);
   } else if (row->state == admission_state::eRunning) {
     --aTables.running;
-    NoteServiceTime(aTables, aNow - row->startedAt);
+    NoteServiceTime(aTables, row->kind, aNow - row->startedAt);
     admission::SettleTokens(aTables.escrow, row->reserved, aUsedTokens, aNow);
   }
   aTables.requests.Erase(aRequest);
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -36,11 +36,21 @@
   eRunning,
 };
 
+using kind_id = typed_id<struct kind_tag>;
+
+/// How long requests of one kind take.
+struct kind_row
+{
+  kind_id id;
+  double serviceSeconds = 0; ///< moving average from sending to the end
+};
+
 /// A request from its arrival to its end.
 struct admitted_row
 {
   request_id id;
   workspace_id workspace;
+  kind_id kind; ///< of requests that take about as long
   std::int64_t tokens = 0; ///< upper bound
   steady_time arrivedAt;
   steady_time deadline;
@@ -58,7 +68,7 @@
   table<request_id, admitted_row> requests;
   std::size_t capacity = 0; ///< requests that the endpoints bear at once
   std::size_t running = 0;
-  double serviceSeconds = 0; ///< moving average from sending to the end
+  table<kind_id, kind_row> kinds;
 };
 
 struct admission_outbox
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -6,6 +6,9 @@
 constexpr std::chrono::milliseconds kReportEvery{ 1'000 };
 constexpr std::chrono::milliseconds kControlSilence{ 1'500 };
 constexpr std::chrono::milliseconds kCommandRetry{ 700 };
+/// The engines' own reports are older than this at most; then they say more
+/// than the leader's last word.
+constexpr std::chrono::milliseconds kHeldFor{ 10'000 };
 
 // A host applies the very commands that the log holds, so the configuration
 // it serves by is the one that was committed. Anything out of order is left
@@ -96,6 +99,18 @@
   }
 }
 
+void
+Take(entry_tables& aTables,
+     const wire::held_update& aUpdate,
+     steady_time aNow)
+{
+  for (const wire::held_models& engine : aUpdate.engines) {
+    aTables.held.Insert(
+      { engine.endpoint, engine.incarnation, engine.residents, aNow });
+  }
+  aTables.hasNewEndpoints = true;
+}
+
 // "No leader" is tried again until the deadline; the same command is safe to
 // repeat, since the state machine knows it by its claim and token.
 void
@@ -124,6 +139,9 @@
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       Take(aTables, *update, aOutbox);
+    } else if (const auto* held =
+                 std::get_if<wire::held_update>(&message.body)) {
+      Take(aTables, *held, aNow);
     } else if (const auto* granted =
                  std::get_if<wire::share_grant>(&message.body)) {
       aOutbox.grants.push_back(granted->grant);
@@ -164,6 +182,21 @@
   aTables.renewals.clear();
 }
 
+// The leader alone gives orders, so it alone need know.
+void
+RunDemand(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
+{
+  if (aTables.wanted.empty()) {
+    return;
+  }
+  const control_row* leader =
+    aTables.controls.Find(IdOf<replica_id>(aTables.leader));
+  wire::wanted_models sent{ std::exchange(aTables.wanted, {}) };
+  if (leader != nullptr) {
+    aOutbox.messages.push_back({ leader->address, std::move(sent) });
+  }
+}
+
 // Reports in good time, and earlier when endpoints reported.
 void
 RunReport(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
@@ -220,8 +253,24 @@
   }
 }
 
+// Endpoints as they report themselves, with what the leader knows better.
+std::vector<endpoint_row>
+EffectiveEndpoints(const entry_tables& aTables, steady_time aNow)
+{
+  std::vector<endpoint_row> rows(aTables.endpoints.begin(),
+                                 aTables.endpoints.end());
+  for (endpoint_row& row : rows) {
+    const held_row* held = aTables.held.Find(row.id);
+    if (held != nullptr && held->incarnation == row.incarnation &&
+        aNow < held->heardAt + kHeldFor) {
+      row.residents = held->residents;
+    }
+  }
+  return rows;
+}
+
 void
-RunPublish(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
+RunPublish(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
   traffic_view& view = aTables.published;
   const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
@@ -235,7 +284,7 @@
   }
   if (aTables.hasNewEndpoints) {
     view.endpoints = std::make_shared<const std::vector<endpoint_row>>(
-      aTables.endpoints.begin(), aTables.endpoints.end());
+      EffectiveEndpoints(aTables, aNow));
   }
   if (aTables.hasNewTombstones) {
     std::unordered_set<key_hash, id_hash> keys;
@@ -254,8 +303,9 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 5> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 6> kSystems{
   { { "ingest", RunIngest },
+    { "demand", RunDemand },
     { "renewals", RunRenewals },
     { "report", RunReport },
     { "commands", RunCommands },
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -200,6 +200,13 @@
     mTimer.RunSoon();
   }
 
+  void Want(std::vector<wire::wanted_model> aWanted)
+  {
+    mTables.wanted.insert(
+      mTables.wanted.end(), aWanted.begin(), aWanted.end());
+    mTimer.RunSoon();
+  }
+
   void BeginStop()
   {
     mTables.isStopping = true;
@@ -430,6 +437,12 @@
                    mControl.Renew(std::move(renewal));
                  });
     };
+    hooks.onDemand = [this](std::vector<wire::wanted_model> aWanted) {
+      asio::post(mControlContext,
+                 [this, wanted = std::move(aWanted)]() mutable {
+                   mControl.Want(std::move(wanted));
+                 });
+    };
     hooks.onReport = [this](endpoint_row aRow) {
       asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
         mControl.Report(std::move(row));
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -13,6 +13,8 @@
 constexpr int kFirstRedirect = 300;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
+constexpr std::chrono::milliseconds kTellDemandEvery{ 500 };
+constexpr std::chrono::milliseconds kTellWaitingAgain{ 300 };
 constexpr std::chrono::milliseconds kConnectWithin{ 1'000 };
 constexpr std::size_t kMostHeldBytes = 33'554'432;
 constexpr std::size_t kMostStoredBytes = 65'536;
@@ -237,9 +239,11 @@
   implementation(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
                  std::unique_ptr<net::http_client> aClient,
-                 commit_hook aOnCommand)
+                 commit_hook aOnCommand,
+                 demand_hook aOnDemand)
     : mFront(*aSettings.front)
     , mOnCommand(std::move(aOnCommand))
+    , mOnDemand(std::move(aOnDemand))
     , mTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings))
     , mClient(std::move(aClient))
@@ -277,6 +281,7 @@
     aRequest.reply->onGone = [this, id = row.id] { OnGone(id); };
     aRequest.reply->onDrained = [this, id = row.id] { OnDrained(id); };
     ServeDeclaredVersion(aRequest.facts);
+    ++mWanted[{ aRequest.facts.model, aRequest.facts.adapter }].requests;
     routing::AddRequest(mEngine, aRequest.facts);
     row.request = std::move(aRequest);
     mWaiting.Insert(std::move(row));
@@ -468,9 +473,60 @@
     }
     Sweep();
     TellIfIdle();
+    TellDemand(aNow);
     return mOutbox.wake;
   }
 
+  /// What callers ask for since it was told last.
+  struct wanted
+  {
+    std::uint32_t requests = 0;
+    std::uint32_t waiting = 0; ///< now, as nothing holds it
+    steady_time toldWaiting;   ///< when the leader was told of them last
+  };
+
+  // Callers that wait for a model nobody holds are told of at once, and again
+  // when the order that it led to may have been lost.
+  bool CountWaiting(steady_time aNow)
+  {
+    for (auto& [key, each] : mWanted) {
+      each.waiting = 0;
+    }
+    for (const request_id id : mEngine.attention) {
+      const routing::request_row& row = *mEngine.requests.Find(id);
+      if (row.state == routing::request_state::eReady && row.wasNotResident) {
+        ++mWanted[{ row.facts.model, row.facts.adapter }].waiting;
+      }
+    }
+    return std::any_of(mWanted.begin(), mWanted.end(), [&](const auto& aEntry) {
+      return aEntry.second.waiting > 0 &&
+             aEntry.second.toldWaiting + kTellWaitingAgain <= aNow;
+    });
+  }
+
+  void TellDemand(steady_time aNow)
+  {
+    const bool isUrgent = CountWaiting(aNow);
+    if (!isUrgent && aNow < mNextDemand) {
+      if (!mWanted.empty()) {
+        mOutbox.wake.NoLaterThan(mNextDemand);
+      }
+      return;
+    }
+    std::vector<wire::wanted_model> told;
+    for (auto& [key, each] : mWanted) {
+      told.push_back({ key.model, key.adapter, each.requests, each.waiting });
+      each.requests = 0;
+      each.toldWaiting = each.waiting > 0 ? aNow : steady_time{};
+    }
+    std::erase_if(mWanted,
+                  [](const auto& aEntry) { return aEntry.second.waiting == 0; });
+    mNextDemand = aNow + kTellDemandEvery;
+    if (!told.empty()) {
+      mOnDemand(std::move(told));
+    }
+  }
+
   void TellIfIdle()
   {
     if (mOnIdle && mWaiting.Empty()) {
@@ -736,6 +792,10 @@
 
   const front_end& mFront;
   commit_hook mOnCommand;
+  demand_hook mOnDemand;
+  std::unordered_map<routing::model_key, wanted, routing::model_key_hash>
+    mWanted;
+  steady_time mNextDemand;
   random_engine mTokens;
   traffic_view mView;
   routing::tables mEngine;
@@ -754,11 +814,13 @@
 request_runner::request_runner(asio::io_context& aContext,
                                const request_runner_settings& aSettings,
                                std::unique_ptr<net::http_client> aClient,
-                               commit_hook aOnCommand)
+                               commit_hook aOnCommand,
+                               demand_hook aOnDemand)
   : mImplementation(std::make_unique<implementation>(aContext,
                                                      aSettings,
                                                      std::move(aClient),
-                                                     std::move(aOnCommand)))
+                                                     std::move(aOnCommand),
+                                                     std::move(aOnDemand)))
 {
 }
 
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -39,13 +39,17 @@
 using commit_hook =
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>;
 
+/// Tells the control thread what callers ask for.
+using demand_hook = std::function<void(std::vector<wire::wanted_model>)>;
+
 class request_runner
 {
 public:
   request_runner(asio::io_context& aContext,
                  const request_runner_settings& aSettings,
                  std::unique_ptr<net::http_client> aClient,
-                 commit_hook aOnCommand);
+                 commit_hook aOnCommand,
+                 demand_hook aOnDemand);
   ~request_runner();
   request_runner(const request_runner&) = delete;
   request_runner& operator=(const request_runner&) = delete;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -36,6 +36,15 @@
   steady_time lastHeard{};
 };
 
+/// What the leader says an engine holds, ahead of the engine's own report.
+struct held_row
+{
+  endpoint_id id;
+  std::uint64_t incarnation = 0;
+  std::vector<resident> residents;
+  steady_time heardAt;
+};
+
 struct tombstone_row
 {
   key_hash id;
@@ -74,6 +83,8 @@
   std::vector<wire::message> inbox;  ///< from control since the last tick
   std::vector<endpoint_row> unsent;  ///< to be told to control
   std::vector<admission::renewal> renewals; ///< from the traffic thread
+  table<endpoint_id, held_row> held;
+  std::vector<wire::wanted_model> wanted; ///< from the traffic thread
   std::uint64_t lastReport = 0;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -82,7 +82,8 @@
     , mRunner(aContext,
               { mSettings.domain, NewSeed(), &mSettings.front },
               mRecorder.Record(net::MakeHttpClient(aContext)),
-              mHooks.onCommand)
+              mHooks.onCommand,
+              mHooks.onDemand)
   {
   }
 
@@ -312,6 +313,7 @@
     routing::request_facts facts;
     const workspace_row* workspace = nullptr; ///< none on open routes
     std::int64_t tokens = 0;
+    kind_id kind;
   };
 
   const workspace_row* Authorise(const std::string& aKey,
@@ -382,6 +384,7 @@
     }
     facts.deadline = std::chrono::steady_clock::now() + row->deadline;
     aTo.tokens = aCall.tokens.value_or(0);
+    aTo.kind = kind_id{ facts.model.value };
     SetCaller(aCall, aTo);
     return true;
   }
@@ -418,6 +421,7 @@
                 resolved_call& aTo)
   {
     routing::request_facts& facts = aTo.facts;
+    aTo.kind = kind_id{ aRoute.id.value };
     facts.isStreamed = aRoute.isStreamed;
     facts.isIdempotent =
       aRoute.isStreamed ? aRoute.canResume : aRoute.isIdempotent;
@@ -540,14 +544,14 @@
     const bool isLimited = aResolved.workspace != nullptr &&
                            aResolved.workspace->tokensPerSecond > 0;
     if (isLimited) {
-      Admit(std::move(routed), aResolved.tokens);
+      Admit(std::move(routed), aResolved.tokens, aResolved.kind);
     } else {
       mRunner.Start(std::move(routed)); // there is no rate
     }
   }
 
   // The request waits for tokens and its turn before it is routed.
-  void Admit(routed_request aRouted, std::int64_t aTokens)
+  void Admit(routed_request aRouted, std::int64_t aTokens, kind_id aKind)
   {
     const auto* workspace =
       mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
@@ -562,6 +566,7 @@
     admitted_row row;
     row.id = id;
     row.workspace = aRouted.facts.workspace;
+    row.kind = aKind;
     row.tokens = aTokens;
     row.arrivedAt = std::chrono::steady_clock::now();
     row.deadline = aRouted.facts.deadline;
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -22,6 +22,8 @@
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>
     onCommand;
   std::function<void(admission::renewal)> onRenewal; ///< to the delegate
+  std::function<void(std::vector<wire::wanted_model>)> onDemand; ///< to the
+                                                                 ///< leader
 };
 
 struct traffic_settings
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -2,6 +2,39 @@
 
 namespace bulrush::wire {
 
+namespace {
+
+template<class list>
+void
+PutResidents(const std::vector<resident>& aFrom, list& aTo)
+{
+  for (const resident& from : aFrom) {
+    auto* to = aTo.Add();
+    to->set_model(from.model.value);
+    to->set_version(from.version);
+    for (const adapter_id& adapter : from.adapters) {
+      to->add_adapters(adapter.value);
+    }
+  }
+}
+
+template<class list>
+std::vector<resident>
+GetResidents(const list& aFrom)
+{
+  std::vector<resident> residents;
+  for (const auto& from : aFrom) {
+    resident to{ { from.model() }, from.version(), {} };
+    for (const auto adapter : from.adapters()) {
+      to.adapters.push_back({ adapter });
+    }
+    residents.push_back(std::move(to));
+  }
+  return residents;
+}
+
+} // namespace
+
 void
 Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo)
 {
@@ -20,14 +53,7 @@
   aTo.set_is_leaving(aFrom.isLeaving);
   aTo.set_running(aFrom.running);
   aTo.set_queued(aFrom.queued);
-  for (const resident& from : aFrom.residents) {
-    auto* to = aTo.add_residents();
-    to->set_model(from.model.value);
-    to->set_version(from.version);
-    for (const adapter_id& adapter : from.adapters) {
-      to->add_adapters(adapter.value);
-    }
-  }
+  PutResidents(aFrom.residents, *aTo.mutable_residents());
   for (const std::string& service : aFrom.services) {
     aTo.add_services(service);
   }
@@ -62,13 +88,7 @@
   row.isLeaving = aFrom.is_leaving();
   row.running = aFrom.running();
   row.queued = aFrom.queued();
-  for (const auto& from : aFrom.residents()) {
-    resident to{ { from.model() }, from.version(), {} };
-    for (const auto adapter : from.adapters()) {
-      to.adapters.push_back({ adapter });
-    }
-    row.residents.push_back(std::move(to));
-  }
+  row.residents = GetResidents(aFrom.residents());
   row.services.assign(aFrom.services().begin(), aFrom.services().end());
   for (const auto& from : aFrom.orders()) {
     row.orders.push_back({ { from.order() }, from.fencing(), from.is_done() });
@@ -227,6 +247,18 @@
   to->set_hosts(aFrom.hosts);
 }
 
+void
+PutBody(const held_update& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_held_update();
+  for (const held_models& from : aFrom.engines) {
+    auto* engine = to->add_engines();
+    engine->set_endpoint(from.endpoint.value);
+    engine->set_incarnation(from.incarnation);
+    PutResidents(from.residents, *engine->mutable_residents());
+  }
+}
+
 void
 PutBody(const wanted_models& aFrom, steady_time, pb::Envelope& aTo)
 {
@@ -434,6 +466,18 @@
   return update;
 }
 
+std::optional<message_body>
+GetBody(const pb::HeldUpdate& aFrom, steady_time)
+{
+  held_update update;
+  for (const auto& from : aFrom.engines()) {
+    update.engines.push_back({ { from.endpoint() },
+                               from.incarnation(),
+                               GetResidents(from.residents()) });
+  }
+  return update;
+}
+
 std::optional<message_body>
 GetBody(const pb::WantedModels& aFrom, steady_time)
 {
@@ -643,6 +687,8 @@
       return GetBody(aFrom.replace_call(), aNow);
     case pb::Envelope::kWantedModels:
       return GetBody(aFrom.wanted_models(), aNow);
+    case pb::Envelope::kHeldUpdate:
+      return GetBody(aFrom.held_update(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -76,6 +76,20 @@
   std::vector<wanted_model> models;
 };
 
+/// What an engine holds, as the leader knows from its orders.
+struct held_models
+{
+  endpoint_id endpoint;
+  std::uint64_t incarnation = 0;
+  std::vector<resident> residents;
+};
+
+/// The leader to hosts that ask for models: ahead of the engines' own reports.
+struct held_update
+{
+  std::vector<held_models> engines;
+};
+
 /// The answer to a host_report, also sent whenever something changed.
 struct host_update
 {
@@ -233,7 +247,8 @@
                                   replica_message,
                                   replica_hello,
                                   replace_call,
-                                  wanted_models>;
+                                  wanted_models,
+                                  held_update>;
 
 struct message
 {
