--- a/src/control/leases.cpp
+++ b/src/control/leases.cpp
@@ -30,10 +30,20 @@
   return static_cast<std::int64_t>(std::floor(units));
 }
 
+// Part of the tolerance that is used. The rest covers requests that were let in
+// before a window and reach their endpoint in it.
+constexpr double kToleranceUsed = 0.8;
+
 share
-LimitOf(const workspace_row& aWorkspace)
+LimitOf(const rate_tolerance& aTolerance, const workspace_row& aWorkspace)
 {
-  return { Units(aWorkspace.tokensPerSecond), Units(aWorkspace.burstTokens) };
+  const std::chrono::duration<double> window = aTolerance.window;
+  const double allowed = aWorkspace.tokensPerSecond * window.count() +
+                         aWorkspace.burstTokens;
+  const double capital =
+    kToleranceUsed * (aTolerance.overage * allowed + aTolerance.slackTokens);
+  return { Units(aWorkspace.tokensPerSecond),
+           Units(aWorkspace.burstTokens + capital) };
 }
 
 replica_id
@@ -59,7 +69,7 @@
          ++back) {
       const auto holder = admission::HolderOf(domain.id, domain.epoch - back);
       for (const workspace_row& workspace : declared.workspaces) {
-        const share limit = LimitOf(workspace);
+        const share limit = LimitOf(aTables.leases.tolerance, workspace);
         const share floor{ limit.rate * kFloorMille / 1000 / domains,
                            limit.size * kFloorMille / 1000 / domains };
         const auto what = admission::RateOf(workspace.id);
@@ -112,8 +122,11 @@
     }
   }
   for (const workspace_row& workspace : declared.workspaces) {
+    if (workspace.tokensPerSecond == 0) {
+      continue; // there is no limit to divide
+    }
     const auto what = admission::RateOf(workspace.id);
-    SetLimit(leases.root, what, LimitOf(workspace), aNow);
+    SetLimit(leases.root, what, LimitOf(aTables.leases.tolerance, workspace), aNow);
     leases.limits.Insert({ admission::IdOfResource(what), what });
   }
   if (isFirst && settings.waitOutUntil > aNow) {
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -85,6 +85,28 @@
     "",
     "",
     "Address for calls over HTTP, with a front end" },
+  { "rate-window",
+    option_type::eDuration,
+    "",
+    "0s",
+    "0s",
+    "1h",
+    "Window over which rates are judged; with the next two it says what may be "
+    "used above them, so that every host can hold tokens" },
+  { "rate-overage",
+    option_type::eDecimal,
+    "",
+    "0",
+    "0",
+    "1",
+    "Share of what a rate and its burst allow in a window that may come on top" },
+  { "rate-slack",
+    option_type::eDecimal,
+    "tokens",
+    "0",
+    "0",
+    "",
+    "Tokens that may come on top in a window, for each workspace" },
   { "order-hand-over",
     option_type::eDuration,
     "",
@@ -202,6 +224,11 @@
     mFront = std::move(aFront);
     mTables.residency.isUsed = static_cast<bool>(mFront.writeOrder);
     mTables.residency.handOver = aOptions.Duration("order-hand-over");
+    mTables.leases.tolerance = {
+      aOptions.Duration("rate-window"),
+      aOptions.Decimal("rate-overage"),
+      aOptions.Decimal("rate-slack")
+    };
     ReadDomains(aOptions);
     if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy) ||
         !ListenHttp(aOptions, aWhy)) {
@@ -645,6 +672,9 @@
     LogInfo(kLog, "Stops");
     process.BeginStop();
   });
+  net::OnReloadSignal(context, [] {
+    LogInfo(kLog, "Settings have changed; they are read at the next start");
+  });
   context.run();
   return process.ExitCode();
 }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -178,6 +178,16 @@
   admission::resource what;
 };
 
+/// What operators tolerate above a rate within a window. The fleet uses most of
+/// it as working capital of the hosts: tokens that wait where they may be
+/// needed.
+struct rate_tolerance
+{
+  std::chrono::milliseconds window{ 0 };
+  double overage = 0;     ///< share of what the rate allows in a window
+  double slackTokens = 0; ///< on top of it
+};
+
 /// Leases and shares: the root while this process leads, and its delegates.
 struct lease_tables
 {
@@ -189,6 +199,7 @@
   table<admission::holder_id, holder_peer_row> holders;
   steady_time leadsSince{};
   steady_time nextNaming{};
+  rate_tolerance tolerance;
 };
 
 /// A host that asks for models, and what it was told of engines.
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -81,6 +81,29 @@
     "",
     "Serve known keys also while no control process can be reached; a key that "
     "was withdrawn meanwhile then works until one is" },
+  { "retry-share",
+    option_type::eDecimal,
+    "",
+    "0",
+    "0",
+    "1",
+    "Retries of all hosts per request of a service; 0: each host by itself, "
+    "0.2" },
+  { "retry-burst",
+    option_type::eDecimal,
+    "retries",
+    "0",
+    "0",
+    "",
+    "Retries of all hosts for a service on top of retry-share, at once" },
+  { "rate-slack",
+    option_type::eDecimal,
+    "tokens",
+    "0",
+    "0",
+    "",
+    "Tokens that control processes may grant a workspace above its burst; a "
+    "request that needs more is refused at once" },
   { "stop-delay",
     option_type::eDuration,
     "",
@@ -349,6 +372,11 @@
     const auto guard = asio::make_work_guard(mTrafficContext);
     std::thread traffic([this] { mTrafficContext.run(); });
     net::OnStopSignal(mControlContext, [this] { BeginStop(); });
+    // Control processes are learnt from those that are known, so new seeds
+    // matter to the next start only.
+    net::OnReloadSignal(mControlContext, [] {
+      LogInfo(kLog, "Settings have changed; they are read at the next start");
+    });
     mControl.RunSoon();
     mControlContext.run();
     mTrafficContext.stop();
@@ -409,6 +437,10 @@
   {
     traffic_settings settings;
     settings.front = std::move(aFront);
+    settings.retries = { aOptions.Decimal("retry-share"),
+                         aOptions.Decimal("retry-burst") };
+    settings.rateSlack =
+      static_cast<std::int64_t>(aOptions.Decimal("rate-slack"));
     settings.servesWithoutLease = aOptions.Flag("serve-without-lease");
     if (const auto ready = aOptions.Address("ready-listen")) {
       settings.ready.emplace();
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -13,6 +13,9 @@
 constexpr int kFirstRedirect = 300;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
+/// Part of the fleet's allowance that hosts use; the rest is for those that are
+/// counted late after they started.
+constexpr double kRetriesUsed = 0.75;
 constexpr std::chrono::milliseconds kTellDemandEvery{ 500 };
 constexpr std::chrono::milliseconds kTellWaitingAgain{ 300 };
 constexpr std::chrono::milliseconds kConnectWithin{ 1'000 };
@@ -242,6 +245,7 @@
                  commit_hook aOnCommand,
                  demand_hook aOnDemand)
     : mFront(*aSettings.front)
+    , mRetries(aSettings.retries)
     , mOnCommand(std::move(aOnCommand))
     , mOnDemand(std::move(aOnDemand))
     , mTokens(aSettings.seed)
@@ -265,6 +269,7 @@
       mView.fleet != aView.fleet || mView.hosts != aView.hosts;
     const bool hasNewKeys = hasNewFleet || mView.tombstones != aView.tombstones;
     mView = aView;
+    ShareRetries();
     TakeEndpoints(hasNewFleet);
     if (hasNewKeys) {
       CancelWithdrawn();
@@ -315,6 +320,15 @@
     }
   }
 
+  // The fleet's allowance of retries is divided over the hosts.
+  void ShareRetries()
+  {
+    if (mRetries.share > 0) {
+      mEngine.settings.retryShare = kRetriesUsed * mRetries.share;
+      mEngine.settings.retryBurst = kRetriesUsed * mRetries.burst / mView.hosts;
+    }
+  }
+
   // Input -------------------------------------------------------------------
 
   void TakeEndpoints(bool aAll)
@@ -791,6 +805,7 @@
   };
 
   const front_end& mFront;
+  retry_allowance mRetries;
   commit_hook mOnCommand;
   demand_hook mOnDemand;
   std::unordered_map<routing::model_key, wanted, routing::model_key_hash>
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -28,11 +28,20 @@
   std::function<void(std::optional<std::int64_t> aUsedTokens)> onEnded;
 };
 
+/// Retries of all hosts together, for each service: a share of its requests and
+/// a fixed number besides.
+struct retry_allowance
+{
+  double share = 0; ///< 0: as routing has it by itself
+  double burst = 0;
+};
+
 struct request_runner_settings
 {
   std::string domain;
   std::uint64_t seed = 1; ///< of attempt ids and claim tokens: new each start
   const front_end* front = nullptr; ///< outlives the runner
+  retry_allowance retries;
 };
 
 /// Asks the control thread to have a command committed; answers on this thread.
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -80,7 +80,10 @@
     , mRecorder(Seeded(mSettings.recording))
     , mRandom(NewSeed())
     , mRunner(aContext,
-              { mSettings.domain, NewSeed(), &mSettings.front },
+              { mSettings.domain,
+                NewSeed(),
+                &mSettings.front,
+                mSettings.retries },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand,
               mHooks.onDemand)
@@ -432,6 +435,7 @@
     facts.endBy = facts.deadline;
     facts.prefix = PrefixOf(aCall.prompt);
     const std::string& service = PickTarget(aRoute);
+    facts.service = IdOf<service_id>(service);
     facts.model = ServiceId(service);
     if (!aCall.model.empty()) {
       facts.model =
@@ -556,7 +560,8 @@
     const auto* workspace =
       mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
     if (workspace != nullptr &&
-        static_cast<double>(aTokens) > workspace->burstTokens) {
+        static_cast<double>(aTokens - mSettings.rateSlack) >
+          workspace->burstTokens) {
       SendError(*aRouted.reply,
                 ErrorOf({ refusal_kind::eTooLarge, {} }),
                 aRouted.facts.id);
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -7,6 +7,7 @@
 
 #include "entry/entry.hpp"
 #include "entry/recorder.hpp"
+#include "entry/requests.hpp"
 #include "entry/tables.hpp"
 #include "net/net.hpp"
 
@@ -39,6 +40,8 @@
   std::optional<net::http_server_settings> ready;
   /// Known keys are served also while the lease has lapsed.
   bool servesWithoutLease = false;
+  retry_allowance retries;
+  std::int64_t rateSlack = 0; ///< tokens above a burst that may be granted
 };
 
 class traffic_thread
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -241,6 +241,10 @@
 /// Calls aOnSignal once for SIGTERM or SIGINT.
 void OnStopSignal(asio::io_context& aContext, std::function<void()> aOnSignal);
 
+/// Calls aOnSignal for each SIGHUP.
+void OnReloadSignal(asio::io_context& aContext,
+                    std::function<void()> aOnSignal);
+
 } // namespace bulrush::net
 
 #endif
--- a/src/net/tick_timer.cpp
+++ b/src/net/tick_timer.cpp
@@ -82,4 +82,28 @@
     });
 }
 
+namespace {
+
+void
+WaitForReload(const std::shared_ptr<asio::signal_set>& aSignals,
+              const std::shared_ptr<std::function<void()>>& aHook)
+{
+  aSignals->async_wait([aSignals, aHook](const std::error_code& aError, int) {
+    if (!aError) {
+      (*aHook)();
+      WaitForReload(aSignals, aHook);
+    }
+  });
+}
+
+} // namespace
+
+void
+OnReloadSignal(asio::io_context& aContext, std::function<void()> aOnSignal)
+{
+  WaitForReload(
+    std::make_shared<asio::signal_set>(aContext, SIGHUP),
+    std::make_shared<std::function<void()>>(std::move(aOnSignal)));
+}
+
 } // namespace bulrush::net
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -107,6 +107,10 @@
     return;
   }
   if (IsRefusal(*aAttempt.head)) {
+    if (IsOverload(aAttempt.head->status)) {
+      aTables.endpoints.Find(aAttempt.endpoint)->avoidUntil =
+        aNow + aTables.settings.avoidFull;
+    }
     FailAttempt(aTables,
                 aAttempt,
                 aRequest,
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -89,7 +89,7 @@
   }
   seen.isUsable = true;
   if (aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint) ||
-      !MayStartCold(aEndpoint, aNow)) {
+      aNow < aEndpoint.avoidUntil || !MayStartCold(aEndpoint, aNow)) {
     return seen;
   }
   if (HasTried(aRequest, aEndpoint.id)) {
@@ -132,9 +132,10 @@
 CountAttempt(tables& aTables, request_row& aRequest, endpoint_id aEndpoint)
 {
   if (aRequest.attemptsMade == 0) {
-    aTables.retryBudget =
+    retry_row& retries = RetriesOf(aTables, aRequest.facts.service);
+    retries.budget =
       std::min(aTables.settings.retryBurst,
-               aTables.retryBudget + aTables.settings.retryShare);
+               retries.budget + aTables.settings.retryShare);
   }
   aRequest.tried[aRequest.attemptsMade % kTriedEndpoints] = aEndpoint;
   ++aRequest.attemptsMade;
@@ -409,6 +410,17 @@
   return freeSlots;
 }
 
+// A request that waits for an endpoint to be tried again is looked at then.
+static void
+WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
+{
+  for (const endpoint_row& endpoint : aTables.endpoints) {
+    if (aNow < endpoint.avoidUntil) {
+      aWake.NoLaterThan(endpoint.avoidUntil);
+    }
+  }
+}
+
 // The deadline is checked here, at the point of use: a thread that was frozen
 // sends nothing that is overdue.
 void
@@ -423,6 +435,9 @@
     }
     const choice chosen = ChooseOnce(aTables, request, aNow);
     request.wasNotResident = chosen.failure == choice_failure::eNotResident;
+    if (chosen.failure == choice_failure::eNoSlot) {
+      WakeForAvoided(aTables, aNow, aOutbox.wake);
+    }
     if (!chosen.failure) {
       endpoint_row& endpoint = aTables.endpoints.Rows()[chosen.position];
       Start(aTables, request, endpoint, aNow, aOutbox);
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -26,6 +26,9 @@
 void IndexHolders(tables& aTables);
 
 /// Drops an endpoint to its cold limit.
+/// The budget of a service, added when there is none.
+retry_row& RetriesOf(tables& aTables, service_id aService);
+
 /// Whether a cold endpoint bears one request more now.
 bool MayStartCold(endpoint_row& aEndpoint, steady_time aNow);
 
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -78,13 +78,24 @@
     AllowTimeToResume(aTables.settings, aRequest, aNow);
   }
   return aTables.policy.retry({ aRequest,
-                                aTables.retryBudget,
+                                RetriesOf(aTables, aRequest.facts.service).budget,
                                 TimeLeft(aRequest, aNow),
                                 maxAttempts });
 }
 
 } // namespace
 
+// A service begins with a full budget.
+retry_row&
+RetriesOf(tables& aTables, service_id aService)
+{
+  retry_row* row = aTables.retries.Find(aService);
+  if (row == nullptr) {
+    row = &aTables.retries.Insert({ aService, aTables.settings.retryBurst });
+  }
+  return *row;
+}
+
 // Without a budget, retries multiply the load of a fleet that is failing.
 bool
 RetryWithinBudget(const retry_input& aInput)
@@ -128,7 +139,7 @@
       continue;
     }
     if (ShouldRetry(aTables, request, aNow)) {
-      aTables.retryBudget -= 1.0;
+      RetriesOf(aTables, request.facts.service).budget -= 1.0;
       request.state = request_state::eReady;
     } else {
       EndRequest(aTables.settings,
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -93,6 +93,14 @@
   std::uint32_t inFlight = 0;        ///< attempts of this thread
   std::uint32_t ownWhenReported = 0; ///< inFlight when the report came
   bool isGone = false;               ///< erased once nothing is in flight
+  steady_time avoidUntil; ///< it refused for want of room
+};
+
+/// Retries that may be made now for one service.
+struct retry_row
+{
+  service_id id;
+  double budget = 0;
 };
 
 /// A model, or a model with an adapter, that is loaded and usable.
@@ -172,6 +180,7 @@
   }; ///< time to the first byte; 0: unknown
   steady_time endBy = steady_time::max(); ///< of a stream its last byte
   std::uint32_t maxAttempts = 0; ///< 0: as the options say
+  service_id service; ///< whose retries are budgeted together; none: one budget
 };
 
 inline constexpr std::size_t kTriedEndpoints = 4;
@@ -321,14 +330,15 @@
   std::uint32_t maxAttempts = 3; ///< of an idempotent request, 1 to 4
   /// An endpoint's word that a request did not run is proof of it.
   bool trustsRefusals = false;
-  double retryShare = 0.2;       ///< retries per request, long run
-  double retryBurst = 20;        ///< retries at once
+  double retryShare = 0.2;       ///< retries per request of a service, long run
+  double retryBurst = 20;        ///< retries of a service at once
   std::chrono::milliseconds minAttempt{ 50 };
   std::chrono::milliseconds streamIdle{ 30'000 };
   std::chrono::milliseconds resumeWait{ 2'000 }; ///< to resume a broken stream
   std::chrono::milliseconds reportHorizon{ 2'000 }; ///< an older report is void
   std::chrono::milliseconds claimWait{ 2'000 };
   std::chrono::milliseconds detachedWait{ 60'000 };
+  std::chrono::milliseconds avoidFull{ 100 }; ///< an endpoint that refused
 };
 
 // Tables -------------------------------------------------------------------
@@ -403,7 +413,7 @@
   std::vector<candidate> candidates;    ///< scratch of one decision
   std::vector<waiting_request> waiting; ///< scratch of one tick
   std::vector<wanted_model> full;       ///< scratch: no slot in this tick
-  double retryBudget = 0;
+  table<service_id, retry_row> retries;
   std::uint64_t arrivals = 0;
 };
 
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -25,7 +25,6 @@
   , policy(std::move(aHooks))
   , random(aOptions.seed)
   , prefixes(kPrefixSlots)
-  , retryBudget(aOptions.retryBurst)
 {
 }
 
