--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -92,6 +92,13 @@
 
   bool Start(last_reason& aWhy)
   {
+    mSettings.http.onFault = [this](net::http_reply& aReply,
+                                    int aStatus,
+                                    const std::string& aText) {
+      SendError(aReply,
+                { aStatus, "bad_request", aText, false, std::nullopt },
+                request_id{ ++mLastRequest });
+    };
     auto server = net::Listen(
       mContext,
       mSettings.http,
@@ -114,6 +121,14 @@
     mRunner.SetView(mView);
     SetFleet(mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain));
     mAdmission.capacity = Capacity();
+    const caller_limits& limits = mView.fleet->declared.callers;
+    mServer->SetLimits({ limits.maxHeaderBytes,
+                         limits.maxBodyBytes,
+                         limits.headerTimeout,
+                         limits.idleTimeout });
+    if (mView.isStopping) {
+      mServer->BeginDrain();
+    }
     mAdmissionTimer.RunSoon();
   }
   void TakeGrant(admission::grant aGrant)
--- /dev/null
+++ b/src/net/http_connection.cpp
@@ -0,0 +1,584 @@
+#include "net/http_connection.hpp"
+
+#include "net/http_head.hpp"
+
+#include <asio/write.hpp>
+#include <fmt/format.h>
+
+namespace bulrush::net {
+namespace {
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// Bytes that a caller may send ahead while it is being answered.
+constexpr std::size_t kMaxAhead = 65'536;
+/// Time for a caller to read the last answer before its connection is closed;
+/// closing with unread input would reset it.
+constexpr std::chrono::seconds kLingerFor{ 1 };
+
+const char*
+Phrase(int aStatus)
+{
+  static const std::unordered_map<int, const char*> kPhrases = {
+    { 200, "OK" },
+    { 202, "Accepted" },
+    { 204, "No Content" },
+    { 304, "Not Modified" },
+    { 307, "Temporary Redirect" },
+    { 400, "Bad Request" },
+    { 401, "Unauthorized" },
+    { 403, "Forbidden" },
+    { 404, "Not Found" },
+    { 405, "Method Not Allowed" },
+    { 408, "Request Timeout" },
+    { 409, "Conflict" },
+    { 413, "Content Too Large" },
+    { 415, "Unsupported Media Type" },
+    { 421, "Misdirected Request" },
+    { 422, "Unprocessable Content" },
+    { 429, "Too Many Requests" },
+    { 431, "Request Header Fields Too Large" },
+    { 500, "Internal Server Error" },
+    { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  const auto found = kPhrases.find(aStatus);
+  return found == kPhrases.end() ? "Status" : found->second;
+}
+
+bool
+HasNoBody(int aStatus)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
+class connection_reply : public http_reply
+{
+public:
+  connection_reply(std::weak_ptr<http_connection> aConnection,
+                   std::uint64_t aRequest)
+    : mConnection(std::move(aConnection))
+    , mRequest(aRequest)
+  {
+  }
+
+  void Send(int aStatus,
+            const std::vector<http_field>& aFields,
+            std::string aBody) override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->SendWhole(mRequest, aStatus, aFields, aBody);
+    }
+  }
+  void Start(int aStatus, const std::vector<http_field>& aFields) override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->SendHead(mRequest, aStatus, aFields);
+    }
+  }
+  void Write(std::string aBytes) override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->SendChunk(mRequest, aBytes);
+    }
+  }
+  void Finish() override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->SendEnd(mRequest);
+    }
+  }
+  void Abort() override
+  {
+    if (const auto connection = mConnection.lock()) {
+      connection->Abort(mRequest);
+    }
+  }
+  std::size_t UnsentBytes() const override
+  {
+    const auto connection = mConnection.lock();
+    return connection ? connection->UnsentBytes(mRequest) : 0;
+  }
+
+private:
+  std::weak_ptr<http_connection> mConnection;
+  std::uint64_t mRequest;
+};
+
+} // namespace
+
+// The parser is told where to store what it finds; one field at a time.
+http_parser_settings
+http_connection::ParserSettings()
+{
+  const auto self = [](http_parser* aParser) {
+    return static_cast<http_connection*>(aParser->data);
+  };
+  (void)self;
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_url = [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+    static_cast<http_connection*>(aParser->data)->mRequest.target.append(aAt,
+                                                                        aCount);
+    return 0;
+  };
+  settings.on_header_field =
+    [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+      auto& fields =
+        static_cast<http_connection*>(aParser->data)->mRequest.fields;
+      fields.push_back({ std::string(aAt, aCount), "" });
+      return 0;
+    };
+  settings.on_header_value =
+    [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+      auto& fields =
+        static_cast<http_connection*>(aParser->data)->mRequest.fields;
+      fields.back().value.append(aAt, aCount);
+      return 0;
+    };
+  settings.on_body = [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+    auto& connection = *static_cast<http_connection*>(aParser->data);
+    const std::size_t limit = connection.mState->settings.maxBodyBytes;
+    connection.mIsTooLarge |= connection.mRequest.body.size() + aCount > limit;
+    if (connection.mIsTooLarge) {
+      return 1;
+    }
+    connection.mRequest.body.append(aAt, aCount);
+    return 0;
+  };
+  settings.on_message_complete = [](http_parser* aParser) {
+    static_cast<http_connection*>(aParser->data)->mIsComplete = true;
+    http_parser_pause(aParser, 1);
+    return 0;
+  };
+  return settings;
+}
+
+http_connection::http_connection(asio::ip::tcp::socket aSocket,
+                                 std::shared_ptr<server_state> aState)
+  : mSocket(std::move(aSocket))
+  , mState(std::move(aState))
+{
+  std::error_code ignored; // a connection that is gone shows at the first read
+  const auto remote = mSocket.remote_endpoint(ignored);
+  mPeer = fmt::format("{}:{}", remote.address().to_string(), remote.port());
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void
+http_connection::Start()
+{
+  mPhaseEnds =
+    std::chrono::steady_clock::now() + mState->settings.idleTimeout;
+  Read();
+}
+
+void
+http_connection::Read()
+{
+  if (mIsReading || IsClosed() || mInput.size() > kMaxAhead) {
+    return;
+  }
+  mIsReading = true;
+  mSocket.async_read_some(
+    asio::buffer(mBuffer),
+    [self = shared_from_this()](const std::error_code& aError,
+                                std::size_t aCount) {
+      self->mIsReading = false;
+      if (aError) {
+        self->TellGone();
+        self->Close();
+      } else {
+        self->OnRead(aCount);
+      }
+    });
+}
+
+void
+http_connection::OnRead(std::size_t aCount)
+{
+  if (mPhase == phase::eLinger) {
+    Read();
+    return;
+  }
+  if (mPhase == phase::eHead && mInput.empty()) {
+    mPhaseEnds =
+      std::chrono::steady_clock::now() + mState->settings.headerTimeout;
+  }
+  mInput.append(mBuffer.data(), aCount);
+  Process();
+  Read();
+}
+
+void
+http_connection::Process()
+{
+  bool goesOn = true;
+  while (goesOn && !mInput.empty()) {
+    switch (mPhase) {
+      case phase::eHead:
+        goesOn = ProcessHead();
+        break;
+      case phase::eBody:
+        goesOn = ProcessBody();
+        break;
+      default:
+        return;
+    }
+  }
+}
+
+// Nothing of a head is handed on before all of it was checked.
+bool
+http_connection::ProcessHead()
+{
+  while (mInput.starts_with("\r\n")) {
+    mInput.erase(0, 2); // an empty line before a request is allowed
+  }
+  const std::size_t end = mInput.find(kHeadEnd);
+  const std::size_t limit = mState->settings.maxHeaderBytes;
+  if (std::min(end, mInput.size()) > limit) {
+    Refuse(431, "the head is larger than " + std::to_string(limit) + " bytes");
+    return false;
+  }
+  if (end == std::string::npos) {
+    if (const auto fault = CheckHeadBytes(mInput)) {
+      Refuse(400, *fault);
+    }
+    return false;
+  }
+  const std::string_view head =
+    std::string_view(mInput).substr(0, end + kHeadEnd.size());
+  if (const auto fault = CheckHead(head)) {
+    Refuse(400, *fault);
+    return false;
+  }
+  http_parser_init(&mParser, HTTP_REQUEST);
+  mParser.data = this;
+  mRequest = {};
+  mIsComplete = false;
+  mIsTooLarge = false;
+  mPhase = phase::eBody;
+  mPhaseEnds = std::chrono::steady_clock::now() + mState->settings.readTimeout;
+  const std::string* expect = nullptr;
+  const bool goesOn = ProcessBody();
+  if (mPhase == phase::eBody) {
+    expect = FindField(mRequest.fields, "Expect");
+  }
+  if (expect != nullptr) {
+    Queue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return goesOn;
+}
+
+bool
+http_connection::ProcessBody()
+{
+  static const http_parser_settings kSettings = ParserSettings();
+  const std::size_t used =
+    http_parser_execute(&mParser, &kSettings, mInput.data(), mInput.size());
+  if (mIsTooLarge) {
+    Refuse(413,
+           "the body is larger than " +
+             std::to_string(mState->settings.maxBodyBytes) + " bytes");
+    return false;
+  }
+  const http_errno error = HTTP_PARSER_ERRNO(&mParser);
+  if (!mIsComplete && error != HPE_OK) {
+    Refuse(400, http_errno_description(error));
+    return false;
+  }
+  mInput.erase(0, used);
+  if (!mIsComplete) {
+    return false;
+  }
+  http_parser_pause(&mParser, 0);
+  HandOver();
+  return false;
+}
+
+void
+http_connection::HandOver()
+{
+  mPhase = phase::eAnswering;
+  mPhaseEnds = steady_time::max();
+  mKeepsAlive = http_should_keep_alive(&mParser) != 0;
+  mIsAnswered = false;
+  mRequest.method =
+    http_method_str(static_cast<http_method>(mParser.method));
+  mIsHeadRequest = mParser.method == HTTP_HEAD;
+  const std::size_t mark = std::min(mRequest.target.find('?'),
+                                    mRequest.target.size());
+  mRequest.path = mRequest.target.substr(0, mark);
+  mRequest.query = mark < mRequest.target.size()
+                     ? mRequest.target.substr(mark + 1)
+                     : std::string();
+  mRequest.peer = mPeer;
+  ++mState->unsentAnswers;
+  const auto reply = std::make_shared<connection_reply>(weak_from_this(),
+                                                        ++mRequestNumber);
+  mReply = reply;
+  mState->onRequest(std::move(mRequest), reply);
+}
+
+// What follows a message that cannot be read cannot be read either.
+void
+http_connection::Refuse(int aStatus, const std::string& aText)
+{
+  mPhase = phase::eAnswering;
+  mPhaseEnds = steady_time::max();
+  mKeepsAlive = false;
+  mIsAnswered = false;
+  mIsHeadRequest = false;
+  mInput.clear();
+  ++mState->unsentAnswers;
+  const auto reply = std::make_shared<connection_reply>(weak_from_this(),
+                                                        ++mRequestNumber);
+  if (mState->settings.onFault) {
+    mState->settings.onFault(*reply, aStatus, aText);
+  } else {
+    reply->Send(
+      aStatus, { { "Content-Type", "text/plain" } }, aText + "\n");
+  }
+}
+
+void
+http_connection::TellGone()
+{
+  if (mPhase != phase::eAnswering || mIsAnswered) {
+    return;
+  }
+  if (const auto reply = mReply.lock()) {
+    mReply.reset();
+    if (const auto hook = std::exchange(reply->onGone, nullptr)) {
+      hook();
+    }
+  }
+}
+
+// Answers ---------------------------------------------------------------------
+
+std::string
+http_connection::FormatHead(int aStatus,
+                            const std::vector<http_field>& aFields,
+                            const std::string& aFraming)
+{
+  mKeepsAlive = mKeepsAlive && !mState->isDraining;
+  std::string head =
+    fmt::format("HTTP/1.1 {} {}\r\n", aStatus, Phrase(aStatus));
+  for (const http_field& field : aFields) {
+    head += field.name;
+    head += ": ";
+    head += field.value;
+    head += "\r\n";
+  }
+  head += aFraming;
+  if (!mKeepsAlive) {
+    head += "Connection: close\r\n";
+  }
+  head += "\r\n";
+  return head;
+}
+
+void
+http_connection::SendWhole(std::uint64_t aRequest,
+                           int aStatus,
+                           const std::vector<http_field>& aFields,
+                           const std::string& aBody)
+{
+  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
+      mIsAnswered) {
+    return;
+  }
+  mIsAnswered = true;
+  const bool hasBody = !HasNoBody(aStatus);
+  std::string bytes = FormatHead(
+    aStatus,
+    aFields,
+    hasBody ? fmt::format("Content-Length: {}\r\n", aBody.size()) : "");
+  if (hasBody && !mIsHeadRequest) {
+    bytes += aBody;
+  }
+  Queue(std::move(bytes));
+}
+
+void
+http_connection::SendHead(std::uint64_t aRequest,
+                          int aStatus,
+                          const std::vector<http_field>& aFields)
+{
+  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
+      mIsAnswered) {
+    return;
+  }
+  mOutput += FormatHead(aStatus, aFields, "Transfer-Encoding: chunked\r\n");
+}
+
+void
+http_connection::SendChunk(std::uint64_t aRequest, const std::string& aBytes)
+{
+  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
+      mIsAnswered || aBytes.empty()) {
+    return;
+  }
+  mOutput += fmt::format("{:x}\r\n", aBytes.size());
+  mOutput += aBytes;
+  Queue("\r\n");
+}
+
+void
+http_connection::SendEnd(std::uint64_t aRequest)
+{
+  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
+      mIsAnswered) {
+    return;
+  }
+  mIsAnswered = true;
+  Queue("0\r\n\r\n");
+}
+
+// Without its last chunk the answer is broken, and seen to be so.
+void
+http_connection::Abort(std::uint64_t aRequest)
+{
+  if (aRequest == mRequestNumber && mPhase == phase::eAnswering &&
+      !mIsAnswered) {
+    Close();
+  }
+}
+
+std::size_t
+http_connection::UnsentBytes(std::uint64_t aRequest) const
+{
+  return aRequest == mRequestNumber ? mOutput.size() + mWriting.size() : 0;
+}
+
+void
+http_connection::Queue(std::string aBytes)
+{
+  if (mOutput.empty()) {
+    mOutput = std::move(aBytes);
+  } else {
+    mOutput += aBytes;
+  }
+  Write();
+}
+
+// What is queued while a write is under way leaves with the next one.
+void
+http_connection::Write()
+{
+  if (mIsWriting || mOutput.empty() || IsClosed()) {
+    return;
+  }
+  mIsWriting = true;
+  mWriting = std::exchange(mOutput, {});
+  asio::async_write(
+    mSocket,
+    asio::buffer(mWriting),
+    [self = shared_from_this()](const std::error_code& aError,
+                                std::size_t aCount) {
+      self->mIsWriting = false;
+      self->mWriting.clear();
+      if (aError) {
+        self->TellGone();
+        self->Close();
+      } else {
+        self->OnWritten(aCount);
+      }
+    });
+}
+
+void
+http_connection::OnWritten(std::size_t /*aCount*/)
+{
+  if (!mOutput.empty()) {
+    Write();
+    return;
+  }
+  if (mPhase == phase::eAnswering && mIsAnswered) {
+    OnAnswerSent();
+    return;
+  }
+  const auto reply = mReply.lock();
+  if (reply && reply->onDrained) {
+    reply->onDrained();
+  }
+}
+
+void
+http_connection::OnAnswerSent()
+{
+  --mState->unsentAnswers;
+  mIsAnswered = false;
+  if (!mKeepsAlive || mState->isDraining) {
+    BeginLinger();
+  } else {
+    mPhase = phase::eHead;
+    mPhaseEnds = std::chrono::steady_clock::now() +
+                 (mInput.empty() ? mState->settings.idleTimeout
+                                 : mState->settings.headerTimeout);
+    Process();
+    Read();
+  }
+  if (mState->unsentAnswers == 0 && mState->onFlushed) {
+    std::exchange(mState->onFlushed, nullptr)();
+  }
+}
+
+void
+http_connection::BeginLinger()
+{
+  mPhase = phase::eLinger;
+  mPhaseEnds = std::chrono::steady_clock::now() + kLingerFor;
+  mInput.clear();
+  std::error_code ignored; // the other side may have closed first
+  mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  Read();
+}
+
+void
+http_connection::CloseIfIdle()
+{
+  if (mPhase == phase::eHead && mInput.empty()) {
+    Close();
+  }
+}
+
+void
+http_connection::Close()
+{
+  if (IsClosed()) {
+    return;
+  }
+  const bool hasUnsent = mPhase == phase::eAnswering;
+  mPhase = phase::eClosed;
+  std::error_code ignored; // closing cannot fail in a way that matters
+  mSocket.close(ignored);
+  if (hasUnsent && --mState->unsentAnswers == 0 && mState->onFlushed) {
+    std::exchange(mState->onFlushed, nullptr)();
+  }
+}
+
+steady_time
+http_connection::CheckTime(steady_time aNow)
+{
+  if (IsClosed()) {
+    return steady_time::max();
+  }
+  if (aNow < mPhaseEnds) {
+    return mPhaseEnds;
+  }
+  const bool isPartial =
+    mPhase == phase::eBody || (mPhase == phase::eHead && !mInput.empty());
+  if (isPartial) {
+    Refuse(408, "the request took too long to arrive");
+    return steady_time::max();
+  }
+  Close();
+  return steady_time::max();
+}
+
+} // namespace bulrush::net
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -68,18 +68,28 @@
   std::function<void()> onDrained;
 };
 
-struct http_server_settings
+/// What callers may send, and how long they may take.
+struct http_server_limits
+{
+  std::size_t maxHeaderBytes = 16'384;
+  std::size_t maxBodyBytes = 4'194'304;
+  std::chrono::milliseconds headerTimeout{ 20'000 }; ///< from its first byte
+  std::chrono::milliseconds idleTimeout{ 60'000 };   ///< between requests
+};
+
+struct http_server_settings : http_server_limits
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0; ///< zero takes a free one
-  std::size_t maxBodyBytes = 4'194'304;
-  std::size_t maxConnections = 4096;
-  std::chrono::milliseconds readTimeout{ 20'000 };
-  std::chrono::milliseconds writeTimeout{ 30'000 };
-  std::chrono::milliseconds handleTimeout{ 3'600'000 };
+  std::size_t maxConnections = 3'500;
+  std::chrono::milliseconds readTimeout{ 20'000 }; ///< of a body
+  /// Answers a message that cannot be read; its connection is closed after it.
+  /// Not set: plain text.
+  std::function<void(http_reply&, int aStatus, const std::string& aText)>
+    onFault;
 };
 
-/// Serves HTTP/1.1. Source: RESTinio.
+/// Serves HTTP/1.1. Source: Asio and http_parser.
 class http_server
 {
 public:
@@ -91,6 +101,12 @@
   /// The port that is listened on.
   virtual std::uint16_t Port() const = 0;
 
+  /// For messages that begin from now on.
+  virtual void SetLimits(const http_server_limits& aLimits) = 0;
+
+  /// From now on each answer closes its connection.
+  virtual void BeginDrain() = 0;
+
   /// Takes no new connections. aOnFlushed is called once, when every answer
   /// that was given has left or lost its connection.
   virtual void StopWhenFlushed(std::function<void()> aOnFlushed) = 0;
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -91,9 +91,9 @@
                  "Retry_WhenTheBudgetIsSpent_IsNotMade",
                  "[routing]")
 {
-  engine.retryBudget = 0.9;
+  engine.retries.Insert({ {}, 0.9 });
   const start_attempt sent = Send(Request());
-  CHECK(engine.retryBudget == Approx(1.1));
+  CHECK(engine.retries.Find({})->budget == Approx(1.1));
   End(sent.attempt, attempt_end::eLost);
   RunOnce();
   REQUIRE(out.starts.size() == 1);
@@ -106,7 +106,7 @@
                  "Retry_WhenMadeForShare_IsBoundedOverManyRequests",
                  "[routing]")
 {
-  engine.retryBudget = 0;
+  engine.retries.Insert({ {}, 0 });
   std::size_t attempts = 0;
   for (int i = 0; i < 100; ++i) {
     REQUIRE(AddRequest(engine, Request()));
