Keep one head for each answer, name the faults of messages, follow the closed connection in a test

Release_WhenItsAnswerIsLost expected the deadline, since an aborted answer left its connection open; it is closed now, so the loss is known at once.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -53,6 +53,23 @@
   return error;
 }
 
+const char*
+FaultCode(int aStatus)
+{
+  constexpr int kTimeout = 408;
+  constexpr int kBodyTooLarge = 413;
+  constexpr int kHeadTooLarge = 431;
+  switch (aStatus) {
+    case kTimeout:
+      return "too_slow";
+    case kBodyTooLarge:
+    case kHeadTooLarge:
+      return "too_large";
+    default:
+      return "bad_request";
+  }
+}
+
 // New at each start, so that no id of an earlier life comes again.
 std::uint64_t
 NewSeed()
@@ -96,7 +113,7 @@
                                     int aStatus,
                                     const std::string& aText) {
       SendError(aReply,
-                { aStatus, "bad_request", aText, false, std::nullopt },
+                { aStatus, FaultCode(aStatus), aText, false, std::nullopt },
                 request_id{ ++mLastRequest });
     };
     auto server = net::Listen(
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -113,10 +113,6 @@
 http_parser_settings
 http_connection::ParserSettings()
 {
-  const auto self = [](http_parser* aParser) {
-    return static_cast<http_connection*>(aParser->data);
-  };
-  (void)self;
   http_parser_settings settings;
   http_parser_settings_init(&settings);
   settings.on_url = [](http_parser* aParser, const char* aAt, std::size_t aCount) {
@@ -262,12 +258,9 @@
   mIsTooLarge = false;
   mPhase = phase::eBody;
   mPhaseEnds = std::chrono::steady_clock::now() + mState->settings.readTimeout;
-  const std::string* expect = nullptr;
   const bool goesOn = ProcessBody();
-  if (mPhase == phase::eBody) {
-    expect = FindField(mRequest.fields, "Expect");
-  }
-  if (expect != nullptr) {
+  const bool isPartial = mPhase == phase::eBody;
+  if (isPartial && FindField(mRequest.fields, "Expect") != nullptr) {
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
   }
   return goesOn;
@@ -306,6 +299,7 @@
   mPhaseEnds = steady_time::max();
   mKeepsAlive = http_should_keep_alive(&mParser) != 0;
   mIsAnswered = false;
+  mIsStarted = false;
   mRequest.method =
     http_method_str(static_cast<http_method>(mParser.method));
   mIsHeadRequest = mParser.method == HTTP_HEAD;
@@ -331,6 +325,7 @@
   mPhaseEnds = steady_time::max();
   mKeepsAlive = false;
   mIsAnswered = false;
+  mIsStarted = false;
   mIsHeadRequest = false;
   mInput.clear();
   ++mState->unsentAnswers;
@@ -382,14 +377,22 @@
   return head;
 }
 
+// A reply that was answered, or whose connection serves the next request,
+// changes nothing.
+bool
+http_connection::MayAnswer(std::uint64_t aRequest) const
+{
+  return aRequest == mRequestNumber && mPhase == phase::eAnswering &&
+         !mIsAnswered;
+}
+
 void
 http_connection::SendWhole(std::uint64_t aRequest,
                            int aStatus,
                            const std::vector<http_field>& aFields,
                            const std::string& aBody)
 {
-  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
-      mIsAnswered) {
+  if (!MayAnswer(aRequest) || mIsStarted) {
     return;
   }
   mIsAnswered = true;
@@ -409,18 +412,17 @@
                           int aStatus,
                           const std::vector<http_field>& aFields)
 {
-  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
-      mIsAnswered) {
+  if (!MayAnswer(aRequest) || mIsStarted) {
     return;
   }
+  mIsStarted = true;
   mOutput += FormatHead(aStatus, aFields, "Transfer-Encoding: chunked\r\n");
 }
 
 void
 http_connection::SendChunk(std::uint64_t aRequest, const std::string& aBytes)
 {
-  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
-      mIsAnswered || aBytes.empty()) {
+  if (!MayAnswer(aRequest) || !mIsStarted || aBytes.empty()) {
     return;
   }
   mOutput += fmt::format("{:x}\r\n", aBytes.size());
@@ -431,8 +433,7 @@
 void
 http_connection::SendEnd(std::uint64_t aRequest)
 {
-  if (aRequest != mRequestNumber || mPhase != phase::eAnswering ||
-      mIsAnswered) {
+  if (!MayAnswer(aRequest) || !mIsStarted) {
     return;
   }
   mIsAnswered = true;
@@ -443,8 +444,7 @@
 void
 http_connection::Abort(std::uint64_t aRequest)
 {
-  if (aRequest == mRequestNumber && mPhase == phase::eAnswering &&
-      !mIsAnswered) {
+  if (MayAnswer(aRequest)) {
     Close();
   }
 }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -68,6 +68,7 @@
   void Refuse(int aStatus, const std::string& aText);
   void TellGone();
 
+  bool MayAnswer(std::uint64_t aRequest) const;
   void Queue(std::string aBytes);
   void Write();
   void OnWritten(std::size_t aCount);
@@ -101,6 +102,7 @@
   std::string mOutput;  ///< to be written next
   std::string mWriting; ///< being written
   bool mIsWriting = false;
+  bool mIsStarted = false;  ///< the head of a chunked answer is in the queue
   bool mIsAnswered = false; ///< all of the answer is in the queue
 };
 
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -249,7 +249,7 @@
   WaitForDesk();
   SetFault(desk, "lose_answer");
   SetFault(other, "lose_answer");
-  CheckError(Release(0, "release-1"), "deadline_passed", "may_have_run");
+  CheckError(Release(0, "release-1"), "endpoint_failed", "may_have_run");
   CheckError(Release(1, "release-1"), "in_progress", "may_have_run");
   CHECK(Runs(desk) + Runs(other) == 1);
 }
