--- a/src/control/control.hpp
+++ b/src/control/control.hpp
@@ -48,15 +48,14 @@
 enum class answer_kind : std::uint8_t
 {
   eDone,
-  eInvalid,   ///< it cannot be read, or names what does not exist
-  eElsewhere, ///< ask the control process at `text`, IP:port
-  eUnknown,   ///< no decision; it may be in force yet
+  eInvalid, ///< it cannot be read, or names what does not exist
+  eUnknown, ///< no decision; it may be in force yet
 };
 
 struct http_answer
 {
   answer_kind kind = answer_kind::eUnknown;
-  std::string text; ///< a reason, an address, or what was asked for
+  std::string text; ///< a reason, or what was asked for
 };
 
 /// What reading a call needs to know of this process.
--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -19,21 +19,45 @@
   aOutbox.httpAnswers.push_back({ aCall, { aKind, std::move(aText) } });
 }
 
-// Only the leader answers for the log. A caller that reached another process
-// is told where to go, and without a leader to come back.
 void
-SendToLeader(const control_tables& aTables,
-             http_call_id aCall,
-             control_outbox& aOutbox)
+AnswerSource(control_outbox& aOutbox, http_call_id aCall, std::string aSource)
+{
+  if (aSource.empty()) {
+    Answer(aOutbox, aCall, answer_kind::eUnknown, "no manifest is in force");
+  } else {
+    Answer(aOutbox, aCall, answer_kind::eDone, std::move(aSource));
+  }
+}
+
+// Remembers who waits for the log's decision.
+pending_call&
+Remember(control_tables& aTables, http_call_id aCall, steady_time aNow)
+{
+  pending_call row;
+  row.id = call_id{ ++aTables.lastCall };
+  row.http = aCall;
+  row.deadline = aNow + kDecideWithin;
+  return aTables.calls.Insert(std::move(row));
+}
+
+// Passes a call on to the leader over the link to it, so that the caller need
+// not find it. False, with an answer, when no leader is known.
+template<class message>
+void
+PassOn(control_tables& aTables,
+       http_call_id aCall,
+       message aMessage,
+       steady_time aNow,
+       control_outbox& aOutbox)
 {
   const std::string leader = aTables.log.leaderName();
-  const control_row* control =
-    aTables.controls.Find(IdOf<replica_id>(leader));
-  if (control == nullptr || control->httpAddress.empty()) {
+  if (leader.empty() || leader == aTables.self.name) {
     Answer(aOutbox, aCall, answer_kind::eUnknown, "no leader is known");
     return;
   }
-  Answer(aOutbox, aCall, answer_kind::eElsewhere, control->httpAddress);
+  aMessage.call = Remember(aTables, aCall, aNow).id.value;
+  aMessage.credential = aTables.self.credential;
+  aOutbox.messages.push_back({ "", leader, std::move(aMessage) });
 }
 
 void
@@ -43,25 +67,23 @@
         steady_time aNow,
         control_outbox& aOutbox)
 {
-  if (!aTables.log.isLeader(aNow)) {
-    SendToLeader(aTables, aCall, aOutbox);
-    return;
-  }
   fleet_command command;
   command.at = aTables.wallClock();
   command.change = std::move(aChange);
+  if (!aTables.log.isLeader(aNow)) {
+    wire::command_call call;
+    call.command = std::move(command);
+    call.hops = 1;
+    PassOn(aTables, aCall, std::move(call), aNow, aOutbox);
+    return;
+  }
   last_reason why;
   const auto position = aTables.log.propose(wire::EncodeCommand(command), why);
   if (!position) {
     Answer(aOutbox, aCall, answer_kind::eUnknown, Describe(why));
     return;
   }
-  pending_call row;
-  row.id = call_id{ ++aTables.lastCall };
-  row.http = aCall;
-  row.position = *position;
-  row.deadline = aNow + kDecideWithin;
-  aTables.calls.Insert(std::move(row));
+  Remember(aTables, aCall, aNow).position = *position;
 }
 
 void
@@ -112,19 +134,13 @@
      steady_time aNow,
      control_outbox& aOutbox)
 {
-  // A leader that has not applied all that was committed before its term might
-  // answer with an older manifest.
-  const auto leads = aTables.log.leads(aNow);
-  if (!leads || !leads->holdsLease) {
-    SendToLeader(aTables, aId, aOutbox);
+  if (!HoldsNewest(aTables, aNow)) {
+    wire::manifest_call call;
+    call.asksLeader = true;
+    PassOn(aTables, aId, std::move(call), aNow, aOutbox);
     return;
   }
-  const manifest& declared = aTables.fleet.declared;
-  if (declared.number == 0) {
-    Answer(aOutbox, aId, answer_kind::eUnknown, "no manifest is in force");
-    return;
-  }
-  Answer(aOutbox, aId, answer_kind::eDone, declared.source);
+  AnswerSource(aOutbox, aId, aTables.fleet.declared.source);
 }
 
 void
@@ -152,6 +168,34 @@
 
 } // namespace
 
+bool
+HoldsNewest(const control_tables& aTables, steady_time aNow)
+{
+  const auto leads = aTables.log.leads ? aTables.log.leads(aNow) : std::nullopt;
+  return leads && leads->holdsLease;
+}
+
+void
+TakeManifestReply(control_tables& aTables,
+                  const wire::manifest_reply& aReply,
+                  control_outbox& aOutbox)
+{
+  const call_id id{ aReply.call };
+  const pending_call* call = aTables.calls.Find(id);
+  if (call == nullptr || !call->http) {
+    return; // timed out meanwhile
+  }
+  if (aReply.isNewest) {
+    AnswerSource(aOutbox, call->http, aReply.source);
+  } else {
+    Answer(aOutbox,
+           call->http,
+           answer_kind::eUnknown,
+           "the process asked does not lead");
+  }
+  aTables.calls.Erase(id);
+}
+
 void
 RunHttpCalls(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -369,13 +369,19 @@
 TakeManifestCall(const control_tables& aTables,
                  const received& aInput,
                  const wire::manifest_call& aCall,
+                 steady_time aNow,
                  control_outbox& aOutbox)
 {
   wire::manifest_reply reply;
   reply.call = aCall.call;
   if (EqualInConstantTime(aCall.credential, aTables.self.credential)) {
     reply.manifestRevision = aTables.fleet.manifestRevision;
-    reply.text = aTables.fleet.manifestText;
+    reply.isNewest = HoldsNewest(aTables, aNow);
+    if (aCall.asksLeader) {
+      reply.source = aTables.fleet.declared.source;
+    } else {
+      reply.text = aTables.fleet.manifestText;
+    }
   }
   aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
 }
@@ -407,7 +413,9 @@
         AddTombstones(aTables, keys->keys);
       }
     } else if (const auto* text = std::get_if<wire::manifest_call>(&body)) {
-      TakeManifestCall(aTables, input, *text, aOutbox);
+      TakeManifestCall(aTables, input, *text, aNow, aOutbox);
+    } else if (const auto* read = std::get_if<wire::manifest_reply>(&body)) {
+      TakeManifestReply(aTables, *read, aOutbox);
     } else if (const auto* renewal = std::get_if<wire::share_renewal>(&body)) {
       TakeRenewal(aTables, input, *renewal);
     } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -310,6 +310,15 @@
                   steady_time aNow,
                   control_outbox& aOutbox);
 
+/// Whether this process leads, holds the lease and has applied all that was
+/// committed before its term: no newer manifest can be in force.
+bool HoldsNewest(const control_tables& aTables, steady_time aNow);
+
+/// The leader's answer to a read that was passed on to it.
+void TakeManifestReply(control_tables& aTables,
+                       const wire::manifest_reply& aReply,
+                       control_outbox& aOutbox);
+
 /// Answers whoever waits for a command that the log has decided.
 void AnswerCall(const pending_call& aCall,
                 const wire::command_reply& aReply,
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -365,13 +365,16 @@
     });
   }
 
+  // A key that the manifest merely declares no more lets nobody in from now on;
+  // what it let in is finished.
   void CancelWithdrawn()
   {
     for (const waiting_row& row : mWaiting) {
       const key_hash& key = row.request.facts.key;
-      const bool isOpen = key == key_hash{};
-      if (!isOpen && (!FindWorkspace(*mView.fleet, key) ||
-                      mView.tombstones->contains(key))) {
+      const key_row* known = mView.fleet->keys.Find(key);
+      const bool isWithdrawn = (known != nullptr && known->isWithdrawn) ||
+                               mView.tombstones->contains(key);
+      if (isWithdrawn) {
         routing::CancelByKey(mEngine, key);
       }
     }
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -362,6 +362,7 @@
 {
   aTo.mutable_manifest_call()->set_call(aFrom.call);
   aTo.mutable_manifest_call()->set_credential(aFrom.credential);
+  aTo.mutable_manifest_call()->set_asks_leader(aFrom.asksLeader);
 }
 
 void
@@ -371,6 +372,8 @@
   to->set_call(aFrom.call);
   to->set_manifest_revision(aFrom.manifestRevision);
   to->set_text(aFrom.text);
+  to->set_is_newest(aFrom.isNewest);
+  to->set_source(aFrom.source);
 }
 
 void
@@ -571,7 +574,7 @@
 std::optional<message_body>
 GetBody(const pb::ManifestCall& aFrom, steady_time)
 {
-  return manifest_call{ aFrom.call(), aFrom.credential() };
+  return manifest_call{ aFrom.call(), aFrom.credential(), aFrom.asks_leader() };
 }
 
 std::optional<message_body>
@@ -579,7 +582,9 @@
 {
   return manifest_reply{ aFrom.call(),
                          aFrom.manifest_revision(),
-                         aFrom.text() };
+                         aFrom.text(),
+                         aFrom.is_newest(),
+                         aFrom.source() };
 }
 
 void
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -185,6 +185,7 @@
 {
   std::uint64_t call = 0;
   std::string credential;
+  bool asksLeader = false; ///< only the newest manifest will do
 };
 
 struct manifest_reply
@@ -192,6 +193,8 @@
   std::uint64_t call = 0;
   std::uint64_t manifestRevision = 0;
   std::string text;
+  bool isNewest = false; ///< the sender leads and holds the lease
+  std::string source;    ///< what the manifest was translated from
 };
 
 /// A host to its delegate, or a delegate to the leader.
