--- a/src/control/leases.cpp
+++ b/src/control/leases.cpp
@@ -3,6 +3,7 @@
 
 #include "control/tables.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bulrush::control {
@@ -30,20 +31,32 @@
   return static_cast<std::int64_t>(std::floor(units));
 }
 
-// Part of the tolerance that is used. The rest covers requests that were let in
-// before a window and reach their endpoint in it.
-constexpr double kToleranceUsed = 0.8;
-
+/// Part of what a window tolerates that is given out. The rest covers tokens
+/// that a lost host or leader may have given out besides.
+constexpr double kToleranceUsed = 0.95;
+/// Part of it that may be used at once, so that hosts hold tokens in advance:
+/// at least this share, and enough for some requests at every host.
+constexpr double kCapitalShare = 0.1;
+constexpr double kMostCapitalShare = 0.4;
+constexpr double kCapitalTokens = 9'600;
+
+// A window of the length that is judged never holds more than the rate over it
+// and the size together. Without a tolerance the limit is the declared one.
 share
 LimitOf(const rate_tolerance& aTolerance, const workspace_row& aWorkspace)
 {
   const std::chrono::duration<double> window = aTolerance.window;
-  const double allowed = aWorkspace.tokensPerSecond * window.count() +
-                         aWorkspace.burstTokens;
+  if (window.count() <= 0) {
+    return { Units(aWorkspace.tokensPerSecond), Units(aWorkspace.burstTokens) };
+  }
+  const double declared = aWorkspace.tokensPerSecond * window.count() +
+                          aWorkspace.burstTokens;
+  const double most =
+    kToleranceUsed *
+    (declared * (1 + aTolerance.overage) + aTolerance.slackTokens);
   const double capital =
-    kToleranceUsed * (aTolerance.overage * allowed + aTolerance.slackTokens);
-  return { Units(aWorkspace.tokensPerSecond),
-           Units(aWorkspace.burstTokens + capital) };
+    std::clamp(kCapitalTokens, kCapitalShare * most, kMostCapitalShare * most);
+  return { Units((most - capital) / window.count()), Units(capital) };
 }
 
 replica_id
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -53,8 +53,16 @@
     isNew ? std::chrono::nanoseconds{ 0 }
           : std::max(std::chrono::nanoseconds{ 1 },
                      std::chrono::nanoseconds{ aNow - aRow.arrivedAt });
-  const auto answer = admission::ReserveTokens(
-    aTables.escrow, aRow.workspace, aRow.tokens, waited, aNow);
+  const auto patience =
+    std::min(aRow.patience, aTables.escrow.settings.patience);
+  const auto answer =
+    admission::ReserveTokens(aTables.escrow,
+                             aRow.workspace,
+                             aRow.tokens,
+                             waited < patience
+                               ? waited
+                               : aTables.escrow.settings.patience,
+                             aNow);
   switch (answer.outcome) {
     case reserve_outcome::eReserved:
       aRow.reserved = answer.reserved;
@@ -62,7 +70,8 @@
       return;
     case reserve_outcome::eShort:
       aRow.state = admission_state::eShort;
-      aOutbox.wake.NoLaterThan(aNow + answer.retryAfter);
+      aOutbox.wake.NoLaterThan(
+        std::min(aNow + answer.retryAfter, aRow.arrivedAt + patience));
       return;
     case reserve_outcome::eOverRate:
       Refuse(
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -52,6 +52,8 @@
   workspace_id workspace;
   kind_id kind; ///< of requests that take about as long
   std::int64_t tokens = 0; ///< upper bound
+  /// Longest wait for tokens; an answer after it would be late anyhow.
+  std::chrono::nanoseconds patience = std::chrono::seconds{ 1 };
   steady_time arrivedAt;
   steady_time deadline;
   admission_state state = admission_state::eNew;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -3,6 +3,7 @@
 #include "entry/admission.hpp"
 #include "entry/openai.hpp"
 #include "entry/requests.hpp"
+#include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
 #include <cmath>
@@ -11,10 +12,14 @@
 namespace bulrush::entry {
 namespace {
 
+constexpr log_part kLog{ "entry" };
+
 // Plain text carries about this much time a token; an attempt whose answer
 // comes whole is not cut off before it can have been generated.
 constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
 constexpr std::size_t kMaxIdempotencyKey = 128;
+/// Part of the target latency that a request may wait for tokens.
+constexpr int kPatiencePart = 4;
 constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 // A host that knows no endpoint yet lets routing say so.
@@ -349,6 +354,7 @@
     const workspace_row* workspace = nullptr; ///< none on open routes
     std::int64_t tokens = 0;
     kind_id kind;
+    std::chrono::milliseconds target{ 0 }; ///< on time until then; 0: unknown
   };
 
   const workspace_row* Authorise(const std::string& aKey,
@@ -457,6 +463,7 @@
   {
     routing::request_facts& facts = aTo.facts;
     aTo.kind = kind_id{ aRoute.id.value };
+    aTo.target = aRoute.target;
     facts.isStreamed = aRoute.isStreamed;
     facts.isIdempotent =
       aRoute.isStreamed ? aRoute.canResume : aRoute.isIdempotent;
@@ -580,19 +587,20 @@
     const bool isLimited = aResolved.workspace != nullptr &&
                            aResolved.workspace->tokensPerSecond > 0;
     if (isLimited) {
-      Admit(std::move(routed), aResolved.tokens, aResolved.kind);
+      Admit(std::move(routed), aResolved);
     } else {
       mRunner.Start(std::move(routed)); // there is no rate
     }
   }
 
   // The request waits for tokens and its turn before it is routed.
-  void Admit(routed_request aRouted, std::int64_t aTokens, kind_id aKind)
+  void Admit(routed_request aRouted, const resolved_call& aResolved)
   {
+    const std::int64_t tokens = aResolved.tokens;
     const auto* workspace =
       mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
     if (workspace != nullptr &&
-        static_cast<double>(aTokens - mSettings.rateSlack) >
+        static_cast<double>(tokens - mSettings.rateSlack) >
           workspace->burstTokens) {
       SendError(*aRouted.reply,
                 ErrorOf({ refusal_kind::eTooLarge, {} }),
@@ -603,16 +611,26 @@
     admitted_row row;
     row.id = id;
     row.workspace = aRouted.facts.workspace;
-    row.kind = aKind;
-    row.tokens = aTokens;
+    row.kind = aResolved.kind;
+    if (aResolved.target.count() > 0) {
+      row.patience = aResolved.target / kPatiencePart;
+    }
+    row.tokens = tokens;
     row.arrivedAt = std::chrono::steady_clock::now();
     row.deadline = aRouted.facts.deadline;
-    row.onRefused = [this, reply = aRouted.reply, id](const refusal& aRefusal) {
+    row.onRefused = [this,
+                     reply = aRouted.reply,
+                     callerId = aRouted.callerId,
+                     name = aRouted.workspaceName,
+                     workspace = aRouted.facts.workspace,
+                     id,
+                     tokens](const refusal& aRefusal) {
+      LogRefusal(callerId, name, workspace, tokens, aRefusal);
       SendError(*reply, ErrorOf(aRefusal), id);
     };
     aRouted.reply->onGone = [this, id] { Release(id, 0); };
-    aRouted.onEnded = [this, id, aTokens](std::optional<std::int64_t> aUsed) {
-      Release(id, aUsed.value_or(aTokens));
+    aRouted.onEnded = [this, id, tokens](std::optional<std::int64_t> aUsed) {
+      Release(id, aUsed.value_or(tokens));
     };
     auto routed = std::make_shared<routed_request>(std::move(aRouted));
     row.onAdmitted = [this, routed](steady_time aNow) {
@@ -622,6 +640,31 @@
     mAdmissionTimer.RunSoon();
   }
 
+  void LogRefusal(const std::string& aCallerId,
+                  const std::string& aName,
+                  workspace_id aWorkspace,
+                  std::int64_t aTokens,
+                  const refusal& aRefusal) const
+  {
+    const auto* holding = mAdmission.escrow.holdings.Find(
+      admission::IdOfResource(admission::RateOf(aWorkspace)));
+    const admission::share share =
+      holding == nullptr ? admission::share{} : holding->granted;
+    const std::int64_t level =
+      holding == nullptr ? 0 : holding->undivided.level;
+    LogInfo(kLog,
+            "request={} refused={} workspace={} tokens={} share={}/s "
+            "size={} level={} reaches_root={}",
+            aCallerId,
+            ErrorOf(aRefusal).code,
+            aName,
+            aTokens,
+            share.rate / admission::kUnitsPerToken,
+            share.size / admission::kUnitsPerToken,
+            level / admission::kUnitsPerToken,
+            mAdmission.escrow.link.reachesRoot);
+  }
+
   // Checked once more: the lease and the key may have ended while it waited.
   void Begin(routed_request aRouted, steady_time aNow)
   {
