--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -5,6 +5,8 @@
 
 constexpr std::chrono::milliseconds kReportEvery{ 1'000 };
 constexpr std::chrono::milliseconds kControlSilence{ 1'500 };
+/// Pause before the next control process is asked when one knows no leader.
+constexpr std::chrono::milliseconds kReportElsewhere{ 250 };
 constexpr std::chrono::milliseconds kCommandRetry{ 700 };
 /// The engines' own reports are older than this at most; then they say more
 /// than the leader's last word.
@@ -75,7 +77,9 @@
       aOutbox.links.push_back(control);
     }
   }
-  aTables.leader = aUpdate.leader;
+  if (!aUpdate.leader.empty()) {
+    aTables.leader = aUpdate.leader;
+  }
   const std::uint32_t hosts = std::max(1U, aUpdate.hosts);
   aTables.hasNewEndpoints |= hosts != aTables.hosts;
   aTables.hosts = hosts;
@@ -127,6 +131,24 @@
   aTables.commands.Erase(call_id{ aReply.call });
 }
 
+// A control process that is cut off from the leader answers, and knows nothing
+// new; another one is asked at once.
+void
+NoteLeader(entry_tables& aTables,
+           const std::string& aSender,
+           const wire::host_update& aUpdate)
+{
+  control_row* control = aTables.controls.Find(IdOf<replica_id>(aSender));
+  if (control == nullptr) {
+    return;
+  }
+  control->knowsLeader = !aUpdate.leader.empty();
+  if (!control->knowsLeader) {
+    aTables.nextReport = std::min(
+      aTables.nextReport, control->lastHeard + kReportElsewhere);
+  }
+}
+
 void
 RunIngest(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
@@ -138,6 +160,7 @@
       control->lastHeard = aNow;
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
+      NoteLeader(aTables, message.sender, *update);
       Take(aTables, *update, aOutbox);
     } else if (const auto* held =
                  std::get_if<wire::held_update>(&message.body)) {
@@ -314,14 +337,16 @@
 
 } // namespace
 
-// The most preferred one that was heard of lately; all silent, each in turn.
+// The most preferred one that was heard of lately and knows the leader; if
+// there is none, each in turn.
 const control_row*
 CurrentControl(const entry_tables& aTables, steady_time aNow)
 {
   const control_row* best = nullptr;
   const control_row* inTurn = nullptr;
   for (const control_row& row : aTables.controls) {
-    const bool isAlive = row.lastHeard + kControlSilence > aNow;
+    const bool isAlive =
+      row.knowsLeader && row.lastHeard + kControlSilence > aNow;
     if (isAlive && (best == nullptr || row.preference < best->preference)) {
       best = &row;
     }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -34,6 +34,7 @@
   std::string address;
   std::size_t preference = 0;
   steady_time lastHeard{};
+  bool knowsLeader = true; ///< as it said last: what it tells is up to date
 };
 
 /// What the leader says an engine holds, ahead of the engine's own report.
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -12,6 +12,11 @@
 constexpr int kHeartbeatTimeoutMs = 1'500;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
+/// The kernel repeats an opening packet after 1, 3 and 7 s: a link that was cut
+/// for seconds would stay down for seconds more.
+constexpr int kConnectTimeoutMs = 400;
+/// Bytes without acknowledgement for so long: the connection is given up.
+constexpr int kUnacknowledgedMs = 1'500;
 constexpr std::int64_t kMaxMessageBytes = 16'777'216;
 
 // One context for the process: sockets of several links share its I/O thread.
@@ -39,6 +44,8 @@
     mSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
     mSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     mSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
+    mSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+    mSocket.set(zmq::sockopt::tcp_maxrt, kUnacknowledgedMs);
     mSocket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
   }
 
