Let part of each rate stand at the hosts; count the hosts in the log

Cause: after all processes or all control hosts were gone, no host had tokens until a new root had waited out the former leases (worst windows 0.00).

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -54,6 +54,29 @@
   bool operator==(const resource&) const = default;
 };
 
+/// What operators tolerate above a rate within a window. The fleet uses most of
+/// it as tokens that hosts hold in advance.
+struct rate_tolerance
+{
+  std::chrono::milliseconds window{ 0 }; ///< 0: nothing is tolerated
+  double overage = 0;     ///< share of what the rate allows in a window
+  double slackTokens = 0; ///< on top of it
+};
+
+/// A rate as it is dealt out: part of it stands at every host, so that a host
+/// without a parent, or just started, can serve; the rest is divided.
+struct dealt_rate
+{
+  share divided;  ///< by the escrow
+  share standing; ///< of all hosts together, in equal parts
+};
+
+/// In no window of the tolerance's length do both parts together allow more
+/// than it tolerates. Without a tolerance all is divided.
+dealt_rate DealRate(const rate_tolerance& aTolerance,
+                    double aTokensPerSecond,
+                    double aBurstTokens);
+
 using resource_id = typed_id<struct resource_tag>;
 using holder_id = typed_id<struct holder_tag>;
 using process_id = typed_id<struct process_tag>;
--- a/src/control/leases.cpp
+++ b/src/control/leases.cpp
@@ -3,9 +3,6 @@
 
 #include "control/tables.hpp"
 
-#include <algorithm>
-#include <cmath>
-
 namespace bulrush::control {
 namespace {
 
@@ -24,39 +21,13 @@
 /// Part of each limit that stays in the failure domains when they are cut off.
 constexpr std::int64_t kFloorMille = 500;
 
-std::int64_t
-Units(double aTokens)
-{
-  const double units = aTokens * admission::kUnitsPerToken;
-  return static_cast<std::int64_t>(std::floor(units));
-}
-
-/// Part of what a window tolerates that is given out. The rest covers tokens
-/// that a lost host or leader may have given out besides.
-constexpr double kToleranceUsed = 0.95;
-/// Part of it that may be used at once, so that hosts hold tokens in advance:
-/// at least this share, and enough for some requests at every host.
-constexpr double kCapitalShare = 0.1;
-constexpr double kMostCapitalShare = 0.4;
-constexpr double kCapitalTokens = 9'600;
-
-// A window of the length that is judged never holds more than the rate over it
-// and the size together. Without a tolerance the limit is the declared one.
 share
-LimitOf(const rate_tolerance& aTolerance, const workspace_row& aWorkspace)
+LimitOf(const control_tables& aTables, const workspace_row& aWorkspace)
 {
-  const std::chrono::duration<double> window = aTolerance.window;
-  if (window.count() <= 0) {
-    return { Units(aWorkspace.tokensPerSecond), Units(aWorkspace.burstTokens) };
-  }
-  const double declared = aWorkspace.tokensPerSecond * window.count() +
-                          aWorkspace.burstTokens;
-  const double most =
-    kToleranceUsed *
-    (declared * (1 + aTolerance.overage) + aTolerance.slackTokens);
-  const double capital =
-    std::clamp(kCapitalTokens, kCapitalShare * most, kMostCapitalShare * most);
-  return { Units((most - capital) / window.count()), Units(capital) };
+  return admission::DealRate(aTables.leases.tolerance,
+                             aWorkspace.tokensPerSecond,
+                             aWorkspace.burstTokens)
+    .divided;
 }
 
 replica_id
@@ -82,7 +53,7 @@
          ++back) {
       const auto holder = admission::HolderOf(domain.id, domain.epoch - back);
       for (const workspace_row& workspace : declared.workspaces) {
-        const share limit = LimitOf(aTables.leases.tolerance, workspace);
+        const share limit = LimitOf(aTables, workspace);
         const share floor{ limit.rate * kFloorMille / 1000 / domains,
                            limit.size * kFloorMille / 1000 / domains };
         const auto what = admission::RateOf(workspace.id);
@@ -139,7 +110,7 @@
       continue; // there is no limit to divide
     }
     const auto what = admission::RateOf(workspace.id);
-    SetLimit(leases.root, what, LimitOf(aTables.leases.tolerance, workspace), aNow);
+    SetLimit(leases.root, what, LimitOf(aTables, workspace), aNow);
     leases.limits.Insert({ admission::IdOfResource(what), what });
   }
   if (isFirst && settings.waitOutUntil > aNow) {
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -9,6 +9,8 @@
 constexpr std::chrono::milliseconds kHostSilence{ 30'000 };
 constexpr std::chrono::milliseconds kGossipEvery{ 1'000 };
 constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
+constexpr std::chrono::seconds kCountEvery{ 1 };
+constexpr std::chrono::minutes kFewerHostsAfter{ 5 };
 constexpr std::size_t kRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
@@ -90,6 +92,7 @@
     control->confirmedRevision = aGossip.confirmedRevision;
     control->hosts = aGossip.hosts;
     control->httpAddress = aGossip.httpAddress;
+    control->reporting = aGossip.reporting;
   }
   for (const endpoint_row& row : aGossip.endpoints) {
     TakeEndpoint(aTables, row, false);
@@ -573,10 +576,8 @@
 {
   aUpdate.controls.push_back(
     { aTables.self.name, aTables.self.linkAddress });
-  aUpdate.hosts = static_cast<std::uint32_t>(aTables.hosts.Size());
   for (const control_row& control : aTables.controls) {
     aUpdate.controls.push_back({ control.name, control.address });
-    aUpdate.hosts += control.hosts;
   }
   aUpdate.leader = aTables.log.leaderName();
 }
@@ -639,6 +640,7 @@
   gossip.confirmedRevision = own.confirmedRevision;
   gossip.hosts = own.hosts;
   gossip.httpAddress = aTables.self.httpAddress;
+  gossip.reporting = static_cast<std::uint32_t>(aTables.hosts.Size());
   aTables.gossipedSerial = aTables.serial;
   aTables.gossipedConfirmed = own.confirmedRevision;
   if (isPeriodic) {
@@ -650,7 +652,45 @@
   }
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 12> kSystems{
+// A host that reports elsewhere meanwhile counts twice for a while: too many
+// hosts make each one's part smaller, too few would make the sum too large. So
+// the count rises at once and falls late.
+void
+RunHostCount(control_tables& aTables,
+             steady_time aNow,
+             control_outbox& aOutbox)
+{
+  host_count_row& watch = aTables.hostCount;
+  const bool isDue = aNow >= watch.nextChange;
+  if (!aTables.log.isLeader(aNow) || aTables.fleet.manifestRevision == 0 ||
+      !isDue) {
+    return;
+  }
+  auto count = static_cast<std::uint32_t>(aTables.hosts.Size());
+  for (const control_row& control : aTables.controls) {
+    count += control.reporting;
+  }
+  const std::uint32_t known = aTables.fleet.hosts;
+  if (count >= known) {
+    watch.fewerSince.reset();
+  } else if (!watch.fewerSince) {
+    watch.fewerSince = aNow;
+  }
+  const bool isLongFewer =
+    watch.fewerSince && aNow >= *watch.fewerSince + kFewerHostsAfter;
+  if (count == known || (count < known && !isLongFewer)) {
+    return;
+  }
+  fleet_command command;
+  command.at = aTables.wallClock();
+  command.change = count_hosts{ count };
+  last_reason why; // a leader that lost its office tries no further
+  aTables.log.propose(wire::EncodeCommand(command), why);
+  watch.nextChange = aNow + kCountEvery;
+  aOutbox.wake.NoLaterThan(watch.nextChange);
+}
+
+constexpr std::array<named_system<control_tables, control_outbox>, 13> kSystems{
   { { "ingest", RunIngest },
     { "http_calls", RunHttpCalls },
     { "log", RunLog },
@@ -661,6 +701,7 @@
     { "orders", RunOrders },
     { "residents", RunResidents },
     { "leases", RunLeases },
+    { "host_count", RunHostCount },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -39,6 +39,7 @@
   std::string httpAddress;             ///< empty: none
   std::uint64_t confirmedRevision = 0; ///< in its domain, as it said last
   std::uint32_t hosts = 0;
+  std::uint32_t reporting = 0; ///< hosts that report to it
   steady_time lastHeard{};
 };
 
@@ -154,6 +155,13 @@
   std::function<std::vector<wire::replica_status>()> replicas;
 };
 
+/// The leader's watch over the number of hosts that the log holds.
+struct host_count_row
+{
+  steady_time nextChange;
+  std::optional<steady_time> fewerSince; ///< fewer report than the log says
+};
+
 /// The delegate part: leases and shares for the hosts of one failure domain.
 struct delegate_row
 {
@@ -178,16 +186,6 @@
   admission::resource what;
 };
 
-/// What operators tolerate above a rate within a window. The fleet uses most of
-/// it as working capital of the hosts: tokens that wait where they may be
-/// needed.
-struct rate_tolerance
-{
-  std::chrono::milliseconds window{ 0 };
-  double overage = 0;     ///< share of what the rate allows in a window
-  double slackTokens = 0; ///< on top of it
-};
-
 /// Leases and shares: the root while this process leads, and its delegates.
 struct lease_tables
 {
@@ -199,7 +197,7 @@
   table<admission::holder_id, holder_peer_row> holders;
   steady_time leadsSince{};
   steady_time nextNaming{};
-  rate_tolerance tolerance;
+  admission::rate_tolerance tolerance;
 };
 
 /// A host that asks for models, and what it was told of engines.
@@ -260,6 +258,7 @@
   std::vector<committed_command> committed;
   order_tables orders;
   residency_tables residency;
+  host_count_row hostCount;
   std::uint64_t serial = 0;            ///< of the newest endpoint change
   std::uint64_t gossipedSerial = 0;    ///< passed on to the other controls
   std::uint64_t gossipedConfirmed = 0; ///< confirmed revision, passed on
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -41,13 +41,76 @@
   admission::Enqueue(aTables.queue, queued);
 }
 
-// What can be had is reserved now; what is short waits for the delegate.
+// Tokens that stand here need nobody's leave. They start at nothing, so that a
+// host that was restarted has no more than one that was not.
+std::int64_t
+StandingTokens(admission_tables& aTables,
+               workspace_id aWorkspace,
+               std::int64_t aWanted,
+               steady_time aNow)
+{
+  standing_row* standing = aTables.standing.Find(aWorkspace);
+  if (standing == nullptr) {
+    return 0;
+  }
+  admission::Refill(standing->bucket, aNow);
+  return std::clamp<std::int64_t>(
+    standing->bucket.level / admission::kUnitsPerToken, 0, aWanted);
+}
+
+void
+TakeStanding(admission_tables& aTables,
+             admitted_row& aRow,
+             std::int64_t aTokens,
+             steady_time aNow)
+{
+  aRow.standingTokens = aTokens;
+  if (aTokens == 0) {
+    return;
+  }
+  admission::token_bucket& bucket =
+    aTables.standing.Find(aRow.workspace)->bucket;
+  admission::Take(bucket, aTokens * admission::kUnitsPerToken, aNow);
+  aRow.standingPoint = bucket.point;
+}
+
+// What was not used goes back to where it came from, the standing part first.
+void
+Settle(admission_tables& aTables,
+       const admitted_row& aRow,
+       std::int64_t aUsed,
+       steady_time aNow)
+{
+  const std::int64_t unused = std::max<std::int64_t>(0, aRow.tokens - aUsed);
+  const std::int64_t back = std::min(unused, aRow.standingTokens);
+  standing_row* standing = aTables.standing.Find(aRow.workspace);
+  if (back > 0 && standing != nullptr) {
+    admission::PutBack(standing->bucket,
+                       back * admission::kUnitsPerToken,
+                       aRow.standingPoint,
+                       aNow);
+  }
+  if (aRow.reserved.workspace) {
+    const std::int64_t used = aRow.reserved.tokens - (unused - back);
+    admission::SettleTokens(aTables.escrow, aRow.reserved, used, aNow);
+  }
+}
+
+// What can be had is reserved now, from what stands here and then from the share;
+// what is short waits for the delegate.
 void
 TryReserve(admission_tables& aTables,
            admitted_row& aRow,
            steady_time aNow,
            admission_outbox& aOutbox)
 {
+  const std::int64_t standing =
+    StandingTokens(aTables, aRow.workspace, aRow.tokens, aNow);
+  if (standing == aRow.tokens && standing > 0) {
+    TakeStanding(aTables, aRow, standing, aNow);
+    Enqueue(aTables, aRow);
+    return;
+  }
   const bool isNew = aRow.state == admission_state::eNew;
   const auto waited =
     isNew ? std::chrono::nanoseconds{ 0 }
@@ -58,7 +121,7 @@
   const auto answer =
     admission::ReserveTokens(aTables.escrow,
                              aRow.workspace,
-                             aRow.tokens,
+                             aRow.tokens - standing,
                              waited < patience
                                ? waited
                                : aTables.escrow.settings.patience,
@@ -66,6 +129,7 @@
   switch (answer.outcome) {
     case reserve_outcome::eReserved:
       aRow.reserved = answer.reserved;
+      TakeStanding(aTables, aRow, standing, aNow);
       Enqueue(aTables, aRow);
       return;
     case reserve_outcome::eShort:
@@ -124,7 +188,7 @@
   aOutbox.wake.NoLaterThan(out.wake.at);
   for (const admission::shed_request& shed : out.shed) {
     const admitted_row row = *aTables.requests.Find(shed.id);
-    admission::SettleTokens(aTables.escrow, row.reserved, 0, aNow);
+    Settle(aTables, row, 0, aNow);
     Refuse(aTables, row, { refusal_kind::eLate, kRetryWhenLate }, aOutbox);
   }
   for (const request_id id : out.send) {
@@ -159,6 +223,44 @@
 
 } // namespace
 
+namespace {
+
+// Each host has an equal part. Before the hosts are counted none has any.
+void
+SetStanding(admission_tables& aTables,
+            const fleet_state& aFleet,
+            steady_time aNow)
+{
+  const auto& workspaces = aFleet.declared.workspaces;
+  aTables.standing.EraseIf([&](const standing_row& aRow) {
+    return workspaces.Find(aRow.id) == nullptr;
+  });
+  for (const workspace_row& workspace : workspaces) {
+    if (aFleet.hosts == 0 || workspace.tokensPerSecond == 0) {
+      continue;
+    }
+    const admission::share all =
+      admission::DealRate(aTables.tolerance,
+                          workspace.tokensPerSecond,
+                          workspace.burstTokens)
+        .standing;
+    const admission::share part{ all.rate / aFleet.hosts,
+                                 all.size / aFleet.hosts };
+    standing_row* row = aTables.standing.Find(workspace.id);
+    if (row == nullptr) {
+      standing_row fresh;
+      fresh.id = workspace.id;
+      fresh.bucket.filledAt = aNow;
+      row = &aTables.standing.Insert(std::move(fresh));
+    }
+    if (row->bucket.share != part) {
+      admission::Resize(row->bucket, part, aNow);
+    }
+  }
+}
+
+} // namespace
+
 admission_tables
 MakeAdmission(host_id aHost, std::uint64_t aIncarnation)
 {
@@ -171,8 +273,10 @@
 void
 SetFleet(admission_tables& aTables,
          const fleet_state& aFleet,
-         domain_id aDomain)
+         domain_id aDomain,
+         steady_time aNow)
 {
+  SetStanding(aTables, aFleet, aNow);
   aTables.escrow.revision = aFleet.revision;
   for (const workspace_row& workspace : aFleet.declared.workspaces) {
     admission::SetWeight(aTables.queue, workspace.id, workspace.weight);
@@ -202,11 +306,11 @@
   }
   if (row->state == admission_state::eQueued) {
     admission::Cancel(aTables.queue, aRequest);
-    admission::SettleTokens(aTables.escrow, row->reserved, 0, aNow);
+    Settle(aTables, *row, 0, aNow);
   } else if (row->state == admission_state::eRunning) {
     --aTables.running;
     NoteServiceTime(aTables, row->kind, aNow - row->startedAt);
-    admission::SettleTokens(aTables.escrow, row->reserved, aUsedTokens, aNow);
+    Settle(aTables, *row, aUsedTokens, aNow);
   }
   aTables.requests.Erase(aRequest);
 }
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -45,6 +45,13 @@
   double serviceSeconds = 0; ///< moving average from sending to the end
 };
 
+/// The part of a workspace's rate that stands at this host.
+struct standing_row
+{
+  workspace_id id;
+  admission::token_bucket bucket;
+};
+
 /// A request from its arrival to its end.
 struct admitted_row
 {
@@ -58,6 +65,8 @@
   steady_time deadline;
   admission_state state = admission_state::eNew;
   admission::reservation reserved;
+  std::int64_t standingTokens = 0; ///< of them from the standing part
+  std::uint64_t standingPoint = 0; ///< of the history of that part's bucket
   steady_time startedAt;
   admit_hook onAdmitted;
   refuse_hook onRefused;
@@ -71,6 +80,8 @@
   std::size_t capacity = 0; ///< requests that the endpoints bear at once
   std::size_t running = 0;
   table<kind_id, kind_row> kinds;
+  admission::rate_tolerance tolerance;
+  table<workspace_id, standing_row> standing;
 };
 
 struct admission_outbox
@@ -87,7 +98,8 @@
 /// Takes over a new configuration: limits, weights, the delegate's epoch.
 void SetFleet(admission_tables& aTables,
               const fleet_state& aFleet,
-              domain_id aDomain);
+              domain_id aDomain,
+              steady_time aNow);
 
 /// Reserves or lets wait; one of the row's hooks is called from a later tick.
 void Admit(admission_tables& aTables, admitted_row aRow);
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -80,9 +80,6 @@
   if (!aUpdate.leader.empty()) {
     aTables.leader = aUpdate.leader;
   }
-  const std::uint32_t hosts = std::max(1U, aUpdate.hosts);
-  aTables.hasNewEndpoints |= hosts != aTables.hosts;
-  aTables.hosts = hosts;
 }
 
 void
@@ -319,7 +316,6 @@
         std::move(keys));
   }
   view.isStopping = aTables.isStopping;
-  view.hosts = aTables.hosts;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -102,8 +102,22 @@
     "0",
     "0",
     "",
-    "Tokens that control processes may grant a workspace above its burst; a "
-    "request that needs more is refused at once" },
+    "Tokens that may come on top in a window, for each workspace" },
+  { "rate-window",
+    option_type::eDuration,
+    "",
+    "0s",
+    "0s",
+    "1h",
+    "Window over which rates are judged; as in bulrush-control" },
+  { "rate-overage",
+    option_type::eDecimal,
+    "",
+    "0",
+    "0",
+    "1",
+    "Share of what a rate and its burst allow in a window that may come on top; "
+    "as in bulrush-control" },
   { "stop-delay",
     option_type::eDuration,
     "",
@@ -439,8 +453,9 @@
     settings.front = std::move(aFront);
     settings.retries = { aOptions.Decimal("retry-share"),
                          aOptions.Decimal("retry-burst") };
-    settings.rateSlack =
-      static_cast<std::int64_t>(aOptions.Decimal("rate-slack"));
+    settings.tolerance = { aOptions.Duration("rate-window"),
+                           aOptions.Decimal("rate-overage"),
+                           aOptions.Decimal("rate-slack") };
     settings.servesWithoutLease = aOptions.Flag("serve-without-lease");
     if (const auto ready = aOptions.Address("ready-listen")) {
       settings.ready.emplace();
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -170,6 +170,14 @@
   return residents;
 }
 
+// Until the hosts are counted, each takes itself for one of many.
+std::uint32_t
+HostsOf(const fleet_state& aFleet)
+{
+  constexpr std::uint32_t kUncounted = 16;
+  return aFleet.hosts == 0 ? kUncounted : aFleet.hosts;
+}
+
 // What a cold endpoint bears is divided over the hosts.
 double
 ColdRate(const endpoint_row& aRow, const traffic_view& aView)
@@ -178,7 +186,7 @@
     const service_row* row =
       aView.fleet->declared.services.Find(IdOf<service_id>(service));
     if (row != nullptr) {
-      return row->coldPerSecond / aView.hosts;
+      return row->coldPerSecond / HostsOf(*aView.fleet);
     }
   }
   return 0;
@@ -265,8 +273,7 @@
 
   void SetView(const traffic_view& aView)
   {
-    const bool hasNewFleet =
-      mView.fleet != aView.fleet || mView.hosts != aView.hosts;
+    const bool hasNewFleet = mView.fleet != aView.fleet;
     const bool hasNewKeys = hasNewFleet || mView.tombstones != aView.tombstones;
     mView = aView;
     ShareRetries();
@@ -325,7 +332,7 @@
   {
     if (mRetries.share > 0) {
       mEngine.settings.retryShare = kRetriesUsed * mRetries.share;
-      mEngine.settings.retryBurst = kRetriesUsed * mRetries.burst / mView.hosts;
+      mEngine.settings.retryBurst = kRetriesUsed * mRetries.burst / HostsOf(*mView.fleet);
     }
   }
 
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -24,7 +24,6 @@
   std::shared_ptr<const std::unordered_set<key_hash, id_hash>> tombstones =
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
   bool isStopping = false;
-  std::uint32_t hosts = 1; ///< entry hosts, this one among them
 };
 
 /// A control process that this host may report to, in order of preference.
@@ -90,7 +89,6 @@
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::string leader;     ///< name of the control process that leads
-  std::uint32_t hosts = 1; ///< entry hosts, as control knows
   traffic_view published; ///< the latest one
   bool isStopping = false;
   bool hasNewFleet = true;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -19,7 +19,7 @@
 constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
 constexpr std::size_t kMaxIdempotencyKey = 128;
 /// Part of the target latency that a request may wait for tokens.
-constexpr int kPatiencePart = 4;
+constexpr int kPatiencePart = 2;
 constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 // A host that knows no endpoint yet lets routing say so.
@@ -114,6 +114,7 @@
 
   bool Start(last_reason& aWhy)
   {
+    mAdmission.tolerance = mSettings.tolerance;
     mSettings.http.onFault = [this](net::http_reply& aReply,
                                     int aStatus,
                                     const std::string& aText) {
@@ -141,7 +142,8 @@
   {
     mView = std::move(aView);
     mRunner.SetView(mView);
-    SetFleet(mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain));
+    SetFleet(mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain),
+             std::chrono::steady_clock::now());
     mAdmission.capacity = Capacity();
     const caller_limits& limits = mView.fleet->declared.callers;
     mServer->SetLimits({ limits.maxHeaderBytes,
@@ -600,7 +602,7 @@
     const auto* workspace =
       mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
     if (workspace != nullptr &&
-        static_cast<double>(tokens - mSettings.rateSlack) >
+        static_cast<double>(tokens) - mSettings.tolerance.slackTokens >
           workspace->burstTokens) {
       SendError(*aRouted.reply,
                 ErrorOf({ refusal_kind::eTooLarge, {} }),
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -41,7 +41,7 @@
   /// Known keys are served also while the lease has lapsed.
   bool servesWithoutLease = false;
   retry_allowance retries;
-  std::int64_t rateSlack = 0; ///< tokens above a burst that may be granted
+  admission::rate_tolerance tolerance;
 };
 
 class traffic_thread
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -314,6 +314,13 @@
   std::uint64_t token = 0;
 };
 
+/// Says how many entry hosts there are. What is dealt to hosts in equal parts
+/// goes by it.
+struct count_hosts
+{
+  std::uint32_t hosts = 0;
+};
+
 using fleet_change = std::variant<apply_manifest,
                                   issue_key,
                                   withdraw_key,
@@ -322,7 +329,8 @@
                                   name_delegate,
                                   claim_request,
                                   record_outcome,
-                                  release_claim>;
+                                  release_claim,
+                                  count_hosts>;
 
 /// A change with the time at which the leader proposed it. The state machine
 /// takes time from here only, so that every replica decides alike.
@@ -409,6 +417,7 @@
 {
   std::uint64_t revision = 0;         ///< rises with each configuration change
   std::uint64_t manifestRevision = 0; ///< rises with each manifest
+  std::uint32_t hosts = 0; ///< entry hosts; 0: not known yet
   std::string manifestText;
   key_hash manifestDigest;
   manifest declared;
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -260,6 +260,16 @@
   return DoneWithNewRevision(aState, aChange.isOut ? "out" : "back");
 }
 
+command_result
+Change(fleet_state& aState, const count_hosts& aChange, wall_time)
+{
+  if (aState.hosts == aChange.hosts) {
+    return Done(aState, "was so before");
+  }
+  aState.hosts = aChange.hosts;
+  return DoneWithNewRevision(aState, "counted");
+}
+
 command_result
 Change(fleet_state& aState, const drain_endpoint& aChange, wall_time)
 {
--- a/src/wire/command_codec.cpp
+++ b/src/wire/command_codec.cpp
@@ -118,6 +118,12 @@
   to->set_token(aFrom.token);
 }
 
+void
+PutChange(const count_hosts& aFrom, pb::Command& aTo)
+{
+  aTo.mutable_count_hosts()->set_hosts(aFrom.hosts);
+}
+
 apply_manifest
 GetChange(const pb::ApplyManifest& aFrom)
 {
@@ -206,6 +212,8 @@
       return GetChange(aFrom.record_outcome());
     case pb::Command::kReleaseClaim:
       return GetChange(aFrom.release_claim());
+    case pb::Command::kCountHosts:
+      return count_hosts{ aFrom.count_hosts().hosts() };
     case pb::Command::CHANGE_NOT_SET:
       break;
   }
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -244,7 +244,6 @@
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
-  to->set_hosts(aFrom.hosts);
 }
 
 void
@@ -285,6 +284,7 @@
   to->set_confirmed_revision(aFrom.confirmedRevision);
   to->set_hosts(aFrom.hosts);
   to->set_http_address(aFrom.httpAddress);
+  to->set_reporting(aFrom.reporting);
 }
 
 void
@@ -465,7 +465,6 @@
   update.tombstones = GetKeys(aFrom.tombstones());
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
-  update.hosts = aFrom.hosts();
   return update;
 }
 
@@ -505,6 +504,7 @@
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
   gossip.httpAddress = aFrom.http_address();
+  gossip.reporting = aFrom.reporting();
   return gossip;
 }
 
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -104,6 +104,7 @@
   pb::FleetState state;
   state.set_revision(aState.revision);
   state.set_manifest_revision(aState.manifestRevision);
+  state.set_hosts(aState.hosts);
   state.set_manifest_text(aState.manifestText);
   state.set_last_command_at_us(ToMicroseconds(aState.lastCommandAt));
   PutTables(aState, state);
@@ -120,6 +121,7 @@
   fleet_state result;
   result.revision = state.revision();
   result.manifestRevision = state.manifest_revision();
+  result.hosts = state.hosts();
   result.manifestText = state.manifest_text();
   result.lastCommandAt = FromMicroseconds(state.last_command_at_us());
   if (!result.manifestText.empty()) {
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -104,7 +104,6 @@
   std::vector<key_hash> tombstones; ///< withdrawn, not yet in the log
   std::vector<control_address> controls; ///< all that are known
   std::string leader;      ///< name of the leader; empty while none is known
-  std::uint32_t hosts = 0; ///< entry hosts that report to any of them
 };
 
 /// What the control host of a failure domain tells the others of it.
@@ -117,6 +116,7 @@
   std::uint64_t confirmedRevision = 0; ///< in force on every serving host
   std::uint32_t hosts = 0;             ///< that hold a lease
   std::string httpAddress;             ///< for callers over HTTP; empty: none
+  std::uint32_t reporting = 0;         ///< hosts that report to the sender
 };
 
 /// Withdrawn keys, passed on ahead of the log.
