--- a/src/admission/dealt_rate.cpp
+++ b/src/admission/dealt_rate.cpp
@@ -39,13 +39,12 @@
     return { { Units(aTokensPerSecond), Units(aBurstTokens) }, {} };
   }
   const double declared = aTokensPerSecond * window.count() + aBurstTokens;
-  const double most =
-    kToleranceUsed *
-    (declared * (1 + aTolerance.overage) + aTolerance.slackTokens);
+  const double most = kToleranceUsed * (declared * (1 + aTolerance.overage) +
+                                        aTolerance.slackTokens);
   const double standing = std::clamp(
     kStandingTokens, kLeastSizePart * most, kMostStandingPart * most);
-  const double divided = std::clamp(
-    kDividedTokens, kLeastSizePart * most, kMostDividedPart * most);
+  const double divided =
+    std::clamp(kDividedTokens, kLeastSizePart * most, kMostDividedPart * most);
   const double rate = (most - standing - divided) / window.count();
   return { { Units((1 - kStandingPart) * rate), Units(divided) },
            { Units(kStandingPart * rate), Units(standing) } };
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -1,6 +1,6 @@
 #include "apps/ctl_commands.hpp"
-#include "program/program.hpp"
 #include "observe/observe.hpp"
+#include "program/program.hpp"
 #include "settings/settings.hpp"
 
 namespace bulrush::ctl {
--- a/src/apps/swarm_main.cpp
+++ b/src/apps/swarm_main.cpp
@@ -1,7 +1,7 @@
-#include "program/program.hpp"
 #include "apps/swarm_tables.hpp"
 #include "net/net.hpp"
 #include "observe/observe.hpp"
+#include "program/program.hpp"
 #include "settings/settings.hpp"
 
 #include <asio/io_context.hpp>
--- a/src/control/control.hpp
+++ b/src/control/control.hpp
@@ -71,8 +71,8 @@
   std::string endpoint; ///< name
   std::string address;  ///< IP:port
   residency::order_kind kind = residency::order_kind::eLoadModel;
-  std::string model;    ///< names as the manifest has them
-  std::string adapter;  ///< empty: the model itself
+  std::string model;   ///< names as the manifest has them
+  std::string adapter; ///< empty: the model itself
   std::uint64_t expectedOrders = 0;
   std::string holder;      ///< name of this process
   std::uint64_t fence = 0; ///< grows with each leader
@@ -94,19 +94,17 @@
                                          const call_context&,
                                          last_reason&)>
     readCall;
-  std::function<void(net::http_reply&,
-                     const net::http_request&,
-                     const http_answer&)>
+  std::function<
+    void(net::http_reply&, const net::http_request&, const http_answer&)>
     sendAnswer;
   /// Calls to engines that take conditional orders; not set: orders go by the
   /// ledger of the placement library.
   std::function<net::http_call(const engine_order&)> writeOrder;
   std::function<residency::order_answer(int aStatus)> readOrderAnswer;
   std::function<net::http_call(const engine_question&)> writeQuestion;
-  std::function<std::optional<residency::engine_state>(
-    const engine_question&,
-    const std::string& aBody,
-    last_reason&)>
+  std::function<std::optional<residency::engine_state>(const engine_question&,
+                                                       const std::string& aBody,
+                                                       last_reason&)>
     readState;
 };
 
--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -202,9 +202,7 @@
   const auto inbox = std::exchange(aTables.httpInbox, {});
   for (const received_call& input : inbox) {
     std::visit(
-      [&](const auto& aCall) {
-        Take(aTables, input.id, aCall, aNow, aOutbox);
-      },
+      [&](const auto& aCall) { Take(aTables, input.id, aCall, aNow, aOutbox); },
       input.call);
   }
 }
--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -453,8 +453,7 @@
   for (const known_replica& known : log.known) {
     const bool waits = known.identity && !IsMember(log, known.identity) &&
                        aNow < known.heardAt + kHelloFresh;
-    const log_member* old =
-      waits ? FindPlace(aTables, known, aNow) : nullptr;
+    const log_member* old = waits ? FindPlace(aTables, known, aNow) : nullptr;
     if (old == nullptr) {
       continue;
     }
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,8 +1,8 @@
 #include "control/control.hpp"
 #include "control/tables.hpp"
-#include "program/program.hpp"
 #include "net/net.hpp"
 #include "observe/observe.hpp"
+#include "program/program.hpp"
 #include "settings/settings.hpp"
 
 #include <asio/io_context.hpp>
@@ -99,7 +99,8 @@
     "0",
     "0",
     "1",
-    "Share of what a rate and its burst allow in a window that may come on top" },
+    "Share of what a rate and its burst allow in a window that may come on "
+    "top" },
   { "rate-slack",
     option_type::eDecimal,
     "tokens",
@@ -224,11 +225,9 @@
     mFront = std::move(aFront);
     mTables.residency.isUsed = static_cast<bool>(mFront.writeOrder);
     mTables.residency.handOver = aOptions.Duration("order-hand-over");
-    mTables.leases.tolerance = {
-      aOptions.Duration("rate-window"),
-      aOptions.Decimal("rate-overage"),
-      aOptions.Decimal("rate-slack")
-    };
+    mTables.leases.tolerance = { aOptions.Duration("rate-window"),
+                                 aOptions.Decimal("rate-overage"),
+                                 aOptions.Decimal("rate-slack") };
     ReadDomains(aOptions);
     if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy) ||
         !ListenHttp(aOptions, aWhy)) {
@@ -543,25 +542,25 @@
         *body += aBytes;
       }
     };
-    hooks.onEnd = [this, aEngine, aQuestion, body](
-                    const net::http_call_end& aEnd) {
-      engine_answer answer;
-      answer.engine = aEngine;
-      last_reason why;
-      if (aEnd.whole && aEnd.status == 200) {
-        answer.state = mFront.readState(aQuestion, *body, why);
-      }
-      if (!answer.state) {
-        LogWarning(kLog,
-                   "No state of engine {}: status {} {} {}",
-                   aQuestion.endpoint,
-                   aEnd.status,
-                   aEnd.error,
-                   Describe(why));
-      }
-      mTables.residency.answers.push_back(std::move(answer));
-      mTimer.RunSoon();
-    };
+    hooks.onEnd =
+      [this, aEngine, aQuestion, body](const net::http_call_end& aEnd) {
+        engine_answer answer;
+        answer.engine = aEngine;
+        last_reason why;
+        if (aEnd.whole && aEnd.status == 200) {
+          answer.state = mFront.readState(aQuestion, *body, why);
+        }
+        if (!answer.state) {
+          LogWarning(kLog,
+                     "No state of engine {}: status {} {} {}",
+                     aQuestion.endpoint,
+                     aEnd.status,
+                     aEnd.error,
+                     Describe(why));
+        }
+        mTables.residency.answers.push_back(std::move(answer));
+        mTimer.RunSoon();
+      };
     mClient->Start(std::move(call), std::move(hooks));
   }
 
--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -41,10 +41,8 @@
   for (const adapter_row& adapter : fleet.declared.adapters) {
     adapters.push_back({ adapter.id, adapter.model, adapter.bytes });
   }
-  residency::OnManifest(residency.decisions,
-                        models,
-                        adapters,
-                        fleet.declared.store.loadsPerSecond);
+  residency::OnManifest(
+    residency.decisions, models, adapters, fleet.declared.store.loadsPerSecond);
 }
 
 residency::announcement
@@ -111,8 +109,7 @@
       residency::OnAnswer(
         decisions, answer.engine, *answer.order, aNow, aOutbox);
     } else {
-      residency::OnState(
-        decisions, answer.engine, answer.state, aNow, aOutbox);
+      residency::OnState(decisions, answer.engine, answer.state, aNow, aOutbox);
     }
   }
   aTables.residency.answers.clear();
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -574,8 +574,7 @@
 void
 AddControls(const control_tables& aTables, wire::host_update& aUpdate)
 {
-  aUpdate.controls.push_back(
-    { aTables.self.name, aTables.self.linkAddress });
+  aUpdate.controls.push_back({ aTables.self.name, aTables.self.linkAddress });
   for (const control_row& control : aTables.controls) {
     aUpdate.controls.push_back({ control.name, control.address });
   }
@@ -656,9 +655,7 @@
 // hosts make each one's part smaller, too few would make the sum too large. So
 // the count rises at once and falls late.
 void
-RunHostCount(control_tables& aTables,
-             steady_time aNow,
-             control_outbox& aOutbox)
+RunHostCount(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   host_count_row& watch = aTables.hostCount;
   const bool isDue = aNow >= watch.nextChange;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -114,7 +114,7 @@
 {
   call_id id;
   std::string peer;
-  http_call_id http; ///< set in place of the peer
+  http_call_id http;      ///< set in place of the peer
   std::uint64_t call = 0; ///< the peer's own number
   position_id position;   ///< in our log; none while passed on to the leader
   steady_time deadline{};
@@ -235,7 +235,7 @@
   table<host_id, asking_host> hosts;
   table<endpoint_id, held_row> held;
   std::uint64_t serial = 0;
-  std::vector<engine_answer> answers; ///< since the last tick
+  std::vector<engine_answer> answers;          ///< since the last tick
   std::chrono::milliseconds handOver{ 3'000 }; ///< between holders of orders
 };
 
@@ -327,7 +327,9 @@
 void TakeEndpoint(control_tables& aTables,
                   const endpoint_row& aRow,
                   bool aIsOwn);
-void DropEndpoint(control_tables& aTables, endpoint_id aEndpoint, bool aHasLeft);
+void DropEndpoint(control_tables& aTables,
+                  endpoint_id aEndpoint,
+                  bool aHasLeft);
 
 /// The lease system: names delegates, divides limits, answers renewals.
 void RunLeases(control_tables& aTables,
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -27,9 +27,9 @@
 {
   aRow.state = admission_state::eQueued;
   const kind_row* kind = aTables.kinds.Find(aRow.kind);
-  const std::chrono::duration<double> service{
-    kind == nullptr ? 0.0 : kind->serviceSeconds
-  };
+  const std::chrono::duration<double> service{ kind == nullptr
+                                                 ? 0.0
+                                                 : kind->serviceSeconds };
   admission::queued_row queued;
   queued.id = aRow.id;
   queued.workspace = aRow.workspace;
@@ -96,8 +96,8 @@
   }
 }
 
-// What can be had is reserved now, from what stands here and then from the share;
-// what is short waits for the delegate.
+// What can be had is reserved now, from what stands here and then from the
+// share; what is short waits for the delegate.
 void
 TryReserve(admission_tables& aTables,
            admitted_row& aRow,
@@ -118,14 +118,12 @@
                      std::chrono::nanoseconds{ aNow - aRow.arrivedAt });
   const auto patience =
     std::min(aRow.patience, aTables.escrow.settings.patience);
-  const auto answer =
-    admission::ReserveTokens(aTables.escrow,
-                             aRow.workspace,
-                             aRow.tokens - standing,
-                             waited < patience
-                               ? waited
-                               : aTables.escrow.settings.patience,
-                             aNow);
+  const auto answer = admission::ReserveTokens(
+    aTables.escrow,
+    aRow.workspace,
+    aRow.tokens - standing,
+    waited < patience ? waited : aTables.escrow.settings.patience,
+    aNow);
   switch (answer.outcome) {
     case reserve_outcome::eReserved:
       aRow.reserved = answer.reserved;
@@ -239,11 +237,10 @@
     if (aFleet.hosts == 0 || workspace.tokensPerSecond == 0) {
       continue;
     }
-    const admission::share all =
-      admission::DealRate(aTables.tolerance,
-                          workspace.tokensPerSecond,
-                          workspace.burstTokens)
-        .standing;
+    const admission::share all = admission::DealRate(aTables.tolerance,
+                                                     workspace.tokensPerSecond,
+                                                     workspace.burstTokens)
+                                   .standing;
     const admission::share part{ all.rate / aFleet.hosts,
                                  all.size / aFleet.hosts };
     standing_row* row = aTables.standing.Find(workspace.id);
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -57,7 +57,7 @@
 {
   request_id id;
   workspace_id workspace;
-  kind_id kind; ///< of requests that take about as long
+  kind_id kind;            ///< of requests that take about as long
   std::int64_t tokens = 0; ///< upper bound
   /// Longest wait for tokens; an answer after it would be late anyhow.
   std::chrono::nanoseconds patience = std::chrono::seconds{ 1 };
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -101,9 +101,7 @@
 }
 
 void
-Take(entry_tables& aTables,
-     const wire::held_update& aUpdate,
-     steady_time aNow)
+Take(entry_tables& aTables, const wire::held_update& aUpdate, steady_time aNow)
 {
   for (const wire::held_models& engine : aUpdate.engines) {
     aTables.held.Insert(
@@ -141,8 +139,8 @@
   }
   control->knowsLeader = !aUpdate.leader.empty();
   if (!control->knowsLeader) {
-    aTables.nextReport = std::min(
-      aTables.nextReport, control->lastHeard + kReportElsewhere);
+    aTables.nextReport =
+      std::min(aTables.nextReport, control->lastHeard + kReportElsewhere);
   }
 }
 
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -30,12 +30,12 @@
 /// What a caller asks for, as the front end read it.
 struct caller_call
 {
-  std::string id;      ///< the caller's own name for it; empty: none
-  std::string key;     ///< empty: none came
-  std::string host;    ///< that the caller asked for
-  std::string model;   ///< empty: none is named
-  std::string adapter; ///< of the model; empty: the model alone
-  bool isByModel = false; ///< the model's name decides, not host and path
+  std::string id;          ///< the caller's own name for it; empty: none
+  std::string key;         ///< empty: none came
+  std::string host;        ///< that the caller asked for
+  std::string model;       ///< empty: none is named
+  std::string adapter;     ///< of the model; empty: the model alone
+  bool isByModel = false;  ///< the model's name decides, not host and path
   bool isStreamed = false; ///< asked for; of a route the manifest decides
   std::optional<std::int64_t> tokens; ///< upper bound of prompt and answer
   std::int64_t answerTokens = 0;      ///< upper bound of the answer
@@ -86,14 +86,12 @@
   std::function<std::vector<net::http_field>(
     const std::vector<net::http_field>&)>
     answerFields;
-  std::function<void(net::http_reply&,
-                     const caller_error&,
-                     const std::string& aRequestId)>
+  std::function<
+    void(net::http_reply&, const caller_error&, const std::string& aRequestId)>
     sendError;
   /// Ends a stream of which the caller has a part, so that it looks broken.
-  std::function<void(net::http_reply&,
-                     const caller_error&,
-                     const std::string& aRequestId)>
+  std::function<
+    void(net::http_reply&, const caller_error&, const std::string& aRequestId)>
     breakStream;
   /// Name of the model of a service that a call means, as the manifest has it.
   std::function<std::string(const std::string& aService,
@@ -106,7 +104,7 @@
   /// Tokens that a whole answer says it used; not set: the bound counts.
   std::function<std::optional<std::int64_t>(const std::string& aBody)>
     readUsage;
-  bool servesPages = true;       ///< models, reports, metrics beside callers
+  bool servesPages = true;        ///< models, reports, metrics beside callers
   bool streamsHaveEndMark = true; ///< else a stream ends as its message does
   bool endpointsSayWhenCold = false;
   bool trustsRefusals = false; ///< "not run" from an endpoint is proof
--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -208,9 +208,9 @@
   };
   if (aError.retryAfter) {
     // Whole seconds, and never "at once".
-    const auto seconds = std::max(
-      std::chrono::seconds{ 1 },
-      std::chrono::ceil<std::chrono::seconds>(*aError.retryAfter));
+    const auto seconds =
+      std::max(std::chrono::seconds{ 1 },
+               std::chrono::ceil<std::chrono::seconds>(*aError.retryAfter));
     fields.push_back({ "Retry-After", std::to_string(seconds.count()) });
   }
   aReply.Send(aError.status, fields, FormatError(aError, aRequestId));
@@ -263,8 +263,8 @@
     call.model = std::move(completion->modelName);
     call.isStreamed = completion->isStream;
     call.answerTokens = static_cast<std::int64_t>(completion->maxTokens);
-    call.tokens = static_cast<std::int64_t>(completion->promptTokens) +
-                  call.answerTokens;
+    call.tokens =
+      static_cast<std::int64_t>(completion->promptTokens) + call.answerTokens;
     call.body = std::move(completion->body);
   } else {
     call.body = aRequest.body;
@@ -290,8 +290,7 @@
 {
   aTo.push_back({ "Bulrush-Attempt", FormatId(aAttempt.attempt.value) });
   if (aAttempt.resumeOffset > 0) {
-    aTo.push_back(
-      { "Bulrush-Resume", std::to_string(aAttempt.resumeOffset) });
+    aTo.push_back({ "Bulrush-Resume", std::to_string(aAttempt.resumeOffset) });
   }
 }
 
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,6 +1,6 @@
 #include "entry/traffic.hpp"
-#include "program/program.hpp"
 #include "observe/observe.hpp"
+#include "program/program.hpp"
 #include "settings/settings.hpp"
 
 #include <asio/executor_work_guard.hpp>
@@ -116,7 +116,8 @@
     "0",
     "0",
     "1",
-    "Share of what a rate and its burst allow in a window that may come on top; "
+    "Share of what a rate and its burst allow in a window that may come on "
+    "top; "
     "as in bulrush-control" },
   { "stop-delay",
     option_type::eDuration,
@@ -239,8 +240,7 @@
 
   void Want(std::vector<wire::wanted_model> aWanted)
   {
-    mTables.wanted.insert(
-      mTables.wanted.end(), aWanted.begin(), aWanted.end());
+    mTables.wanted.insert(mTables.wanted.end(), aWanted.begin(), aWanted.end());
     mTimer.RunSoon();
   }
 
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -152,7 +152,6 @@
   return type == nullptr ? "" : *type;
 }
 
-
 std::vector<routing::resident>
 ResidentsOf(const endpoint_row& aRow)
 {
@@ -332,7 +331,8 @@
   {
     if (mRetries.share > 0) {
       mEngine.settings.retryShare = kRetriesUsed * mRetries.share;
-      mEngine.settings.retryBurst = kRetriesUsed * mRetries.burst / HostsOf(*mView.fleet);
+      mEngine.settings.retryBurst =
+        kRetriesUsed * mRetries.burst / HostsOf(*mView.fleet);
     }
   }
 
@@ -543,8 +543,8 @@
       each.requests = 0;
       each.toldWaiting = each.waiting > 0 ? aNow : steady_time{};
     }
-    std::erase_if(mWanted,
-                  [](const auto& aEntry) { return aEntry.second.waiting == 0; });
+    std::erase_if(
+      mWanted, [](const auto& aEntry) { return aEntry.second.waiting == 0; });
     mNextDemand = aNow + kTellDemandEvery;
     if (!told.empty()) {
       mOnDemand(std::move(told));
@@ -620,9 +620,9 @@
     const steady_time end =
       facts.isStreamed && facts.endBy != steady_time::max() ? facts.endBy
                                                             : facts.deadline;
-    told.timeLeft = std::max(
-      std::chrono::milliseconds{ 1 },
-      std::chrono::floor<std::chrono::milliseconds>(end - Now()));
+    told.timeLeft =
+      std::max(std::chrono::milliseconds{ 1 },
+               std::chrono::floor<std::chrono::milliseconds>(end - Now()));
     told.resumeOffset = aStart.resumeOffset;
     told.resumeAfter = aWaiting.lastEvent.empty() ? aWaiting.request.resumeAfter
                                                   : aWaiting.lastEvent;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -101,27 +101,24 @@
                       [this](steady_time aNow) { return TickAdmission(aNow); })
     , mRecorder(Seeded(mSettings.recording))
     , mRandom(NewSeed())
-    , mRunner(aContext,
-              { mSettings.domain,
-                NewSeed(),
-                &mSettings.front,
-                mSettings.retries },
-              mRecorder.Record(net::MakeHttpClient(aContext)),
-              mHooks.onCommand,
-              mHooks.onDemand)
+    , mRunner(
+        aContext,
+        { mSettings.domain, NewSeed(), &mSettings.front, mSettings.retries },
+        mRecorder.Record(net::MakeHttpClient(aContext)),
+        mHooks.onCommand,
+        mHooks.onDemand)
   {
   }
 
   bool Start(last_reason& aWhy)
   {
     mAdmission.tolerance = mSettings.tolerance;
-    mSettings.http.onFault = [this](net::http_reply& aReply,
-                                    int aStatus,
-                                    const std::string& aText) {
-      SendError(aReply,
-                { aStatus, FaultCode(aStatus), aText, false, std::nullopt },
-                request_id{ ++mLastRequest });
-    };
+    mSettings.http.onFault =
+      [this](net::http_reply& aReply, int aStatus, const std::string& aText) {
+        SendError(aReply,
+                  { aStatus, FaultCode(aStatus), aText, false, std::nullopt },
+                  request_id{ ++mLastRequest });
+      };
     auto server = net::Listen(
       mContext,
       mSettings.http,
@@ -142,7 +139,9 @@
   {
     mView = std::move(aView);
     mRunner.SetView(mView);
-    SetFleet(mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain),
+    SetFleet(mAdmission,
+             *mView.fleet,
+             IdOf<domain_id>(mSettings.domain),
              std::chrono::steady_clock::now());
     mAdmission.capacity = Capacity();
     const caller_limits& limits = mView.fleet->declared.callers;
@@ -286,8 +285,9 @@
     resolved_call resolved;
     resolved.facts.id = aId;
     const bool isResolved =
-      call && (call->isByModel ? ResolveModel(*call, resolved, error)
-                               : ResolveRoute(aRequest, *call, resolved, error));
+      call &&
+      (call->isByModel ? ResolveModel(*call, resolved, error)
+                       : ResolveRoute(aRequest, *call, resolved, error));
     if (!isResolved) {
       SendError(*aReply, error, aId);
       return;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -63,13 +63,13 @@
 {
   service_id id;
   std::string name;
-  std::uint32_t maxConnections = 0;     ///< of one endpoint; 0: no limit
-  double coldPerSecond = 0.0;           ///< requests that a cold endpoint bears
+  std::uint32_t maxConnections = 0; ///< of one endpoint; 0: no limit
+  double coldPerSecond = 0.0;       ///< requests that a cold endpoint bears
   std::chrono::milliseconds coldFor{ 0 }; ///< after its start
-  bool isEngine = false;                ///< holds models
-  std::uint64_t memoryBytes = 0;        ///< of one engine, for weights
-  std::uint32_t adapterPlaces = 0;      ///< of one engine; 0: no limit
-  std::uint64_t cacheTokens = 0;        ///< of one engine, for prompts
+  bool isEngine = false;                  ///< holds models
+  std::uint64_t memoryBytes = 0;          ///< of one engine, for weights
+  std::uint32_t adapterPlaces = 0;        ///< of one engine; 0: no limit
+  std::uint64_t cacheTokens = 0;          ///< of one engine, for prompts
 };
 
 /// A service that a route sends to, with its share of the requests.
@@ -88,11 +88,11 @@
   std::string path; ///< exact; of a prefix route, the prefix with its slashes
   bool isPrefix = false;
   std::vector<route_target> targets;
-  std::chrono::milliseconds deadline{ 0 }; ///< to the end of the answer
-  std::chrono::milliseconds target{ 0 };   ///< on time until then; 0: deadline
+  std::chrono::milliseconds deadline{ 0 };  ///< to the end of the answer
+  std::chrono::milliseconds target{ 0 };    ///< on time until then; 0: deadline
   std::chrono::milliseconds targetGap{ 0 }; ///< longest pause of a stream
-  double tokens = 0.0; ///< what one call costs the workspace
-  int rank = 0;        ///< 0 is served first
+  double tokens = 0.0;           ///< what one call costs the workspace
+  int rank = 0;                  ///< 0 is served first
   std::uint32_t maxAttempts = 0; ///< endpoints that one request may see; 0: any
   bool isIdempotent = true;
   bool isStreamed = false;
@@ -417,7 +417,7 @@
 {
   std::uint64_t revision = 0;         ///< rises with each configuration change
   std::uint64_t manifestRevision = 0; ///< rises with each manifest
-  std::uint32_t hosts = 0; ///< entry hosts; 0: not known yet
+  std::uint32_t hosts = 0;            ///< entry hosts; 0: not known yet
   std::string manifestText;
   key_hash manifestDigest;
   manifest declared;
--- a/src/fleet/manifest.cpp
+++ b/src/fleet/manifest.cpp
@@ -455,11 +455,10 @@
     aFaults,
     aManifest.workspaces,
     [&](object_reader& aReader) { return ReadWorkspace(aReader, aManifest); });
-  ReadList(aRoot,
-           "routes",
-           aFaults,
-           aManifest.routes,
-           [&](object_reader& aReader) { return ReadRoute(aReader, aFaults); });
+  ReadList(
+    aRoot, "routes", aFaults, aManifest.routes, [&](object_reader& aReader) {
+      return ReadRoute(aReader, aFaults);
+    });
   aRoot.RefuseUnknownKeys();
 }
 
@@ -490,9 +489,9 @@
   for (const route_row& route : aManifest.routes) {
     for (const route_target& target : route.targets) {
       if (!aManifest.services.Find(IdOf<service_id>(target.service))) {
-        aFaults.push_back({ "/routes",
-                            route.name + ": no such service is declared: " +
-                              target.service });
+        aFaults.push_back(
+          { "/routes",
+            route.name + ": no such service is declared: " + target.service });
       }
     }
   }
--- a/src/fleet/patch.cpp
+++ b/src/fleet/patch.cpp
@@ -15,14 +15,14 @@
   const char* name;
   const char* scope = nullptr;
 };
-constexpr std::array<named_list, 6> kNamedLists{ { { "failure_domains", "name" },
-                                                   { "services", "name" },
-                                                   { "models", "name" },
-                                                   { "adapters", "name" },
-                                                   { "workspaces", "name" },
-                                                   { "routes",
-                                                     "path",
-                                                     "host" } } };
+constexpr std::array<named_list, 6> kNamedLists{
+  { { "failure_domains", "name" },
+    { "services", "name" },
+    { "models", "name" },
+    { "adapters", "name" },
+    { "workspaces", "name" },
+    { "routes", "path", "host" } }
+};
 
 constexpr char kScopeEnd = '\n';
 
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -41,9 +41,8 @@
 void
 FollowDeclaredKeys(fleet_state& aState)
 {
-  aState.keys.EraseIf([](const key_row& aRow) {
-    return aRow.isDeclared && !aRow.isWithdrawn;
-  });
+  aState.keys.EraseIf(
+    [](const key_row& aRow) { return aRow.isDeclared && !aRow.isWithdrawn; });
   for (const auto& [hash, workspace] : aState.declared.keys) {
     if (aState.keys.Find(hash) == nullptr) {
       aState.keys.Insert({ hash, workspace, false, true });
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -115,11 +115,12 @@
 {
   http_parser_settings settings;
   http_parser_settings_init(&settings);
-  settings.on_url = [](http_parser* aParser, const char* aAt, std::size_t aCount) {
-    static_cast<http_connection*>(aParser->data)->mRequest.target.append(aAt,
-                                                                        aCount);
-    return 0;
-  };
+  settings.on_url =
+    [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+      static_cast<http_connection*>(aParser->data)
+        ->mRequest.target.append(aAt, aCount);
+      return 0;
+    };
   settings.on_header_field =
     [](http_parser* aParser, const char* aAt, std::size_t aCount) {
       auto& fields =
@@ -134,7 +135,9 @@
       fields.back().value.append(aAt, aCount);
       return 0;
     };
-  settings.on_body = [](http_parser* aParser, const char* aAt, std::size_t aCount) {
+  settings.on_body = [](http_parser* aParser,
+                        const char* aAt,
+                        std::size_t aCount) {
     auto& connection = *static_cast<http_connection*>(aParser->data);
     const std::size_t limit = connection.mState->settings.maxBodyBytes;
     connection.mIsTooLarge |= connection.mRequest.body.size() + aCount > limit;
@@ -166,8 +169,7 @@
 void
 http_connection::Start()
 {
-  mPhaseEnds =
-    std::chrono::steady_clock::now() + mState->settings.idleTimeout;
+  mPhaseEnds = std::chrono::steady_clock::now() + mState->settings.idleTimeout;
   Read();
 }
 
@@ -178,18 +180,17 @@
     return;
   }
   mIsReading = true;
-  mSocket.async_read_some(
-    asio::buffer(mBuffer),
-    [self = shared_from_this()](const std::error_code& aError,
-                                std::size_t aCount) {
-      self->mIsReading = false;
-      if (aError) {
-        self->TellGone();
-        self->Close();
-      } else {
-        self->OnRead(aCount);
-      }
-    });
+  mSocket.async_read_some(asio::buffer(mBuffer),
+                          [self = shared_from_this()](
+                            const std::error_code& aError, std::size_t aCount) {
+                            self->mIsReading = false;
+                            if (aError) {
+                              self->TellGone();
+                              self->Close();
+                            } else {
+                              self->OnRead(aCount);
+                            }
+                          });
 }
 
 void
@@ -300,19 +301,18 @@
   mKeepsAlive = http_should_keep_alive(&mParser) != 0;
   mIsAnswered = false;
   mIsStarted = false;
-  mRequest.method =
-    http_method_str(static_cast<http_method>(mParser.method));
+  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
   mIsHeadRequest = mParser.method == HTTP_HEAD;
-  const std::size_t mark = std::min(mRequest.target.find('?'),
-                                    mRequest.target.size());
+  const std::size_t mark =
+    std::min(mRequest.target.find('?'), mRequest.target.size());
   mRequest.path = mRequest.target.substr(0, mark);
   mRequest.query = mark < mRequest.target.size()
                      ? mRequest.target.substr(mark + 1)
                      : std::string();
   mRequest.peer = mPeer;
   ++mState->unsentAnswers;
-  const auto reply = std::make_shared<connection_reply>(weak_from_this(),
-                                                        ++mRequestNumber);
+  const auto reply =
+    std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
   mReply = reply;
   mState->onRequest(std::move(mRequest), reply);
 }
@@ -329,13 +329,12 @@
   mIsHeadRequest = false;
   mInput.clear();
   ++mState->unsentAnswers;
-  const auto reply = std::make_shared<connection_reply>(weak_from_this(),
-                                                        ++mRequestNumber);
+  const auto reply =
+    std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
   if (mState->settings.onFault) {
     mState->settings.onFault(*reply, aStatus, aText);
   } else {
-    reply->Send(
-      aStatus, { { "Content-Type", "text/plain" } }, aText + "\n");
+    reply->Send(aStatus, { { "Content-Type", "text/plain" } }, aText + "\n");
   }
 }
 
@@ -475,20 +474,19 @@
   }
   mIsWriting = true;
   mWriting = std::exchange(mOutput, {});
-  asio::async_write(
-    mSocket,
-    asio::buffer(mWriting),
-    [self = shared_from_this()](const std::error_code& aError,
-                                std::size_t aCount) {
-      self->mIsWriting = false;
-      self->mWriting.clear();
-      if (aError) {
-        self->TellGone();
-        self->Close();
-      } else {
-        self->OnWritten(aCount);
-      }
-    });
+  asio::async_write(mSocket,
+                    asio::buffer(mWriting),
+                    [self = shared_from_this()](const std::error_code& aError,
+                                                std::size_t aCount) {
+                      self->mIsWriting = false;
+                      self->mWriting.clear();
+                      if (aError) {
+                        self->TellGone();
+                        self->Close();
+                      } else {
+                        self->OnWritten(aCount);
+                      }
+                    });
 }
 
 void
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -52,10 +52,10 @@
 private:
   enum class phase : std::uint8_t
   {
-    eHead,     ///< waits for a request or reads its head
-    eBody,     ///< reads its body
+    eHead,      ///< waits for a request or reads its head
+    eBody,      ///< reads its body
     eAnswering, ///< the request was handed over
-    eLinger,   ///< the last answer has left; what still comes is dropped
+    eLinger,    ///< the last answer has left; what still comes is dropped
     eClosed
   };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -102,19 +102,19 @@
 private:
   void Accept()
   {
-    mAcceptor.async_accept([this, alive = mIsAlive](
-                             const std::error_code& aError,
-                             tcp::socket aSocket) {
-      if (!*alive || !mAcceptor.is_open()) {
-        return;
-      }
-      if (aError) {
-        AcceptLater();
-        return;
-      }
-      Add(std::move(aSocket));
-      Accept();
-    });
+    mAcceptor.async_accept(
+      [this, alive = mIsAlive](const std::error_code& aError,
+                               tcp::socket aSocket) {
+        if (!*alive || !mAcceptor.is_open()) {
+          return;
+        }
+        if (aError) {
+          AcceptLater();
+          return;
+        }
+        Add(std::move(aSocket));
+        Accept();
+      });
   }
 
   void AcceptLater()
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -24,8 +24,8 @@
 struct http_request
 {
   std::string method;
-  std::string path;  ///< without the query string
-  std::string query; ///< without the question mark
+  std::string path;   ///< without the query string
+  std::string query;  ///< without the question mark
   std::string target; ///< path and query, as they came
   std::vector<http_field> fields;
   std::string body;
--- a/src/net/tick_timer.cpp
+++ b/src/net/tick_timer.cpp
@@ -101,9 +101,8 @@
 void
 OnReloadSignal(asio::io_context& aContext, std::function<void()> aOnSignal)
 {
-  WaitForReload(
-    std::make_shared<asio::signal_set>(aContext, SIGHUP),
-    std::make_shared<std::function<void()>>(std::move(aOnSignal)));
+  WaitForReload(std::make_shared<asio::signal_set>(aContext, SIGHUP),
+                std::make_shared<std::function<void()>>(std::move(aOnSignal)));
 }
 
 } // namespace bulrush::net
--- a/src/residency/adapters.cpp
+++ b/src/residency/adapters.cpp
@@ -79,14 +79,8 @@
     }
   }
   if (best != nullptr) {
-    Order(aTables,
-          *best,
-          order_kind::eLoadAdapter,
-          aWant.what,
-          aNow,
-          aOutbox);
-  } else if (crowded != nullptr &&
-             leaves->rate < RateOf(aTables, aWant.what)) {
+    Order(aTables, *best, order_kind::eLoadAdapter, aWant.what, aNow, aOutbox);
+  } else if (crowded != nullptr && leaves->rate < RateOf(aTables, aWant.what)) {
     Order(aTables,
           *crowded,
           order_kind::eUnloadAdapter,
--- a/src/residency/engines.cpp
+++ b/src/residency/engines.cpp
@@ -82,10 +82,10 @@
     return;
   }
   const model_id model = aEngine.open->what.model;
-  const bool isThere = std::any_of(
-    aEngine.told.held.begin(),
-    aEngine.told.held.end(),
-    [&](const held_model& aHeld) { return aHeld.model == model; });
+  const bool isThere =
+    std::any_of(aEngine.told.held.begin(),
+                aEngine.told.held.end(),
+                [&](const held_model& aHeld) { return aHeld.model == model; });
   const bool isWanted = aEngine.open->kind == order_kind::eLoadModel;
   if (isThere == isWanted) {
     ApplyDone(aEngine, *aEngine.open);
@@ -135,10 +135,9 @@
 {
   const held_model* held = FindHeld(aEngine, aWhat.model);
   return held != nullptr &&
-         (!aWhat.adapter ||
-          std::find(held->adapters.begin(),
-                    held->adapters.end(),
-                    aWhat.adapter) != held->adapters.end());
+         (!aWhat.adapter || std::find(held->adapters.begin(),
+                                      held->adapters.end(),
+                                      aWhat.adapter) != held->adapters.end());
 }
 
 bool
@@ -210,8 +209,7 @@
   }
   row->isAsked = false;
   const bool isBusy = aState && aState->isBusy;
-  row->askFrom =
-    aNow + (isBusy ? kBusyPatience : 1) * aTables.options.askAgain;
+  row->askFrom = aNow + (isBusy ? kBusyPatience : 1) * aTables.options.askAgain;
   if (!aState || aState->incarnation != row->told.incarnation || row->open) {
     return;
   }
@@ -258,8 +256,8 @@
   row->open.reset();
   row->publishAt =
     order.kind == order_kind::eLoadAdapter
-      ? aNow + std::max<std::chrono::nanoseconds>(
-                 std::chrono::nanoseconds{ 0 }, aTables.options.adapterTime)
+      ? aNow + std::max<std::chrono::nanoseconds>(std::chrono::nanoseconds{ 0 },
+                                                  aTables.options.adapterTime)
       : aNow;
   aOutbox.wake.NoLaterThan(*row->publishAt);
 }
@@ -329,11 +327,8 @@
       outbox& aOutbox)
 {
   aEngine.open = open_order{ aKind, aWhat, aNow, false };
-  aOutbox.orders.push_back({ aEngine.id,
-                             aEngine.told.incarnation,
-                             aKind,
-                             aWhat,
-                             aEngine.orderCount });
+  aOutbox.orders.push_back(
+    { aEngine.id, aEngine.told.incarnation, aKind, aWhat, aEngine.orderCount });
 }
 
 } // namespace bulrush::residency
--- a/src/residency/models.cpp
+++ b/src/residency/models.cpp
@@ -168,8 +168,7 @@
   const auto engines = aTables.engines.Rows();
   return std::any_of(
     engines.begin(), engines.end(), [](const engine_row& aEngine) {
-      return aEngine.open &&
-             aEngine.open->kind == order_kind::eUnloadModel;
+      return aEngine.open && aEngine.open->kind == order_kind::eUnloadModel;
     });
 }
 
--- a/src/residency/residency.hpp
+++ b/src/residency/residency.hpp
@@ -101,8 +101,8 @@
   std::vector<held_model> held;
   std::optional<open_order> open;
   bool isAsked = false;
-  steady_time askFrom;   ///< not to be asked earlier
-  steady_time changedAt; ///< when an order was last accepted
+  steady_time askFrom;                  ///< not to be asked earlier
+  steady_time changedAt;                ///< when an order was last accepted
   std::optional<steady_time> publishAt; ///< `held` changed; hosts hear then
 };
 
@@ -111,7 +111,7 @@
 {
   want_id id;
   artifact what;
-  double rate = 0; ///< requests/s, moving average
+  double rate = 0;            ///< requests/s, moving average
   std::uint32_t requests = 0; ///< since the average was updated
   std::uint32_t waiting = 0;  ///< at the hosts that reported last
   steady_time askedAt;        ///< last request
@@ -121,14 +121,14 @@
 {
   double storeLoadsPerSecond = 1.0;
   std::chrono::milliseconds answerWithin{ 1'000 }; ///< of an order or question
-  std::chrono::milliseconds adapterTime{ 12 }; ///< an adapter takes to load
+  std::chrono::milliseconds adapterTime{ 12 };     ///< an adapter takes to load
   std::chrono::milliseconds askAgain{ 250 }; ///< engines' answers lag by this
   std::chrono::milliseconds loadWithin{ 12'000 }; ///< then the engine is asked
   std::chrono::milliseconds announcementLag{ 2'500 }; ///< oldest in use
-  std::chrono::milliseconds rateInterval{ 500 };  ///< of the moving average
-  std::chrono::milliseconds forgetAfter{ 30'000 }; ///< a want nobody renews
-  double rateGain = 0.35;     ///< weight of the newest interval
-  double copyRate = 12.0;     ///< requests/s above which a copy is added
+  std::chrono::milliseconds rateInterval{ 500 };      ///< of the moving average
+  std::chrono::milliseconds forgetAfter{ 30'000 };    ///< a want nobody renews
+  double rateGain = 0.35;      ///< weight of the newest interval
+  double copyRate = 12.0;      ///< requests/s above which a copy is added
   double evictionFactor = 2.0; ///< a copy is worth so many times its victim
 };
 
@@ -139,9 +139,9 @@
   table<adapter_id, adapter_row> adapters;
   table<endpoint_id, engine_row> engines;
   table<want_id, want_row> wants;
-  bool mayOrder = false;   ///< this process leads and holds the lease
-  steady_time ordersFrom;  ///< earlier orders of others may still arrive
-  steady_time nextLoad;    ///< of a model, for the store's pace
+  bool mayOrder = false;  ///< this process leads and holds the lease
+  steady_time ordersFrom; ///< earlier orders of others may still arrive
+  steady_time nextLoad;   ///< of a model, for the store's pace
   steady_time nextRates;
 };
 
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -133,9 +133,8 @@
 {
   if (aRequest.attemptsMade == 0) {
     retry_row& retries = RetriesOf(aTables, aRequest.facts.service);
-    retries.budget =
-      std::min(aTables.settings.retryBurst,
-               retries.budget + aTables.settings.retryShare);
+    retries.budget = std::min(aTables.settings.retryBurst,
+                              retries.budget + aTables.settings.retryShare);
   }
   aRequest.tried[aRequest.attemptsMade % kTriedEndpoints] = aEndpoint;
   ++aRequest.attemptsMade;
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -85,9 +85,8 @@
   constexpr double kSavedSeconds = 0.25;
   const std::chrono::duration<double> since = aNow - aEndpoint.coldSince;
   aEndpoint.coldSince = aNow;
-  aEndpoint.coldBudget =
-    std::min(std::max(1.0, rate * kSavedSeconds),
-             aEndpoint.coldBudget + rate * since.count());
+  aEndpoint.coldBudget = std::min(std::max(1.0, rate * kSavedSeconds),
+                                  aEndpoint.coldBudget + rate * since.count());
   return aEndpoint.coldBudget >= 1.0;
 }
 
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -77,10 +77,11 @@
     }
     AllowTimeToResume(aTables.settings, aRequest, aNow);
   }
-  return aTables.policy.retry({ aRequest,
-                                RetriesOf(aTables, aRequest.facts.service).budget,
-                                TimeLeft(aRequest, aNow),
-                                maxAttempts });
+  return aTables.policy.retry(
+    { aRequest,
+      RetriesOf(aTables, aRequest.facts.service).budget,
+      TimeLeft(aRequest, aNow),
+      maxAttempts });
 }
 
 } // namespace
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -59,11 +59,11 @@
   domain_id domain;
   std::string address;
   bool isDraining = false;
-  bool isDomainOut = false;              ///< its failure domain was taken out
-  bool canResume = false;                ///< resumes a stream from an offset
-  bool echoesAttempt = true;             ///< plain services may not
-  bool reportsCold = false;              ///< its own report says cold
-  bool saysWhenCold = false;             ///< warm unless its report says cold
+  bool isDomainOut = false;  ///< its failure domain was taken out
+  bool canResume = false;    ///< resumes a stream from an offset
+  bool echoesAttempt = true; ///< plain services may not
+  bool reportsCold = false;  ///< its own report says cold
+  bool saysWhenCold = false; ///< warm unless its report says cold
   double coldRate = 0; ///< requests/s from this thread while cold; 0: no limit
   std::uint32_t slots = 0;               ///< concurrent requests when warm
   std::uint32_t coldSlots = 1;           ///< concurrent requests when cold
@@ -88,12 +88,12 @@
   endpoint_id id;
   endpoint_facts facts;
   cold_start_state coldStart;
-  double coldBudget = 0;  ///< requests that may start now while it is cold
-  steady_time coldSince;  ///< when the budget was last filled
-  std::uint32_t inFlight = 0;        ///< attempts of this thread
+  double coldBudget = 0;      ///< requests that may start now while it is cold
+  steady_time coldSince;      ///< when the budget was last filled
+  std::uint32_t inFlight = 0; ///< attempts of this thread
   std::uint32_t ownWhenReported = 0; ///< inFlight when the report came
   bool isGone = false;               ///< erased once nothing is in flight
-  steady_time avoidUntil; ///< it refused for want of room
+  steady_time avoidUntil;            ///< it refused for want of room
 };
 
 /// Retries that may be made now for one service.
@@ -179,7 +179,7 @@
     0
   }; ///< time to the first byte; 0: unknown
   steady_time endBy = steady_time::max(); ///< of a stream its last byte
-  std::uint32_t maxAttempts = 0; ///< 0: as the options say
+  std::uint32_t maxAttempts = 0;          ///< 0: as the options say
   service_id service; ///< whose retries are budgeted together; none: one budget
 };
 
@@ -330,8 +330,8 @@
   std::uint32_t maxAttempts = 3; ///< of an idempotent request, 1 to 4
   /// An endpoint's word that a request did not run is proof of it.
   bool trustsRefusals = false;
-  double retryShare = 0.2;       ///< retries per request of a service, long run
-  double retryBurst = 20;        ///< retries of a service at once
+  double retryShare = 0.2; ///< retries per request of a service, long run
+  double retryBurst = 20;  ///< retries of a service at once
   std::chrono::milliseconds minAttempt{ 50 };
   std::chrono::milliseconds streamIdle{ 30'000 };
   std::chrono::milliseconds resumeWait{ 2'000 }; ///< to resume a broken stream
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -485,8 +485,10 @@
 {
   wanted_models models;
   for (const auto& from : aFrom.models()) {
-    models.models.push_back(
-      { { from.model() }, { from.adapter() }, from.requests(), from.waiting() });
+    models.models.push_back({ { from.model() },
+                              { from.adapter() },
+                              from.requests(),
+                              from.waiting() });
   }
   return models;
 }
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -101,9 +101,9 @@
   std::string snapshot; ///< encoded fleet_state; empty for none
   std::vector<endpoint_row> endpoints;
   std::vector<endpoint_id> goneEndpoints;
-  std::vector<key_hash> tombstones; ///< withdrawn, not yet in the log
+  std::vector<key_hash> tombstones;      ///< withdrawn, not yet in the log
   std::vector<control_address> controls; ///< all that are known
-  std::string leader;      ///< name of the leader; empty while none is known
+  std::string leader; ///< name of the leader; empty while none is known
 };
 
 /// What the control host of a failure domain tells the others of it.
@@ -220,7 +220,7 @@
   bool isEmpty = false;
   std::uint64_t nonce = 0; ///< of the asking process; echoed by the answer
   bool isAnswer = false;
-  std::string address; ///< of the sender's links
+  std::string address;                   ///< of the sender's links
   std::vector<control_address> controls; ///< others that the sender knows
 };
 
--- /dev/null
+++ b/tests/net/http_server_test.cpp
@@ -0,0 +1,192 @@
+#include "net/net.hpp"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+namespace bulrush::net {
+namespace {
+
+using asio::ip::tcp;
+
+/// A server whose requests wait in `requests`, and one caller.
+struct server_fixture
+{
+  asio::io_context context;
+  std::vector<http_request> requests;
+  std::vector<std::shared_ptr<http_reply>> replies;
+  std::unique_ptr<http_server> server;
+  tcp::socket caller{ context };
+  bool isAnswering = true;
+
+  server_fixture()
+  {
+    http_server_settings settings;
+    settings.maxBodyBytes = 64;
+    settings.maxHeaderBytes = 512;
+    settings.headerTimeout = std::chrono::milliseconds(300);
+    settings.idleTimeout = std::chrono::milliseconds(600);
+    last_reason why;
+    auto made = Listen(
+      context,
+      settings,
+      [this](http_request aRequest, std::shared_ptr<http_reply> aReply) {
+        requests.push_back(std::move(aRequest));
+        if (isAnswering) {
+          aReply->Send(200, {}, "ok");
+        }
+        replies.push_back(std::move(aReply));
+      },
+      why);
+    REQUIRE(made);
+    server = std::move(*made);
+    Connect();
+  }
+
+  void Connect()
+  {
+    caller = tcp::socket(context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), server->Port() });
+  }
+
+  // Sends, then reads until the server closes or nothing comes for a while.
+  std::string Exchange(
+    const std::string& aBytes,
+    std::chrono::milliseconds aWait = std::chrono::milliseconds(150))
+  {
+    asio::write(caller, asio::buffer(aBytes));
+    return ReadFor(aWait);
+  }
+
+  std::string ReadFor(std::chrono::milliseconds aWait)
+  {
+    context.restart();
+    context.run_for(aWait);
+    std::string text;
+    caller.non_blocking(true);
+    std::array<char, 4096> buffer{};
+    std::error_code error;
+    while (true) {
+      const std::size_t count = caller.read_some(asio::buffer(buffer), error);
+      text.append(buffer.data(), count);
+      if (error) {
+        break;
+      }
+    }
+    isClosed = error == asio::error::eof;
+    return text;
+  }
+
+  bool isClosed = false; ///< the server ended the connection
+};
+
+const std::string kGet = "GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST_CASE_METHOD(server_fixture, "Request_WhenWhole_IsAnswered", "[net]")
+{
+  CHECK(Exchange(kGet).ends_with("\r\n\r\nok"));
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].target == "/a?b=c");
+  CHECK(requests[0].path == "/a");
+  CHECK(requests[0].query == "b=c");
+  CHECK_FALSE(isClosed);
+}
+
+TEST_CASE_METHOD(server_fixture,
+                 "Requests_WhenSentAhead_AreServedInTurn",
+                 "[net]")
+{
+  const std::string both = Exchange(kGet + kGet);
+  CHECK(requests.size() == 2);
+  CHECK(both.find("200 OK", 10) != std::string::npos);
+}
+
+TEST_CASE_METHOD(server_fixture, "Chunks_WhenValid_AreOneBody", "[net]")
+{
+  Exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].body == "abcde");
+}
+
+TEST_CASE_METHOD(server_fixture, "Chunks_WhenBad_AreRefusedAndClosed", "[net]")
+{
+  const std::string answer = Exchange(
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(isClosed);
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "Head_WhenBad_IsRefusedAndClosed", "[net]")
+{
+  const std::string answer = Exchange("GET / HTTP/1.1\nHost: h\r\n\r\n" + kGet);
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(isClosed);
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "Limits_WhenExceeded_AreSaid", "[net]")
+{
+  CHECK(Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n" +
+                 std::string(65, 'x'))
+          .starts_with("HTTP/1.1 413"));
+  Connect();
+  CHECK(Exchange("GET / HTTP/1.1\r\nA: " + std::string(600, 'x'))
+          .starts_with("HTTP/1.1 431"));
+  Connect();
+  CHECK(Exchange("GET / HTTP/1.1\r\n", std::chrono::milliseconds(700))
+          .starts_with("HTTP/1.1 408"));
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(server_fixture, "Connection_WhenIdleTooLong_IsClosed", "[net]")
+{
+  Exchange(kGet);
+  ReadFor(std::chrono::milliseconds(1'200));
+  CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(server_fixture, "Stream_WhenAborted_LooksBroken", "[net]")
+{
+  isAnswering = false;
+  Exchange(kGet);
+  REQUIRE(replies.size() == 1);
+  replies[0]->Start(200, {});
+  replies[0]->Write("data: 1\n\n");
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  replies[0]->Abort();
+  const std::string text = ReadFor(std::chrono::milliseconds(50));
+  CHECK(text.find("data: 1") != std::string::npos);
+  CHECK_FALSE(text.ends_with("0\r\n\r\n"));
+  CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(server_fixture, "Caller_WhenGone_IsNoticed", "[net]")
+{
+  isAnswering = false;
+  Exchange(kGet);
+  REQUIRE(replies.size() == 1);
+  bool isGone = false;
+  replies[0]->onGone = [&isGone] { isGone = true; };
+  caller.close();
+  context.restart();
+  context.run_for(std::chrono::milliseconds(50));
+  CHECK(isGone);
+}
+
+TEST_CASE_METHOD(server_fixture,
+                 "Drain_WhenBegun_ClosesAfterTheAnswer",
+                 "[net]")
+{
+  server->BeginDrain();
+  CHECK(Exchange(kGet).find("Connection: close") != std::string::npos);
+  CHECK(isClosed);
+}
+
+} // namespace
+} // namespace bulrush::net
--- /dev/null
+++ b/tests/residency/residency_test.cpp
@@ -0,0 +1,331 @@
+#include "residency/residency.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace bulrush::residency {
+namespace {
+
+const service_id kPool = IdOf<service_id>("engines");
+
+endpoint_id
+Engine(std::uint64_t aNumber)
+{
+  return endpoint_id{ aNumber };
+}
+
+model_id
+Model(std::uint64_t aNumber)
+{
+  return model_id{ 100 + aNumber };
+}
+
+adapter_id
+Adapter(std::uint64_t aNumber)
+{
+  return adapter_id{ 1'000 + aNumber };
+}
+
+struct residency_fixture
+{
+  tables state;
+  outbox out;
+  steady_time now{ std::chrono::seconds(100) };
+
+  residency_fixture()
+  {
+    const std::vector<model_row> models{ { Model(1), kPool, 60 },
+                                         { Model(2), kPool, 60 },
+                                         { Model(3), kPool, 60 } };
+    const std::vector<adapter_row> adapters{ { Adapter(1), Model(1), 1 },
+                                             { Adapter(2), Model(1), 1 },
+                                             { Adapter(3), Model(1), 1 } };
+    OnManifest(state, models, adapters, 2.0);
+  }
+
+  void Announce(std::uint64_t aEngine,
+                std::vector<held_model> aHeld,
+                std::uint64_t aIncarnation = 1)
+  {
+    announcement told;
+    told.id = Engine(aEngine);
+    told.incarnation = aIncarnation;
+    told.pool = kPool;
+    told.memoryBytes = 130;
+    told.adapterPlaces = 2;
+    told.held = std::move(aHeld);
+    OnAnnounced(state, told, now);
+  }
+
+  void State(std::uint64_t aEngine,
+             std::uint64_t aOrders,
+             std::vector<held_model> aHeld)
+  {
+    OnState(state,
+            Engine(aEngine),
+            engine_state{ 1, aOrders, false, std::move(aHeld) },
+            now,
+            out);
+  }
+
+  void Lead() { OnLeadership(state, true, now); }
+
+  void Run(std::chrono::milliseconds aLater = std::chrono::milliseconds(0))
+  {
+    now += aLater;
+    out = {};
+    RunResidency(state, now, out);
+  }
+};
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Leader_BeforeTheFormerOnesOrdersAreOver_SendsNothing",
+                 "[residency]")
+{
+  Announce(1, {});
+  OnLeadership(state, true, now + std::chrono::seconds(3));
+  OnDemand(state, { Model(1), {} }, 1, 1, now);
+  Run(std::chrono::milliseconds(2'999));
+  CHECK(out.asks.empty());
+  CHECK(out.orders.empty());
+  Run(std::chrono::milliseconds(1));
+  CHECK(out.asks.size() == 1);
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Model_WhenAskedForAndHeldNowhere_IsLoadedOnItsCondition",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, {});
+  Run();
+  REQUIRE(out.asks.size() == 1);
+  State(1, 7, {});
+  OnDemand(state, { Model(1), {} }, 1, 1, now);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].kind == order_kind::eLoadModel);
+  CHECK(out.orders[0].expectedOrders == 7);
+  Run(std::chrono::milliseconds(600));
+  CHECK(out.orders.empty()); // one order at a time
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Adapter_WhenNoPlaceIsFree_TakesThatOfTheLeastWanted",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), { Adapter(1), Adapter(2) } } });
+  Run();
+  State(1, 0, { { Model(1), { Adapter(1), Adapter(2) } } });
+  OnDemand(state, { Model(1), Adapter(1) }, 50, 0, now);
+  OnDemand(state, { Model(1), Adapter(3) }, 5, 5, now);
+  Run(std::chrono::milliseconds(600));
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].kind == order_kind::eUnloadAdapter);
+  CHECK(out.orders[0].what.adapter == Adapter(2));
+  OnAnswer(state, Engine(1), order_answer::eHeld, now, out);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].kind == order_kind::eLoadAdapter);
+  CHECK(out.orders[0].expectedOrders == 1);
+  OnAnswer(state, Engine(1), order_answer::eAccepted, now, out);
+  Run();
+  CHECK(out.changed.empty()); // not before it is likely to be there
+  Run(std::chrono::milliseconds(20));
+  CHECK(out.changed.size() == 1);
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Order_WithoutAnAnswer_IsFollowedByAQuestionNotAnOrder",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, {});
+  Run();
+  State(1, 0, {});
+  OnDemand(state, { Model(1), {} }, 1, 1, now);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  OnAnswer(state, Engine(1), order_answer::eNone, now, out);
+  Run();
+  CHECK(out.orders.empty());
+  Run(std::chrono::milliseconds(300));
+  CHECK(out.orders.empty());
+  CHECK(out.asks.size() == 1);
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "LastCopy_WhileSomebodyAsksForIt_IsNotDisplaced",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), {} }, { Model(2), {} } });
+  Run();
+  State(1, 0, { { Model(1), {} }, { Model(2), {} } });
+  OnDemand(state, { Model(1), {} }, 3, 0, now);
+  OnDemand(state, { Model(2), {} }, 3, 0, now);
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  Run(std::chrono::milliseconds(600));
+  CHECK(out.orders.empty());
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Engine_WhenRestarted_IsAskedBeforeItIsOrdered",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), {} } });
+  Run();
+  State(1, 4, { { Model(1), {} } });
+  Announce(1, {}, 2);
+  OnDemand(state, { Model(1), {} }, 1, 1, now);
+  Run();
+  CHECK(out.orders.empty());
+  CHECK(out.asks.size() == 1);
+}
+
+// An engine as its contract describes it: it crashes when it is ordered beyond
+// its memory or places, and carries an order out only on its condition.
+struct contract_engine
+{
+  std::uint64_t orders = 0;
+  std::map<model_id, std::set<adapter_id>> held;
+  std::vector<std::pair<int, send_order>> late; ///< ticks until they arrive
+  std::optional<model_id> loading;
+  int loadTicks = 0;
+  bool hasCrashed = false;
+
+  std::uint64_t Bytes() const
+  {
+    std::uint64_t bytes = loading ? 60 : 0;
+    for (const auto& [model, adapters] : held) {
+      bytes += 60 + adapters.size();
+    }
+    return bytes;
+  }
+  std::size_t Adapters() const
+  {
+    std::size_t count = 0;
+    for (const auto& [model, adapters] : held) {
+      count += adapters.size();
+    }
+    return count;
+  }
+
+  order_answer Take(const send_order& aOrder)
+  {
+    if (loading || aOrder.expectedOrders != orders) {
+      return order_answer::eConflict;
+    }
+    switch (aOrder.kind) {
+      case order_kind::eLoadModel:
+        if (held.contains(aOrder.what.model)) {
+          return order_answer::eHeld;
+        }
+        loading = aOrder.what.model;
+        loadTicks = 3;
+        break;
+      case order_kind::eUnloadModel:
+        held.erase(aOrder.what.model);
+        break;
+      case order_kind::eLoadAdapter:
+        if (!held.contains(aOrder.what.model)) {
+          return order_answer::eRefused;
+        }
+        held[aOrder.what.model].insert(aOrder.what.adapter);
+        break;
+      case order_kind::eUnloadAdapter:
+        held[aOrder.what.model].erase(aOrder.what.adapter);
+        ++orders;
+        return order_answer::eHeld;
+    }
+    ++orders;
+    hasCrashed |= Bytes() > 130 || Adapters() > 2;
+    return order_answer::eAccepted;
+  }
+
+  void Tick()
+  {
+    if (loading && --loadTicks == 0) {
+      held[*loading];
+      loading.reset();
+    }
+    for (auto& [ticks, order] : late) {
+      if (--ticks == 0) {
+        Take(order);
+      }
+    }
+  }
+
+  std::vector<held_model> List() const
+  {
+    std::vector<held_model> list;
+    for (const auto& [model, adapters] : held) {
+      list.push_back({ model, { adapters.begin(), adapters.end() } });
+    }
+    return list;
+  }
+};
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Engines_UnderLostLateAndRepeatedOrders_AreNeverOverfilled",
+                 "[residency]")
+{
+  rc::prop("no engine is ordered beyond its memory or places", [] {
+    residency_fixture fixture;
+    std::map<std::uint64_t, contract_engine> engines;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+      engines[number];
+      fixture.Announce(number, {});
+    }
+    fixture.Lead();
+    for (int step = 0; step < 120; ++step) {
+      const auto model = *rc::gen::inRange<std::uint64_t>(1, 4);
+      const auto adapter = *rc::gen::inRange<std::uint64_t>(0, 4);
+      OnDemand(fixture.state,
+               { Model(model), model == 1 ? Adapter(adapter) : adapter_id{} },
+               3,
+               1,
+               fixture.now);
+      fixture.Run(std::chrono::milliseconds(300));
+      const outbox sent = fixture.out;
+      for (const send_order& order : sent.orders) {
+        contract_engine& engine = engines[order.endpoint.value];
+        const auto fate = *rc::gen::inRange(0, 5);
+        order_answer answer = order_answer::eNone;
+        if (fate == 0) {
+          engine.late.emplace_back(*rc::gen::inRange(1, 40), order);
+        } else if (fate == 1) {
+          engine.Take(order); // its answer is lost
+        } else {
+          answer = engine.Take(order);
+        }
+        OnAnswer(
+          fixture.state, order.endpoint, answer, fixture.now, fixture.out);
+      }
+      for (const ask_engine& ask : sent.asks) {
+        const contract_engine& engine = engines[ask.endpoint.value];
+        OnState(fixture.state,
+                ask.endpoint,
+                engine_state{
+                  1, engine.orders, engine.loading.has_value(), engine.List() },
+                fixture.now,
+                fixture.out);
+      }
+      for (auto& [number, engine] : engines) {
+        engine.Tick();
+        fixture.Announce(number, engine.List());
+        RC_ASSERT(!engine.hasCrashed);
+      }
+    }
+  });
+}
+
+} // namespace
+} // namespace bulrush::residency
