--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -264,6 +264,12 @@
 
   std::size_t Open() const { return mWaiting.Size(); }
 
+  void PlaceBy(steady_time aBy)
+  {
+    mEngine.settings.placeBy = aBy;
+    mTimer.RunSoon();
+  }
+
   void WhenIdle(std::function<void()> aOnIdle)
   {
     mOnIdle = std::move(aOnIdle);
@@ -863,6 +869,12 @@
   mImplementation->Start(std::move(aRequest));
 }
 
+void
+request_runner::PlaceBy(steady_time aBy)
+{
+  mImplementation->PlaceBy(aBy);
+}
+
 void
 request_runner::WhenIdle(std::function<void()> aOnIdle)
 {
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -68,6 +68,8 @@
   void Start(routed_request aRequest);
   /// Requests whose callers wait, and claimed ones whose outcome is awaited.
   std::size_t Open() const;
+  /// Requests that wait for an endpoint at aBy are refused as not run.
+  void PlaceBy(steady_time aBy);
   /// Calls aOnIdle once, as soon as no request is open.
   void WhenIdle(std::function<void()> aOnIdle);
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxIdempotencyKey = 128;
 /// Part of the target latency that a request may wait for tokens.
 constexpr int kPatiencePart = 2;
+/// A request that waits for an endpoint may wait so long more on a host that
+/// stops; then it is refused in time to be served elsewhere.
+constexpr std::chrono::milliseconds kPlaceWhileStopping{ 500 };
 constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 // A host that knows no endpoint yet lets routing say so.
@@ -167,6 +170,7 @@
   void StopWhenIdle(std::function<void()> aOnStopped)
   {
     mIsRefusing = true;
+    mRunner.PlaceBy(std::chrono::steady_clock::now() + kPlaceWhileStopping);
     mOnStopped = std::move(aOnStopped);
     mAdmissionTimer.RunSoon();
   }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,12 +5,16 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
+#include <sys/socket.h>
+
 #include <cstring>
 
 namespace bulrush::net {
 namespace {
 
 constexpr long kMaxIdleConnections = 64;
+/// A connection that falls silent without a reset shows within a few of these.
+constexpr long kKeepAliveSeconds = 2;
 
 // libcurl keeps the descriptor; the watch only waits on it and releases it
 // before libcurl closes it.
@@ -100,6 +104,19 @@
   return call.isCancelled ? 0 : aSize * aCount;
 }
 
+// A call that was given up must not arrive later: closing with a reset drops
+// what the network still holds of it, where a plain close would let it through
+// once a cut has healed.
+int
+ResetOnClose(void*, curl_socket_t aFd, curlsocktype)
+{
+  constexpr linger kDropUnsent{ 1, 0 };
+  return ::setsockopt(
+           aFd, SOL_SOCKET, SO_LINGER, &kDropUnsent, sizeof(kDropUnsent)) == 0
+           ? CURL_SOCKOPT_OK
+           : CURL_SOCKOPT_ERROR;
+}
+
 class curl_client : public http_client
 {
 public:
@@ -236,6 +253,10 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &ResetOnClose);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
   }
 
   void Free(running_call& aCall)
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -428,7 +428,7 @@
   CollectWaiting(aTables);
   for (const waiting_request& each : aTables.waiting) {
     request_row& request = *aTables.requests.Find(each.id);
-    if (aNow >= request.facts.deadline) {
+    if (aNow >= std::min(request.facts.deadline, aTables.settings.placeBy)) {
       EndWaiting(aTables, request, aNow, aOutbox);
       continue;
     }
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -68,11 +68,13 @@
 // A failed, ended or claimed request is dealt with in the tick that finds it;
 // only these wait for a time.
 void
-WakeForRequest(const request_row& aRequest, wake_time& aWake)
+WakeForRequest(const options& aOptions,
+               const request_row& aRequest,
+               wake_time& aWake)
 {
   switch (aRequest.state) {
     case request_state::eReady:
-      aWake.NoLaterThan(aRequest.facts.deadline);
+      aWake.NoLaterThan(std::min(aRequest.facts.deadline, aOptions.placeBy));
       break;
     case request_state::eAwaitingClaim:
     case request_state::eAbandonedClaim:
@@ -144,7 +146,7 @@
     } else if (request.state == request_state::eRunning) {
       request.isAttended = false;
     } else {
-      WakeForRequest(request, aOutbox.wake);
+      WakeForRequest(aTables.settings, request, aOutbox.wake);
       aTables.attention[kept++] = id;
     }
   }
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -339,6 +339,8 @@
   std::chrono::milliseconds claimWait{ 2'000 };
   std::chrono::milliseconds detachedWait{ 60'000 };
   std::chrono::milliseconds avoidFull{ 100 }; ///< an endpoint that refused
+  /// No request waits for an endpoint beyond this: the host stops.
+  steady_time placeBy = steady_time::max();
 };
 
 // Tables -------------------------------------------------------------------
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -237,5 +237,51 @@
   CHECK(out.ends.front().ran == ran_state::eNotRun);
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Waiting_OnAHostThatStops_IsRefusedAsNotRunInTime",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.model = IdOf<model_id>("held nowhere");
+  REQUIRE(AddRequest(engine, facts));
+  RunOnce();
+  CHECK(out.ends.empty());
+  engine.settings.placeBy = now + std::chrono::milliseconds(500);
+  RunOnce();
+  CHECK(out.ends.empty());
+  CHECK(out.wake.at <= engine.settings.placeBy);
+  now += std::chrono::milliseconds(500);
+  RunOnce();
+  CheckEnd(request_outcome::eNotResident, ran_state::eNotRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Refusal_WhenTrusted_LetsARequestThatRunsOnceGoElsewhere",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.isIdempotent = false;
+  engine.settings.trustsRefusals = true;
+  const start_attempt first = Send(facts);
+  Head(first.attempt, 503, true);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  Head(out.starts.front().attempt, 503, false);
+  RunOnce();
+  CheckEnd(request_outcome::eRefused, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Endpoint_AfterItRefused_IsLeftAloneForAWhile",
+                 "[routing]")
+{
+  const start_attempt first = Send(Request());
+  Head(first.attempt, 503, true);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != first.endpoint);
+  CHECK(engine.endpoints.Find(first.endpoint)->avoidUntil > now);
+}
+
 } // namespace
 } // namespace bulrush::routing
