--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -69,6 +69,22 @@
                     steady_time aNow,
                     control_outbox& aOutbox);
 
+/// An older hello tells nothing of the present.
+inline constexpr std::chrono::milliseconds kHelloFresh{ 1'000 };
+
+/// Links to a control process that was not known before; its row.
+known_replica& Meet(control_tables& aTables,
+                    const std::string& aName,
+                    const std::string& aAddress,
+                    control_outbox& aOutbox);
+
+bool IsMember(const log_tables& aLog, replica_id aIdentity);
+
+/// For processes named by their addresses: links to all members, and on the
+/// leader, replaces those that are lost.
+void LinkMembers(control_tables& aTables, control_outbox& aOutbox);
+void RepairMembers(control_tables& aTables, steady_time aNow);
+
 /// Systems, in their order around RunApply.
 void RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox);
 void RunLogSnapshot(control_tables& aTables,
--- /dev/null
+++ b/src/control/status.cpp
@@ -0,0 +1,148 @@
+/// What this process tells of itself and the fleet: status and manifests.
+
+#include "control/tables.hpp"
+#include "settings/settings.hpp"
+
+namespace bulrush::control {
+
+// The revision that every serving host of this failure domain has confirmed.
+// A host without a lease serves no keyed request, so it does not count.
+wire::domain_status
+OwnDomainStatus(const control_tables& aTables, steady_time aNow)
+{
+  wire::domain_status status;
+  status.name = aTables.self.domain;
+  status.confirmedRevision = aTables.fleet.revision;
+  if (const auto confirmed = ConfirmedHosts(aTables, aNow)) {
+    status.confirmedRevision = confirmed->revision;
+    status.hosts = confirmed->hosts;
+    return status;
+  }
+  for (const host_row& host : aTables.hosts) {
+    if (host.leaseEnd > aNow) {
+      ++status.hosts;
+      status.confirmedRevision =
+        std::min(status.confirmedRevision, host.revision);
+    }
+  }
+  return status;
+}
+
+namespace {
+
+// What is known of a failure domain: first hand, or from its control process.
+wire::domain_status
+DomainStatus(const control_tables& aTables,
+             const domain_row& aDomain,
+             steady_time aNow)
+{
+  constexpr std::chrono::hours kNever{ 24 * 365 };
+  wire::domain_status status;
+  status.age = kNever;
+  if (aDomain.name == aTables.self.domain) {
+    status = OwnDomainStatus(aTables, aNow);
+  }
+  for (const control_row& control : aTables.controls) {
+    if (control.domain == aDomain.name) {
+      status.confirmedRevision = control.confirmedRevision;
+      status.hosts = control.hosts;
+      status.age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        aNow - control.lastHeard);
+    }
+  }
+  status.name = aDomain.name;
+  status.isOut = IsOut(aTables.fleet, aDomain.id);
+  return status;
+}
+
+std::vector<wire::replica_status>
+ReplicaRows(const control_tables& aTables)
+{
+  if (aTables.log.replicas) {
+    return aTables.log.replicas();
+  }
+  const std::string leader = aTables.log.leaderName();
+  std::vector<wire::replica_status> rows;
+  wire::replica_status self;
+  self.name = aTables.self.name;
+  self.domain = aTables.self.domain;
+  self.address = aTables.self.linkAddress;
+  self.isLeader = self.name == leader;
+  self.isVoter = true;
+  self.revision = aTables.fleet.revision;
+  rows.push_back(self);
+  for (const control_row& control : aTables.controls) {
+    wire::replica_status row;
+    row.name = control.name;
+    row.address = control.address;
+    row.isLeader = control.name == leader;
+    row.isVoter = true;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+} // namespace
+
+void
+TakeStatusCall(const control_tables& aTables,
+               const received& aInput,
+               const wire::status_call& aCall,
+               steady_time aNow,
+               control_outbox& aOutbox)
+{
+  wire::status_reply reply;
+  reply.call = aCall.call;
+  if (!EqualInConstantTime(aCall.credential, aTables.self.credential)) {
+    reply.text = "the credential is not accepted";
+    aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+    return;
+  }
+  reply.leader = aTables.log.leaderName();
+  reply.revision = aTables.fleet.revision;
+  reply.manifestRevision = aTables.fleet.manifestRevision;
+  reply.version = aTables.fleet.declared.version;
+  reply.replicas = ReplicaRows(aTables);
+  for (const host_row& host : aTables.hosts) {
+    reply.hosts.push_back(
+      { host.name,
+        host.domain,
+        host.revision,
+        host.leaseEnd > aNow,
+        std::chrono::duration_cast<std::chrono::milliseconds>(aNow -
+                                                              host.lastSeen),
+        host.httpAddress });
+  }
+  for (const domain_row& domain : aTables.fleet.declared.domains) {
+    reply.domains.push_back(DomainStatus(aTables, domain, aNow));
+  }
+  for (const known_endpoint& known : aTables.endpoints) {
+    reply.endpoints.push_back(known.row);
+  }
+  reply.keys = aTables.fleet.keys.Size();
+  reply.claims = aTables.fleet.claims.Size();
+  aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+}
+
+void
+TakeManifestCall(const control_tables& aTables,
+                 const received& aInput,
+                 const wire::manifest_call& aCall,
+                 steady_time aNow,
+                 control_outbox& aOutbox)
+{
+  wire::manifest_reply reply;
+  reply.call = aCall.call;
+  if (EqualInConstantTime(aCall.credential, aTables.self.credential)) {
+    reply.manifestRevision = aTables.fleet.manifestRevision;
+    reply.isNewest = HoldsNewest(aTables, aNow);
+    if (aCall.asksLeader) {
+      reply.source = aTables.fleet.declared.source;
+    } else {
+      reply.text = aTables.fleet.manifestText;
+    }
+  }
+  aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
+}
+
+} // namespace bulrush::control
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -318,6 +318,22 @@
                        const wire::manifest_reply& aReply,
                        control_outbox& aOutbox);
 
+/// What is in force on every serving host of the own failure domain.
+wire::domain_status OwnDomainStatus(const control_tables& aTables,
+                                    steady_time aNow);
+
+/// Answer operators' questions.
+void TakeStatusCall(const control_tables& aTables,
+                    const received& aInput,
+                    const wire::status_call& aCall,
+                    steady_time aNow,
+                    control_outbox& aOutbox);
+void TakeManifestCall(const control_tables& aTables,
+                      const received& aInput,
+                      const wire::manifest_call& aCall,
+                      steady_time aNow,
+                      control_outbox& aOutbox);
+
 /// Answers whoever waits for a command that the log has decided.
 void AnswerCall(const pending_call& aCall,
                 const wire::command_reply& aReply,
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -3,10 +3,10 @@
 #include "entry/admission.hpp"
 #include "entry/openai.hpp"
 #include "entry/requests.hpp"
+#include "entry/resolve.hpp"
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
-#include <cmath>
 #include <random>
 
 namespace bulrush::entry {
@@ -14,16 +14,11 @@
 
 constexpr log_part kLog{ "entry" };
 
-// Plain text carries about this much time a token; an attempt whose answer
-// comes whole is not cut off before it can have been generated.
-constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
-constexpr std::size_t kMaxIdempotencyKey = 128;
 /// Part of the target latency that a request may wait for tokens.
 constexpr int kPatiencePart = 2;
 /// A request that waits for an endpoint may wait so long more on a host that
 /// stops; then it is refused in time to be served elsewhere.
 constexpr std::chrono::milliseconds kPlaceWhileStopping{ 500 };
-constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 // A host that knows no endpoint yet lets routing say so.
 constexpr std::size_t kLeastCapacity = 16;
@@ -216,6 +211,11 @@
     aReply.Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
   }
 
+  resolve_context Context()
+  {
+    return { mView, mSettings.front, MayServeKeys(), mRandom };
+  }
+
   bool MayServeKeys() const
   {
     return mSettings.servesWithoutLease || HasLease();
@@ -289,9 +289,7 @@
     resolved_call resolved;
     resolved.facts.id = aId;
     const bool isResolved =
-      call &&
-      (call->isByModel ? ResolveModel(*call, resolved, error)
-                       : ResolveRoute(aRequest, *call, resolved, error));
+      call && Resolve(Context(), aRequest, *call, resolved, error);
     if (!isResolved) {
       SendError(*aReply, error, aId);
       return;
@@ -353,47 +351,14 @@
       200, { { "Content-Type", "application/json" } }, "{\"ok\":true}");
   }
 
-  // What the manifest says of a call.
-  struct resolved_call
-  {
-    routing::request_facts facts;
-    const workspace_row* workspace = nullptr; ///< none on open routes
-    std::int64_t tokens = 0;
-    kind_id kind;
-    std::chrono::milliseconds target{ 0 }; ///< on time until then; 0: unknown
-  };
-
-  const workspace_row* Authorise(const std::string& aKey,
-                                 caller_error& aError) const
-  {
-    if (mView.fleet->manifestRevision == 0) {
-      aError = NoConfiguration();
-      return nullptr;
-    }
-    if (aKey.empty()) {
-      aError = { 401, "unauthorized", "expected a key", false, {} };
-      return nullptr;
-    }
-    if (!MayServeKeys()) {
-      aError = NoLease();
-      return nullptr;
-    }
-    const key_hash hash = HashKey(aKey);
-    const auto workspace = FindWorkspace(*mView.fleet, hash);
-    if (!workspace || mView.tombstones->contains(hash)) {
-      aError = { 401, "unauthorized", "the key is not known", false, {} };
-      return nullptr;
-    }
-    return mView.fleet->declared.workspaces.Find(*workspace);
-  }
-
   void ListModels(const net::http_request& aRequest,
                   net::http_reply& aReply,
                   request_id aId)
   {
     caller_error error;
     const auto key = ParseBearer(aRequest, error);
-    const workspace_row* workspace = key ? Authorise(*key, error) : nullptr;
+    const workspace_row* workspace =
+      key ? Authorise(Context(), *key, error) : nullptr;
     if (workspace == nullptr) {
       SendError(aReply, error, aId);
       return;
@@ -403,175 +368,6 @@
                 FormatModelList(mView.fleet->declared, *workspace));
   }
 
-  bool ResolveModel(const caller_call& aCall,
-                    resolved_call& aTo,
-                    caller_error& aError) const
-  {
-    aTo.workspace = Authorise(aCall.key, aError);
-    if (aTo.workspace == nullptr) {
-      return false;
-    }
-    const manifest& declared = mView.fleet->declared;
-    routing::request_facts& facts = aTo.facts;
-    facts.model = IdOf<model_id>(aCall.model);
-    if (const auto* adapter =
-          declared.adapters.Find(IdOf<adapter_id>(aCall.model))) {
-      facts.model = adapter->model;
-      facts.adapter = adapter->id;
-    }
-    const model_row* row = declared.models.Find(facts.model);
-    if (row == nullptr) {
-      aError = { 404, "not_found", "no such model", false, std::nullopt };
-      return false;
-    }
-    facts.version = VersionOf(row->version);
-    facts.isStreamed = aCall.isStreamed;
-    if (!aCall.isStreamed) {
-      facts.expected = aCall.answerTokens * kExpectedPerToken;
-    }
-    facts.deadline = std::chrono::steady_clock::now() + row->deadline;
-    aTo.tokens = aCall.tokens.value_or(0);
-    aTo.kind = kind_id{ facts.model.value };
-    SetCaller(aCall, aTo);
-    return true;
-  }
-
-  bool ResolveRoute(const net::http_request& aRequest,
-                    const caller_call& aCall,
-                    resolved_call& aTo,
-                    caller_error& aError)
-  {
-    const route_row* route =
-      FindRoute(mView.fleet->declared, aCall.host, aRequest.path);
-    if (mView.fleet->manifestRevision == 0) {
-      aError = NoConfiguration();
-      return false;
-    }
-    if (route == nullptr) {
-      aError = { 404, "not_found", "no such path", false, std::nullopt };
-      return false;
-    }
-    if (!route->isOpen) {
-      aTo.workspace = Authorise(aCall.key, aError);
-      if (aTo.workspace == nullptr) {
-        return false;
-      }
-    }
-    SetRoute(*route, aCall, aTo);
-    SetCaller(aCall, aTo);
-    return TakeIdempotencyKey(aRequest, aTo.facts, aError);
-  }
-
-  // A stream that may be resumed may as well begin anew; any other runs once.
-  void SetRoute(const route_row& aRoute,
-                const caller_call& aCall,
-                resolved_call& aTo)
-  {
-    routing::request_facts& facts = aTo.facts;
-    aTo.kind = kind_id{ aRoute.id.value };
-    aTo.target = aRoute.target;
-    facts.isStreamed = aRoute.isStreamed;
-    facts.isIdempotent =
-      aRoute.isStreamed ? aRoute.canResume : aRoute.isIdempotent;
-    facts.maxAttempts = aRoute.maxAttempts;
-    const auto patience = std::min(
-      aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
-    facts.deadline = std::chrono::steady_clock::now() + patience;
-    facts.endBy = facts.deadline;
-    facts.prefix = PrefixOf(aCall.prompt);
-    const std::string& service = PickTarget(aRoute);
-    facts.service = IdOf<service_id>(service);
-    facts.model = ServiceId(service);
-    if (!aCall.model.empty()) {
-      facts.model =
-        IdOf<model_id>(mSettings.front.modelName(service, aCall.model));
-    }
-    if (!aCall.adapter.empty()) {
-      facts.adapter = IdOf<adapter_id>(
-        mSettings.front.adapterName(service, aCall.model, aCall.adapter));
-    }
-    aTo.tokens = aCall.tokens.value_or(
-      static_cast<std::int64_t>(std::ceil(aRoute.tokens)));
-    if (aTo.workspace != nullptr) {
-      facts.priority = -(kRankStep * aTo.workspace->rank + aRoute.rank);
-      aTo.tokens = TokensOf(*aTo.workspace, aCall, aTo.tokens);
-    }
-  }
-
-  static std::int64_t TokensOf(const workspace_row& aWorkspace,
-                               const caller_call& aCall,
-                               std::int64_t aTokens)
-  {
-    if (aWorkspace.countsRequests) {
-      return 1;
-    }
-    const auto plain =
-      static_cast<std::int64_t>(std::ceil(aWorkspace.plainTokens));
-    return aCall.tokens ? aTokens : std::max(aTokens, plain);
-  }
-
-  // The last part is the request's own or its session's; the one before it is
-  // what others share with it.
-  static std::uint64_t PrefixOf(const std::vector<prompt_part>& aPrompt)
-  {
-    if (aPrompt.empty()) {
-      return 0;
-    }
-    return aPrompt[aPrompt.size() > 1 ? aPrompt.size() - 2 : 0].id;
-  }
-
-  const std::string& PickTarget(const route_row& aRoute)
-  {
-    double sum = 0;
-    for (const route_target& target : aRoute.targets) {
-      sum += target.weight;
-    }
-    double draw = std::uniform_real_distribution<double>(0.0, sum)(mRandom);
-    const route_target* picked = nullptr;
-    for (const route_target& target : aRoute.targets) {
-      if (target.weight <= 0) {
-        continue;
-      }
-      picked = &target;
-      draw -= target.weight;
-      if (draw < 0) {
-        break;
-      }
-    }
-    return picked->service;
-  }
-
-  // On an open route there is no workspace that a key could be scoped to.
-  static void SetCaller(const caller_call& aCall, resolved_call& aTo)
-  {
-    if (aTo.workspace != nullptr) {
-      aTo.facts.key = HashKey(aCall.key);
-      aTo.facts.workspace = aTo.workspace->id;
-    }
-  }
-
-  static bool TakeIdempotencyKey(const net::http_request& aRequest,
-                                 routing::request_facts& aFacts,
-                                 caller_error& aError)
-  {
-    const std::string* key = net::FindField(aRequest.fields, "Idempotency-Key");
-    if (key == nullptr || aFacts.isIdempotent || aFacts.isStreamed ||
-        !aFacts.workspace) {
-      return true;
-    }
-    if (key->empty() || key->size() > kMaxIdempotencyKey) {
-      aError = { 400,
-                 "bad_request",
-                 "Idempotency-Key: expected 1 to 128 bytes",
-                 false,
-                 std::nullopt };
-      return false;
-    }
-    aFacts.idempotencyKey = *key;
-    aFacts.bodyDigest = HashKey(aRequest.method + '\n' + aRequest.body);
-    return true;
-  }
-
   void Route(const net::http_request& aRequest,
              caller_call aCall,
              resolved_call aResolved,
@@ -692,24 +488,6 @@
     SendError(*aRouted.reply, error, aRouted.facts.id);
   }
 
-  static caller_error NoConfiguration()
-  {
-    return { 503,
-             "no_configuration",
-             "this host has not been told the configuration yet",
-             false,
-             std::chrono::seconds(1) };
-  }
-
-  static caller_error NoLease()
-  {
-    return { 503,
-             "no_lease",
-             "this host has lost touch with its control hosts",
-             false,
-             std::chrono::seconds(1) };
-  }
-
   void Release(request_id aRequest, std::int64_t aUsedTokens)
   {
     Finish(mAdmission, aRequest, aUsedTokens, std::chrono::steady_clock::now());
