Refuse what did not run as such; leave silent endpoints sooner; write logs from a thread

A server without power kept streams until their deadline: nothing noticed unacknowledged bytes, and silence counted after 30 s.

Changes: statuses that promise nothing are kept for what may have run; connections to servers have keep-alive probes and a limit for unacknowledged bytes; resumable streams and idempotent calls move to another endpoint when they have used up their target or several pauses and one could take them; endpoints that fall silent or fail go last; an attempt of which no byte left neither counts nor costs budget; 421 keeps a request from its endpoint for 0.5 s.

The silent-endpoint fixture of the routing tests switches the memory of silent endpoints off: it measures the split of deadlines alone, as before.

--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -513,6 +513,7 @@
     return kBadSettings;
   }
   SetLogLevel(*level);
+  LogToStandardOutput();
   control_process process(context, *options);
   if (!process.Start(*options, std::move(*front), why)) {
     LogError(kLog, "Cannot start: {}", Describe(why));
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -416,6 +416,7 @@
     return 1;
   }
   SetLogLevel(*level);
+  LogToStandardOutput();
   entry_process process(*options, *spans, *secret, std::move(*front));
   if (!process.Start(*options, why)) {
     LogError(kLog, "Cannot start: {}", Describe(why));
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -10,6 +10,7 @@
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
+constexpr int kUnavailable = 503;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
 /// Part of the fleet's allowance that hosts use; the rest is for those that are
@@ -17,7 +18,8 @@
 constexpr double kRetriesUsed = 0.75;
 constexpr std::chrono::milliseconds kTellDemandEvery{ 500 };
 constexpr std::chrono::milliseconds kTellWaitingAgain{ 300 };
-constexpr std::chrono::milliseconds kConnectWithin{ 1'000 };
+/// Hosts and endpoints of a region are a few milliseconds apart.
+constexpr std::chrono::milliseconds kConnectWithin{ 300 };
 constexpr std::size_t kMostHeldBytes = 33'554'432;
 constexpr std::size_t kMostStoredBytes = 65'536;
 constexpr std::size_t kPauseAtBytes = 262'144;
@@ -103,7 +105,7 @@
     "the endpoint refused the request",
     true },
   { request_outcome::eUnreachable,
-    502,
+    503,
     "endpoint_failed",
     "no endpoint could be reached",
     true },
@@ -137,6 +139,9 @@
   error.code = found->code;
   error.text = found->text;
   error.mayHaveRun = aEnd.ran != routing::ran_state::eNotRun;
+  if (!error.mayHaveRun && error.status > kUnavailable) {
+    error.status = kUnavailable; // it may safely be sent again
+  }
   if (found->isWorthRetrying) {
     error.retryAfter = kRetryAfter;
   }
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -122,6 +122,8 @@
     aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
   facts.deadline = std::chrono::steady_clock::now() + patience;
   facts.endBy = facts.deadline;
+  facts.target = aRoute.target;
+  facts.targetGap = aRoute.targetGap;
   facts.prefix = PrefixOf(aCall.prompt);
   const std::string& service = PickTarget(aIn, aRoute);
   facts.service = IdOf<service_id>(service);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,16 +5,19 @@
 #include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <cstring>
-
 namespace bulrush::net {
 namespace {
 
 constexpr long kMaxIdleConnections = 64;
 /// A connection that falls silent without a reset shows within a few of these.
-constexpr long kKeepAliveSeconds = 2;
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+/// A peer without power or behind a cut acknowledges nothing for so long.
+constexpr std::chrono::milliseconds kUnacknowledged{ 1'000 };
 
 // libcurl keeps the descriptor; the watch only waits on it and releases it
 // before libcurl closes it.
@@ -104,17 +107,38 @@
   return call.isCancelled ? 0 : aSize * aCount;
 }
 
+bool
+SetOption(curl_socket_t aFd, int aLevel, int aName, int aValue)
+{
+  return ::setsockopt(aFd, aLevel, aName, &aValue, sizeof(aValue)) == 0;
+}
+
+// A peer that is gone without a word shows within seconds.
+bool
+NoticeLoss(curl_socket_t aFd)
+{
+  return SetOption(aFd, SOL_SOCKET, SO_KEEPALIVE, 1) &&
+         SetOption(aFd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds) &&
+         SetOption(aFd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds) &&
+         SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes) &&
+         SetOption(aFd,
+                   IPPROTO_TCP,
+                   TCP_USER_TIMEOUT,
+                   static_cast<int>(kUnacknowledged.count()));
+}
+
 // A call that was given up must not arrive later: closing with a reset drops
 // what the network still holds of it, where a plain close would let it through
 // once a cut has healed.
 int
-ResetOnClose(void*, curl_socket_t aFd, curlsocktype)
+SetUpSocket(void*, curl_socket_t aFd, curlsocktype)
 {
   constexpr linger kDropUnsent{ 1, 0 };
-  return ::setsockopt(
-           aFd, SOL_SOCKET, SO_LINGER, &kDropUnsent, sizeof(kDropUnsent)) == 0
-           ? CURL_SOCKOPT_OK
-           : CURL_SOCKOPT_ERROR;
+  const bool resetsOnClose =
+    ::setsockopt(
+      aFd, SOL_SOCKET, SO_LINGER, &kDropUnsent, sizeof(kDropUnsent)) == 0;
+  return resetsOnClose && NoticeLoss(aFd) ? CURL_SOCKOPT_OK
+                                          : CURL_SOCKOPT_ERROR;
 }
 
 class curl_client : public http_client
@@ -253,10 +277,7 @@
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aCall);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &ResetOnClose);
-    curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
-    curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetUpSocket);
   }
 
   void Free(running_call& aCall)
@@ -388,7 +409,7 @@
   }
 
   // "No byte left" is claimed only when libcurl counts no request byte and
-  // failed before it had a connection to send on.
+  // failed, or ran out of time, before it had a connection to send on.
   void End(running_call& aCall, CURLcode aResult)
   {
     http_call_end end;
@@ -398,7 +419,9 @@
     curl_easy_getinfo(aCall.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
     end.status = static_cast<int>(status);
     end.whole = aResult == CURLE_OK;
-    end.anySent = aResult != CURLE_COULDNT_CONNECT || requestBytes > 0;
+    const bool mayHaveNone =
+      aResult == CURLE_COULDNT_CONNECT || aResult == CURLE_OPERATION_TIMEDOUT;
+    end.anySent = !mayHaveNone || requestBytes > 0;
     if (!end.whole) {
       end.error = curl_easy_strerror(aResult);
     }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,5 +1,7 @@
 #include "observe/observe.hpp"
 
+#include "observe/log_writer.hpp"
+
 #include <fmt/chrono.h>
 
 #include <unistd.h>
@@ -59,17 +61,14 @@
   }
 }
 
-// One write call for each line keeps lines of several threads and processes
-// whole without a lock. A line that cannot be written is lost: there is no
-// place left to say so.
+// Lines that cannot be written are lost: there is no place left to say so.
 void
-WriteToStandardError(std::string aLine)
+WriteTo(int aDescriptor, std::string_view aLines)
 {
-  aLine += '\n';
-  const char* next = aLine.data();
-  std::size_t left = aLine.size();
+  const char* next = aLines.data();
+  std::size_t left = aLines.size();
   while (left > 0) {
-    const ssize_t written = ::write(STDERR_FILENO, next, left);
+    const ssize_t written = ::write(aDescriptor, next, left);
     if (written <= 0) {
       return;
     }
@@ -78,6 +77,59 @@
   }
 }
 
+std::string
+DroppedLine(std::uint64_t aLines)
+{
+  constexpr log_part kLog{ "log" };
+  return FormatLogLine(
+    kLog,
+    log_level::eWarning,
+    std::chrono::system_clock::now(),
+    FormatEvent("lines_dropped", { { "count", std::to_string(aLines) } }));
+}
+
+// Its thread starts with the first line and writes the rest at the end.
+log_writer&
+Writer()
+{
+  static log_writer sWriter(
+    {},
+    [](std::string_view aLines) { WriteTo(STDOUT_FILENO, aLines); },
+    DroppedLine);
+  return sWriter;
+}
+
+std::atomic<bool>&
+UsesWriter()
+{
+  static std::atomic<bool> sUsesWriter = false;
+  return sUsesWriter;
+}
+
+bool
+NeedsQuotes(std::string_view aValue)
+{
+  return aValue.empty() ||
+         aValue.find_first_of(" \t\"=") != std::string_view::npos;
+}
+
+void
+AppendValue(std::string& aText, std::string_view aValue)
+{
+  if (!NeedsQuotes(aValue)) {
+    aText += aValue;
+    return;
+  }
+  aText += '"';
+  for (const char each : aValue) {
+    if (each == '"' || each == '\\') {
+      aText += '\\';
+    }
+    aText += each;
+  }
+  aText += '"';
+}
+
 bool
 EndsKey(char aByte)
 {
@@ -189,13 +241,55 @@
 void
 WriteLog(const log_part& aPart, log_level aLevel, std::string_view aText)
 {
-  std::string line =
+  const std::string line =
     FormatLogLine(aPart, aLevel, std::chrono::system_clock::now(), aText);
   if (Sink()) {
     Sink()(line);
     return;
   }
-  WriteToStandardError(std::move(line));
+  if (UsesWriter().load(std::memory_order_relaxed)) {
+    Writer().Add(line);
+    return;
+  }
+  // One write call for each line keeps lines of several processes whole.
+  WriteTo(STDERR_FILENO, line + '\n');
+}
+
+void
+LogToStandardOutput()
+{
+  Writer();
+  UsesWriter().store(true, std::memory_order_relaxed);
+}
+
+std::string
+FormatEvent(std::string_view aEvent, std::span<const log_field> aFields)
+{
+  std::string text(aEvent);
+  for (const log_field& field : aFields) {
+    text += ' ';
+    text += field.name;
+    text += '=';
+    AppendValue(text, field.value);
+  }
+  return text;
+}
+
+std::string
+FormatEvent(std::string_view aEvent, std::initializer_list<log_field> aFields)
+{
+  return FormatEvent(aEvent, std::span(aFields.begin(), aFields.size()));
+}
+
+void
+LogEvent(const log_part& aPart,
+         log_level aLevel,
+         std::string_view aEvent,
+         std::initializer_list<log_field> aFields)
+{
+  if (IsLogged(aLevel)) {
+    WriteLog(aPart, aLevel, FormatEvent(aEvent, aFields));
+  }
 }
 
 void
--- a/src/observe/observe.hpp
+++ b/src/observe/observe.hpp
@@ -46,7 +46,12 @@
 std::optional<log_level> ParseLogLevel(std::string_view aWord,
                                        last_reason& aReason);
 
-/// Replaces standard error as the place of lines; an empty sink restores it.
+/// From now on lines go to standard output in place of standard error, written
+/// by a thread of their own; while it cannot keep up, lines are dropped and
+/// their number is logged. For programs whose output is their log.
+void LogToStandardOutput();
+
+/// Replaces the place of lines; an empty sink restores it.
 /// Call it before other threads start.
 void SetLogSink(log_sink aSink);
 
@@ -65,6 +70,25 @@
                    log_level aLevel,
                    std::string_view aText);
 
+/// A name and a value of an event.
+struct log_field
+{
+  std::string_view name;
+  std::string value;
+};
+
+/// "event name=value name="a value"", for logs that programs read.
+std::string FormatEvent(std::string_view aEvent,
+                        std::span<const log_field> aFields);
+std::string FormatEvent(std::string_view aEvent,
+                        std::initializer_list<log_field> aFields);
+
+/// Writes one event as a line.
+void LogEvent(const log_part& aPart,
+              log_level aLevel,
+              std::string_view aEvent,
+              std::initializer_list<log_field> aFields);
+
 template<class... arguments>
 void
 Log(const log_part& aPart,
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -6,6 +6,7 @@
 
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
+constexpr int kMisdirected = 421;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstClientError = 400;
@@ -62,6 +63,8 @@
   result.wasBusy = aAttempt.wasBusy;
   result.isGood = aFailure == attempt_failure::eNone;
   result.isRefused = aAttempt.head && IsOverload(aAttempt.head->status);
+  result.hasFailed =
+    aFailure != attempt_failure::eNone && aFailure != attempt_failure::eRefused;
   // Only a stream's first byte tells of the engine's state; a whole answer's
   // time depends on its length.
   if (aRequest.facts.isStreamed) {
@@ -79,15 +82,39 @@
            const request_row& aRequest,
            steady_time aNow)
 {
+  aAttempt.heardAt = aNow;
   if (!IsLive(aRequest)) {
     aAttempt.dueAt = steady_time::max();
   } else if (IsForwardedEarly(aRequest, aAttempt)) {
-    aAttempt.dueAt = std::min(aNow + aOptions.streamIdle, aRequest.facts.endBy);
+    aAttempt.dueAt =
+      std::min(aNow + SilenceLimit(aOptions, aRequest), aRequest.facts.endBy);
   } else {
     aAttempt.dueAt = aRequest.facts.deadline;
   }
 }
 
+// What an endpoint lacks is news that its report has yet to bring.
+void
+NoteRefusal(tables& aTables,
+            const attempt_row& aAttempt,
+            const request_row& aRequest,
+            steady_time aNow)
+{
+  const options& settings = aTables.settings;
+  if (IsOverload(aAttempt.head->status)) {
+    aTables.endpoints.Find(aAttempt.endpoint)->avoidUntil =
+      aNow + settings.avoidFull;
+  }
+  std::erase_if(aTables.misses,
+                [aNow](const miss_row& aMiss) { return aMiss.until <= aNow; });
+  if (aAttempt.head->status == kMisdirected) {
+    aTables.misses.push_back({ aAttempt.endpoint,
+                               aRequest.facts.model,
+                               aRequest.facts.adapter,
+                               aNow + settings.avoidMissing });
+  }
+}
+
 void
 JudgeHead(tables& aTables,
           attempt_row& aAttempt,
@@ -107,10 +134,7 @@
     return;
   }
   if (IsRefusal(*aAttempt.head)) {
-    if (IsOverload(aAttempt.head->status)) {
-      aTables.endpoints.Find(aAttempt.endpoint)->avoidUntil =
-        aNow + aTables.settings.avoidFull;
-    }
+    NoteRefusal(aTables, aAttempt, aRequest, aNow);
     FailAttempt(aTables,
                 aAttempt,
                 aRequest,
@@ -289,6 +313,22 @@
   }
 }
 
+// An endpoint that cannot be reached or says nothing is likely to be gone; it
+// takes a few check-ins until that is known.
+static void
+NoteSilence(tables& aTables,
+            const attempt_row& aAttempt,
+            attempt_failure aFailure,
+            steady_time aNow)
+{
+  if (aFailure == attempt_failure::eNotSent ||
+      aFailure == attempt_failure::eTimeout ||
+      aFailure == attempt_failure::eLost) {
+    aTables.endpoints.Find(aAttempt.endpoint)->doubtUntil =
+      aNow + aTables.settings.doubtSilent;
+  }
+}
+
 // Without proof that it did not run, the request may have run, and stays so
 // whatever later attempts say.
 void
@@ -302,6 +342,8 @@
 {
   AddResult(aTables, aAttempt, aRequest, aFailure, aNow);
   CancelAttempt(aAttempt, aOutbox);
+  NoteSilence(aTables, aAttempt, aFailure, aNow);
+  aRequest.attemptsUnsent += aFailure == attempt_failure::eNotSent ? 1U : 0U;
   aRequest.mayHaveRun |= !aIsKnownNotRun;
   aRequest.lastFailure = aFailure;
   aRequest.attempt = {};
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -1,6 +1,7 @@
 #include "routing/parts.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bulrush::routing {
 
@@ -10,12 +11,15 @@
 constexpr double kBestMargin = 0.05;
 constexpr int kMaxPriorityWeight = 4;
 constexpr double kPriorityStep = 0.25;
+/// A failed attempt costs a request about as much as all slots in use.
+constexpr double kFailureWeight = 2.0;
 
 /// Candidates of a better tier exclude all of a worse one.
 enum class tier : std::uint8_t
 {
   eOwnDomain,
   eOtherDomain,
+  eDoubtful, ///< fell silent lately
   eTriedBefore,
   eNone
 };
@@ -70,6 +74,30 @@
   return slot.prefix == aPrefix && slot.endpoint == aEndpoint;
 }
 
+// Old failures fade, so that an endpoint that nobody uses is tried again.
+double
+RecentFailures(const endpoint_row& aEndpoint,
+               steady_time aNow,
+               std::chrono::milliseconds aHalfLife)
+{
+  const std::chrono::duration<double> age = aNow - aEndpoint.failedAt;
+  const std::chrono::duration<double> halfLife = aHalfLife;
+  return aEndpoint.failureShare * std::exp2(-age / halfLife);
+}
+
+bool
+IsMissing(const tables& aTables,
+          const endpoint_row& aEndpoint,
+          const request_facts& aFacts,
+          steady_time aNow)
+{
+  return std::any_of(
+    aTables.misses.begin(), aTables.misses.end(), [&](const miss_row& aMiss) {
+      return aMiss.id == aEndpoint.id && aMiss.model == aFacts.model &&
+             aMiss.adapter == aFacts.adapter && aNow < aMiss.until;
+    });
+}
+
 // A broken stream goes on only where the engine resumes it from its offset.
 bool
 CanContinue(const endpoint_row& aEndpoint, const request_row& aRequest)
@@ -84,7 +112,8 @@
        steady_time aNow)
 {
   look seen;
-  if (!IsServing(aEndpoint) || !CanContinue(aEndpoint, aRequest)) {
+  if (!IsServing(aEndpoint) || !CanContinue(aEndpoint, aRequest) ||
+      IsMissing(aTables, aEndpoint, aRequest.facts, aNow)) {
     return seen;
   }
   seen.isUsable = true;
@@ -94,6 +123,8 @@
   }
   if (HasTried(aRequest, aEndpoint.id)) {
     seen.rank = tier::eTriedBefore;
+  } else if (aNow < aEndpoint.doubtUntil) {
+    seen.rank = tier::eDoubtful;
   } else if (aEndpoint.facts.domain == aTables.settings.ownDomain) {
     seen.rank = tier::eOwnDomain;
   } else {
@@ -112,7 +143,8 @@
     aRequest.facts,
     aEndpoint,
     HoldsPrefix(aTables, aRequest.facts.prefix, aEndpoint.id),
-    EstimateLoad(aEndpoint, aNow, aTables.settings.reportHorizon)
+    EstimateLoad(aEndpoint, aNow, aTables.settings.reportHorizon),
+    RecentFailures(aEndpoint, aNow, aTables.settings.failureHalfLife)
   };
   return aTables.policy.score(input);
 }
@@ -249,7 +281,8 @@
   const int priority =
     std::clamp(aInput.request.priority, 0, kMaxPriorityWeight);
   const double loadWeight = 1.0 + kPriorityStep * priority;
-  return (aInput.hasPrefix ? kPrefixBonus : 0.0) - loadWeight * aInput.load;
+  return (aInput.hasPrefix ? kPrefixBonus : 0.0) - loadWeight * aInput.load -
+         kFailureWeight * aInput.failures;
 }
 
 // Many hosts choose with the same late reports. Two random draws among the
@@ -310,6 +343,25 @@
   }
 }
 
+bool
+HasOtherEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
+{
+  IndexHolders(aTables);
+  const auto found =
+    aTables.holders.find({ aRequest.facts.model, aRequest.facts.adapter });
+  if (found == aTables.holders.end()) {
+    return false;
+  }
+  const auto rows = aTables.endpoints.Rows();
+  return std::any_of(
+    found->second.begin(), found->second.end(), [&](const holder& aHolder) {
+      const endpoint_row& endpoint = rows[aHolder.position];
+      return HasVersion(aHolder, aRequest.facts) && IsServing(endpoint) &&
+             CanContinue(endpoint, aRequest) &&
+             !HasTried(aRequest, endpoint.id) && aNow >= endpoint.doubtUntil;
+    });
+}
+
 bool
 CanResumeSomewhere(const tables& aTables, const request_row& aRequest)
 {
--- a/src/routing/cold_start.cpp
+++ b/src/routing/cold_start.cpp
@@ -23,6 +23,19 @@
   ++aState.samples;
 }
 
+// The newest of about eight attempts counts for the share of failures.
+void
+CountFailure(endpoint_row& aEndpoint,
+             const attempt_result& aResult,
+             steady_time aNow)
+{
+  const double failed = aResult.hasFailed ? 1.0 : 0.0;
+  aEndpoint.failureShare += (failed - aEndpoint.failureShare) / kMeanWeight;
+  if (aResult.hasFailed) {
+    aEndpoint.failedAt = aNow;
+  }
+}
+
 // One more slot for each good result: the limit doubles with each round of
 // answers, and stands still while none come. A result proves nothing of a load
 // that was not there, so only those under half the limit or more count.
@@ -61,10 +74,13 @@
 
 // Runs before the choice of endpoints, so that a drop binds in the same tick.
 void
-RunColdStart(tables& aTables, steady_time /*aNow*/, outbox& /*aOutbox*/)
+RunColdStart(tables& aTables, steady_time aNow, outbox& /*aOutbox*/)
 {
   for (const attempt_result& result : aTables.results) {
     endpoint_row* endpoint = aTables.endpoints.Find(result.endpoint);
+    if (endpoint != nullptr) {
+      CountFailure(*endpoint, result, aNow);
+    }
     if (endpoint == nullptr || result.coldEpoch != endpoint->coldStart.epoch) {
       continue;
     }
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -25,13 +25,13 @@
 /// Brings the index from models to endpoints up to date.
 void IndexHolders(tables& aTables);
 
-/// Drops an endpoint to its cold limit.
 /// The budget of a service, added when there is none.
 retry_row& RetriesOf(tables& aTables, service_id aService);
 
 /// Whether a cold endpoint bears one request more now.
 bool MayStartCold(endpoint_row& aEndpoint, steady_time aNow);
 
+/// Drops an endpoint to its cold limit.
 void DropToCold(endpoint_row& aEndpoint);
 
 /// Nothing of the attempt counts from here on; its slot stays taken.
@@ -62,6 +62,20 @@
                     std::uint64_t aPrefix,
                     endpoint_id aEndpoint);
 
+/// True when an endpoint that was not tried yet and answers lately could serve
+/// the request.
+bool HasOtherEndpoint(tables& aTables,
+                      const request_row& aRequest,
+                      steady_time aNow);
+
+/// True when the request's attempt may be given up for one at another endpoint.
+bool MayMove(tables& aTables, const request_row& aRequest, steady_time aNow);
+
+/// How long the request's attempt may be silent while another endpoint could
+/// take it.
+std::chrono::milliseconds SilenceLimit(const options& aOptions,
+                                       const request_row& aRequest);
+
 /// True when an endpoint that resumes streams holds the request's model.
 bool CanResumeSomewhere(const tables& aTables, const request_row& aRequest);
 
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -41,6 +41,16 @@
   }
 }
 
+// Silence ends no answer that could still come and that nobody else can give.
+void
+WaitOn(const options& aOptions,
+       attempt_row& aAttempt,
+       steady_time aLast,
+       steady_time aNow)
+{
+  aAttempt.dueAt = std::min(aLast, aNow + aOptions.leastSilence);
+}
+
 // A request that may be repeated fails this attempt and may go on elsewhere.
 // For any other its only attempt is all that will ever be known.
 void
@@ -51,6 +61,14 @@
         outbox& aOutbox)
 {
   const bool isStream = IsForwardedEarly(aRequest, aAttempt);
+  const steady_time last =
+    isStream ? std::min(aRequest.facts.endBy,
+                        aAttempt.heardAt + aTables.settings.streamIdle)
+             : aRequest.facts.deadline;
+  if (aNow < last && !MayMove(aTables, aRequest, aNow)) {
+    WaitOn(aTables.settings, aAttempt, last, aNow);
+    return;
+  }
   if (aRequest.facts.isIdempotent || isStream) {
     FailAttempt(aTables,
                 aAttempt,
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -25,6 +25,15 @@
                                          : aRequest.facts.maxAttempts;
 }
 
+// An attempt of which no byte left is none that an endpoint saw.
+bool
+HasAttemptLeft(const options& aOptions, const request_row& aRequest)
+{
+  const std::uint32_t sent = aRequest.attemptsMade - aRequest.attemptsUnsent;
+  return sent < MaxAttempts(aOptions, aRequest) &&
+         aRequest.attemptsUnsent < kTriedEndpoints;
+}
+
 bool
 MustResume(const request_row& aRequest)
 {
@@ -68,7 +77,7 @@
     return false;
   }
   const std::uint32_t maxAttempts = MaxAttempts(aTables.settings, aRequest);
-  if (aRequest.attemptsMade >= maxAttempts) {
+  if (!HasAttemptLeft(aTables.settings, aRequest)) {
     return false;
   }
   if (MustResume(aRequest)) {
@@ -97,16 +106,45 @@
   return *row;
 }
 
-// Without a budget, retries multiply the load of a fleet that is failing.
+// Without a budget, retries multiply the load of a fleet that is failing. What
+// never left loaded nobody.
 bool
 RetryWithinBudget(const retry_input& aInput)
 {
-  return aInput.budget >= 1.0 && aInput.timeLeft.count() > 0;
+  const bool isFree = aInput.request.lastFailure == attempt_failure::eNotSent;
+  return (isFree || aInput.budget >= 1.0) && aInput.timeLeft.count() > 0;
+}
+
+bool
+MayMove(tables& aTables, const request_row& aRequest, steady_time aNow)
+{
+  return aRequest.facts.isIdempotent &&
+         HasAttemptLeft(aTables.settings, aRequest) &&
+         HasOtherEndpoint(aTables, aRequest, aNow) &&
+         aTables.policy.retry(
+           { aRequest,
+             RetriesOf(aTables, aRequest.facts.service).budget,
+             TimeLeft(aRequest, aNow),
+             MaxAttempts(aTables.settings, aRequest) });
 }
 
-// Splitting the time left over the attempts left leaves each later endpoint a
-// chance within the caller's deadline. An attempt that may not be repeated
-// gets it all, and none gets less than the answer is expected to take.
+std::chrono::milliseconds
+SilenceLimit(const options& aOptions, const request_row& aRequest)
+{
+  const request_facts& facts = aRequest.facts;
+  if (!facts.isIdempotent || facts.targetGap.count() == 0) {
+    return aOptions.streamIdle;
+  }
+  const std::chrono::milliseconds pauses =
+    facts.targetGap * aOptions.gapsPerSilence;
+  return std::min(aOptions.streamIdle, std::max(aOptions.leastSilence, pauses));
+}
+
+// A request that may be repeated is moved to another endpoint when this one
+// has used up its target; without a target, splitting the time left over the
+// attempts left leaves each later endpoint a chance within the caller's
+// deadline. An attempt that may not be repeated gets it all, and none gets less
+// than the answer is expected to take.
 std::chrono::milliseconds
 AttemptTimeout(const options& aOptions,
                const request_row& aRequest,
@@ -118,8 +156,14 @@
     return aTimeLeft;
   }
   const auto attemptsLeft = maxAttempts - aRequest.attemptsMade;
-  const auto share = std::max(
+  auto share = std::max(
     { aTimeLeft / attemptsLeft, aRequest.facts.expected, aOptions.minAttempt });
+  if (aRequest.facts.target.count() > 0) {
+    share = std::min(share,
+                     std::max<std::chrono::milliseconds>(
+                       aRequest.facts.target * aOptions.targetsPerAttempt,
+                       aOptions.minAttempt));
+  }
   return std::min(share, aTimeLeft);
 }
 
@@ -140,7 +184,8 @@
       continue;
     }
     if (ShouldRetry(aTables, request, aNow)) {
-      RetriesOf(aTables, request.facts.service).budget -= 1.0;
+      const bool isFree = request.lastFailure == attempt_failure::eNotSent;
+      RetriesOf(aTables, request.facts.service).budget -= isFree ? 0.0 : 1.0;
       request.state = request_state::eReady;
     } else {
       EndRequest(aTables.settings,
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -94,6 +94,18 @@
   std::uint32_t ownWhenReported = 0; ///< inFlight when the report came
   bool isGone = false;               ///< erased once nothing is in flight
   steady_time avoidUntil;            ///< it refused for want of room
+  double failureShare = 0; ///< of its attempts, moving average at failedAt
+  steady_time failedAt;    ///< last failure that it may be the cause of
+  steady_time doubtUntil;  ///< it fell silent: others go first
+};
+
+/// An endpoint that said it does not hold what its residents name.
+struct miss_row
+{
+  endpoint_id id;
+  model_id model;
+  adapter_id adapter;
+  steady_time until; ///< not used for it before
 };
 
 /// Retries that may be made now for one service.
@@ -178,6 +190,12 @@
   std::chrono::milliseconds expected{
     0
   }; ///< time to the first byte; 0: unknown
+  std::chrono::milliseconds target{
+    0
+  }; ///< wanted until the first byte; 0: none
+  std::chrono::milliseconds targetGap{
+    0
+  }; ///< longest pause wanted in a stream; 0: none
   steady_time endBy = steady_time::max(); ///< of a stream its last byte
   std::uint32_t maxAttempts = 0;          ///< 0: as the options say
   service_id service; ///< whose retries are budgeted together; none: one budget
@@ -200,6 +218,7 @@
   bool hasForwarded = false;
   attempt_id attempt; ///< the live one
   std::uint32_t attemptsMade = 0;
+  std::uint32_t attemptsUnsent = 0; ///< of these, no byte left
   std::array<endpoint_id, kTriedEndpoints> tried{};
   std::uint64_t forwarded = 0; ///< offset up to which the caller was fed
   std::uint64_t arrival = 0;   ///< order of arrival
@@ -245,7 +264,8 @@
   attempt_state state = attempt_state::eStarted;
   bool isTouched = false; ///< the transport told something of it
   steady_time startedAt;
-  steady_time dueAt; ///< when it fails unless something happens
+  steady_time dueAt;   ///< when it fails unless something happens
+  steady_time heardAt; ///< when the answer went on last
   std::uint64_t startOffset = 0;
   std::optional<answer_head> head;
   steady_time firstByteAt;
@@ -262,6 +282,7 @@
   bool isGood = false;
   bool wasBusy = false;
   bool isRefused = false;
+  bool hasFailed = false; ///< in a way that the endpoint may be the cause of
   std::chrono::microseconds firstByte{ 0 }; ///< 0: unknown
 };
 
@@ -278,7 +299,8 @@
   const request_facts& request;
   const endpoint_row& endpoint;
   bool hasPrefix = false;
-  double load = 0; ///< estimated share of its slots in use, 0 to 1 or more
+  double load = 0;     ///< estimated share of its slots in use, 0 to 1 or more
+  double failures = 0; ///< share of its attempts that failed lately
 };
 
 /// Higher is better.
@@ -334,11 +356,23 @@
   double retryBurst = 20;  ///< retries of a service at once
   std::chrono::milliseconds minAttempt{ 50 };
   std::chrono::milliseconds streamIdle{ 30'000 };
+  /// An attempt that may be repeated is given up for another endpoint after so
+  /// many of its targets, and a stream after so many of its longest pauses, but
+  /// not before leastSilence.
+  std::uint32_t targetsPerAttempt = 2;
+  std::uint32_t gapsPerSilence = 6;
+  std::chrono::milliseconds leastSilence{ 1'000 };
   std::chrono::milliseconds resumeWait{ 2'000 }; ///< to resume a broken stream
   std::chrono::milliseconds reportHorizon{ 2'000 }; ///< an older report is void
   std::chrono::milliseconds claimWait{ 2'000 };
   std::chrono::milliseconds detachedWait{ 60'000 };
   std::chrono::milliseconds avoidFull{ 100 }; ///< an endpoint that refused
+  /// An endpoint that fell silent, until it has checked in again.
+  std::chrono::milliseconds doubtSilent{ 1'500 };
+  /// A model that its endpoint does not hold, until the news of it are in.
+  std::chrono::milliseconds avoidMissing{ 500 };
+  /// The share of failures counts half after so long without one.
+  std::chrono::milliseconds failureHalfLife{ 2'000 };
   /// No request waits for an endpoint beyond this: the host stops.
   steady_time placeBy = steady_time::max();
 };
@@ -408,6 +442,7 @@
   table<attempt_id, attempt_row> attempts;
   std::vector<request_id> attention; ///< requests that do more than run
   std::vector<attempt_result> results;
+  std::vector<miss_row> misses;
   std::unordered_map<model_key, std::vector<holder>, model_key_hash> holders;
   bool holdersAreStale = false;
   bool hasGoneEndpoints = false;
--- a/tests/observe/log_test.cpp
+++ b/tests/observe/log_test.cpp
@@ -1,7 +1,10 @@
+#include "observe/log_writer.hpp"
 #include "observe/observe.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <sstream>
+
 namespace bulrush {
 namespace {
 
@@ -33,6 +36,92 @@
   CHECK(lines[0].ends_with("Z info: listens on 127.0.0.1:8080"));
 }
 
+TEST_CASE_METHOD(log_fixture,
+                 "Event_WhenAValueHoldsBlanksOrQuotes_IsQuoted",
+                 "[observe]")
+{
+  LogEvent(kTestLog,
+           log_level::eInfo,
+           "request_refused",
+           { { "request", "7f" }, { "why", "no \"room\"" }, { "peer", "" } });
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0].ends_with(
+    "info: request_refused request=7f why=\"no \\\"room\\\"\" peer=\"\""));
+}
+
+// A writer whose writing waits until it is let go.
+struct log_writer_fixture
+{
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::string written;
+  bool isHeld = true;
+
+  log_writer::write_hook Write()
+  {
+    return [this](std::string_view aLines) {
+      std::unique_lock lock(mutex);
+      changed.wait(lock, [this] { return !isHeld; });
+      written += aLines;
+    };
+  }
+
+  void LetGo()
+  {
+    {
+      const std::lock_guard lock(mutex);
+      isHeld = false;
+    }
+    changed.notify_all();
+  }
+
+  static std::string Dropped(std::uint64_t aLines)
+  {
+    return "dropped " + std::to_string(aLines);
+  }
+};
+
+TEST_CASE_METHOD(log_writer_fixture,
+                 "LogWriter_WhenItsReaderStands_DropsAndCountsInsteadOfWaiting",
+                 "[observe]")
+{
+  constexpr std::size_t kLines = 1'000;
+  constexpr std::size_t kMostBytes = 100;
+  {
+    log_writer writer(
+      { kMostBytes, std::chrono::milliseconds{ 0 } }, Write(), Dropped);
+    for (std::size_t i = 0; i < kLines; ++i) {
+      writer.Add("123456789");
+    }
+    LetGo();
+  }
+  std::size_t whole = 0;
+  std::size_t dropped = 0;
+  std::istringstream lines(written);
+  for (std::string line; std::getline(lines, line);) {
+    if (line == "123456789") {
+      ++whole;
+    } else {
+      REQUIRE(line.starts_with("dropped "));
+      dropped += std::stoul(line.substr(line.find(' ')));
+    }
+  }
+  CHECK(whole <= 2 * kMostBytes / 10);
+  CHECK(whole + dropped == kLines);
+}
+
+TEST_CASE_METHOD(log_writer_fixture,
+                 "LogWriter_WhenItEnds_HasWrittenWhatWasAdded",
+                 "[observe]")
+{
+  LetGo();
+  {
+    log_writer writer({}, Write(), Dropped);
+    writer.Add("last words");
+  }
+  CHECK(written == "last words\n");
+}
+
 TEST_CASE_METHOD(log_fixture,
                  "Log_BelowTheLevelInForce_WritesNothing",
                  "[observe]")
--- a/tests/routing/answers_test.cpp
+++ b/tests/routing/answers_test.cpp
@@ -41,6 +41,48 @@
   CHECK(engine.attempts.Empty());
 }
 
+TEST_CASE_METHOD(answers_fixture,
+                 "Stream_WhenSilentForManyPauses_IsResumedElsewhere",
+                 "[routing]")
+{
+  request_facts facts = Stream();
+  facts.targetGap = milliseconds{ 150 };
+  facts.endBy = now + std::chrono::seconds{ 12 };
+  facts.deadline = facts.endBy;
+  const start_attempt sent = Send(facts);
+  Head(sent.attempt, 200);
+  Bytes(sent.attempt, 0, 4);
+  RunOnce();
+  RunOnce(milliseconds{ 999 });
+  CHECK(out.starts.empty());
+  RunOnce(milliseconds{ 1 });
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+  CHECK(out.starts.front().resumeOffset == 4);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "Stream_WhenSilentWithoutAnotherEndpoint_IsWaitedFor",
+                 "[routing]")
+{
+  RemoveEndpoint(engine, endpoint_id{ 2 });
+  request_facts facts = Stream();
+  facts.targetGap = milliseconds{ 150 };
+  facts.endBy = now + std::chrono::seconds{ 12 };
+  facts.deadline = facts.endBy;
+  const start_attempt sent = Send(facts);
+  Head(sent.attempt, 200);
+  Bytes(sent.attempt, 0, 4);
+  RunOnce();
+  RunOnce(milliseconds{ 1'100 });
+  CHECK(out.cancels.empty());
+  CHECK(out.ends.empty());
+  Bytes(sent.attempt, 4, 2);
+  End(sent.attempt, attempt_end::eComplete);
+  RunOnce();
+  CheckEnd(request_outcome::eAnswered, ran_state::eRan);
+}
+
 TEST_CASE_METHOD(answers_fixture,
                  "Answer_WhenTheEchoIsAnothers_NeverReachesTheCaller",
                  "[routing]")
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -150,7 +150,11 @@
   {
     AddEndpoint(Facts(1));
     AddEndpoint(Facts(2));
-    // The budget is not what is measured here.
+    // Neither the budget nor the memory of silent endpoints is measured here.
+    engine.settings.doubtSilent = milliseconds{ 0 };
+    engine.policy.score = [](const score_input& aInput) {
+      return -aInput.load;
+    };
     engine.policy.retry = [](const retry_input& aInput) {
       return aInput.timeLeft.count() > 0;
     };
@@ -213,6 +217,99 @@
   CHECK(answered < kRequests * 6 / 10);
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempt_WhenItsTargetIsUsedUp_GoesToAnotherEndpoint",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.target = milliseconds{ 100 };
+  const start_attempt sent = Send(facts);
+  CHECK(sent.timeout == milliseconds{ 200 });
+  RunOnce(milliseconds{ 200 });
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempt_WhenItsTargetIsUsedUpWithoutABudget_IsWaitedFor",
+                 "[routing]")
+{
+  engine.settings.retryShare = 0;
+  engine.settings.retryBurst = 0;
+  request_facts facts = Request();
+  facts.target = milliseconds{ 100 };
+  const start_attempt sent = Send(facts);
+  RunOnce(milliseconds{ 200 });
+  CHECK(out.cancels.empty());
+  CHECK(out.ends.empty());
+  AnswerWhole(sent.attempt);
+  RunOnce();
+  CheckEnd(request_outcome::eAnswered, ran_state::eRan);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempt_WhenNothingLeft_DoesNotCountAsOneAtAnEndpoint",
+                 "[routing]")
+{
+  request_facts facts = PlateRelease();
+  facts.maxAttempts = 1;
+  const start_attempt sent = Send(facts);
+  engine.settings.retryShare = 0;
+  End(sent.attempt, attempt_end::eNotSent);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+  End(out.starts.front().attempt, attempt_end::eLost);
+  RunOnce();
+  CHECK(out.starts.empty());
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Endpoint_WhenItCannotBeReached_IsLeftToTheLast",
+                 "[routing]")
+{
+  const start_attempt sent = Send(Request());
+  End(sent.attempt, attempt_end::eNotSent);
+  RunOnce();
+  for (int i = 0; i < 40; ++i) {
+    const start_attempt next = Send(Request());
+    CHECK(next.endpoint != sent.endpoint);
+    AnswerWhole(next.attempt);
+    RunOnce();
+  }
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Endpoint_WhenItLacksTheModel_IsNotAskedForItAgainAtOnce",
+                 "[routing]")
+{
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    RemoveEndpoint(engine, endpoint_id{ id });
+  }
+  const start_attempt sent = Send(Request());
+  Head(sent.attempt, 421, true);
+  RunOnce();
+  CHECK(out.starts.empty());
+  End(sent.attempt, attempt_end::eCancelled);
+  RunOnce(engine.settings.avoidMissing);
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint == sent.endpoint);
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Endpoint_WhenItsAnswersFailLately_GetsFewerRequests",
+                 "[routing]")
+{
+  engine.endpoints.Find(endpoint_id{ 1 })->failureShare = 0.5;
+  engine.endpoints.Find(endpoint_id{ 1 })->failedAt = now;
+  for (int i = 0; i < 12; ++i) {
+    const start_attempt next = Send(Request());
+    CHECK(next.endpoint != endpoint_id{ 1 });
+    AnswerWhole(next.attempt);
+    RunOnce();
+  }
+}
+
 TEST_CASE_METHOD(retry_fixture,
                  "Deadline_WhenNotIdempotentAndSilent_EndsAsMayHaveRun",
                  "[routing]")
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -129,7 +129,7 @@
 {
   static int sCount = 0;
   mLog = aFolder / (aProgram + "-" + std::to_string(++sCount) + ".log");
-  mPid = Spawn(aProgram, aArguments, "/dev/null", mLog.string());
+  mPid = Spawn(aProgram, aArguments, mLog.string(), mLog.string());
 }
 
 process::~process()
