Draw rates from pools at the leader, gate cold endpoints over all hosts, make room on several engines at once

Cause: shares of a rate moved with renewals, so a host was short while tokens lay elsewhere, restarted hosts had none, and a new leader gave nothing for 6 s. Cold limits were used whole by each host. Any unload kept all loads back until the engine's last run ended, and hosts kept sending to what went.

Residency: hosts hear of an unload before it is sent, up to four engines make room at once, idle last copies go first.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -41,10 +41,11 @@
 {
   eRate = 1,
   eSlots = 2,
+  eColdRate = 3,
 };
 
-/// What is divided: the rate of a workspace, or the cold-start slots of one
-/// incarnation of an endpoint.
+/// What is divided: the rate of a workspace, or the cold-start slots or rate of
+/// one incarnation of an endpoint.
 struct resource
 {
   resource_kind kind = resource_kind::eRate;
@@ -54,29 +55,6 @@
   bool operator==(const resource&) const = default;
 };
 
-/// What operators tolerate above a rate within a window. The fleet uses most of
-/// it as tokens that hosts hold in advance.
-struct rate_tolerance
-{
-  std::chrono::milliseconds window{ 0 }; ///< 0: nothing is tolerated
-  double overage = 0;     ///< share of what the rate allows in a window
-  double slackTokens = 0; ///< on top of it
-};
-
-/// A rate as it is dealt out: part of it stands at every host, so that a host
-/// without a parent, or just started, can serve; the rest is divided.
-struct dealt_rate
-{
-  share divided;  ///< by the escrow
-  share standing; ///< of all hosts together, in equal parts
-};
-
-/// In no window of the tolerance's length do both parts together allow more
-/// than it tolerates. Without a tolerance all is divided.
-dealt_rate DealRate(const rate_tolerance& aTolerance,
-                    double aTokensPerSecond,
-                    double aBurstTokens);
-
 using resource_id = typed_id<struct resource_tag>;
 using holder_id = typed_id<struct holder_tag>;
 using process_id = typed_id<struct process_tag>;
@@ -470,6 +448,12 @@
                   std::int64_t aUsed,
                   steady_time aNow);
 
+/// Whether TakeSlot would find a free one now; a lack is asked for.
+bool HasSlot(escrow_tables& aTables,
+             endpoint_id aEndpoint,
+             std::uint64_t aIncarnation,
+             steady_time aNow);
+
 /// Takes a cold-start slot for an attempt that ends by aEnds at the latest;
 /// false when none is free, or aEnds is later than the lease allows.
 bool TakeSlot(escrow_tables& aTables,
--- a/src/admission/reservations.cpp
+++ b/src/admission/reservations.cpp
@@ -83,6 +83,23 @@
   }
 }
 
+bool
+HasSlot(escrow_tables& aTables,
+        endpoint_id aEndpoint,
+        std::uint64_t aIncarnation,
+        steady_time aNow)
+{
+  holding_row& holding =
+    HoldingOf(aTables, SlotsOf(aEndpoint, aIncarnation), aNow);
+  const bool isFree = holding.divided.size < holding.granted.size;
+  if (isFree && aNow < holding.lapsesAt) {
+    return true;
+  }
+  CountWaiting(holding, 1, aNow);
+  aTables.link.isShort = true;
+  return false;
+}
+
 // The parent books a slot until the lease and the hold are over, so the attempt
 // has to end by then.
 bool
--- a/src/control/leases.cpp
+++ b/src/control/leases.cpp
@@ -3,6 +3,8 @@
 
 #include "control/tables.hpp"
 
+#include <cmath>
+
 namespace bulrush::control {
 namespace {
 
@@ -24,10 +26,14 @@
 share
 LimitOf(const control_tables& aTables, const workspace_row& aWorkspace)
 {
-  return admission::DealRate(aTables.leases.tolerance,
-                             aWorkspace.tokensPerSecond,
-                             aWorkspace.burstTokens)
-    .divided;
+  if (aTables.leases.tolerance.window.count() > 0) {
+    return {}; // hosts draw from the pool
+  }
+  const auto units = [](double aTokens) {
+    return static_cast<std::int64_t>(
+      std::floor(aTokens * admission::kUnitsPerToken));
+  };
+  return { units(aWorkspace.tokensPerSecond), units(aWorkspace.burstTokens) };
 }
 
 replica_id
@@ -71,6 +77,7 @@
   leases.isRoot = true;
   leases.root = {};
   leases.limits.Clear();
+  leases.coldSlots.Clear();
   leases.limitsRevision = 0;
   leases.leadsSince = aNow;
   auto& settings = leases.root.settings;
@@ -118,6 +125,36 @@
   }
 }
 
+// An endpoint that says it is cold, and bears requests at once rather than a
+// rate, has its slots divided over the hosts for as long as it says so.
+void
+SyncColdSlots(control_tables& aTables, steady_time aNow)
+{
+  lease_tables& leases = aTables.leases;
+  std::vector<limited_row> over;
+  for (const limited_row& row : leases.coldSlots) {
+    const known_endpoint* known =
+      aTables.endpoints.Find(endpoint_id{ row.what.subject });
+    if (known == nullptr || !known->row.isCold ||
+        known->row.incarnation != row.what.incarnation) {
+      over.push_back(row);
+    }
+  }
+  for (const limited_row& row : over) {
+    SetLimit(leases.root, row.what, {}, aNow);
+    leases.coldSlots.Erase(row.id);
+  }
+  for (const known_endpoint& known : aTables.endpoints) {
+    const auto what = admission::SlotsOf(known.id, known.row.incarnation);
+    const auto id = admission::IdOfResource(what);
+    if (known.row.isCold && leases.coldSlots.Find(id) == nullptr) {
+      VoidOlderIncarnations(leases.root, known.id, known.row.incarnation, aNow);
+      SetLimit(leases.root, what, { 0, known.row.coldSlots }, aNow);
+      leases.coldSlots.Insert({ id, what });
+    }
+  }
+}
+
 // ----------------------------------------------------------------- naming
 
 bool
@@ -377,6 +414,7 @@
   leases.isRoot = leads;
   if (leads) {
     SyncLimits(aTables, aNow);
+    SyncColdSlots(aTables, aNow);
     NameDelegates(aTables, aNow, aOutbox);
   }
   SyncDelegates(aTables, aNow);
--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -131,7 +131,7 @@
   row.serial = ++aTables.residency.serial;
   row.held.endpoint = aEngine;
   row.held.incarnation = known->row.incarnation;
-  for (const residency::held_model& held : engine->held) {
+  for (const residency::held_model& held : residency::Serving(*engine)) {
     row.held.residents.push_back({ held.model, "", held.adapters });
   }
   aTables.residency.held.Insert(std::move(row));
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -287,6 +287,8 @@
       TakeRenewal(aTables, input, *renewal);
     } else if (const auto* grant = std::get_if<wire::share_grant>(&body)) {
       TakeGrant(aTables, *grant);
+    } else if (const auto* draw = std::get_if<rates::draw>(&body)) {
+      TakeDraw(aTables, input, *draw, aNow, aOutbox);
     } else if (const auto* wanted = std::get_if<wire::wanted_models>(&body)) {
       TakeDemand(aTables, input, *wanted, aNow);
     } else {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -8,6 +8,7 @@
 #include "control/log.hpp"
 #include "control/orders.hpp"
 #include "fleet/fleet.hpp"
+#include "rates/rates.hpp"
 #include "wire/wire.hpp"
 
 #include <deque>
@@ -193,11 +194,21 @@
   admission::escrow_tables root;
   std::uint64_t limitsRevision = 0; ///< of the manifest that the root divides
   table<admission::resource_id, limited_row> limits;
+  table<admission::resource_id, limited_row> coldSlots;
   table<domain_id, delegate_row> delegates;
   table<admission::holder_id, holder_peer_row> holders;
   steady_time leadsSince{};
   steady_time nextNaming{};
-  admission::rate_tolerance tolerance;
+  rates::rate_tolerance tolerance; ///< set: rates go by pools instead
+};
+
+/// Pools of limits, while this process leads.
+struct pool_state
+{
+  std::uint64_t term = 0;             ///< in which they were begun
+  std::uint64_t manifestRevision = 0; ///< whose rates they have
+  rates::pool_tables pools;
+  steady_time nextForget;
 };
 
 /// A host that asks for models, and what it was told of engines.
@@ -252,6 +263,7 @@
   table<call_id, pending_call> calls;
   table<key_hash, tombstone_row> tombstones;
   lease_tables leases;
+  pool_state pools;
   std::deque<wire::numbered_command> recent; ///< newest configuration changes
   std::vector<received> inbox;
   std::vector<received_call> httpInbox;
@@ -293,6 +305,13 @@
                  const wire::share_renewal& aRenewal);
 void TakeGrant(control_tables& aTables, const wire::share_grant& aGrant);
 
+/// A host draws tokens; only the leader answers.
+void TakeDraw(control_tables& aTables,
+              const received& aInput,
+              const rates::draw& aDraw,
+              steady_time aNow,
+              control_outbox& aOutbox);
+
 /// Takes the calls that came over HTTP.
 void RunHttpCalls(control_tables& aTables,
                   steady_time aNow,
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -1,6 +1,8 @@
 #include "entry/admission.hpp"
 
 #include <algorithm>
+#include <unordered_set>
+#include <utility>
 
 namespace bulrush::entry {
 namespace {
@@ -11,6 +13,7 @@
 constexpr double kServiceGain = 0.1;
 
 constexpr std::chrono::seconds kRetryWhenLate{ 1 };
+constexpr std::chrono::milliseconds kRetryWhenShort{ 250 };
 
 void
 Refuse(admission_tables& aTables,
@@ -41,40 +44,13 @@
   admission::Enqueue(aTables.queue, queued);
 }
 
-// Tokens that stand here need nobody's leave. They start at nothing, so that a
-// host that was restarted has no more than one that was not.
 std::int64_t
-StandingTokens(admission_tables& aTables,
-               workspace_id aWorkspace,
-               std::int64_t aWanted,
-               steady_time aNow)
+UnitsOf(std::int64_t aTokens)
 {
-  standing_row* standing = aTables.standing.Find(aWorkspace);
-  if (standing == nullptr) {
-    return 0;
-  }
-  admission::Refill(standing->bucket, aNow);
-  return std::clamp<std::int64_t>(
-    standing->bucket.level / admission::kUnitsPerToken, 0, aWanted);
-}
-
-void
-TakeStanding(admission_tables& aTables,
-             admitted_row& aRow,
-             std::int64_t aTokens,
-             steady_time aNow)
-{
-  aRow.standingTokens = aTokens;
-  if (aTokens == 0) {
-    return;
-  }
-  admission::token_bucket& bucket =
-    aTables.standing.Find(aRow.workspace)->bucket;
-  admission::Take(bucket, aTokens * admission::kUnitsPerToken, aNow);
-  aRow.standingPoint = bucket.point;
+  return aTokens * admission::kUnitsPerToken;
 }
 
-// What was not used goes back to where it came from, the standing part first.
+// What was not used goes back to where it came from.
 void
 Settle(admission_tables& aTables,
        const admitted_row& aRow,
@@ -82,52 +58,93 @@
        steady_time aNow)
 {
   const std::int64_t unused = std::max<std::int64_t>(0, aRow.tokens - aUsed);
-  const std::int64_t back = std::min(unused, aRow.standingTokens);
-  standing_row* standing = aTables.standing.Find(aRow.workspace);
-  if (back > 0 && standing != nullptr) {
-    admission::PutBack(standing->bucket,
-                       back * admission::kUnitsPerToken,
-                       aRow.standingPoint,
-                       aNow);
+  if (aRow.paid) {
+    rates::Return(aTables.purses, *aRow.paid, UnitsOf(unused), aNow);
   }
   if (aRow.reserved.workspace) {
-    const std::int64_t used = aRow.reserved.tokens - (unused - back);
-    admission::SettleTokens(aTables.escrow, aRow.reserved, used, aNow);
+    admission::SettleTokens(aTables.escrow, aRow.reserved, aUsed, aNow);
+  }
+}
+
+std::chrono::nanoseconds
+PatienceOf(const admission_tables& aTables, const admitted_row& aRow)
+{
+  return std::min(aRow.patience, aTables.escrow.settings.patience);
+}
+
+// The pool's word on when it has more, and a little, since others wait too.
+std::chrono::nanoseconds
+RefillTime(const admission_tables& aTables,
+           const admission::resource& aWhat,
+           steady_time aNow)
+{
+  const auto* purse =
+    aTables.purses.purses.Find(admission::IdOfResource(aWhat));
+  const bool isTold = purse != nullptr && purse->refillsAt;
+  return kRetryWhenShort +
+         (isTold
+            ? std::max(std::chrono::nanoseconds{ 0 },
+                       std::chrono::nanoseconds{ *purse->refillsAt - aNow })
+            : std::chrono::nanoseconds{ 0 });
+}
+
+// In the order of arrival within a workspace: a large request is not overtaken
+// by small ones for as long as it waits.
+void
+TryPay(admission_tables& aTables,
+       admitted_row& aRow,
+       std::unordered_set<workspace_id, id_hash>& aShort,
+       steady_time aNow,
+       admission_outbox& aOutbox)
+{
+  const admission::resource what = admission::RateOf(aRow.workspace);
+  const std::int64_t units = UnitsOf(aRow.tokens);
+  if (!std::exchange(aRow.isCounted, true)) {
+    rates::NoteDemand(aTables.purses, what, units, aNow);
+  }
+  if (!aShort.contains(aRow.workspace)) {
+    aRow.paid = rates::Pay(aTables.purses, what, units, aNow);
+  } else {
+    rates::NoteLack(aTables.purses, what, units, aNow);
+  }
+  if (aRow.paid) {
+    Enqueue(aTables, aRow);
+    return;
+  }
+  const steady_time until = aRow.arrivedAt + PatienceOf(aTables, aRow);
+  if (aNow < until) {
+    aShort.insert(aRow.workspace);
+    aRow.state = admission_state::eShort;
+    aOutbox.wake.NoLaterThan(until);
+    return;
   }
+  const auto kind = aTables.purses.isReachable ? refusal_kind::eOverRate
+                                               : refusal_kind::eCutOff;
+  Refuse(aTables, aRow, { kind, RefillTime(aTables, what, aNow) }, aOutbox);
 }
 
-// What can be had is reserved now, from what stands here and then from the
-// share; what is short waits for the delegate.
+// What can be had is reserved now; what is short waits for the delegate.
 void
 TryReserve(admission_tables& aTables,
            admitted_row& aRow,
            steady_time aNow,
            admission_outbox& aOutbox)
 {
-  const std::int64_t standing =
-    StandingTokens(aTables, aRow.workspace, aRow.tokens, aNow);
-  if (standing == aRow.tokens && standing > 0) {
-    TakeStanding(aTables, aRow, standing, aNow);
-    Enqueue(aTables, aRow);
-    return;
-  }
   const bool isNew = aRow.state == admission_state::eNew;
   const auto waited =
     isNew ? std::chrono::nanoseconds{ 0 }
           : std::max(std::chrono::nanoseconds{ 1 },
                      std::chrono::nanoseconds{ aNow - aRow.arrivedAt });
-  const auto patience =
-    std::min(aRow.patience, aTables.escrow.settings.patience);
+  const auto patience = PatienceOf(aTables, aRow);
   const auto answer = admission::ReserveTokens(
     aTables.escrow,
     aRow.workspace,
-    aRow.tokens - standing,
+    aRow.tokens,
     waited < patience ? waited : aTables.escrow.settings.patience,
     aNow);
   switch (answer.outcome) {
     case reserve_outcome::eReserved:
       aRow.reserved = answer.reserved;
-      TakeStanding(aTables, aRow, standing, aNow);
       Enqueue(aTables, aRow);
       return;
     case reserve_outcome::eShort:
@@ -146,6 +163,31 @@
   }
 }
 
+void
+RunPurseAnswers(admission_tables& aTables,
+                steady_time aNow,
+                admission_outbox& aOutbox)
+{
+  rates::purse_outbox out;
+  rates::RunAnswers(aTables.purses, aNow, out);
+  aOutbox.hasNewTokens = out.hasNewTokens;
+}
+
+void
+RunDraws(admission_tables& aTables, steady_time aNow, admission_outbox& aOutbox)
+{
+  rates::purse_outbox out;
+  rates::RunDraws(aTables.purses, aNow, out);
+  aOutbox.draw = std::move(out.sent);
+  aOutbox.wake.NoLaterThan(out.wake.at);
+}
+
+bool
+ToleratesWindow(const admission_tables& aTables)
+{
+  return aTables.tolerance.window.count() > 0;
+}
+
 void
 RunEscrow(admission_tables& aTables,
           steady_time aNow,
@@ -171,8 +213,14 @@
     }
   }
   std::ranges::sort(waiting);
+  std::unordered_set<workspace_id, id_hash> isShort;
   for (const request_id id : waiting) {
-    TryReserve(aTables, *aTables.requests.Find(id), aNow, aOutbox);
+    admitted_row& row = *aTables.requests.Find(id);
+    if (ToleratesWindow(aTables)) {
+      TryPay(aTables, row, isShort, aNow, aOutbox);
+    } else {
+      TryReserve(aTables, row, aNow, aOutbox);
+    }
   }
 }
 
@@ -198,10 +246,12 @@
   }
 }
 
-constexpr std::array<named_system<admission_tables, admission_outbox>, 3>
+constexpr std::array<named_system<admission_tables, admission_outbox>, 5>
   kSystems{ {
     { "escrow", RunEscrow },
+    { "purse_answers", RunPurseAnswers },
     { "reservations", RunReservations },
+    { "draws", RunDraws },
     { "turns", RunTurns },
   } };
 
@@ -229,30 +279,28 @@
             const fleet_state& aFleet,
             steady_time aNow)
 {
+  if (!ToleratesWindow(aTables) || aFleet.hosts == 0) {
+    return;
+  }
   const auto& workspaces = aFleet.declared.workspaces;
-  aTables.standing.EraseIf([&](const standing_row& aRow) {
-    return workspaces.Find(aRow.id) == nullptr;
-  });
+  for (const rates::purse_row& purse : aTables.purses.purses) {
+    const bool isRate = purse.what.kind == admission::resource_kind::eRate;
+    if (isRate && !workspaces.Find(workspace_id{ purse.what.subject })) {
+      rates::SetStanding(aTables.purses, purse.what, {}, aNow);
+    }
+  }
   for (const workspace_row& workspace : workspaces) {
-    if (aFleet.hosts == 0 || workspace.tokensPerSecond == 0) {
-      continue;
+    if (workspace.tokensPerSecond == 0) {
+      continue; // there is no limit to divide
     }
-    const admission::share all = admission::DealRate(aTables.tolerance,
-                                                     workspace.tokensPerSecond,
-                                                     workspace.burstTokens)
+    const admission::share all = rates::DealRate(aTables.tolerance,
+                                                 workspace.tokensPerSecond,
+                                                 workspace.burstTokens)
                                    .standing;
-    const admission::share part{ all.rate / aFleet.hosts,
-                                 all.size / aFleet.hosts };
-    standing_row* row = aTables.standing.Find(workspace.id);
-    if (row == nullptr) {
-      standing_row fresh;
-      fresh.id = workspace.id;
-      fresh.bucket.filledAt = aNow;
-      row = &aTables.standing.Insert(std::move(fresh));
-    }
-    if (row->bucket.share != part) {
-      admission::Resize(row->bucket, part, aNow);
-    }
+    rates::SetStanding(aTables.purses,
+                       admission::RateOf(workspace.id),
+                       { all.rate / aFleet.hosts, all.size / aFleet.hosts },
+                       aNow);
   }
 }
 
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -7,6 +7,8 @@
 
 #include "admission/admission.hpp"
 #include "fleet/fleet.hpp"
+#include "rates/rates.hpp"
+#include "routing/routing.hpp"
 
 namespace bulrush::entry {
 
@@ -45,13 +47,6 @@
   double serviceSeconds = 0; ///< moving average from sending to the end
 };
 
-/// The part of a workspace's rate that stands at this host.
-struct standing_row
-{
-  workspace_id id;
-  admission::token_bucket bucket;
-};
-
 /// A request from its arrival to its end.
 struct admitted_row
 {
@@ -64,9 +59,9 @@
   steady_time arrivedAt;
   steady_time deadline;
   admission_state state = admission_state::eNew;
-  admission::reservation reserved;
-  std::int64_t standingTokens = 0; ///< of them from the standing part
-  std::uint64_t standingPoint = 0; ///< of the history of that part's bucket
+  admission::reservation reserved;    ///< of a rate that is shared out, or
+  std::optional<rates::payment> paid; ///< of one that tolerates a window
+  bool isCounted = false;             ///< as demand
   steady_time startedAt;
   admit_hook onAdmitted;
   refuse_hook onRefused;
@@ -80,13 +75,15 @@
   std::size_t capacity = 0; ///< requests that the endpoints bear at once
   std::size_t running = 0;
   table<kind_id, kind_row> kinds;
-  admission::rate_tolerance tolerance;
-  table<workspace_id, standing_row> standing;
+  rates::rate_tolerance tolerance; ///< none: rates are shared out
+  rates::purse_tables purses;
 };
 
 struct admission_outbox
 {
   std::vector<admission::renewal> renewals;
+  std::optional<rates::draw> draw;
+  bool hasNewTokens = false; ///< for what waits elsewhere
   std::vector<admit_hook> admitted;
   std::vector<std::pair<refuse_hook, refusal>> refused;
   wake_time wake;
@@ -110,6 +107,19 @@
             std::int64_t aUsedTokens,
             steady_time aNow);
 
+/// Whether the endpoint bears one request more of this host while it is cold,
+/// by its rate or else by its slots; a lack is asked for.
+bool IsColdGateOpen(admission_tables& aTables,
+                    const routing::endpoint_facts& aEndpoint,
+                    steady_time aNow);
+void EnterColdGate(admission_tables& aTables,
+                   const routing::endpoint_facts& aEndpoint,
+                   steady_time aEnds,
+                   steady_time aNow);
+void LeaveColdGate(admission_tables& aTables,
+                   endpoint_id aEndpoint,
+                   std::uint64_t aIncarnation);
+
 /// All systems in their order.
 void RunAdmission(admission_tables& aTables,
                   steady_time aNow,
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -163,6 +163,8 @@
     } else if (const auto* granted =
                  std::get_if<wire::share_grant>(&message.body)) {
       aOutbox.grants.push_back(granted->grant);
+    } else if (const auto* drawn = std::get_if<rates::drawn>(&message.body)) {
+      aOutbox.drawn.push_back(*drawn);
     } else if (const auto* reply =
                  std::get_if<wire::command_reply>(&message.body)) {
       Take(aTables, *reply, aOutbox);
@@ -215,6 +217,21 @@
   }
 }
 
+// The leader alone holds pools. A draw that nobody can take runs into its time
+// limit.
+void
+RunDraws(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
+{
+  const control_row* leader =
+    aTables.controls.Find(IdOf<replica_id>(aTables.leader));
+  for (rates::draw& next : aTables.draws) {
+    if (leader != nullptr) {
+      aOutbox.messages.push_back({ leader->address, std::move(next) });
+    }
+  }
+  aTables.draws.clear();
+}
+
 // Reports in good time, and earlier when endpoints reported.
 void
 RunReport(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
@@ -320,9 +337,10 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 6> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 7> kSystems{
   { { "ingest", RunIngest },
     { "demand", RunDemand },
+    { "draws", RunDraws },
     { "renewals", RunRenewals },
     { "report", RunReport },
     { "commands", RunCommands },
--- a/src/entry/endpoint_facts.cpp
+++ b/src/entry/endpoint_facts.cpp
@@ -10,7 +10,7 @@
 
 constexpr int kHexadecimal = 16;
 
-// What a cold endpoint bears is divided over the hosts.
+// What a cold endpoint bears of all hosts; the gate divides it.
 double
 ColdRate(const endpoint_row& aRow, const traffic_view& aView)
 {
@@ -18,7 +18,7 @@
     const service_row* row =
       aView.fleet->declared.services.Find(IdOf<service_id>(service));
     if (row != nullptr) {
-      return row->coldPerSecond / HostsOf(*aView.fleet);
+      return row->coldPerSecond;
     }
   }
   return 0;
@@ -51,8 +51,8 @@
   return residents;
 }
 
-// Until a host is told its allotment of an endpoint, it may use what the
-// endpoint bears.
+// While an endpoint is cold the gate bounds what a host sends it; warm, a host
+// may use all its slots.
 routing::endpoint_facts
 FactsOf(const endpoint_row& aRow,
         const traffic_view& aView,
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -22,10 +22,12 @@
   control_thread(asio::io_context& aContext,
                  const option_values& aOptions,
                  std::function<void(traffic_view)> aPublish,
-                 std::function<void(admission::grant)> aOnGrant)
+                 std::function<void(admission::grant)> aOnGrant,
+                 std::function<void(rates::drawn)> aOnDrawn)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
     , mOnGrant(std::move(aOnGrant))
+    , mOnDrawn(std::move(aOnDrawn))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.Text("name");
@@ -76,6 +78,12 @@
     mTimer.RunSoon();
   }
 
+  void Draw(rates::draw aDraw)
+  {
+    mTables.draws.push_back(std::move(aDraw));
+    mTimer.RunSoon();
+  }
+
   void BeginStop()
   {
     mTables.isStopping = true;
@@ -140,6 +148,9 @@
     for (admission::grant& next : outbox.grants) {
       mOnGrant(std::move(next));
     }
+    for (rates::drawn& next : outbox.drawn) {
+      mOnDrawn(std::move(next));
+    }
     return outbox.wake;
   }
 
@@ -148,6 +159,7 @@
   net::link_keys mLinkKeys;
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
+  std::function<void(rates::drawn)> mOnDrawn;
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
@@ -174,6 +186,12 @@
                      [this, grant = std::move(aGrant)]() mutable {
                        mTraffic.TakeGrant(std::move(grant));
                      });
+        },
+        [this](rates::drawn aDrawn) {
+          asio::post(mTrafficContext,
+                     [this, drawn = std::move(aDrawn)]() mutable {
+                       mTraffic.TakeDrawn(std::move(drawn));
+                     });
         })
     , mTraffic(mTrafficContext,
                TrafficSettings(aOptions,
@@ -322,6 +340,11 @@
                    mControl.Want(std::move(wanted));
                  });
     };
+    hooks.onDraw = [this](rates::draw aDraw) {
+      asio::post(mControlContext, [this, draw = std::move(aDraw)]() mutable {
+        mControl.Draw(std::move(draw));
+      });
+    };
     hooks.onReport = [this](endpoint_row aRow) {
       asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
         mControl.Report(std::move(row));
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -193,13 +193,14 @@
     , mOnCommand(std::move(aOnCommand))
     , mOnDemand(std::move(aOnDemand))
     , mTokens(aSettings.seed)
-    , mEngine(OptionsOf(aSettings))
+    , mEngine(OptionsOf(aSettings), HooksOf(aSettings))
     , mClient(std::move(aClient))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
   }
 
   std::size_t Open() const { return mWaiting.Size(); }
+  void RunSoon() { mTimer.RunSoon(); }
 
   void PlaceBy(steady_time aBy)
   {
@@ -252,6 +253,13 @@
     return options;
   }
 
+  static routing::hooks HooksOf(const request_runner_settings& aSettings)
+  {
+    routing::hooks hooks = routing::DefaultHooks();
+    hooks.coldGate = aSettings.coldGate;
+    return hooks;
+  }
+
   // A key holds for one workspace and one path.
   static claim_id ClaimOf(const routed_request& aRequest)
   {
@@ -806,6 +814,12 @@
   mImplementation->Start(std::move(aRequest));
 }
 
+void
+request_runner::RunSoon()
+{
+  mImplementation->RunSoon();
+}
+
 void
 request_runner::PlaceBy(steady_time aBy)
 {
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -42,6 +42,7 @@
   std::uint64_t seed = 1; ///< of attempt ids and claim tokens: new each start
   const front_end* front = nullptr; ///< outlives the runner
   retry_allowance retries;
+  routing::cold_gate coldGate;
 };
 
 /// Asks the control thread to have a command committed; answers on this thread.
@@ -66,6 +67,8 @@
   /// Takes over endpoints, domains and withdrawn keys.
   void SetView(const traffic_view& aView);
   void Start(routed_request aRequest);
+  /// Something that a request may wait for has changed.
+  void RunSoon();
   /// Requests whose callers wait, and claimed ones whose outcome is awaited.
   std::size_t Open() const;
   /// Requests that wait for an endpoint at aBy are refused as not run.
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -85,6 +85,7 @@
   std::vector<admission::renewal> renewals; ///< from the traffic thread
   table<endpoint_id, held_row> held;
   std::vector<wire::wanted_model> wanted; ///< from the traffic thread
+  std::vector<rates::draw> draws;         ///< from the traffic thread
   std::uint64_t lastReport = 0;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
@@ -109,6 +110,7 @@
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
   std::optional<traffic_view> view;     ///< to be published
   std::vector<admission::grant> grants; ///< for the traffic thread
+  std::vector<rates::drawn> drawn;      ///< for the traffic thread
   wake_time wake;
 };
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -14,8 +14,11 @@
 
 constexpr log_part kLog{ "entry" };
 
-/// Part of the target latency that a request may wait for tokens.
-constexpr int kPatiencePart = 2;
+/// Part of the target latency that a request may wait for tokens: a refusal
+/// after an eighth of it costs the caller time to come back.
+constexpr int kPatiencePart = 8;
+/// An answer of the leader takes a few milliseconds.
+constexpr std::chrono::milliseconds kLeastPatience{ 40 };
 /// A request that waits for an endpoint may wait so long more on a host that
 /// stops; then it is refused in time to be served elsewhere.
 constexpr std::chrono::milliseconds kPlaceWhileStopping{ 500 };
@@ -99,12 +102,15 @@
                       [this](steady_time aNow) { return TickAdmission(aNow); })
     , mRecorder(Seeded(mSettings.recording))
     , mRandom(NewSeed())
-    , mRunner(
-        aContext,
-        { mSettings.domain, NewSeed(), &mSettings.front, mSettings.retries },
-        mRecorder.Record(net::MakeHttpClient(aContext)),
-        mHooks.onCommand,
-        mHooks.onDemand)
+    , mRunner(aContext,
+              { mSettings.domain,
+                NewSeed(),
+                &mSettings.front,
+                mSettings.retries,
+                ColdGate() },
+              mRecorder.Record(net::MakeHttpClient(aContext)),
+              mHooks.onCommand,
+              mHooks.onDemand)
   {
   }
 
@@ -156,6 +162,12 @@
   {
     mAdmission.escrow.grants.push_back(std::move(aGrant));
     mAdmissionTimer.RunSoon();
+    mRunner.RunSoon();
+  }
+  void TakeDrawn(rates::drawn aDrawn)
+  {
+    mAdmission.purses.answers.push_back(std::move(aDrawn));
+    mAdmissionTimer.RunSoon();
   }
   std::size_t OpenRequests() const
   {
@@ -177,6 +189,29 @@
     return aSettings;
   }
 
+  // The gate is part of admission, which asks the leader for what is lacking.
+  routing::cold_gate ColdGate()
+  {
+    routing::cold_gate gate;
+    gate.isOpen = [this](const routing::endpoint_facts& aEndpoint,
+                         steady_time aNow) {
+      const bool isOpen = IsColdGateOpen(mAdmission, aEndpoint, aNow);
+      if (!isOpen) {
+        mAdmissionTimer.RunSoon();
+      }
+      return isOpen;
+    };
+    gate.enter = [this](const routing::endpoint_facts& aEndpoint,
+                        steady_time aEnds,
+                        steady_time aNow) {
+      EnterColdGate(mAdmission, aEndpoint, aEnds, aNow);
+    };
+    gate.leave = [this](endpoint_id aEndpoint, std::uint64_t aIncarnation) {
+      LeaveColdGate(mAdmission, aEndpoint, aIncarnation);
+    };
+    return gate;
+  }
+
   std::string MetricsPage()
   {
     return mRecorder.Page({ mView.fleet->revision,
@@ -415,7 +450,8 @@
     row.workspace = aRouted.facts.workspace;
     row.kind = aResolved.kind;
     if (aResolved.target.count() > 0) {
-      row.patience = aResolved.target / kPatiencePart;
+      row.patience = std::max<std::chrono::nanoseconds>(
+        kLeastPatience, aResolved.target / kPatiencePart);
     }
     row.tokens = tokens;
     row.arrivedAt = std::chrono::steady_clock::now();
@@ -442,29 +478,38 @@
     mAdmissionTimer.RunSoon();
   }
 
+  static steady_time Now() { return std::chrono::steady_clock::now(); }
+
+  // Units of a shared rate that this thread holds.
+  std::int64_t HeldOf(const admission::resource& aWhat) const
+  {
+    const auto* holding =
+      mAdmission.escrow.holdings.Find(admission::IdOfResource(aWhat));
+    return holding == nullptr ? 0 : holding->undivided.level;
+  }
+
   void LogRefusal(const std::string& aCallerId,
                   const std::string& aName,
                   workspace_id aWorkspace,
                   std::int64_t aTokens,
-                  const refusal& aRefusal) const
-  {
-    const auto* holding = mAdmission.escrow.holdings.Find(
-      admission::IdOfResource(admission::RateOf(aWorkspace)));
-    const admission::share share =
-      holding == nullptr ? admission::share{} : holding->granted;
-    const std::int64_t level =
-      holding == nullptr ? 0 : holding->undivided.level;
-    LogInfo(kLog,
-            "request={} refused={} workspace={} tokens={} share={}/s "
-            "size={} level={} reaches_root={}",
-            aCallerId,
-            ErrorOf(aRefusal).code,
-            aName,
-            aTokens,
-            share.rate / admission::kUnitsPerToken,
-            share.size / admission::kUnitsPerToken,
-            level / admission::kUnitsPerToken,
-            mAdmission.escrow.link.reachesRoot);
+                  const refusal& aRefusal)
+  {
+    const admission::resource what = admission::RateOf(aWorkspace);
+    const std::int64_t units =
+      mSettings.tolerance.window.count() > 0
+        ? rates::Available(mAdmission.purses, what, Now())
+        : HeldOf(what);
+    LogEvent(
+      kLog,
+      log_level::eInfo,
+      "request_refused",
+      { { "request", aCallerId },
+        { "code", ErrorOf(aRefusal).code },
+        { "workspace", aName },
+        { "tokens", std::to_string(aTokens) },
+        { "tokens_here", std::to_string(units / admission::kUnitsPerToken) },
+        { "pool_answers", mAdmission.purses.isReachable ? "yes" : "no" },
+        { "revision", std::to_string(mView.fleet->revision) } });
   }
 
   // Checked once more: the lease and the key may have ended while it waited.
@@ -501,6 +546,12 @@
     for (admission::renewal& report : out.renewals) {
       mHooks.onRenewal(std::move(report));
     }
+    if (out.draw) {
+      mHooks.onDraw(std::move(*out.draw));
+    }
+    if (out.hasNewTokens) {
+      mRunner.RunSoon();
+    }
     for (const auto& [hook, why] : out.refused) {
       hook(why);
     }
@@ -575,6 +626,12 @@
   mImplementation->TakeGrant(std::move(aGrant));
 }
 
+void
+traffic_thread::TakeDrawn(rates::drawn aDrawn)
+{
+  mImplementation->TakeDrawn(std::move(aDrawn));
+}
+
 void
 traffic_thread::StopWhenIdle(std::function<void()> aOnStopped)
 {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -10,6 +10,7 @@
 #include "entry/requests.hpp"
 #include "entry/tables.hpp"
 #include "net/net.hpp"
+#include "rates/rates.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -25,6 +26,7 @@
   std::function<void(admission::renewal)> onRenewal; ///< to the delegate
   std::function<void(std::vector<wire::wanted_model>)> onDemand; ///< to the
                                                                  ///< leader
+  std::function<void(rates::draw)> onDraw; ///< to the leader
 };
 
 struct traffic_settings
@@ -41,7 +43,7 @@
   /// Known keys are served also while the lease has lapsed.
   bool servesWithoutLease = false;
   retry_allowance retries;
-  admission::rate_tolerance tolerance;
+  rates::rate_tolerance tolerance;
 };
 
 class traffic_thread
@@ -60,6 +62,7 @@
   /// On the thread of the io_context only.
   void SetView(traffic_view aView);
   void TakeGrant(admission::grant aGrant);
+  void TakeDrawn(rates::drawn aDrawn);
   std::size_t OpenRequests() const;
   /// Refuses new requests as not run, finishes those it has, then calls
   /// aOnStopped, once.
--- a/src/residency/engines.cpp
+++ b/src/residency/engines.cpp
@@ -74,6 +74,13 @@
   return aKind == order_kind::eLoadModel || aKind == order_kind::eUnloadModel;
 }
 
+bool
+IsUnload(order_kind aKind)
+{
+  return aKind == order_kind::eUnloadModel ||
+         aKind == order_kind::eUnloadAdapter;
+}
+
 // A model order takes seconds; the engine announces its end.
 void
 TakeEndOfModelOrder(engine_row& aEngine, steady_time aNow)
@@ -318,17 +325,64 @@
   }
 }
 
+std::vector<held_model>
+Serving(const engine_row& aEngine)
+{
+  std::vector<held_model> serving = aEngine.held;
+  if (!aEngine.open || !IsUnload(aEngine.open->kind)) {
+    return serving;
+  }
+  const artifact& goes = aEngine.open->what;
+  if (aEngine.open->kind == order_kind::eUnloadModel) {
+    std::erase_if(serving, [&](const held_model& aHeld) {
+      return aHeld.model == goes.model;
+    });
+    return serving;
+  }
+  for (held_model& held : serving) {
+    if (held.model == goes.model) {
+      std::erase(held.adapters, goes.adapter);
+    }
+  }
+  return serving;
+}
+
 void
-Order(tables& /*aTables*/,
+Order(tables& aTables,
       engine_row& aEngine,
       order_kind aKind,
       const artifact& aWhat,
       steady_time aNow,
-      outbox& aOutbox)
+      outbox& /*aOutbox*/)
 {
-  aEngine.open = open_order{ aKind, aWhat, aNow, false };
-  aOutbox.orders.push_back(
-    { aEngine.id, aEngine.told.incarnation, aKind, aWhat, aEngine.orderCount });
+  const bool isUnload = IsUnload(aKind);
+  const auto wait =
+    isUnload ? aTables.options.newsTime : std::chrono::milliseconds{ 0 };
+  aEngine.open = open_order{ aKind, aWhat, aNow + wait, false, false };
+  if (isUnload) {
+    aEngine.publishAt = aNow;
+  }
+}
+
+// The condition of an order is the count of when it leaves.
+void
+RunSends(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  for (engine_row& engine : aTables.engines) {
+    if (!engine.open || engine.open->isSent) {
+      continue;
+    }
+    if (aNow < engine.open->sentAt) {
+      aOutbox.wake.NoLaterThan(engine.open->sentAt);
+      continue;
+    }
+    engine.open->isSent = true;
+    aOutbox.orders.push_back({ engine.id,
+                               engine.told.incarnation,
+                               engine.open->kind,
+                               engine.open->what,
+                               engine.orderCount });
+  }
 }
 
 } // namespace bulrush::residency
--- a/src/residency/parts.hpp
+++ b/src/residency/parts.hpp
@@ -34,6 +34,7 @@
 void RunAdapters(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunPublish(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunModels(tables& aTables, steady_time aNow, outbox& aOutbox);
+void RunSends(tables& aTables, steady_time aNow, outbox& aOutbox);
 
 } // namespace bulrush::residency
 
--- a/src/residency/residency.cpp
+++ b/src/residency/residency.cpp
@@ -5,11 +5,12 @@
 
 // Rates first: the plans rest on them. Adapters go before models, since they
 // take milliseconds and a model order keeps its engine for seconds.
-constexpr std::array<named_system<tables, outbox>, 5> kSystems{ {
+constexpr std::array<named_system<tables, outbox>, 6> kSystems{ {
   { "rates", RunRates },
   { "questions", RunQuestions },
   { "adapters", RunAdapters },
   { "models", RunModels },
+  { "sends", RunSends },
   { "publish", RunPublish },
 } };
 
--- a/src/residency/residency.hpp
+++ b/src/residency/residency.hpp
@@ -65,8 +65,9 @@
 {
   order_kind kind = order_kind::eLoadModel;
   artifact what;
-  steady_time sentAt;
+  steady_time sentAt;      ///< or is to be sent then
   bool isAccepted = false; ///< it is being carried out
+  bool isSent = true;
 };
 
 /// What an engine tells unasked, with its announcements.
@@ -130,6 +131,12 @@
   double rateGain = 0.35;      ///< weight of the newest interval
   double copyRate = 12.0;      ///< requests/s above which a copy is added
   double evictionFactor = 2.0; ///< a copy is worth so many times its victim
+  /// Hosts hear that a model goes so long before its engine is ordered to drop
+  /// it, so that no request meets the order.
+  std::chrono::milliseconds newsTime{ 30 };
+  /// A model that nobody asked for in this time may lose its last copy.
+  std::chrono::milliseconds idleAfter{ 6'000 };
+  std::size_t unloadsAtOnce = 4; ///< engines that make room at the same time
 };
 
 struct tables
@@ -217,6 +224,10 @@
 /// One tick: every system in the order that residency.cpp writes down.
 void RunResidency(tables& aTables, steady_time aNow, outbox& aOutbox);
 
+/// What hosts may send an engine requests for: what it holds and is not about
+/// to drop.
+std::vector<held_model> Serving(const engine_row& aEngine);
+
 /// Bytes that an engine holds, by the declared sizes.
 std::uint64_t HeldBytes(const tables& aTables, const engine_row& aEngine);
 
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -418,6 +418,10 @@
       return false;
     }
     --aTables.endpoints.Find(aAttempt.endpoint)->inFlight;
+    if (aAttempt.gateIncarnation != 0) {
+      aTables.policy.coldGate.leave(aAttempt.endpoint,
+                                    aAttempt.gateIncarnation);
+    }
     return true;
   });
 }
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -118,7 +118,7 @@
   }
   seen.isUsable = true;
   if (aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint) ||
-      aNow < aEndpoint.avoidUntil || !MayStartCold(aEndpoint, aNow)) {
+      aNow < aEndpoint.avoidUntil || !MayStartCold(aTables, aEndpoint, aNow)) {
     return seen;
   }
   if (HasTried(aRequest, aEndpoint.id)) {
@@ -196,6 +196,11 @@
   aRequest.attempt = attempt.id;
   aRequest.state = request_state::eRunning;
   ++aEndpoint.inFlight;
+  if (IsGated(aTables, aEndpoint)) {
+    attempt.gateIncarnation = aEndpoint.facts.incarnation;
+    const steady_time ends = std::max(attempt.dueAt, aRequest.facts.deadline);
+    aTables.policy.coldGate.enter(aEndpoint.facts, ends, aNow);
+  }
   aEndpoint.coldBudget -= aEndpoint.coldStart.isCold ? 1.0 : 0.0;
   attempt.wasBusy = 2 * aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint);
   aOutbox.starts.push_back(
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -73,11 +73,21 @@
   }
 }
 
+bool
+IsGated(const tables& aTables, const endpoint_row& aEndpoint)
+{
+  return aTables.policy.coldGate.isOpen && aEndpoint.coldStart.isCold &&
+         aEndpoint.facts.reportsCold;
+}
+
 // A whole second's share is never saved up: the endpoint bears a rate, not a
 // burst after a pause.
 bool
-MayStartCold(endpoint_row& aEndpoint, steady_time aNow)
+MayStartCold(const tables& aTables, endpoint_row& aEndpoint, steady_time aNow)
 {
+  if (IsGated(aTables, aEndpoint)) {
+    return aTables.policy.coldGate.isOpen(aEndpoint.facts, aNow);
+  }
   const double rate = aEndpoint.facts.coldRate;
   if (!aEndpoint.coldStart.isCold || rate <= 0) {
     return true;
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -29,7 +29,12 @@
 retry_row& RetriesOf(tables& aTables, service_id aService);
 
 /// Whether a cold endpoint bears one request more now.
-bool MayStartCold(endpoint_row& aEndpoint, steady_time aNow);
+bool MayStartCold(const tables& aTables,
+                  endpoint_row& aEndpoint,
+                  steady_time aNow);
+
+/// True when all hosts together bound what the endpoint is sent.
+bool IsGated(const tables& aTables, const endpoint_row& aEndpoint);
 
 /// Drops an endpoint to its cold limit.
 void DropToCold(endpoint_row& aEndpoint);
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -64,7 +64,9 @@
   bool echoesAttempt = true; ///< plain services may not
   bool reportsCold = false;  ///< its own report says cold
   bool saysWhenCold = false; ///< warm unless its report says cold
-  double coldRate = 0; ///< requests/s from this thread while cold; 0: no limit
+  /// Requests/s while it is cold, of all hosts that share the gate; 0: no
+  /// limit.
+  double coldRate = 0;
   std::uint32_t slots = 0;               ///< concurrent requests when warm
   std::uint32_t coldSlots = 1;           ///< concurrent requests when cold
   std::uint32_t allottedSlots = 0;       ///< of these, for this traffic thread
@@ -260,6 +262,7 @@
   request_id request;
   endpoint_id endpoint;
   std::uint32_t coldEpoch = 0;
+  std::uint64_t gateIncarnation = 0; ///< of its endpoint; 0: not gated
   bool wasBusy = false; ///< its endpoint was at half its limit or above
   attempt_state state = attempt_state::eStarted;
   bool isTouched = false; ///< the transport told something of it
@@ -327,12 +330,28 @@
 /// the hook is asked: it cannot allow a second run.
 using retry_hook = std::function<bool(const retry_input&)>;
 
+/// What all hosts together may send a cold endpoint. Each hook is asked about
+/// an endpoint that says it is cold.
+struct cold_gate
+{
+  /// Whether one more attempt may start now.
+  std::function<bool(const endpoint_facts&, steady_time aNow)> isOpen;
+  /// Takes room for an attempt that ends by aEnds at the latest; only after
+  /// isOpen in the same tick.
+  std::function<
+    void(const endpoint_facts&, steady_time aEnds, steady_time aNow)>
+    enter;
+  /// The attempt has ended.
+  std::function<void(endpoint_id, std::uint64_t aIncarnation)> leave;
+};
+
 struct hooks
 {
   score_hook score;
   pick_hook pick;
   cold_start_hook detectColdStart;
   retry_hook retry;
+  cold_gate coldGate; ///< not set: this thread is the only one that sends
 };
 
 double ScoreByLoadAndPrefix(const score_input& aInput);
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -34,7 +34,8 @@
   return { ScoreByLoadAndPrefix,
            PickTwoRandom,
            DetectByRefusalOrJump,
-           RetryWithinBudget };
+           RetryWithinBudget,
+           {} };
 }
 
 void
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -604,6 +604,18 @@
   Put(aFrom.grant, *aTo.mutable_share_grant());
 }
 
+void
+PutBody(const rates::draw& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom, *aTo.mutable_token_draw());
+}
+
+void
+PutBody(const rates::drawn& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom, *aTo.mutable_token_answer());
+}
+
 std::optional<message_body>
 GetBody(const pb::ShareRenewal& aFrom, steady_time)
 {
@@ -626,6 +638,20 @@
   return share_grant{ std::move(*grant) };
 }
 
+std::optional<message_body>
+GetBody(const pb::TokenDraw& aFrom, steady_time)
+{
+  auto draw = Get(aFrom);
+  return draw ? std::optional<message_body>(std::move(*draw)) : std::nullopt;
+}
+
+std::optional<message_body>
+GetBody(const pb::TokenAnswer& aFrom, steady_time)
+{
+  auto drawn = Get(aFrom);
+  return drawn ? std::optional<message_body>(std::move(*drawn)) : std::nullopt;
+}
+
 std::optional<message_body>
 GetReplicaMessage(const std::string& aBytes)
 {
@@ -696,6 +722,10 @@
       return GetBody(aFrom.wanted_models(), aNow);
     case pb::Envelope::kHeldUpdate:
       return GetBody(aFrom.held_update(), aNow);
+    case pb::Envelope::kTokenDraw:
+      return GetBody(aFrom.token_draw(), aNow);
+    case pb::Envelope::kTokenAnswer:
+      return GetBody(aFrom.token_answer(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/wire/share_codec.cpp
+++ b/src/wire/share_codec.cpp
@@ -27,7 +27,8 @@
 Get(const pb::Resource& aFrom)
 {
   const auto kind = static_cast<resource_kind>(aFrom.kind());
-  if (kind != resource_kind::eRate && kind != resource_kind::eSlots) {
+  if (kind != resource_kind::eRate && kind != resource_kind::eSlots &&
+      kind != resource_kind::eColdRate) {
     return std::nullopt;
   }
   return admission::resource{ kind, aFrom.subject(), aFrom.incarnation() };
@@ -138,4 +139,58 @@
   return grant;
 }
 
+void
+Put(const rates::draw& aFrom, pb::TokenDraw& aTo)
+{
+  aTo.set_sequence(aFrom.sequence);
+  for (const rates::draw_row& from : aFrom.rows) {
+    pb::DrawRow& to = *aTo.add_rows();
+    Put(from.what, *to.mutable_what());
+    to.set_units(from.units);
+  }
+}
+
+std::optional<rates::draw>
+Get(const pb::TokenDraw& aFrom)
+{
+  rates::draw draw;
+  draw.sequence = aFrom.sequence();
+  for (const pb::DrawRow& row : aFrom.rows()) {
+    const auto what = Get(row.what());
+    if (!what || row.units() < 0) {
+      return std::nullopt;
+    }
+    draw.rows.push_back({ *what, row.units() });
+  }
+  return draw;
+}
+
+void
+Put(const rates::drawn& aFrom, pb::TokenAnswer& aTo)
+{
+  aTo.set_sequence(aFrom.sequence);
+  for (const rates::drawn_row& from : aFrom.rows) {
+    pb::DrawnRow& to = *aTo.add_rows();
+    Put(from.what, *to.mutable_what());
+    to.set_units(from.units);
+    to.set_refills_in_ns(from.refillsIn.count());
+  }
+}
+
+std::optional<rates::drawn>
+Get(const pb::TokenAnswer& aFrom)
+{
+  rates::drawn drawn;
+  drawn.sequence = aFrom.sequence();
+  for (const pb::DrawnRow& row : aFrom.rows()) {
+    const auto what = Get(row.what());
+    if (!what || row.units() < 0) {
+      return std::nullopt;
+    }
+    drawn.rows.push_back(
+      { *what, row.units(), nanoseconds{ row.refills_in_ns() } });
+  }
+  return drawn;
+}
+
 } // namespace bulrush::wire
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -8,6 +8,7 @@
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
 #include "placement/placement.hpp"
+#include "rates/rates.hpp"
 #include "replication/replication.hpp"
 
 namespace bulrush::wire {
@@ -251,7 +252,9 @@
                                   replica_hello,
                                   replace_call,
                                   wanted_models,
-                                  held_update>;
+                                  held_update,
+                                  rates::draw,
+                                  rates::drawn>;
 
 struct message
 {
--- a/tests/residency/residency_test.cpp
+++ b/tests/residency/residency_test.cpp
@@ -46,6 +46,7 @@
                                              { Adapter(2), Model(1), 1 },
                                              { Adapter(3), Model(1), 1 } };
     OnManifest(state, models, adapters, 2.0);
+    state.options.newsTime = std::chrono::milliseconds(0);
   }
 
   void Announce(std::uint64_t aEngine,
@@ -190,6 +191,75 @@
   CHECK(out.asks.size() == 1);
 }
 
+TEST_CASE_METHOD(residency_fixture,
+                 "Unload_BeforeItIsSent_IsToldToTheHosts",
+                 "[residency]")
+{
+  state.options.newsTime = std::chrono::milliseconds(30);
+  Lead();
+  Announce(1, { { Model(1), {} }, { Model(2), {} } });
+  Announce(2, { { Model(1), {} }, { Model(2), {} } });
+  Run();
+  State(1, 0, { { Model(1), {} }, { Model(2), {} } });
+  State(2, 0, { { Model(1), {} }, { Model(2), {} } });
+  Run();
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  Run();
+  CHECK(out.orders.empty());
+  REQUIRE(out.changed.size() == 1);
+  const engine_row& engine = *state.engines.Find(out.changed[0]);
+  CHECK(Serving(engine).size() == 1);
+  CHECK(engine.held.size() == 2);
+  Run(std::chrono::milliseconds(30));
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].kind == order_kind::eUnloadModel);
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Engines_WhenSeveralModelsAreMissing_MakeRoomAtTheSameTime",
+                 "[residency]")
+{
+  const std::vector<model_row> models{ { Model(1), kPool, 60 },
+                                       { Model(2), kPool, 60 },
+                                       { Model(3), kPool, 60 },
+                                       { Model(4), kPool, 60 } };
+  OnManifest(state, models, {}, 2.0);
+  Lead();
+  for (const std::uint64_t engine : { 1, 2, 3 }) {
+    Announce(engine, { { Model(1), {} }, { Model(2), {} } });
+  }
+  Run();
+  for (const std::uint64_t engine : { 1, 2, 3 }) {
+    State(engine, 0, { { Model(1), {} }, { Model(2), {} } });
+  }
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  OnDemand(state, { Model(4), {} }, 3, 3, now);
+  Run();
+  REQUIRE(out.orders.size() == 2);
+  CHECK(out.orders[0].endpoint != out.orders[1].endpoint);
+  CHECK(out.orders[0].kind == order_kind::eUnloadModel);
+  CHECK(out.orders[1].kind == order_kind::eUnloadModel);
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "LastCopy_OfAModelThatNobodyAsksForAnyMore_MakesRoom",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), {} }, { Model(2), {} } });
+  Run();
+  State(1, 0, { { Model(1), {} }, { Model(2), {} } });
+  OnDemand(state, { Model(1), {} }, 3, 0, now);
+  OnDemand(state, { Model(2), {} }, 3, 0, now);
+  Run(state.options.idleAfter);
+  OnDemand(state, { Model(1), {} }, 3, 0, now);
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].kind == order_kind::eUnloadModel);
+  CHECK(out.orders[0].what.model == Model(2));
+}
+
 // An engine as its contract describes it: it crashes when it is ordered beyond
 // its memory or places, and carries an order out only on its condition.
 struct contract_engine
