--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -3,10 +3,47 @@
 /// orders, and news for the hosts.
 
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_part kLog{ "residency" };
+
+const char*
+NameOf(residency::order_kind aKind)
+{
+  switch (aKind) {
+    case residency::order_kind::eLoadModel:
+      return "load_model";
+    case residency::order_kind::eUnloadModel:
+      return "unload_model";
+    case residency::order_kind::eLoadAdapter:
+      return "load_adapter";
+    case residency::order_kind::eUnloadAdapter:
+      return "unload_adapter";
+  }
+  return "unknown";
+}
+
+const char*
+NameOf(residency::order_answer aAnswer)
+{
+  switch (aAnswer) {
+    case residency::order_answer::eAccepted:
+      return "accepted";
+    case residency::order_answer::eHeld:
+      return "held";
+    case residency::order_answer::eConflict:
+      return "conflict";
+    case residency::order_answer::eRefused:
+      return "refused";
+    case residency::order_answer::eNone:
+      return "none";
+  }
+  return "unknown";
+}
+
 /// A host that has asked for nothing for so long is told nothing unasked.
 constexpr std::chrono::seconds kHostSilence{ 5 };
 
@@ -95,6 +132,12 @@
   const bool mayOrder = leads && leads->holdsLease;
   const steady_time from =
     leads ? aNow + leads->formerLease + aTables.residency.handOver : aNow;
+  if (mayOrder != aTables.residency.decisions.mayOrder) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             mayOrder ? "may_order" : "may_order_no_more",
+             { { "term", std::to_string(leads ? leads->term : 0) } });
+  }
   residency::OnLeadership(aTables.residency.decisions, mayOrder, from);
 }
 
@@ -105,6 +148,7 @@
 {
   residency::tables& decisions = aTables.residency.decisions;
   for (const engine_answer& answer : aTables.residency.answers) {
+    LogAnswer(aTables, answer);
     if (answer.order) {
       residency::OnAnswer(
         decisions, answer.engine, *answer.order, aNow, aOutbox);
@@ -137,6 +181,49 @@
   aTables.residency.held.Insert(std::move(row));
 }
 
+void
+LogOrder(const control_tables& aTables,
+         const residency::send_order& aOrder,
+         const engine_order& aSent)
+{
+  const residency::want_row* want =
+    aTables.residency.decisions.wants.Find(residency::WantOf(aOrder.what));
+  LogEvent(kLog,
+           log_level::eInfo,
+           "order_sent",
+           { { "order", NameOf(aOrder.kind) },
+             { "endpoint", aSent.endpoint },
+             { "model", aSent.model },
+             { "adapter", aSent.adapter },
+             { "expected_orders", std::to_string(aSent.expectedOrders) },
+             { "term", std::to_string(aSent.fence) },
+             { "requests_per_s",
+               fmt::format("{:.1f}", want == nullptr ? 0 : want->rate) },
+             { "waiting",
+               std::to_string(want == nullptr ? 0 : want->waiting) } });
+}
+
+void
+LogAnswer(const control_tables& aTables, const engine_answer& aAnswer)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aAnswer.engine);
+  const std::string name = known == nullptr ? "" : known->row.name;
+  if (aAnswer.order) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "order_answered",
+             { { "endpoint", name }, { "answer", NameOf(*aAnswer.order) } });
+  } else if (aAnswer.state) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "engine_state",
+             { { "endpoint", name },
+               { "orders", std::to_string(aAnswer.state->orderCount) },
+               { "busy", aAnswer.state->isBusy ? "yes" : "no" },
+               { "models", std::to_string(aAnswer.state->held.size()) } });
+  }
+}
+
 void
 SendOrders(const control_tables& aTables,
            const residency::outbox& aDecided,
@@ -161,6 +248,7 @@
     sent.expectedOrders = order.expectedOrders;
     sent.holder = aTables.self.name;
     sent.fence = leads->term;
+    LogOrder(aTables, order, sent);
     aOutbox.engineOrders.emplace_back(order.endpoint, std::move(sent));
   }
   for (const residency::ask_engine& ask : aDecided.asks) {
