--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -47,6 +47,49 @@
 /// A host that has asked for nothing for so long is told nothing unasked.
 constexpr std::chrono::seconds kHostSilence{ 5 };
 
+void
+LogOrder(const control_tables& aTables,
+         const residency::send_order& aOrder,
+         const engine_order& aSent)
+{
+  const residency::want_row* want =
+    aTables.residency.decisions.wants.Find(residency::WantOf(aOrder.what));
+  LogEvent(kLog,
+           log_level::eInfo,
+           "order_sent",
+           { { "order", NameOf(aOrder.kind) },
+             { "endpoint", aSent.endpoint },
+             { "model", aSent.model },
+             { "adapter", aSent.adapter },
+             { "expected_orders", std::to_string(aSent.expectedOrders) },
+             { "term", std::to_string(aSent.fence) },
+             { "requests_per_s",
+               fmt::format("{:.1f}", want == nullptr ? 0 : want->rate) },
+             { "waiting",
+               std::to_string(want == nullptr ? 0 : want->waiting) } });
+}
+
+void
+LogAnswer(const control_tables& aTables, const engine_answer& aAnswer)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aAnswer.engine);
+  const std::string name = known == nullptr ? "" : known->row.name;
+  if (aAnswer.order) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "order_answered",
+             { { "endpoint", name }, { "answer", NameOf(*aAnswer.order) } });
+  } else if (aAnswer.state) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "engine_state",
+             { { "endpoint", name },
+               { "orders", std::to_string(aAnswer.state->orderCount) },
+               { "busy", aAnswer.state->isBusy ? "yes" : "no" },
+               { "models", std::to_string(aAnswer.state->held.size()) } });
+  }
+}
+
 const service_row*
 ServiceOf(const control_tables& aTables, const endpoint_row& aRow)
 {
@@ -181,49 +224,6 @@
   aTables.residency.held.Insert(std::move(row));
 }
 
-void
-LogOrder(const control_tables& aTables,
-         const residency::send_order& aOrder,
-         const engine_order& aSent)
-{
-  const residency::want_row* want =
-    aTables.residency.decisions.wants.Find(residency::WantOf(aOrder.what));
-  LogEvent(kLog,
-           log_level::eInfo,
-           "order_sent",
-           { { "order", NameOf(aOrder.kind) },
-             { "endpoint", aSent.endpoint },
-             { "model", aSent.model },
-             { "adapter", aSent.adapter },
-             { "expected_orders", std::to_string(aSent.expectedOrders) },
-             { "term", std::to_string(aSent.fence) },
-             { "requests_per_s",
-               fmt::format("{:.1f}", want == nullptr ? 0 : want->rate) },
-             { "waiting",
-               std::to_string(want == nullptr ? 0 : want->waiting) } });
-}
-
-void
-LogAnswer(const control_tables& aTables, const engine_answer& aAnswer)
-{
-  const known_endpoint* known = aTables.endpoints.Find(aAnswer.engine);
-  const std::string name = known == nullptr ? "" : known->row.name;
-  if (aAnswer.order) {
-    LogEvent(kLog,
-             log_level::eInfo,
-             "order_answered",
-             { { "endpoint", name }, { "answer", NameOf(*aAnswer.order) } });
-  } else if (aAnswer.state) {
-    LogEvent(kLog,
-             log_level::eInfo,
-             "engine_state",
-             { { "endpoint", name },
-               { "orders", std::to_string(aAnswer.state->orderCount) },
-               { "busy", aAnswer.state->isBusy ? "yes" : "no" },
-               { "models", std::to_string(aAnswer.state->held.size()) } });
-  }
-}
-
 void
 SendOrders(const control_tables& aTables,
            const residency::outbox& aDecided,
