Load no model that nobody asks for; keep new copies; send first requests away while they can come back

Streams waited for a model until their callers had left after 2 s (961 of them). Ruled out: the store's pace (59 loads in 50 s of 140).

--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -54,19 +54,19 @@
 {
   const residency::want_row* want =
     aTables.residency.decisions.wants.Find(residency::WantOf(aOrder.what));
-  LogEvent(kLog,
-           log_level::eInfo,
-           "order_sent",
-           { { "order", NameOf(aOrder.kind) },
-             { "endpoint", aSent.endpoint },
-             { "model", aSent.model },
-             { "adapter", aSent.adapter },
-             { "expected_orders", std::to_string(aSent.expectedOrders) },
-             { "term", std::to_string(aSent.fence) },
-             { "requests_per_s",
-               fmt::format("{:.1f}", want == nullptr ? 0 : want->rate) },
-             { "waiting",
-               std::to_string(want == nullptr ? 0 : want->waiting) } });
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "order_sent",
+    { { "order", NameOf(aOrder.kind) },
+      { "endpoint", aSent.endpoint },
+      { "model", aSent.model },
+      { "adapter", aSent.adapter },
+      { "expected_orders", std::to_string(aSent.expectedOrders) },
+      { "term", std::to_string(aSent.fence) },
+      { "requests_per_s",
+        fmt::format("{:.1f}", want == nullptr ? 0 : want->rate) },
+      { "waiting", std::to_string(want == nullptr ? 0 : want->waiting) } });
 }
 
 void
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -13,6 +13,8 @@
 constexpr int kUnavailable = 503;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
+/// A model that no endpoint holds takes seconds to load.
+constexpr std::chrono::milliseconds kRetryWhenMissing{ 2'000 };
 /// Part of the fleet's allowance that hosts use; the rest is for those that are
 /// counted late after they started.
 constexpr double kRetriesUsed = 0.75;
@@ -143,7 +145,9 @@
     error.status = kUnavailable; // it may safely be sent again
   }
   if (found->isWorthRetrying) {
-    error.retryAfter = kRetryAfter;
+    error.retryAfter = aEnd.outcome == request_outcome::eNotResident
+                         ? kRetryWhenMissing
+                         : kRetryAfter;
   }
   return error;
 }
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -13,6 +13,13 @@
 // comes whole is not cut off before it can have been generated.
 constexpr std::chrono::milliseconds kExpectedPerToken{ 50 };
 constexpr std::size_t kMaxIdempotencyKey = 128;
+/// Callers leave a stream without its first event after the longest of these.
+/// Source: docs/PLATFORM.md.
+constexpr std::chrono::milliseconds kLeastPatience{ 2'000 };
+constexpr int kTargetsOfPatience = 4;
+constexpr int kGapsOfPatience = 8;
+/// A request that has used up less of its time is its caller's first.
+constexpr std::chrono::milliseconds kOnTheWay{ 100 };
 constexpr int kRankStep = 1'000; // a workspace's rank goes before a route's
 
 caller_error
@@ -104,6 +111,28 @@
   return true;
 }
 
+// A caller leaves a stream that begins too late. One that asks for the first
+// time is better sent away in time to come back; later it is held for as long
+// as it may still wait.
+steady_time
+PlaceBy(const route_row& aRoute,
+        std::chrono::milliseconds aTimeLeft,
+        steady_time aNow)
+{
+  if (!aRoute.isStreamed || aRoute.target.count() == 0) {
+    return steady_time::max();
+  }
+  const std::chrono::milliseconds leaves =
+    std::max({ kLeastPatience,
+               aRoute.target * kTargetsOfPatience,
+               aRoute.targetGap * kGapsOfPatience });
+  if (leaves >= aTimeLeft) {
+    return steady_time::max();
+  }
+  const bool isFirst = aTimeLeft + kOnTheWay >= aRoute.deadline;
+  return aNow + (isFirst ? aRoute.target : leaves);
+}
+
 // A stream that may be resumed may as well begin anew; any other runs once.
 void
 SetRoute(const resolve_context& aIn,
@@ -122,6 +151,7 @@
     aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
   facts.deadline = std::chrono::steady_clock::now() + patience;
   facts.endBy = facts.deadline;
+  facts.placeBy = PlaceBy(aRoute, patience, std::chrono::steady_clock::now());
   facts.target = aRoute.target;
   facts.targetGap = aRoute.targetGap;
   facts.prefix = PrefixOf(aCall.prompt);
--- a/src/residency/engines.cpp
+++ b/src/residency/engines.cpp
@@ -74,6 +74,17 @@
   return aKind == order_kind::eLoadModel || aKind == order_kind::eUnloadModel;
 }
 
+void
+NoteLoad(engine_row& aEngine, const open_order& aOrder, steady_time aNow)
+{
+  std::erase_if(aEngine.loads, [&](const loaded_model& aLoad) {
+    return aLoad.model == aOrder.what.model;
+  });
+  if (aOrder.kind == order_kind::eLoadModel) {
+    aEngine.loads.push_back({ aOrder.what.model, aNow });
+  }
+}
+
 bool
 IsUnload(order_kind aKind)
 {
@@ -95,6 +106,7 @@
                 [&](const held_model& aHeld) { return aHeld.model == model; });
   const bool isWanted = aEngine.open->kind == order_kind::eLoadModel;
   if (isThere == isWanted) {
+    NoteLoad(aEngine, *aEngine.open, aNow);
     ApplyDone(aEngine, *aEngine.open);
     aEngine.open.reset();
     aEngine.isBusy = false;
--- a/src/residency/models.cpp
+++ b/src/residency/models.cpp
@@ -123,6 +123,18 @@
                                    : aLeft.load < aRight.load;
 }
 
+bool
+IsNew(const settings& aOptions,
+      const engine_row& aEngine,
+      model_id aModel,
+      steady_time aNow)
+{
+  return std::any_of(
+    aEngine.loads.begin(), aEngine.loads.end(), [&](const loaded_model& aLoad) {
+      return aLoad.model == aModel && aNow < aLoad.at + aOptions.leastStay;
+    });
+}
+
 std::optional<victim>
 FindVictim(tables& aTables,
            const std::vector<model_use>& aUses,
@@ -141,7 +153,8 @@
       const auto loss =
         use == nullptr ? 0.0 : LossOf(aTables.options, *use, aNow);
       const std::uint64_t bytes = use == nullptr ? 0 : use->model->bytes;
-      if (!loss || FreeBytes(aTables, engine) + bytes < aFor.bytes) {
+      if (!loss || FreeBytes(aTables, engine) + bytes < aFor.bytes ||
+          IsNew(aTables.options, engine, held.model, aNow)) {
         continue;
       }
       const victim found{ &engine, held.model, *loss, load };
@@ -183,11 +196,15 @@
 // Missing models first, the ones with most callers before the others; then the
 // copies that take most pressure away.
 std::vector<need>
-FindNeeds(const settings& aOptions, const std::vector<model_use>& aUses)
+FindNeeds(const settings& aOptions,
+          const std::vector<model_use>& aUses,
+          steady_time aNow)
 {
   std::vector<need> needs;
   for (const model_use& use : aUses) {
-    const bool isAsked = use.rate > 0 || use.waiting > 0;
+    const bool isAsked =
+      use.waiting > 0 ||
+      (use.rate > 0 && aNow < use.askedAt + aOptions.idleAfter);
     if (use.copies == 0 && isAsked) {
       needs.push_back({ &use, kWorthOfFirstCopy + use.waiting + use.rate });
     } else if (use.copies > 0 && use.Pressure(0) > aOptions.copyRate) {
@@ -267,7 +284,7 @@
   std::size_t unloading = CountUnloading(aTables);
   std::size_t promised = unloading; // rooms that are being made
   bool hasLoaded = false;
-  for (const need& next : FindNeeds(aTables.options, uses)) {
+  for (const need& next : FindNeeds(aTables.options, uses, aNow)) {
     if (engine_row* room = FindRoom(aTables, uses, *next.use->model)) {
       if (mayLoad && !hasLoaded) {
         Load(aTables, *room, *next.use->model, aNow, aOutbox);
--- a/src/residency/residency.hpp
+++ b/src/residency/residency.hpp
@@ -92,6 +92,13 @@
   std::vector<held_model> held; ///< adapters on their way among them
 };
 
+/// When an engine was found to have loaded a model.
+struct loaded_model
+{
+  model_id model;
+  steady_time at;
+};
+
 struct engine_row
 {
   endpoint_id id;
@@ -100,6 +107,7 @@
   std::uint64_t orderCount = 0;
   bool isBusy = false;
   std::vector<held_model> held;
+  std::vector<loaded_model> loads; ///< of models, latest ones
   std::optional<open_order> open;
   bool isAsked = false;
   steady_time askFrom;                  ///< not to be asked earlier
@@ -136,6 +144,9 @@
   std::chrono::milliseconds newsTime{ 30 };
   /// A model that nobody asked for in this time may lose its last copy.
   std::chrono::milliseconds idleAfter{ 6'000 };
+  /// A copy stays so long after its load: what it was loaded for takes a while
+  /// to arrive, and a load is dear.
+  std::chrono::milliseconds leastStay{ 4'000 };
   std::size_t unloadsAtOnce = 4; ///< engines that make room at the same time
 };
 
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -491,6 +491,10 @@
     }
     const choice chosen = ChooseOnce(aTables, request, aNow);
     request.wasNotResident = chosen.failure == choice_failure::eNotResident;
+    if (chosen.failure && aNow >= request.facts.placeBy) {
+      EndWaiting(aTables, request, aNow, aOutbox);
+      continue;
+    }
     if (chosen.failure == choice_failure::eNoSlot) {
       WakeForAvoided(aTables, aNow, aOutbox.wake);
     }
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -92,7 +92,8 @@
 {
   switch (aRequest.state) {
     case request_state::eReady:
-      aWake.NoLaterThan(std::min(aRequest.facts.deadline, aOptions.placeBy));
+      aWake.NoLaterThan(std::min(
+        { aRequest.facts.deadline, aRequest.facts.placeBy, aOptions.placeBy }));
       break;
     case request_state::eAwaitingClaim:
     case request_state::eAbandonedClaim:
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -189,6 +189,8 @@
   std::string idempotencyKey; ///< empty: none
   key_hash bodyDigest;
   steady_time deadline; ///< of the answer; of a stream its first byte
+  /// Waits for an endpoint until then; later it would be of no use.
+  steady_time placeBy = steady_time::max();
   std::chrono::milliseconds expected{
     0
   }; ///< time to the first byte; 0: unknown
--- a/tests/residency/residency_test.cpp
+++ b/tests/residency/residency_test.cpp
@@ -260,6 +260,40 @@
   CHECK(out.orders[0].what.model == Model(2));
 }
 
+TEST_CASE_METHOD(residency_fixture,
+                 "Model_ThatNobodyAsksForAnyMore_IsNotLoadedAgain",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, {});
+  Run();
+  State(1, 0, {});
+  OnDemand(state, { Model(1), {} }, 3, 0, now);
+  Run(std::chrono::milliseconds(500));
+  out = {};
+  state.engines.Find(Engine(1))->open.reset();
+  Run(state.options.idleAfter);
+  CHECK(state.wants.Size() == 1); // its average is not down to nothing yet
+  CHECK(out.orders.empty());
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Copy_ThatWasLoadedLately_IsNotDisplaced",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), {} }, { Model(2), {} } });
+  Run();
+  State(1, 0, { { Model(1), {} }, { Model(2), {} } });
+  state.engines.Find(Engine(1))->loads = { { Model(1), now },
+                                           { Model(2), now } };
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  Run();
+  CHECK(out.orders.empty());
+  Run(state.options.leastStay);
+  CHECK(out.orders.size() == 1);
+}
+
 // An engine as its contract describes it: it crashes when it is ordered beyond
 // its memory or places, and carries an order out only on its condition.
 struct contract_engine
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -264,6 +264,22 @@
   CHECK(out.starts.empty());
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Request_WhenItsModelIsNowhereUntilItIsOfNoUse_IsSentAway",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.model = IdOf<model_id>("not loaded");
+  facts.placeBy = now + milliseconds{ 500 };
+  REQUIRE(AddRequest(engine, facts));
+  RunOnce();
+  CHECK(out.wake.at == facts.placeBy);
+  RunOnce(milliseconds{ 498 });
+  CHECK(out.ends.empty());
+  RunOnce();
+  CheckEnd(request_outcome::eNotResident, ran_state::eNotRun);
+}
+
 TEST_CASE_METHOD(retry_fixture,
                  "Endpoint_WhenItCannotBeReached_IsLeftToTheLast",
                  "[routing]")
