--- /dev/null
+++ b/src/entry/outcomes.cpp
@@ -0,0 +1,143 @@
+#include "entry/outcomes.hpp"
+
+#include <algorithm>
+
+namespace bulrush::entry {
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr std::chrono::milliseconds kRetryAfter{ 250 };
+/// A model that no endpoint holds takes seconds to load.
+constexpr std::chrono::milliseconds kRetryWhenMissing{ 2'000 };
+
+/// What a caller is told for each outcome but an answer.
+struct outcome_text
+{
+  routing::request_outcome outcome;
+  int status;
+  const char* code;
+  const char* text;
+  bool isWorthRetrying;
+};
+
+using routing::request_outcome;
+
+constexpr std::array<outcome_text, 13> kOutcomes{ {
+  { request_outcome::eInProgress,
+    409,
+    "in_progress",
+    "a request with this Idempotency-Key is running",
+    true },
+  { request_outcome::eClaimUncertain,
+    409,
+    "may_have_run",
+    "a request with this Idempotency-Key may have run",
+    false },
+  { request_outcome::eNoQuorum,
+    503,
+    "no_quorum",
+    "the Idempotency-Key could not be claimed",
+    true },
+  { request_outcome::eDigestMismatch,
+    422,
+    "claim_mismatch",
+    "the Idempotency-Key was used with another request",
+    false },
+  { request_outcome::eNotResident,
+    503,
+    "no_endpoint",
+    "no endpoint can serve this now",
+    true },
+  { request_outcome::eNoSlot,
+    503,
+    "overloaded",
+    "no endpoint had room before the deadline",
+    true },
+  { request_outcome::eDeadline,
+    504,
+    "deadline_passed",
+    "no answer came before the deadline",
+    false },
+  { request_outcome::eRefused,
+    503,
+    "overloaded",
+    "the endpoint refused the request",
+    true },
+  { request_outcome::eUnreachable,
+    503,
+    "endpoint_failed",
+    "no endpoint could be reached",
+    true },
+  { request_outcome::eLost,
+    502,
+    "endpoint_failed",
+    "the answer was lost",
+    false },
+  { request_outcome::eBrokenStream,
+    502,
+    "endpoint_failed",
+    "the stream broke off",
+    false },
+  { request_outcome::eKeyWithdrawn,
+    401,
+    "key_withdrawn",
+    "the key was withdrawn",
+    false },
+  { request_outcome::eCallerGone, 499, "caller_gone", "", false },
+} };
+
+} // namespace
+
+caller_error
+ErrorOf(const routing::end_request& aEnd)
+{
+  const auto* found = std::find_if(
+    kOutcomes.begin(), kOutcomes.end(), [&](const outcome_text& aRow) {
+      return aRow.outcome == aEnd.outcome;
+    });
+  caller_error error;
+  error.status = found->status;
+  error.code = found->code;
+  error.text = found->text;
+  error.mayHaveRun = aEnd.ran != routing::ran_state::eNotRun;
+  if (!error.mayHaveRun && error.status > kUnavailable) {
+    error.status = kUnavailable; // it may safely be sent again
+  }
+  if (found->isWorthRetrying) {
+    error.retryAfter = aEnd.outcome == request_outcome::eNotResident
+                         ? kRetryWhenMissing
+                         : kRetryAfter;
+  }
+  return error;
+}
+
+std::string
+ContentTypeOf(const std::vector<net::http_field>& aFields)
+{
+  const std::string* type = net::FindField(aFields, "Content-Type");
+  return type == nullptr ? "" : *type;
+}
+
+routing::claim_answer
+ClaimAnswerOf(const wire::command_reply& aReply)
+{
+  if (aReply.outcome != wire::call_outcome::eDecided) {
+    return routing::claim_answer::eNoQuorum;
+  }
+  switch (aReply.result.claim) {
+    case claim_answer::eGranted:
+      return routing::claim_answer::eGranted;
+    case claim_answer::eStored:
+      return routing::claim_answer::eStored;
+    case claim_answer::eInProgress:
+      return routing::claim_answer::eInProgress;
+    case claim_answer::eMayHaveRun:
+      return routing::claim_answer::eMayHaveRun;
+    case claim_answer::eOtherBody:
+      return routing::claim_answer::eDigestMismatch;
+    default:
+      return routing::claim_answer::eNoQuorum;
+  }
+}
+
+} // namespace bulrush::entry
--- /dev/null
+++ b/src/entry/request_log.cpp
@@ -0,0 +1,84 @@
+#include "entry/request_log.hpp"
+
+#include "observe/observe.hpp"
+
+namespace bulrush::entry {
+namespace {
+
+constexpr log_part kLog{ "request" };
+
+std::string
+Milliseconds(std::chrono::nanoseconds aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
+} // namespace
+
+void
+LogAttempt(const routing::tables& aEngine,
+           const routing::start_attempt& aStart,
+           const routed_request& aRequest,
+           const attempt_call& aTold,
+           std::uint64_t aRevision)
+{
+  if (!IsLogged(log_level::eInfo)) {
+    return;
+  }
+  const routing::endpoint_row& endpoint =
+    *aEngine.endpoints.Find(aStart.endpoint);
+  const routing::attempt_row& attempt = *aEngine.attempts.Find(aStart.attempt);
+  const routing::request_row& request = *aEngine.requests.Find(aStart.request);
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "attempt",
+    { { "request", aRequest.callerId },
+      { "number", std::to_string(request.attemptsMade) },
+      { "endpoint", aTold.endpoint },
+      { "waited_ms", Milliseconds(attempt.startedAt - aRequest.arrivedAt) },
+      { "time_left_ms", std::to_string(aTold.timeLeft.count()) },
+      { "own_running", std::to_string(endpoint.inFlight) },
+      { "reported_running", std::to_string(endpoint.facts.reportedInFlight) },
+      { "report_age_ms",
+        Milliseconds(attempt.startedAt - endpoint.facts.reportedAt) },
+      { "cold", endpoint.coldStart.isCold ? "yes" : "no" },
+      { "resumed_at", std::to_string(aStart.resumeOffset) },
+      { "revision", std::to_string(aRevision) } });
+}
+
+void
+LogFailedAttempt(const routed_request& aRequest, const failed_attempt& aAttempt)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "attempt_failed",
+           { { "request", aRequest.callerId },
+             { "endpoint", aAttempt.endpoint },
+             { "how", aAttempt.how },
+             { "status", std::to_string(aAttempt.status) },
+             { "error", aAttempt.error },
+             { "took_ms", Milliseconds(aAttempt.took) } });
+}
+
+void
+LogRequestEnd(const routed_request& aRequest,
+              const routing::end_request& aEnd,
+              int aStatus,
+              steady_time aNow)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "request_ended",
+           { { "request", aRequest.callerId },
+             { "workspace", aRequest.workspaceName },
+             { "path", aRequest.path },
+             { "outcome", routing::Name(aEnd.outcome) },
+             { "ran", routing::Name(aEnd.ran) },
+             { "status", std::to_string(aStatus) },
+             { "step", aEnd.reason.step },
+             { "took_ms", Milliseconds(aNow - aRequest.arrivedAt) } });
+}
+
+} // namespace bulrush::entry
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -2,24 +2,23 @@
 
 #include "entry/answer.hpp"
 #include "entry/endpoint_facts.hpp"
+#include "entry/outcomes.hpp"
+#include "entry/request_log.hpp"
 
 #include <algorithm>
 
 namespace bulrush::entry {
+
+using routing::request_outcome;
+
 namespace {
 
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
-constexpr int kUnavailable = 503;
 constexpr std::chrono::seconds kRecordWithin{ 30 };
-constexpr std::chrono::milliseconds kRetryAfter{ 250 };
-/// A model that no endpoint holds takes seconds to load.
-constexpr std::chrono::milliseconds kRetryWhenMissing{ 2'000 };
 /// Part of the fleet's allowance that hosts use; the rest is for those that are
 /// counted late after they started.
 constexpr double kRetriesUsed = 0.75;
-constexpr std::chrono::milliseconds kTellDemandEvery{ 500 };
-constexpr std::chrono::milliseconds kTellWaitingAgain{ 300 };
 /// Hosts and endpoints of a region are a few milliseconds apart.
 constexpr std::chrono::milliseconds kConnectWithin{ 300 };
 constexpr std::size_t kMostHeldBytes = 33'554'432;
@@ -47,141 +46,14 @@
   request_id request;
   net::http_client::call_number call = 0;
   attempt_call told; ///< what the endpoint was told
+  steady_time startedAt;
+  int status = 0; ///< of its answer; zero: none began
   std::vector<net::http_field> answerFields;
   bool isStreamed = false;
   bool isPaused = false;
   std::unique_ptr<answer_buffer> answer;
 };
 
-/// What a caller is told for each outcome but an answer.
-struct outcome_text
-{
-  routing::request_outcome outcome;
-  int status;
-  const char* code;
-  const char* text;
-  bool isWorthRetrying;
-};
-
-using routing::request_outcome;
-
-constexpr std::array<outcome_text, 13> kOutcomes{ {
-  { request_outcome::eInProgress,
-    409,
-    "in_progress",
-    "a request with this Idempotency-Key is running",
-    true },
-  { request_outcome::eClaimUncertain,
-    409,
-    "may_have_run",
-    "a request with this Idempotency-Key may have run",
-    false },
-  { request_outcome::eNoQuorum,
-    503,
-    "no_quorum",
-    "the Idempotency-Key could not be claimed",
-    true },
-  { request_outcome::eDigestMismatch,
-    422,
-    "claim_mismatch",
-    "the Idempotency-Key was used with another request",
-    false },
-  { request_outcome::eNotResident,
-    503,
-    "no_endpoint",
-    "no endpoint can serve this now",
-    true },
-  { request_outcome::eNoSlot,
-    503,
-    "overloaded",
-    "no endpoint had room before the deadline",
-    true },
-  { request_outcome::eDeadline,
-    504,
-    "deadline_passed",
-    "no answer came before the deadline",
-    false },
-  { request_outcome::eRefused,
-    503,
-    "overloaded",
-    "the endpoint refused the request",
-    true },
-  { request_outcome::eUnreachable,
-    503,
-    "endpoint_failed",
-    "no endpoint could be reached",
-    true },
-  { request_outcome::eLost,
-    502,
-    "endpoint_failed",
-    "the answer was lost",
-    false },
-  { request_outcome::eBrokenStream,
-    502,
-    "endpoint_failed",
-    "the stream broke off",
-    false },
-  { request_outcome::eKeyWithdrawn,
-    401,
-    "key_withdrawn",
-    "the key was withdrawn",
-    false },
-  { request_outcome::eCallerGone, 499, "caller_gone", "", false },
-} };
-
-caller_error
-ErrorOf(const routing::end_request& aEnd)
-{
-  const auto* found = std::find_if(
-    kOutcomes.begin(), kOutcomes.end(), [&](const outcome_text& aRow) {
-      return aRow.outcome == aEnd.outcome;
-    });
-  caller_error error;
-  error.status = found->status;
-  error.code = found->code;
-  error.text = found->text;
-  error.mayHaveRun = aEnd.ran != routing::ran_state::eNotRun;
-  if (!error.mayHaveRun && error.status > kUnavailable) {
-    error.status = kUnavailable; // it may safely be sent again
-  }
-  if (found->isWorthRetrying) {
-    error.retryAfter = aEnd.outcome == request_outcome::eNotResident
-                         ? kRetryWhenMissing
-                         : kRetryAfter;
-  }
-  return error;
-}
-
-// What a stored outcome keeps of the fields.
-std::string
-ContentTypeOf(const std::vector<net::http_field>& aFields)
-{
-  const std::string* type = net::FindField(aFields, "Content-Type");
-  return type == nullptr ? "" : *type;
-}
-
-routing::claim_answer
-ClaimAnswerOf(const wire::command_reply& aReply)
-{
-  if (aReply.outcome != wire::call_outcome::eDecided) {
-    return routing::claim_answer::eNoQuorum;
-  }
-  switch (aReply.result.claim) {
-    case claim_answer::eGranted:
-      return routing::claim_answer::eGranted;
-    case claim_answer::eStored:
-      return routing::claim_answer::eStored;
-    case claim_answer::eInProgress:
-      return routing::claim_answer::eInProgress;
-    case claim_answer::eMayHaveRun:
-      return routing::claim_answer::eMayHaveRun;
-    case claim_answer::eOtherBody:
-      return routing::claim_answer::eDigestMismatch;
-    default:
-      return routing::claim_answer::eNoQuorum;
-  }
-}
-
 } // namespace
 
 class request_runner::implementation
@@ -195,7 +67,7 @@
     : mFront(*aSettings.front)
     , mRetries(aSettings.retries)
     , mOnCommand(std::move(aOnCommand))
-    , mOnDemand(std::move(aOnDemand))
+    , mDemand(std::move(aOnDemand))
     , mTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings), HooksOf(aSettings))
     , mClient(std::move(aClient))
@@ -240,7 +112,7 @@
     aRequest.reply->onGone = [this, id = row.id] { OnGone(id); };
     aRequest.reply->onDrained = [this, id = row.id] { OnDrained(id); };
     ServeDeclaredVersion(aRequest.facts);
-    ++mWanted[{ aRequest.facts.model, aRequest.facts.adapter }].requests;
+    mDemand.Note({ aRequest.facts.model, aRequest.facts.adapter });
     routing::AddRequest(mEngine, aRequest.facts);
     row.request = std::move(aRequest);
     mWaiting.Insert(std::move(row));
@@ -353,6 +225,7 @@
                  const std::vector<net::http_field>& aFields)
   {
     call_row* row = mCalls.Find(aAttempt);
+    row->status = aStatus;
     row->answerFields = mFront.answerFields(aFields);
     if (const auto load = mFront.readLoad(aFields)) {
       TakeLoad(aAttempt, *load);
@@ -400,16 +273,39 @@
         mEngine, aAttempt, first, row.answer->EndWhole(), Now());
     }
     auto how = routing::attempt_end::eLost;
+    const char* text = "lost";
     if (!aEnd.anySent) {
       how = routing::attempt_end::eNotSent;
+      text = "not_sent";
     } else if (aEnd.whole && IsWhole(row)) {
       how = routing::attempt_end::eComplete;
+      text = "answered";
     } else if (row.answer != nullptr) {
       how = routing::attempt_end::eTruncated;
+      text = "truncated";
+    }
+    const bool isSuccess =
+      row.status >= kFirstSuccess && row.status < kFirstRedirect;
+    if (how != routing::attempt_end::eComplete || !isSuccess) {
+      LogFailure(row, text, aEnd.error);
     }
     End(aAttempt, how);
   }
 
+  void LogFailure(const call_row& aRow,
+                  const char* aHow,
+                  const std::string& aError) const
+  {
+    if (const waiting_row* waiting = mWaiting.Find(aRow.request)) {
+      LogFailedAttempt(waiting->request,
+                       { aRow.told.endpoint,
+                         aHow,
+                         aRow.status,
+                         aError,
+                         Now() - aRow.startedAt });
+    }
+  }
+
   // A stream without its end mark broke off, however politely.
   bool IsWhole(const call_row& aRow) const
   {
@@ -452,60 +348,10 @@
     }
     Sweep();
     TellIfIdle();
-    TellDemand(aNow);
+    mDemand.Tell(mEngine, aNow, mOutbox.wake);
     return mOutbox.wake;
   }
 
-  /// What callers ask for since it was told last.
-  struct wanted
-  {
-    std::uint32_t requests = 0;
-    std::uint32_t waiting = 0; ///< now, as nothing holds it
-    steady_time toldWaiting;   ///< when the leader was told of them last
-  };
-
-  // Callers that wait for a model nobody holds are told of at once, and again
-  // when the order that it led to may have been lost.
-  bool CountWaiting(steady_time aNow)
-  {
-    for (auto& [key, each] : mWanted) {
-      each.waiting = 0;
-    }
-    for (const request_id id : mEngine.attention) {
-      const routing::request_row& row = *mEngine.requests.Find(id);
-      if (row.state == routing::request_state::eReady && row.wasNotResident) {
-        ++mWanted[{ row.facts.model, row.facts.adapter }].waiting;
-      }
-    }
-    return std::any_of(mWanted.begin(), mWanted.end(), [&](const auto& aEntry) {
-      return aEntry.second.waiting > 0 &&
-             aEntry.second.toldWaiting + kTellWaitingAgain <= aNow;
-    });
-  }
-
-  void TellDemand(steady_time aNow)
-  {
-    const bool isUrgent = CountWaiting(aNow);
-    if (!isUrgent && aNow < mNextDemand) {
-      if (!mWanted.empty()) {
-        mOutbox.wake.NoLaterThan(mNextDemand);
-      }
-      return;
-    }
-    std::vector<wire::wanted_model> told;
-    for (auto& [key, each] : mWanted) {
-      told.push_back({ key.model, key.adapter, each.requests, each.waiting });
-      each.requests = 0;
-      each.toldWaiting = each.waiting > 0 ? aNow : steady_time{};
-    }
-    std::erase_if(
-      mWanted, [](const auto& aEntry) { return aEntry.second.waiting == 0; });
-    mNextDemand = aNow + kTellDemandEvery;
-    if (!told.empty()) {
-      mOnDemand(std::move(told));
-    }
-  }
-
   void TellIfIdle()
   {
     if (mOnIdle && mWaiting.Empty()) {
@@ -547,7 +393,10 @@
     call.freshConnection = aStart.freshConnection;
     call.connectTimeout = std::min(kConnectWithin, aStart.timeout);
     const attempt_id attempt = aStart.attempt;
+    LogAttempt(
+      mEngine, aStart, waiting.request, row.told, mView.fleet->revision);
     row.id = attempt;
+    row.startedAt = Now();
     row.request = aStart.request;
     row.isStreamed = waiting.request.facts.isStreamed;
     row.call = mClient->Start(
@@ -590,6 +439,7 @@
   {
     if (const call_row* row = mCalls.Find(aAttempt)) {
       mClient->Cancel(row->call);
+      LogFailure(*row, "given_up", "");
       End(aAttempt, routing::attempt_end::eCancelled);
     }
   }
@@ -635,6 +485,7 @@
   {
     waiting_row& row = *mWaiting.Find(aEnd.request);
     mAnswered.push_back(aEnd.request);
+    LogRequestEnd(row.request, aEnd, StatusOf(aEnd, row), Now());
     net::http_reply& reply = *row.request.reply;
     reply.onGone = nullptr;
     reply.onDrained = nullptr;
@@ -658,6 +509,17 @@
     }
   }
 
+  // That the caller is told; zero when nobody is there to be told.
+  static int StatusOf(const routing::end_request& aEnd, const waiting_row& aRow)
+  {
+    if (aEnd.outcome == request_outcome::eCallerGone) {
+      return 0;
+    }
+    const bool isAnswer = aEnd.outcome == request_outcome::eAnswered ||
+                          aEnd.outcome == request_outcome::eStoredAnswer;
+    return isAnswer || aRow.isStarted ? aRow.status : ErrorOf(aEnd).status;
+  }
+
   // What a stream used is not known, so its whole bound counts.
   std::optional<std::int64_t> UsedTokens(const routing::end_request& aEnd,
                                          const waiting_row& aRow) const
@@ -772,10 +634,7 @@
   const front_end& mFront;
   retry_allowance mRetries;
   commit_hook mOnCommand;
-  demand_hook mOnDemand;
-  std::unordered_map<routing::model_key, wanted, routing::model_key_hash>
-    mWanted;
-  steady_time mNextDemand;
+  demand_teller mDemand;
   random_engine mTokens;
   traffic_view mView;
   routing::tables mEngine;
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -4,6 +4,7 @@
 /// Carries out what the routing library decides for one traffic thread: calls
 /// to endpoints, answers to callers, claims in the fleet's log.
 
+#include "entry/demand.hpp"
 #include "entry/entry.hpp"
 #include "entry/tables.hpp"
 #include "net/net.hpp"
@@ -19,8 +20,9 @@
   routing::request_facts facts;
   net::http_call call; ///< without address, attempt and connection
   std::string path;
-  std::string target; ///< path and query, as the caller sent them
-  std::string callerId;
+  std::string target;   ///< path and query, as the caller sent them
+  std::string callerId; ///< the caller's own name for it, or this host's
+  steady_time arrivedAt;
   std::string workspaceName;
   std::string resumeAfter; ///< id of the last event that the caller has
   std::shared_ptr<net::http_reply> reply;
@@ -49,9 +51,6 @@
 using commit_hook =
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>;
 
-/// Tells the control thread what callers ask for.
-using demand_hook = std::function<void(std::vector<wire::wanted_model>)>;
-
 class request_runner
 {
 public:
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -412,7 +412,9 @@
     routed.facts = std::move(aResolved.facts);
     routed.path = aRequest.path;
     routed.target = aRequest.target;
-    routed.callerId = std::move(aCall.id);
+    routed.callerId =
+      aCall.id.empty() ? FormatId(routed.facts.id.value) : std::move(aCall.id);
+    routed.arrivedAt = Now();
     routed.resumeAfter = std::move(aCall.resumeAfter);
     routed.reply = std::move(aReply);
     routed.call.method = aRequest.method;
