--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -24,7 +24,7 @@
 # Changes when a decision does; the commit that does so quotes the new one.
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
-  "signature: b2aaf581ca0d11ef")
+  "signature: 14460ec9a21f8133")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
 
--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -142,6 +142,8 @@
   for (const resident& held : aRow.residents) {
     told.held.push_back({ held.model, held.adapters });
   }
+  told.inMemory = aRow.inMemory;
+  told.onDisk = aRow.onDisk;
   return told;
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -232,6 +232,8 @@
   std::uint32_t running = 0;
   std::uint32_t queued = 0;
   std::vector<resident> residents;
+  std::vector<model_id> inMemory; ///< of its machine: loads in a moment
+  std::vector<model_id> onDisk;   ///< of its machine: loads without the store
   std::vector<std::string> services;
   std::vector<order_report> orders;
   steady_time lastSeen{};
--- a/src/residency/models.cpp
+++ b/src/residency/models.cpp
@@ -1,6 +1,7 @@
 #include "residency/parts.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bulrush::residency {
 namespace {
@@ -13,6 +14,7 @@
   std::uint32_t waiting = 0;
   steady_time askedAt;    ///< last request for it or an adapter of it
   std::size_t copies = 0; ///< on engines that take work, or on their way
+  std::size_t ready = 0;  ///< of these, loaded
 
   /// Rate that each copy bears after aMore copies came.
   double Pressure(std::size_t aMore) const
@@ -21,6 +23,20 @@
   }
 };
 
+std::size_t
+CountReady(const tables& aTables, model_id aModel)
+{
+  const auto engines = aTables.engines.Rows();
+  return static_cast<std::size_t>(std::count_if(
+    engines.begin(), engines.end(), [&](const engine_row& aEngine) {
+      const bool goes = aEngine.open &&
+                        aEngine.open->kind == order_kind::eUnloadModel &&
+                        aEngine.open->what.model == aModel;
+      return aEngine.told.takesWork && !goes &&
+             FindHeld(aEngine, aModel) != nullptr;
+    }));
+}
+
 std::vector<model_use>
 CountUse(const tables& aTables)
 {
@@ -29,6 +45,7 @@
     model_use use;
     use.model = &model;
     use.copies = CountCopies(aTables, { model.id, {} });
+    use.ready = CountReady(aTables, model.id);
     for (const want_row& want : aTables.wants) {
       if (want.what.model == model.id) {
         use.rate += want.rate;
@@ -70,13 +87,39 @@
   return load;
 }
 
-// The engine that is asked for least, so that a busy model gets a quiet one.
+/// Where an engine would load a model from, the fastest first.
+enum class load_source : std::uint8_t
+{
+  eMemory,
+  eDisk,
+  eStore,
+};
+
+bool
+Contains(const std::vector<model_id>& aModels, model_id aModel)
+{
+  return std::find(aModels.begin(), aModels.end(), aModel) != aModels.end();
+}
+
+load_source
+SourceOf(const engine_row& aEngine, model_id aModel)
+{
+  if (Contains(aEngine.told.inMemory, aModel)) {
+    return load_source::eMemory;
+  }
+  return Contains(aEngine.told.onDisk, aModel) ? load_source::eDisk
+                                               : load_source::eStore;
+}
+
+// The engine that has it as soon as any; of equals, the one that is asked for
+// least. The store's pace may allow none now.
 engine_row*
 FindRoom(tables& aTables,
          const std::vector<model_use>& aUses,
          const model_row& aModel)
 {
   engine_row* best = nullptr;
+  load_source bestSource = load_source::eStore;
   double bestLoad = 0;
   for (engine_row& engine : aTables.engines) {
     const bool fits = IsReady(engine) && engine.told.pool == aModel.pool &&
@@ -86,8 +129,12 @@
       continue;
     }
     const double load = LoadOf(aUses, engine);
-    if (best == nullptr || load < bestLoad) {
+    const load_source source = SourceOf(engine, aModel.id);
+    const bool isBetter =
+      source != bestSource ? source < bestSource : load < bestLoad;
+    if (best == nullptr || isBetter) {
       best = &engine;
+      bestSource = source;
       bestLoad = load;
     }
   }
@@ -100,27 +147,30 @@
   engine_row* engine = nullptr;
   model_id model;
   double loss = 0; ///< pressure on what is left of the model
-  double load = 0; ///< of its engine
+  load_source source = load_source::eStore; ///< of what is to come there
+  double load = 0;                          ///< of its engine
 };
 
-// The last copy of a model goes only when nobody asks for the model.
+// The last copy of a model goes only when nobody asks for the model. Copies
+// that are being loaded serve nobody yet.
 std::optional<double>
 LossOf(const settings& aOptions, const model_use& aUse, steady_time aNow)
 {
-  if (aUse.copies > 1) {
-    return aUse.rate / static_cast<double>(aUse.copies - 1);
+  if (aUse.ready > 1) {
+    return aUse.rate / static_cast<double>(aUse.ready - 1);
   }
   const bool isIdle =
     aUse.waiting == 0 && aUse.askedAt + aOptions.idleAfter <= aNow;
   return isIdle ? std::optional<double>(0.0) : std::nullopt;
 }
 
-// What is missed least goes; of equals, that on the quietest engine.
+// What is missed least goes; of equals, that on the engine which loads fastest,
+// then that on the quietest one.
 bool
 IsBetter(const victim& aLeft, const victim& aRight)
 {
-  return aLeft.loss != aRight.loss ? aLeft.loss < aRight.loss
-                                   : aLeft.load < aRight.load;
+  return std::tie(aLeft.loss, aLeft.source, aLeft.load) <
+         std::tie(aRight.loss, aRight.source, aRight.load);
 }
 
 bool
@@ -157,7 +207,9 @@
           IsNew(aTables.options, engine, held.model, aNow)) {
         continue;
       }
-      const victim found{ &engine, held.model, *loss, load };
+      const victim found{
+        &engine, held.model, *loss, SourceOf(engine, aFor.id), load
+      };
       if (!best || IsBetter(found, *best)) {
         best = found;
       }
@@ -175,6 +227,9 @@
 {
   Order(
     aTables, aEngine, order_kind::eLoadModel, { aModel.id, {} }, aNow, aOutbox);
+  if (SourceOf(aEngine, aModel.id) != load_source::eStore) {
+    return; // it does not concern the store
+  }
   const std::chrono::duration<double> pause{
     1.0 / aTables.options.storeLoadsPerSecond
   };
@@ -276,19 +331,18 @@
 void
 RunModels(tables& aTables, steady_time aNow, outbox& aOutbox)
 {
-  const bool mayLoad = aNow >= aTables.nextLoad;
-  if (!mayLoad) {
+  if (aNow < aTables.nextLoad) {
     aOutbox.wake.NoLaterThan(aTables.nextLoad);
   }
   const std::vector<model_use> uses = CountUse(aTables);
   std::size_t unloading = CountUnloading(aTables);
   std::size_t promised = unloading; // rooms that are being made
-  bool hasLoaded = false;
   for (const need& next : FindNeeds(aTables.options, uses, aNow)) {
     if (engine_row* room = FindRoom(aTables, uses, *next.use->model)) {
-      if (mayLoad && !hasLoaded) {
+      const bool needsStore =
+        SourceOf(*room, next.use->model->id) == load_source::eStore;
+      if (!needsStore || aNow >= aTables.nextLoad) {
         Load(aTables, *room, *next.use->model, aNow, aOutbox);
-        hasLoaded = true;
       }
       continue;
     }
--- a/src/residency/residency.hpp
+++ b/src/residency/residency.hpp
@@ -81,6 +81,8 @@
   std::uint32_t adapterPlaces = 0; ///< 0: no limit
   bool takesWork = true;           ///< neither leaving nor taken out
   std::vector<held_model> held;
+  std::vector<model_id> inMemory; ///< of its machine, ready to be loaded
+  std::vector<model_id> onDisk;
 };
 
 /// What an engine answers when it is asked for its state.
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -122,7 +122,9 @@
           steady_time aNow,
           outbox& aOutbox)
 {
-  const endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+  endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+  endpoint.silences = 0;
+  endpoint.doubtUntil = {};
   if (!IsOwnAnswer(aAttempt, aRequest, endpoint)) {
     FailAttempt(aTables,
                 aAttempt,
@@ -324,8 +326,9 @@
   if (aFailure == attempt_failure::eNotSent ||
       aFailure == attempt_failure::eTimeout ||
       aFailure == attempt_failure::eLost) {
-    aTables.endpoints.Find(aAttempt.endpoint)->doubtUntil =
-      aNow + aTables.settings.doubtSilent;
+    endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+    ++endpoint.silences;
+    DoubtSilent(aTables.settings, endpoint, aNow);
   }
 }
 
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -191,6 +191,9 @@
   attempt.startOffset = aRequest.forwarded;
   attempt.received = aRequest.forwarded;
 
+  if (aEndpoint.silences > 0) {
+    DoubtSilent(aTables.settings, aEndpoint, aNow); // this one finds out
+  }
   CountAttempt(aTables, aRequest, aEndpoint.id);
   RememberPrefix(aTables, aRequest.facts.prefix, aEndpoint.id);
   aRequest.attempt = attempt.id;
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -100,6 +100,15 @@
   return aEndpoint.coldBudget >= 1.0;
 }
 
+void
+DoubtSilent(const options& aOptions, endpoint_row& aEndpoint, steady_time aNow)
+{
+  constexpr std::uint32_t kMostDoublings = 2;
+  const std::uint32_t doublings =
+    std::min(aEndpoint.silences - 1, kMostDoublings);
+  aEndpoint.doubtUntil = aNow + aOptions.doubtSilent * (1U << doublings);
+}
+
 // The row stays while attempts are in flight: their ends have to find it.
 void
 RemoveEndpoint(tables& aTables, endpoint_id aEndpoint)
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -36,6 +36,11 @@
 /// True when all hosts together bound what the endpoint is sent.
 bool IsGated(const tables& aTables, const endpoint_row& aEndpoint);
 
+/// Leaves an endpoint that was silent to the last for a while.
+void DoubtSilent(const options& aOptions,
+                 endpoint_row& aEndpoint,
+                 steady_time aNow);
+
 /// Drops an endpoint to its cold limit.
 void DropToCold(endpoint_row& aEndpoint);
 
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -96,9 +96,10 @@
   std::uint32_t ownWhenReported = 0; ///< inFlight when the report came
   bool isGone = false;               ///< erased once nothing is in flight
   steady_time avoidUntil;            ///< it refused for want of room
-  double failureShare = 0; ///< of its attempts, moving average at failedAt
-  steady_time failedAt;    ///< last failure that it may be the cause of
-  steady_time doubtUntil;  ///< it fell silent: others go first
+  double failureShare = 0;    ///< of its attempts, moving average at failedAt
+  steady_time failedAt;       ///< last failure that it may be the cause of
+  steady_time doubtUntil;     ///< it fell silent: others go first
+  std::uint32_t silences = 0; ///< attempts since it answered last
 };
 
 /// An endpoint that said it does not hold what its residents name.
@@ -388,7 +389,8 @@
   std::chrono::milliseconds claimWait{ 2'000 };
   std::chrono::milliseconds detachedWait{ 60'000 };
   std::chrono::milliseconds avoidFull{ 100 }; ///< an endpoint that refused
-  /// An endpoint that fell silent, until it has checked in again.
+  /// An endpoint that fell silent is tried again by one request after this,
+  /// and twice and four times as long after the next silences.
   std::chrono::milliseconds doubtSilent{ 1'500 };
   /// A model that its endpoint does not hold, until the news of it are in.
   std::chrono::milliseconds avoidMissing{ 500 };
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -63,6 +63,12 @@
     to->set_fencing(from.fencing);
     to->set_is_done(from.isDone);
   }
+  for (const model_id model : aFrom.inMemory) {
+    aTo.add_in_memory(model.value);
+  }
+  for (const model_id model : aFrom.onDisk) {
+    aTo.add_on_disk(model.value);
+  }
   aTo.set_age_ms(
     std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aFrom.lastSeen)
       .count());
@@ -93,6 +99,12 @@
   for (const auto& from : aFrom.orders()) {
     row.orders.push_back({ { from.order() }, from.fencing(), from.is_done() });
   }
+  for (const std::uint64_t model : aFrom.in_memory()) {
+    row.inMemory.push_back({ model });
+  }
+  for (const std::uint64_t model : aFrom.on_disk()) {
+    row.onDisk.push_back({ model });
+  }
   row.lastSeen = aNow - std::chrono::milliseconds(aFrom.age_ms());
   return row;
 }
--- a/tests/residency/residency_test.cpp
+++ b/tests/residency/residency_test.cpp
@@ -294,6 +294,55 @@
   CHECK(out.orders.size() == 1);
 }
 
+TEST_CASE_METHOD(
+  residency_fixture,
+  "Model_ThatAnEngineHasAtHand_IsLoadedThereWhateverTheStorePaces",
+  "[residency]")
+{
+  Lead();
+  Announce(1, {});
+  Announce(2, {});
+  announcement told;
+  told.id = Engine(2);
+  told.incarnation = 1;
+  told.pool = kPool;
+  told.memoryBytes = 130;
+  told.onDisk = { Model(1) };
+  OnAnnounced(state, told, now);
+  Run();
+  State(1, 0, {});
+  State(2, 0, {});
+  state.nextLoad = now + std::chrono::seconds(10);
+  OnDemand(state, { Model(1), {} }, 3, 3, now);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].endpoint == Engine(2));
+  OnDemand(state, { Model(2), {} }, 3, 3, now);
+  Run();
+  CHECK(out.orders.empty()); // this one has to come from the store
+}
+
+TEST_CASE_METHOD(residency_fixture,
+                 "Copy_WhileTheOthersAreBeingLoaded_IsNotDisplaced",
+                 "[residency]")
+{
+  Lead();
+  Announce(1, { { Model(1), {} }, { Model(2), {} } });
+  Announce(2, {});
+  Run();
+  State(1, 0, { { Model(1), {} }, { Model(2), {} } });
+  State(2, 0, {});
+  OnDemand(state, { Model(1), {} }, 30, 0, now);
+  OnDemand(state, { Model(2), {} }, 3, 0, now);
+  Run(std::chrono::milliseconds(500));
+  REQUIRE(out.orders.size() == 1); // the second copy of the busy one
+  CHECK(out.orders[0].what.model == Model(1));
+  OnAnswer(state, Engine(2), order_answer::eAccepted, now, out);
+  OnDemand(state, { Model(3), {} }, 3, 3, now);
+  Run(std::chrono::milliseconds(500));
+  CHECK(out.orders.empty());
+}
+
 // An engine as its contract describes it: it crashes when it is ordered beyond
 // its memory or places, and carries an order out only on its condition.
 struct contract_engine
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -295,6 +295,28 @@
   }
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Endpoint_ThatWasSilent_IsTriedByOneRequestUntilItAnswers",
+                 "[routing]")
+{
+  // Its place is empty otherwise: it would be chosen by load.
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    engine.endpoints.Find(endpoint_id{ id })->inFlight = 4;
+  }
+  const start_attempt lost = Send(Request());
+  REQUIRE(lost.endpoint == endpoint_id{ 1 });
+  End(lost.attempt, attempt_end::eNotSent);
+  RunOnce();
+  RunOnce(engine.settings.doubtSilent);
+  engine.endpoints.Find(endpoint_id{ 1 })->failureShare = 0;
+  const start_attempt probe = Send(Request());
+  CHECK(probe.endpoint == endpoint_id{ 1 });
+  CHECK(Send(Request()).endpoint != endpoint_id{ 1 });
+  AnswerWhole(probe.attempt);
+  RunOnce();
+  CHECK(Send(Request()).endpoint == endpoint_id{ 1 });
+}
+
 TEST_CASE_METHOD(retry_fixture,
                  "Endpoint_WhenItLacksTheModel_IsNotAskedForItAgainAtOnce",
                  "[routing]")
