--- a/src/control/pools.cpp
+++ b/src/control/pools.cpp
@@ -56,13 +56,9 @@
 } // namespace
 
 // A former leader gives nothing once its lease is over, and the pools of a new
-// one start empty.
+// one start empty. They fill from the moment it leads.
 void
-TakeDraw(control_tables& aTables,
-         const received& aInput,
-         const rates::draw& aDraw,
-         steady_time aNow,
-         control_outbox& aOutbox)
+RunPools(control_tables& aTables, steady_time aNow, control_outbox& /*aOutbox*/)
 {
   if (!aTables.log.isLeader(aNow)) {
     return;
@@ -73,6 +69,20 @@
     state.term = aTables.log.term();
   }
   SetRates(aTables, aNow);
+}
+
+void
+TakeDraw(control_tables& aTables,
+         const received& aInput,
+         const rates::draw& aDraw,
+         steady_time aNow,
+         control_outbox& aOutbox)
+{
+  if (!aTables.log.isLeader(aNow)) {
+    return;
+  }
+  RunPools(aTables, aNow, aOutbox);
+  pool_state& state = aTables.pools;
   for (const rates::draw_row& row : aDraw.rows) {
     if (row.what.kind == admission::resource_kind::eColdRate) {
       SetColdRate(aTables, row.what, aNow);
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -454,7 +454,8 @@
   for (host_row& host : aTables.hosts) {
     const bool isBehind =
       std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
-      host.sentEndpoints < aTables.serial;
+      host.sentEndpoints < aTables.serial ||
+      host.sentLeader != aTables.log.leaderName();
     if (!host.wantsUpdate && !isBehind) {
       continue;
     }
@@ -478,6 +479,7 @@
     AddControls(aTables, update);
     host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
+    host.sentLeader = update.leader;
     host.wantsUpdate = false;
     aOutbox.messages.push_back({ host.name, "", std::move(update) });
   }
@@ -553,7 +555,7 @@
   aOutbox.wake.NoLaterThan(watch.nextChange);
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 13> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 14> kSystems{
   { { "ingest", RunIngest },
     { "http_calls", RunHttpCalls },
     { "log", RunLog },
@@ -564,6 +566,7 @@
     { "orders", RunOrders },
     { "residents", RunResidents },
     { "leases", RunLeases },
+    { "pools", RunPools },
     { "host_count", RunHostCount },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -62,6 +62,7 @@
   std::uint64_t revision = 0;      ///< confirmed by the host
   std::uint64_t sentRevision = 0;  ///< sent and not yet confirmed
   std::uint64_t sentEndpoints = 0; ///< serial of the newest row sent
+  std::string sentLeader;          ///< name of the leader, as it was told
   steady_time lastSeen{};
   steady_time leaseEnd{};
   bool wantsUpdate = false;
@@ -305,6 +306,11 @@
                  const wire::share_renewal& aRenewal);
 void TakeGrant(control_tables& aTables, const wire::share_grant& aGrant);
 
+/// Begins the pools when this process begins to lead.
+void RunPools(control_tables& aTables,
+              steady_time aNow,
+              control_outbox& aOutbox);
+
 /// A host draws tokens; only the leader answers.
 void TakeDraw(control_tables& aTables,
               const received& aInput,
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -13,7 +13,9 @@
 constexpr double kServiceGain = 0.1;
 
 constexpr std::chrono::seconds kRetryWhenLate{ 1 };
-constexpr std::chrono::milliseconds kRetryWhenShort{ 250 };
+/// A rate that is used up takes about so long to be worth another try; callers
+/// that were refused together come back spread over as long again.
+constexpr std::chrono::milliseconds kRetryWhenShort{ 750 };
 
 void
 Refuse(admission_tables& aTables,
@@ -72,16 +74,19 @@
   return std::min(aRow.patience, aTables.escrow.settings.patience);
 }
 
-// The pool's word on when it has more, and a little, since others wait too.
+// The pool's word on when it has more, and longer, since others wait too.
 std::chrono::nanoseconds
 RefillTime(const admission_tables& aTables,
            const admission::resource& aWhat,
+           request_id aRequest,
            steady_time aNow)
 {
+  constexpr std::uint64_t kParts = 8;
+  const auto spread = kRetryWhenShort / kParts * (aRequest.value % kParts);
   const auto* purse =
     aTables.purses.purses.Find(admission::IdOfResource(aWhat));
   const bool isTold = purse != nullptr && purse->refillsAt;
-  return kRetryWhenShort +
+  return kRetryWhenShort + spread +
          (isTold
             ? std::max(std::chrono::nanoseconds{ 0 },
                        std::chrono::nanoseconds{ *purse->refillsAt - aNow })
@@ -120,7 +125,8 @@
   }
   const auto kind = aTables.purses.isReachable ? refusal_kind::eOverRate
                                                : refusal_kind::eCutOff;
-  Refuse(aTables, aRow, { kind, RefillTime(aTables, what, aNow) }, aOutbox);
+  Refuse(
+    aTables, aRow, { kind, RefillTime(aTables, what, aRow.id, aNow) }, aOutbox);
 }
 
 // What can be had is reserved now; what is short waits for the delegate.
