--- a/src/apps/ctl_commands.hpp
+++ b/src/apps/ctl_commands.hpp
@@ -32,6 +32,7 @@
   std::optional<std::uint64_t> expectedRevision;
   std::filesystem::path keyFile;
   std::vector<std::string> spanFiles; ///< that trace reads
+  std::vector<std::string> logFiles;  ///< that trace reads in their place
   bool isJson = false;
 };
 
@@ -61,6 +62,12 @@
               const std::string& aTrace,
               last_reason& aWhy);
 
+/// Prints the lines of a request from logs of several hosts, with the news of
+/// the endpoints that it met, in the order of their times.
+int ShowRequest(const std::vector<std::string>& aFiles,
+                const std::string& aRequest,
+                last_reason& aWhy);
+
 } // namespace bulrush::ctl
 
 #endif
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -72,6 +72,13 @@
     "",
     "",
     "trace: files of spans, gathered from the hosts" },
+  { "logs",
+    option_type::eList,
+    "",
+    "",
+    "",
+    "",
+    "trace: logs of hosts; ID is then the request's own id" },
 });
 
 constexpr program_options kProgram{
@@ -101,6 +108,7 @@
   settings.wait = options->Duration("wait");
   settings.isJson = options->Flag("json");
   settings.spanFiles = options->List("spans");
+  settings.logFiles = options->List("logs");
   settings.keyFile = options->Path("key-file");
   if (options->Integer("expect") >= 0) {
     settings.expectedRevision =
--- a/src/apps/ctl_trace.cpp
+++ b/src/apps/ctl_trace.cpp
@@ -85,6 +85,9 @@
           const std::string& aTrace,
           last_reason& aWhy)
 {
+  if (!aSettings.logFiles.empty()) {
+    return ShowRequest(aSettings.logFiles, aTrace, aWhy);
+  }
   if (!ParseTraceId(aTrace, aWhy)) {
     return eExitUsage;
   }
--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -1,8 +1,26 @@
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_part kLog{ "endpoints" };
+
+void
+LogEndpoint(const char* aEvent, const endpoint_row& aRow)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           aEvent,
+           { { "endpoint", aRow.name },
+             { "address", aRow.address },
+             { "incarnation", std::to_string(aRow.incarnation) },
+             { "sequence", std::to_string(aRow.sequence) },
+             { "leaving", aRow.isLeaving ? "yes" : "no" },
+             { "cold", aRow.isCold ? "yes" : "no" },
+             { "models", std::to_string(aRow.residents.size()) } });
+}
+
 // Load figures change with each report; passing each on to every host would
 // cost more than the target allows, so only other changes count as such.
 bool
@@ -57,6 +75,7 @@
       return;
     }
     aTables.gone.Erase(aRow.id);
+    LogEndpoint("endpoint_joined", aRow);
     aTables.endpoints.Insert({ aRow.id, aRow, ++aTables.serial, aIsOwn });
     return;
   }
@@ -67,6 +86,7 @@
   known->row = aRow;
   known->isOwn = aIsOwn;
   if (!isSame) {
+    LogEndpoint("endpoint_changed", aRow);
     known->serial = ++aTables.serial;
   }
 }
@@ -78,6 +98,7 @@
   if (known == nullptr) {
     return;
   }
+  LogEndpoint(aHasLeft ? "endpoint_left" : "endpoint_silent", known->row);
   aTables.gone.Insert({ aEndpoint,
                         ++aTables.serial,
                         known->isOwn,
--- a/src/control/pools.cpp
+++ b/src/control/pools.cpp
@@ -2,10 +2,13 @@
 /// of the rates library.
 
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_part kLog{ "control" };
+
 /// Endpoints and their cold limits are looked up this often at least.
 constexpr std::chrono::seconds kForgetEvery{ 1 };
 
@@ -67,6 +70,11 @@
   if (state.term != aTables.log.term()) {
     state = {};
     state.term = aTables.log.term();
+    LogEvent(kLog,
+             log_level::eInfo,
+             "leads",
+             { { "term", std::to_string(state.term) },
+               { "revision", std::to_string(aTables.fleet.revision) } });
   }
   SetRates(aTables, aNow);
 }
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,4 +1,5 @@
 #include "control/control.hpp"
+#include "control/metrics.hpp"
 #include "control/options.hpp"
 #include "control/tables.hpp"
 #include "net/net.hpp"
@@ -81,7 +82,7 @@
                                  aOptions.Decimal("rate-slack") };
     ReadDomains(aOptions);
     if (!ReadSecrets(aOptions, aWhy) || !OpenReplicatedLog(aOptions, aWhy) ||
-        !ListenHttp(aOptions, aWhy)) {
+        !ListenHttp(aOptions, aWhy) || !ListenMetrics(aOptions, aWhy)) {
       return false;
     }
     auto server = net::ListenLink(
@@ -237,6 +238,33 @@
     return true;
   }
 
+  bool ListenMetrics(const option_values& aOptions, last_reason& aWhy)
+  {
+    const auto listen = aOptions.Address("metrics-listen");
+    if (!listen) {
+      return true;
+    }
+    net::http_server_settings settings;
+    settings.address = listen->ip;
+    settings.port = listen->port;
+    auto server = net::Listen(
+      mContext,
+      settings,
+      [this](const net::http_request&,
+             const std::shared_ptr<net::http_reply>& aReply) {
+        aReply->Send(
+          200,
+          { { "Content-Type", "text/plain; version=0.0.4" } },
+          MetricsPage(mMetrics, mTables, std::chrono::steady_clock::now()));
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mMetricsServer = std::move(*server);
+    return true;
+  }
+
   void TakeHttp(net::http_request aRequest,
                 std::shared_ptr<net::http_reply> aReply)
   {
@@ -309,6 +337,7 @@
   {
     control_outbox outbox;
     RunControl(mTables, aNow, outbox);
+    CountTick(mMetrics, outbox, std::chrono::steady_clock::now() - aNow);
     if (outbox.fatal) {
       // Nothing leaves: what this tick says may rest on a write that failed.
       LogError(kLog, "Must stop: {}", Describe(*outbox.fatal));
@@ -464,6 +493,8 @@
   std::unordered_map<http_call_id, waiting_reply, id_hash> mHttpReplies;
   std::uint64_t mLastHttpCall = 0;
   std::unique_ptr<net::http_server> mHttp;
+  std::unique_ptr<net::http_server> mMetricsServer;
+  metrics mMetrics{ "control" };
   net::tick_timer mTimer;
   net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -1,9 +1,12 @@
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_part kLog{ "control" };
+
 constexpr std::chrono::milliseconds kLease{ 3'000 };
 constexpr std::chrono::milliseconds kEndpointSilence{ 3'000 };
 constexpr std::chrono::milliseconds kHostSilence{ 30'000 };
@@ -335,6 +338,15 @@
     }
     const std::uint64_t before = aTables.fleet.revision;
     const command_result result = Apply(aTables.fleet, *command);
+    if (aTables.fleet.manifestRevision == aTables.fleet.revision &&
+        aTables.fleet.revision != before) {
+      LogEvent(kLog,
+               log_level::eInfo,
+               "manifest",
+               { { "revision", std::to_string(aTables.fleet.revision) },
+                 { "number", std::to_string(aTables.fleet.declared.number) },
+                 { "term", std::to_string(aTables.log.term()) } });
+    }
     if (aTables.fleet.revision != before) {
       aTables.recent.push_back({ aTables.fleet.revision, *command });
       if (aTables.recent.size() > kRecentCommands) {
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -1,8 +1,11 @@
 #include "entry/tables.hpp"
+#include "observe/observe.hpp"
 
 namespace bulrush::entry {
 namespace {
 
+constexpr log_part kLog{ "entry" };
+
 constexpr std::chrono::milliseconds kReportEvery{ 1'000 };
 constexpr std::chrono::milliseconds kControlSilence{ 1'500 };
 /// Pause before the next control process is asked when one knows no leader.
@@ -77,8 +80,10 @@
       aOutbox.links.push_back(control);
     }
   }
-  if (!aUpdate.leader.empty()) {
+  if (!aUpdate.leader.empty() && aUpdate.leader != aTables.leader) {
     aTables.leader = aUpdate.leader;
+    LogEvent(
+      kLog, log_level::eInfo, "leader", { { "control", aTables.leader } });
   }
 }
 
@@ -316,6 +321,11 @@
   }
   if (aTables.hasNewFleet) {
     view.fleet = aTables.fleet;
+    LogEvent(kLog,
+             log_level::eInfo,
+             "configuration",
+             { { "revision", std::to_string(aTables.fleet->revision) },
+               { "number", std::to_string(aTables.fleet->declared.number) } });
   }
   if (aTables.hasNewEndpoints) {
     view.endpoints = std::make_shared<const std::vector<endpoint_row>>(
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -294,6 +294,20 @@
     return controls;
   }
 
+  static std::optional<net::http_server_settings> ListenAt(
+    const option_values& aOptions,
+    const char* aOption)
+  {
+    const auto address = aOptions.Address(aOption);
+    if (!address) {
+      return std::nullopt;
+    }
+    net::http_server_settings settings;
+    settings.address = address->ip;
+    settings.port = address->port;
+    return settings;
+  }
+
   traffic_settings TrafficSettings(const option_values& aOptions,
                                    span_writer aSpans,
                                    const secret_text& aEndpointSecret,
@@ -307,11 +321,8 @@
                            aOptions.Decimal("rate-overage"),
                            aOptions.Decimal("rate-slack") };
     settings.servesWithoutLease = aOptions.Flag("serve-without-lease");
-    if (const auto ready = aOptions.Address("ready-listen")) {
-      settings.ready.emplace();
-      settings.ready->address = ready->ip;
-      settings.ready->port = ready->port;
-    }
+    settings.ready = ListenAt(aOptions, "ready-listen");
+    settings.metrics = ListenAt(aOptions, "metrics-listen");
     const host_address listen = *aOptions.Address("listen");
     settings.http.address = listen.ip;
     settings.http.port = listen.port;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -135,7 +135,8 @@
       return false;
     }
     mServer = std::move(*server);
-    return !mSettings.ready || StartReadiness(aWhy);
+    return (!mSettings.ready || StartReadiness(aWhy)) &&
+           (!mSettings.metrics || StartMetrics(aWhy));
   }
 
   std::uint16_t Port() const { return mServer->Port(); }
@@ -220,6 +221,30 @@
                             HasLease() });
   }
 
+  static void SendMetrics(net::http_reply& aReply, std::string aPage)
+  {
+    aReply.Send(200,
+                { { "Content-Type", "text/plain; version=0.0.4" } },
+                std::move(aPage));
+  }
+
+  bool StartMetrics(last_reason& aWhy)
+  {
+    auto server = net::Listen(
+      mContext,
+      *mSettings.metrics,
+      [this](const net::http_request&,
+             const std::shared_ptr<net::http_reply>& aReply) {
+        SendMetrics(*aReply, MetricsPage());
+      },
+      aWhy);
+    if (!server) {
+      return false;
+    }
+    mMetrics = std::move(*server);
+    return true;
+  }
+
   // A balancer that asks at an address of its own gets one page there.
   bool StartReadiness(last_reason& aWhy)
   {
@@ -293,9 +318,7 @@
     } else if (aRequest.path == "/readyz") {
       SendReadiness(aReply);
     } else if (aRequest.path == "/metrics") {
-      aReply.Send(200,
-                  { { "Content-Type", "text/plain; version=0.0.4" } },
-                  MetricsPage());
+      SendMetrics(aReply, MetricsPage());
     } else if (aRequest.path == "/v1/endpoints/report") {
       TakeReport(aRequest, aReply, aId);
     } else if (aRequest.path == "/v1/models") {
@@ -544,7 +567,14 @@
   wake_time TickAdmission(steady_time aNow)
   {
     admission_outbox out;
+    const bool wasReachable = mAdmission.purses.isReachable;
     RunAdmission(mAdmission, aNow, out);
+    if (mAdmission.purses.isReachable != wasReachable) {
+      LogEvent(kLog,
+               log_level::eInfo,
+               wasReachable ? "pool_lost" : "pool_back",
+               { { "draw", std::to_string(mAdmission.purses.sequence) } });
+    }
     for (admission::renewal& report : out.renewals) {
       mHooks.onRenewal(std::move(report));
     }
@@ -588,6 +618,7 @@
   request_runner mRunner;
   std::unique_ptr<net::http_server> mServer;
   std::unique_ptr<net::http_server> mReadiness;
+  std::unique_ptr<net::http_server> mMetrics;
   bool mIsRefusing = false;
   std::function<void()> mOnStopped; ///< set while requests are finished
   std::uint64_t mLastRequest = 0;
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -40,6 +40,7 @@
   front_end front;
   /// Address of its own for the balancer's question; none: a page.
   std::optional<net::http_server_settings> ready;
+  std::optional<net::http_server_settings> metrics; ///< address of its own
   /// Known keys are served also while the lease has lapsed.
   bool servesWithoutLease = false;
   retry_allowance retries;
--- a/tests/process/observe_test.cpp
+++ b/tests/process/observe_test.cpp
@@ -50,6 +50,78 @@
   }
 };
 
+// One host and its control process, whose logs and metrics are read.
+struct story_fixture
+{
+  std::string entryMetrics = "127.0.0.1:" + std::to_string(FreePort());
+  std::string controlMetrics = "127.0.0.1:" + std::to_string(FreePort());
+  fleet running{ { { "domain-a" },
+                   1,
+                   {},
+                   { "--metrics-listen", entryMetrics },
+                   { "--metrics-listen", controlMetrics } } };
+
+  story_fixture() { running.Start(); }
+};
+
+TEST_CASE_METHOD(story_fixture,
+                 "Metrics_AtAnAddressOfTheirOwn_AreServedByBothPrograms",
+                 "[process]")
+{
+  const http_answer entry = Ask("GET", "http://" + entryMetrics + "/metrics");
+  CHECK(entry.status == 200);
+  CHECK(entry.body.find("bulrush_entry_revision") != std::string::npos);
+  const http_answer control =
+    Ask("GET", "http://" + controlMetrics + "/metrics");
+  CHECK(control.status == 200);
+  CHECK(control.body.find("bulrush_control_leads 1") != std::string::npos);
+  CHECK(control.body.find("bulrush_control_tick_seconds_bucket") !=
+        std::string::npos);
+}
+
+TEST_CASE_METHOD(story_fixture,
+                 "Trace_OverTheLogsOfSeveralHosts_TellsARequestsStory",
+                 "[process]")
+{
+  running.AddEndpoint(
+    "engine", "domain-a", { "--memory", "10000", "--models", "draft:1:1000" });
+  const std::string key = running.IssueKey("press");
+  REQUIRE(WaitUntil([&] {
+    return running
+             .Post(0,
+                   "/v1/chat/completions",
+                   key,
+                   { { "model", "draft" }, { "max_tokens", 3 } })
+             .status == 200;
+  }));
+  const std::filesystem::path entry = running.entries[0]->LogFile();
+  const std::filesystem::path control = running.controls[0]->LogFile();
+  std::string id;
+  REQUIRE(WaitUntil([&] {
+    const std::string log = running.entries[0]->Log();
+    const std::size_t at = log.find("request_ended request=");
+    if (at != std::string::npos) {
+      const std::size_t begin = log.find('=', at) + 1;
+      id = log.substr(begin, log.find(' ', begin) - begin);
+    }
+    return !id.empty();
+  }));
+  const finished shown = RunProgram(
+    "bulrushctl",
+    { "trace", id, "--logs", entry.string() + "," + control.string() });
+  INFO(shown.errors);
+  INFO(shown.output);
+  REQUIRE(shown.exitCode == 0);
+  const std::size_t joined = shown.output.find("endpoint_joined");
+  const std::size_t attempt = shown.output.find("attempt request=" + id);
+  const std::size_t ended = shown.output.find("request_ended request=" + id);
+  CHECK(joined < attempt);
+  CHECK(attempt < ended);
+  CHECK(ended != std::string::npos);
+  CHECK(RunProgram("bulrushctl", { "trace", "none", "--logs", entry.string() })
+          .exitCode != 0);
+}
+
 TEST_CASE_METHOD(observe_fixture,
                  "Trace_OfARequestWithATraceparent_ShowsEveryHop",
                  "[process]")
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -41,6 +41,7 @@
   int Wait();
   bool IsRunning();
   std::string Log() const;
+  const std::filesystem::path& LogFile() const { return mLog; }
   int Pid() const { return mPid; }
 
 private:
