--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -13,9 +13,9 @@
 constexpr double kServiceGain = 0.1;
 
 constexpr std::chrono::seconds kRetryWhenLate{ 1 };
-/// A rate that is used up takes about so long to be worth another try; callers
-/// that were refused together come back spread over as long again.
-constexpr std::chrono::milliseconds kRetryWhenShort{ 750 };
+/// Callers that were refused together come back so much after the pool expects
+/// to have tokens again, spread over as long again.
+constexpr std::chrono::milliseconds kRetryWhenShort{ 250 };
 
 void
 Refuse(admission_tables& aTables,
@@ -74,7 +74,8 @@
   return std::min(aRow.patience, aTables.escrow.settings.patience);
 }
 
-// The pool's word on when it has more, and longer, since others wait too.
+// The pool's word on when it holds what was lacking, and longer, since others
+// wait too.
 std::chrono::nanoseconds
 RefillTime(const admission_tables& aTables,
            const admission::resource& aWhat,
@@ -85,12 +86,10 @@
   const auto spread = kRetryWhenShort / kParts * (aRequest.value % kParts);
   const auto* purse =
     aTables.purses.purses.Find(admission::IdOfResource(aWhat));
-  const bool isTold = purse != nullptr && purse->refillsAt;
+  const std::chrono::nanoseconds lack =
+    purse == nullptr ? std::chrono::nanoseconds{ 0 } : purse->holdsAt - aNow;
   return kRetryWhenShort + spread +
-         (isTold
-            ? std::max(std::chrono::nanoseconds{ 0 },
-                       std::chrono::nanoseconds{ *purse->refillsAt - aNow })
-            : std::chrono::nanoseconds{ 0 });
+         std::max(std::chrono::nanoseconds{ 0 }, lack);
 }
 
 // In the order of arrival within a workspace: a large request is not overtaken
--- a/src/rates/purses.cpp
+++ b/src/rates/purses.cpp
@@ -134,6 +134,7 @@
       const auto pause = std::clamp<std::chrono::nanoseconds>(
         row.refillsIn, aTables.settings.drawEvery, LifeOf(row.what) / 4);
       purse.refillsAt = aNow + pause;
+      purse.holdsAt = aNow + row.refillsIn;
     }
   }
 }
--- a/src/rates/rates.hpp
+++ b/src/rates/rates.hpp
@@ -100,7 +100,8 @@
   std::int64_t demandUnits = 0; ///< asked for since demandSince
   steady_time demandSince;
   std::int64_t waiting = 0; ///< units that requests of this tick lack
-  std::optional<steady_time> refillsAt; ///< the pool had too little until then
+  std::optional<steady_time> refillsAt; ///< not to be asked before
+  steady_time holdsAt; ///< when the pool said it would hold what was lacking
 };
 
 /// Tokens taken for one request.
