--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/admission.hpp"
 #include "entry/openai.hpp"
+#include "entry/outcomes.hpp"
 #include "entry/requests.hpp"
 #include "entry/resolve.hpp"
 #include "observe/observe.hpp"
@@ -26,56 +27,6 @@
 // A host that knows no endpoint yet lets routing say so.
 constexpr std::size_t kLeastCapacity = 16;
 
-caller_error
-ErrorOf(const refusal& aRefusal)
-{
-  caller_error error;
-  error.retryAfter =
-    std::chrono::ceil<std::chrono::milliseconds>(aRefusal.retryAfter);
-  switch (aRefusal.kind) {
-    case refusal_kind::eOverRate:
-      error.status = 429;
-      error.code = "rate_limited";
-      error.text = "the workspace has used up its rate and burst";
-      break;
-    case refusal_kind::eCutOff:
-      error.status = 503;
-      error.code = "rate_unreachable";
-      error.text = "this host has used up its share of the workspace's rate "
-                   "and cannot ask for more";
-      break;
-    case refusal_kind::eTooLarge:
-      error.status = 429;
-      error.code = "over_burst";
-      error.text = "the request may use more tokens than the workspace's burst";
-      error.retryAfter = std::nullopt;
-      break;
-    case refusal_kind::eLate:
-      error.status = 503;
-      error.code = "overloaded";
-      error.text = "the request could not make its deadline";
-      break;
-  }
-  return error;
-}
-
-const char*
-FaultCode(int aStatus)
-{
-  constexpr int kTimeout = 408;
-  constexpr int kBodyTooLarge = 413;
-  constexpr int kHeadTooLarge = 431;
-  switch (aStatus) {
-    case kTimeout:
-      return "too_slow";
-    case kBodyTooLarge:
-    case kHeadTooLarge:
-      return "too_large";
-    default:
-      return "bad_request";
-  }
-}
-
 // New at each start, so that no id of an earlier life comes again.
 std::uint64_t
 NewSeed()
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -17,8 +17,22 @@
 void Put(const fleet_command& aFrom, pb::Command& aTo);
 std::optional<fleet_command> Get(const pb::Command& aFrom);
 
+template<class row>
+using repeated = google::protobuf::RepeatedPtrField<row>;
+
 void Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo);
 endpoint_row Get(const pb::Endpoint& aFrom, steady_time aNow);
+void PutEndpoints(const std::vector<endpoint_row>& aFrom,
+                  steady_time aNow,
+                  repeated<pb::Endpoint>& aTo);
+std::vector<endpoint_row> GetEndpoints(const repeated<pb::Endpoint>& aFrom,
+                                       steady_time aNow);
+void PutResidents(const std::vector<resident>& aFrom,
+                  repeated<pb::Resident>& aTo);
+std::vector<resident> GetResidents(const repeated<pb::Resident>& aFrom);
+
+void Put(const status_reply& aFrom, steady_time aNow, pb::StatusReply& aTo);
+status_reply Get(const pb::StatusReply& aFrom, steady_time aNow);
 
 void Put(const admission::renewal& aFrom, pb::ShareRenewal& aTo);
 std::optional<admission::renewal> Get(const pb::ShareRenewal& aFrom);
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -4,135 +4,6 @@
 
 namespace {
 
-template<class list>
-void
-PutResidents(const std::vector<resident>& aFrom, list& aTo)
-{
-  for (const resident& from : aFrom) {
-    auto* to = aTo.Add();
-    to->set_model(from.model.value);
-    to->set_version(from.version);
-    for (const adapter_id& adapter : from.adapters) {
-      to->add_adapters(adapter.value);
-    }
-  }
-}
-
-template<class list>
-std::vector<resident>
-GetResidents(const list& aFrom)
-{
-  std::vector<resident> residents;
-  for (const auto& from : aFrom) {
-    resident to{ { from.model() }, from.version(), {} };
-    for (const auto adapter : from.adapters()) {
-      to.adapters.push_back({ adapter });
-    }
-    residents.push_back(std::move(to));
-  }
-  return residents;
-}
-
-} // namespace
-
-void
-Put(const endpoint_row& aFrom, steady_time aNow, pb::Endpoint& aTo)
-{
-  aTo.set_name(aFrom.name);
-  aTo.set_address(aFrom.address);
-  aTo.set_incarnation(aFrom.incarnation);
-  aTo.set_sequence(aFrom.sequence);
-  aTo.set_domain(aFrom.domain.value);
-  aTo.set_memory_bytes(aFrom.memoryBytes);
-  aTo.set_used_bytes(aFrom.usedBytes);
-  aTo.set_slots(aFrom.slots);
-  aTo.set_cold_slots(aFrom.coldSlots);
-  aTo.set_is_cold(aFrom.isCold);
-  aTo.set_can_resume(aFrom.canResume);
-  aTo.set_checks_fencing(aFrom.checksFencing);
-  aTo.set_is_leaving(aFrom.isLeaving);
-  aTo.set_running(aFrom.running);
-  aTo.set_queued(aFrom.queued);
-  PutResidents(aFrom.residents, *aTo.mutable_residents());
-  for (const std::string& service : aFrom.services) {
-    aTo.add_services(service);
-  }
-  for (const order_report& from : aFrom.orders) {
-    auto* to = aTo.add_orders();
-    to->set_order(from.order.value);
-    to->set_fencing(from.fencing);
-    to->set_is_done(from.isDone);
-  }
-  for (const model_id model : aFrom.inMemory) {
-    aTo.add_in_memory(model.value);
-  }
-  for (const model_id model : aFrom.onDisk) {
-    aTo.add_on_disk(model.value);
-  }
-  aTo.set_age_ms(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aFrom.lastSeen)
-      .count());
-}
-
-endpoint_row
-Get(const pb::Endpoint& aFrom, steady_time aNow)
-{
-  endpoint_row row;
-  row.name = aFrom.name();
-  row.id = IdOf<endpoint_id>(row.name);
-  row.address = aFrom.address();
-  row.incarnation = aFrom.incarnation();
-  row.sequence = aFrom.sequence();
-  row.domain = { aFrom.domain() };
-  row.memoryBytes = aFrom.memory_bytes();
-  row.usedBytes = aFrom.used_bytes();
-  row.slots = aFrom.slots();
-  row.coldSlots = aFrom.cold_slots();
-  row.isCold = aFrom.is_cold();
-  row.canResume = aFrom.can_resume();
-  row.checksFencing = aFrom.checks_fencing();
-  row.isLeaving = aFrom.is_leaving();
-  row.running = aFrom.running();
-  row.queued = aFrom.queued();
-  row.residents = GetResidents(aFrom.residents());
-  row.services.assign(aFrom.services().begin(), aFrom.services().end());
-  for (const auto& from : aFrom.orders()) {
-    row.orders.push_back({ { from.order() }, from.fencing(), from.is_done() });
-  }
-  for (const std::uint64_t model : aFrom.in_memory()) {
-    row.inMemory.push_back({ model });
-  }
-  for (const std::uint64_t model : aFrom.on_disk()) {
-    row.onDisk.push_back({ model });
-  }
-  row.lastSeen = aNow - std::chrono::milliseconds(aFrom.age_ms());
-  return row;
-}
-
-namespace {
-
-template<class list>
-void
-PutEndpoints(const std::vector<endpoint_row>& aFrom,
-             steady_time aNow,
-             list& aTo)
-{
-  for (const endpoint_row& row : aFrom) {
-    Put(row, aNow, *aTo.Add());
-  }
-}
-
-template<class list>
-std::vector<endpoint_row>
-GetEndpoints(const list& aFrom, steady_time aNow)
-{
-  std::vector<endpoint_row> rows;
-  for (const auto& row : aFrom) {
-    rows.push_back(Get(row, aNow));
-  }
-  return rows;
-}
-
 template<class list>
 void
 PutKeys(const std::vector<key_hash>& aFrom, list& aTo)
@@ -314,59 +185,10 @@
   aTo.mutable_status_call()->set_credential(aFrom.credential);
 }
 
-void
-PutReplica(const replica_status& aFrom, pb::ReplicaStatus& aTo)
-{
-  aTo.set_name(aFrom.name);
-  aTo.set_domain(aFrom.domain);
-  aTo.set_address(aFrom.address);
-  aTo.set_is_leader(aFrom.isLeader);
-  aTo.set_is_voter(aFrom.isVoter);
-  aTo.set_term(aFrom.term);
-  aTo.set_commit(aFrom.commit);
-  aTo.set_revision(aFrom.revision);
-}
-
-void
-PutHost(const host_status& aFrom, pb::HostStatus& aTo)
-{
-  aTo.set_name(aFrom.name);
-  aTo.set_domain(aFrom.domain);
-  aTo.set_revision(aFrom.revision);
-  aTo.set_has_lease(aFrom.hasLease);
-  aTo.set_age_ms(aFrom.age.count());
-  aTo.set_http_address(aFrom.httpAddress);
-}
-
 void
 PutBody(const status_reply& aFrom, steady_time aNow, pb::Envelope& aTo)
 {
-  auto* to = aTo.mutable_status_reply();
-  to->set_call(aFrom.call);
-  to->set_leader(aFrom.leader);
-  to->set_revision(aFrom.revision);
-  to->set_manifest_revision(aFrom.manifestRevision);
-  to->set_version(aFrom.version);
-  for (const replica_status& row : aFrom.replicas) {
-    PutReplica(row, *to->add_replicas());
-  }
-  for (const host_status& row : aFrom.hosts) {
-    PutHost(row, *to->add_hosts());
-  }
-  for (const domain_status& row : aFrom.domains) {
-    auto* domain = to->add_domains();
-    domain->set_name(row.name);
-    domain->set_is_out(row.isOut);
-    domain->set_delegate(row.delegate);
-    domain->set_epoch(row.epoch);
-    domain->set_confirmed_revision(row.confirmedRevision);
-    domain->set_hosts(row.hosts);
-    domain->set_age_ms(row.age.count());
-  }
-  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
-  to->set_keys(aFrom.keys);
-  to->set_claims(aFrom.claims);
-  to->set_text(aFrom.text);
+  Put(aFrom, aNow, *aTo.mutable_status_reply());
 }
 
 void
@@ -534,55 +356,10 @@
   return status_call{ aFrom.call(), aFrom.credential() };
 }
 
-replica_status
-GetReplica(const pb::ReplicaStatus& aFrom)
-{
-  return {
-    aFrom.name(),     aFrom.domain(), aFrom.address(), aFrom.is_leader(),
-    aFrom.is_voter(), aFrom.term(),   aFrom.commit(),  aFrom.revision()
-  };
-}
-
-host_status
-GetHost(const pb::HostStatus& aFrom)
-{
-  return { aFrom.name(),
-           aFrom.domain(),
-           aFrom.revision(),
-           aFrom.has_lease(),
-           std::chrono::milliseconds(aFrom.age_ms()),
-           aFrom.http_address() };
-}
-
 std::optional<message_body>
 GetBody(const pb::StatusReply& aFrom, steady_time aNow)
 {
-  status_reply reply;
-  reply.call = aFrom.call();
-  reply.leader = aFrom.leader();
-  reply.revision = aFrom.revision();
-  reply.manifestRevision = aFrom.manifest_revision();
-  reply.version = aFrom.version();
-  for (const auto& row : aFrom.replicas()) {
-    reply.replicas.push_back(GetReplica(row));
-  }
-  for (const auto& row : aFrom.hosts()) {
-    reply.hosts.push_back(GetHost(row));
-  }
-  for (const auto& row : aFrom.domains()) {
-    reply.domains.push_back({ row.name(),
-                              row.is_out(),
-                              row.delegate(),
-                              row.epoch(),
-                              row.confirmed_revision(),
-                              row.hosts(),
-                              std::chrono::milliseconds(row.age_ms()) });
-  }
-  reply.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
-  reply.keys = aFrom.keys();
-  reply.claims = aFrom.claims();
-  reply.text = aFrom.text();
-  return reply;
+  return Get(aFrom, aNow);
 }
 
 std::optional<message_body>
--- a/tests/rates/dealt_rate_test.cpp
+++ b/tests/rates/dealt_rate_test.cpp
@@ -22,8 +22,9 @@
     const double burst = *rc::gen::inRange(1, 1'000'000);
     const dealt_rate dealt = DealRate(tolerance, rate, burst);
     // Drawn tokens may be a second old.
-    const double used = 8.0 * dealt.standing.rate + dealt.standing.size +
-                        9.0 * dealt.pool.rate + dealt.pool.size;
+    const auto used =
+      static_cast<double>(8 * dealt.standing.rate + dealt.standing.size +
+                          9 * dealt.pool.rate + dealt.pool.size);
     const double most = (rate * 8 + burst) * 1.1 + 7'400;
     RC_ASSERT(used <= most * admission::kUnitsPerToken);
     RC_ASSERT(dealt.pool.rate > 0);
--- a/tests/rates/rates_test.cpp
+++ b/tests/rates/rates_test.cpp
@@ -182,7 +182,7 @@
     }
   }
 
-  void Send(std::size_t aHost, std::variant<draw, drawn> aBody)
+  void Send(std::size_t aHost, const std::variant<draw, drawn>& aBody)
   {
     const int copies =
       *rc::gen::weightedElement<int>({ { 1, 0 }, { 8, 1 }, { 1, 2 } });
