Wait longer for tokens while no leader answers; take what is there at the end of the wait

Cause, from the log of the press's incident: 0.75 s without a leader refused every request that was short after 40 to 62 ms, and requests behind a large one were refused although the tokens for them were there (tokens_here=1671 of 1379).

--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -71,7 +71,10 @@
 std::chrono::nanoseconds
 PatienceOf(const admission_tables& aTables, const admitted_row& aRow)
 {
-  return std::min(aRow.patience, aTables.escrow.settings.patience);
+  const auto wanted = aTables.purses.isReachable
+                        ? aRow.patience
+                        : std::max(aRow.patience, aRow.patienceCutOff);
+  return std::min(wanted, aTables.escrow.settings.patience);
 }
 
 // The pool's word on when it holds what was lacking, and longer, since others
@@ -93,7 +96,7 @@
 }
 
 // In the order of arrival within a workspace: a large request is not overtaken
-// by small ones for as long as it waits.
+// by small ones for as long as they may wait too.
 void
 TryPay(admission_tables& aTables,
        admitted_row& aRow,
@@ -106,17 +109,18 @@
   if (!std::exchange(aRow.isCounted, true)) {
     rates::NoteDemand(aTables.purses, what, units, aNow);
   }
-  if (!aShort.contains(aRow.workspace)) {
-    aRow.paid = rates::Pay(aTables.purses, what, units, aNow);
-  } else {
+  const steady_time until = aRow.arrivedAt + PatienceOf(aTables, aRow);
+  const bool mayWait = aNow < until;
+  if (mayWait && aShort.contains(aRow.workspace)) {
     rates::NoteLack(aTables.purses, what, units, aNow);
+  } else {
+    aRow.paid = rates::Pay(aTables.purses, what, units, aNow);
   }
   if (aRow.paid) {
     Enqueue(aTables, aRow);
     return;
   }
-  const steady_time until = aRow.arrivedAt + PatienceOf(aTables, aRow);
-  if (aNow < until) {
+  if (mayWait) {
     aShort.insert(aRow.workspace);
     aRow.state = admission_state::eShort;
     aOutbox.wake.NoLaterThan(until);
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -56,6 +56,8 @@
   std::int64_t tokens = 0; ///< upper bound
   /// Longest wait for tokens; an answer after it would be late anyhow.
   std::chrono::nanoseconds patience = std::chrono::seconds{ 1 };
+  /// The same while the leader is out of reach: another is elected soon.
+  std::chrono::nanoseconds patienceCutOff{ 0 };
   steady_time arrivedAt;
   steady_time deadline;
   admission_state state = admission_state::eNew;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -18,6 +18,8 @@
 /// Part of the target latency that a request may wait for tokens: a refusal
 /// after an eighth of it costs the caller time to come back.
 constexpr int kPatiencePart = 8;
+/// And while the leader is out of reach: another is elected within a second.
+constexpr int kCutOffPatiencePart = 2;
 /// An answer of the leader takes a few milliseconds.
 constexpr std::chrono::milliseconds kLeastPatience{ 40 };
 /// A request that waits for an endpoint may wait so long more on a host that
@@ -428,6 +430,7 @@
     if (aResolved.target.count() > 0) {
       row.patience = std::max<std::chrono::nanoseconds>(
         kLeastPatience, aResolved.target / kPatiencePart);
+      row.patienceCutOff = aResolved.target / kCutOffPatiencePart;
     }
     row.tokens = tokens;
     row.arrivedAt = std::chrono::steady_clock::now();
--- /dev/null
+++ b/tests/entry/admission_test.cpp
@@ -0,0 +1,144 @@
+#include "entry/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One host whose rates tolerate a window, before a leader that answers when the
+// test lets it.
+struct admission_fixture
+{
+  const workspace_id kSchool = IdOf<workspace_id>("school");
+  const admission::resource kRate = admission::RateOf(kSchool);
+  steady_time now = steady_time{} + std::chrono::hours{ 1 };
+  admission_tables tables = MakeAdmission(IdOf<host_id>("host"), 1);
+  admission_outbox out;
+  std::vector<request_id> admitted;
+  std::vector<refusal_kind> refused;
+  std::uint64_t lastRequest = 0;
+
+  admission_fixture()
+  {
+    tables.tolerance.window = std::chrono::seconds{ 8 };
+    tables.capacity = 100;
+  }
+
+  request_id Ask(std::int64_t aTokens)
+  {
+    admitted_row row;
+    row.id = request_id{ ++lastRequest };
+    row.workspace = kSchool;
+    row.tokens = aTokens;
+    row.patience = milliseconds{ 60 };
+    row.patienceCutOff = milliseconds{ 250 };
+    row.arrivedAt = now;
+    row.deadline = now + std::chrono::seconds{ 10 };
+    row.onAdmitted = [this, id = row.id](steady_time) {
+      admitted.push_back(id);
+    };
+    row.onRefused = [this](const refusal& aWhy) {
+      refused.push_back(aWhy.kind);
+    };
+    const request_id id = row.id;
+    Admit(tables, std::move(row));
+    return id;
+  }
+
+  void Run(milliseconds aLater = milliseconds{ 0 })
+  {
+    now += aLater;
+    out = {};
+    RunAdmission(tables, now, out);
+    for (const admit_hook& hook : out.admitted) {
+      hook(now);
+    }
+    for (const auto& [hook, why] : out.refused) {
+      hook(why);
+    }
+  }
+
+  /// The leader's answer to the latest draw.
+  void Give(std::int64_t aTokens)
+  {
+    tables.purses.answers.push_back(
+      { tables.purses.sequence,
+        { { kRate, aTokens * admission::kUnitsPerToken, {} } } });
+  }
+};
+
+TEST_CASE_METHOD(admission_fixture,
+                 "Request_WhoseTokensAreDrawnInTime_IsLetIn",
+                 "[entry]")
+{
+  const request_id id = Ask(100);
+  Run();
+  REQUIRE(out.draw);
+  Give(100);
+  Run(milliseconds{ 5 });
+  CHECK(admitted == std::vector<request_id>{ id });
+}
+
+TEST_CASE_METHOD(admission_fixture,
+                 "Request_WithoutTokensAtTheEndOfItsPatience_IsOverTheRate",
+                 "[entry]")
+{
+  Ask(100);
+  Run();
+  Give(10);
+  Run(milliseconds{ 5 });
+  CHECK(refused.empty());
+  Run(milliseconds{ 55 });
+  CHECK(refused == std::vector<refusal_kind>{ refusal_kind::eOverRate });
+}
+
+TEST_CASE_METHOD(admission_fixture,
+                 "SmallRequest_BehindALargeOneThatWaits_DoesNotOvertakeIt",
+                 "[entry]")
+{
+  const request_id large = Ask(100);
+  Run();
+  Ask(10);
+  Give(50);
+  Run(milliseconds{ 20 });
+  CHECK(admitted.empty());
+  REQUIRE(out.draw);
+  Give(60);
+  Run(milliseconds{ 5 });
+  REQUIRE(admitted.size() == 2);
+  CHECK(admitted[0] == large);
+}
+
+TEST_CASE_METHOD(admission_fixture,
+                 "SmallRequest_AtTheEndOfItsPatience_TakesWhatIsThere",
+                 "[entry]")
+{
+  Ask(1'000);
+  const request_id small = Ask(10);
+  Run();
+  Give(50);
+  Run(milliseconds{ 20 });
+  CHECK(admitted.empty());
+  Run(milliseconds{ 40 });
+  CHECK(admitted == std::vector<request_id>{ small });
+  CHECK(refused.size() == 1);
+}
+
+TEST_CASE_METHOD(admission_fixture,
+                 "Request_WhileNoLeaderAnswers_WaitsForTheNextOne",
+                 "[entry]")
+{
+  Ask(100);
+  Run();
+  Run(milliseconds{ 100 }); // the draw was not answered
+  REQUIRE(refused.empty());
+  Run(milliseconds{ 100 });
+  CHECK(refused.empty());
+  Run(milliseconds{ 50 });
+  CHECK(refused == std::vector<refusal_kind>{ refusal_kind::eCutOff });
+}
+
+} // namespace
+} // namespace bulrush::entry
