--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -105,6 +105,19 @@
   return aRequest.forwarded == 0 || aEndpoint.facts.canResume;
 }
 
+// A second try at once finds out whether a packet was lost. Further ones would
+// use up the request's attempts while the endpoint stays away.
+bool
+IsOutOfReach(const endpoint_row& aEndpoint,
+             const request_row& aRequest,
+             steady_time aNow)
+{
+  constexpr std::uint32_t kTriesAtOnce = 2;
+  return aNow < aEndpoint.doubtUntil &&
+         aRequest.attemptsUnsent >= kTriesAtOnce &&
+         HasTried(aRequest, aEndpoint.id);
+}
+
 look
 LookAt(const tables& aTables,
        endpoint_row& aEndpoint,
@@ -113,7 +126,8 @@
 {
   look seen;
   if (!IsServing(aEndpoint) || !CanContinue(aEndpoint, aRequest) ||
-      IsMissing(aTables, aEndpoint, aRequest.facts, aNow)) {
+      IsMissing(aTables, aEndpoint, aRequest.facts, aNow) ||
+      IsOutOfReach(aEndpoint, aRequest, aNow)) {
     return seen;
   }
   seen.isUsable = true;
@@ -474,8 +488,11 @@
 WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
 {
   for (const endpoint_row& endpoint : aTables.endpoints) {
-    if (aNow < endpoint.avoidUntil) {
-      aWake.NoLaterThan(endpoint.avoidUntil);
+    for (const steady_time until :
+         { endpoint.avoidUntil, endpoint.doubtUntil }) {
+      if (aNow < until) {
+        aWake.NoLaterThan(until);
+      }
     }
   }
 }
@@ -498,7 +515,7 @@
       EndWaiting(aTables, request, aNow, aOutbox);
       continue;
     }
-    if (chosen.failure == choice_failure::eNoSlot) {
+    if (chosen.failure) {
       WakeForAvoided(aTables, aNow, aOutbox.wake);
     }
     if (!chosen.failure) {
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -295,6 +295,31 @@
   }
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Request_WhoseOnlyEndpointIsOutOfReach_WaitsInsteadOfTrying",
+                 "[routing]")
+{
+  for (std::uint64_t id = 2; id <= 4; ++id) {
+    RemoveEndpoint(engine, endpoint_id{ id });
+  }
+  request_facts facts = Request();
+  facts.deadline = now + std::chrono::seconds{ 10 };
+  start_attempt sent = Send(facts);
+  End(sent.attempt, attempt_end::eNotSent);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  End(out.starts.front().attempt, attempt_end::eNotSent);
+  RunOnce();
+  CHECK(out.starts.empty());
+  CHECK(out.ends.empty());
+  CHECK(out.wake.at <= now + 2 * engine.settings.doubtSilent);
+  RunOnce(2 * engine.settings.doubtSilent);
+  REQUIRE(out.starts.size() == 1);
+  AnswerWhole(out.starts.front().attempt);
+  RunOnce();
+  CheckEnd(request_outcome::eAnswered, ran_state::eRan);
+}
+
 TEST_CASE_METHOD(retry_fixture,
                  "Endpoint_ThatWasSilent_IsTriedByOneRequestUntilItAnswers",
                  "[routing]")
