--- a/tests/process/control_log_test.cpp
+++ b/tests/process/control_log_test.cpp
@@ -323,7 +323,7 @@
                  "--data",
                  running.ControlData(0).string() });
   CHECK(second.exitCode == 1);
-  CHECK(second.errors.find("another process holds it") != std::string::npos);
+  CHECK(second.output.find("another process holds it") != std::string::npos);
 }
 
 } // namespace
