--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -365,12 +365,13 @@
   }
 }
 
-bool
-HasOtherEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
+// True when an endpoint that takes work and holds the request's model in its
+// version fits.
+template<class predicate>
+static bool
+AnyHolder(const tables& aTables, const request_facts& aFacts, predicate aFits)
 {
-  IndexHolders(aTables);
-  const auto found =
-    aTables.holders.find({ aRequest.facts.model, aRequest.facts.adapter });
+  const auto found = aTables.holders.find({ aFacts.model, aFacts.adapter });
   if (found == aTables.holders.end()) {
     return false;
   }
@@ -378,27 +379,27 @@
   return std::any_of(
     found->second.begin(), found->second.end(), [&](const holder& aHolder) {
       const endpoint_row& endpoint = rows[aHolder.position];
-      return HasVersion(aHolder, aRequest.facts) && IsServing(endpoint) &&
-             CanContinue(endpoint, aRequest) &&
-             !HasTried(aRequest, endpoint.id) && aNow >= endpoint.doubtUntil;
+      return HasVersion(aHolder, aFacts) && IsServing(endpoint) &&
+             aFits(endpoint);
     });
 }
 
+bool
+HasOtherEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
+{
+  IndexHolders(aTables);
+  return AnyHolder(aTables, aRequest.facts, [&](const endpoint_row& aEndpoint) {
+    return CanContinue(aEndpoint, aRequest) &&
+           !HasTried(aRequest, aEndpoint.id) && aNow >= aEndpoint.doubtUntil;
+  });
+}
+
 bool
 CanResumeSomewhere(const tables& aTables, const request_row& aRequest)
 {
-  const auto found =
-    aTables.holders.find({ aRequest.facts.model, aRequest.facts.adapter });
-  if (found == aTables.holders.end()) {
-    return false;
-  }
-  const auto rows = aTables.endpoints.Rows();
-  return std::any_of(
-    found->second.begin(), found->second.end(), [&](const holder& aHolder) {
-      const endpoint_row& endpoint = rows[aHolder.position];
-      return HasVersion(aHolder, aRequest.facts) && IsServing(endpoint) &&
-             endpoint.facts.canResume;
-    });
+  return AnyHolder(aTables, aRequest.facts, [](const endpoint_row& aEndpoint) {
+    return aEndpoint.facts.canResume;
+  });
 }
 
 // The own failure domain comes first: another is a longer way and may be cut
