Log denied requests, the use of quotas and the load of control processes

Callers on the grown deployments got 401 for proper requests and were refused below their rates, and the logs could not say why: a request that the host denied left no line, and nothing told how much of a rate was granted, used or expired, or how busy a control process was.

request_denied names the configuration in force at the host, quota_use and pool the tokens at hosts and leader, load the ticks of a control process.

--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -36,8 +36,49 @@
                                        metric_kind::eDuration,
                                        "Time that a tick takes" };
 
+constexpr log_component kLog{ "control" };
+
+constexpr std::chrono::seconds kLoadInterval{ 1 };
+
+std::string
+Milliseconds(std::chrono::nanoseconds aTime)
+{
+  const std::chrono::duration<double, std::milli> time = aTime;
+  return fmt::format("{:.1f}", time.count());
+}
+
 } // namespace
 
+// Busy time near the interval, or a large inbox, means that answers to hosts
+// are late because of this process.
+void
+RecordLoad(load_row& aRow,
+           std::size_t aInbox,
+           std::chrono::nanoseconds aDuration,
+           steady_time aNow)
+{
+  ++aRow.ticks;
+  aRow.messages += aInbox;
+  aRow.largestInbox = std::max(aRow.largestInbox, aInbox);
+  aRow.busy += aDuration;
+  aRow.longestTick = std::max(aRow.longestTick, aDuration);
+  if (aNow < aRow.since + kLoadInterval) {
+    return;
+  }
+  LogEvent(kLog,
+           log_level::eInfo,
+           "load",
+           { { "over_ms", Milliseconds(aNow - aRow.since) },
+             { "ticks", std::to_string(aRow.ticks) },
+             { "busy_ms", Milliseconds(aRow.busy) },
+             { "longest_tick_ms", Milliseconds(aRow.longestTick) },
+             { "messages", std::to_string(aRow.messages) },
+             { "largest_inbox", std::to_string(aRow.largestInbox) },
+             { "dropped", std::to_string(aRow.dropped) } });
+  aRow = {};
+  aRow.since = aNow;
+}
+
 void
 CountTick(metrics& aMetrics,
           const control_outbox& aOutbox,
--- a/src/control/metrics.hpp
+++ b/src/control/metrics.hpp
@@ -8,6 +8,24 @@
 
 namespace bulrush::control {
 
+/// Work of a process since its last "load" line.
+struct load_row
+{
+  steady_time since{};
+  std::uint64_t ticks = 0;
+  std::uint64_t messages = 0;   ///< received
+  std::uint64_t dropped = 0;    ///< not sent: peer disconnected or queue full
+  std::size_t largestInbox = 0; ///< messages that one tick found waiting
+  std::chrono::nanoseconds busy{ 0 };
+  std::chrono::nanoseconds longestTick{ 0 };
+};
+
+/// Adds one tick to aRow. Logs and clears it once a second.
+void RecordLoad(load_row& aRow,
+                std::size_t aInbox,
+                std::chrono::nanoseconds aDuration,
+                steady_time aNow);
+
 /// Counts outgoing messages, orders, queries and answers, and records the time
 /// that the tick took.
 void CountTick(metrics& aMetrics,
--- a/src/control/pools.cpp
+++ b/src/control/pools.cpp
@@ -9,6 +9,8 @@
 
 constexpr log_component kLog{ "control" };
 
+/// Interval between the lines about a pool that hosts draw from.
+constexpr std::chrono::seconds kLogInterval{ 1 };
 /// Interval at which idle pools are expired.
 constexpr std::chrono::seconds kExpiryInterval{ 1 };
 
@@ -56,6 +58,41 @@
   }
 }
 
+// One line a second for each workspace that hosts requested tokens for since
+// the last one.
+void
+LogPools(control_tables& aTables, steady_time aNow)
+{
+  pool_state& state = aTables.pools;
+  if (aNow < state.nextLog) {
+    return;
+  }
+  state.nextLog = aNow + kLogInterval;
+  const auto tokens = [](std::int64_t aUnits) {
+    return std::to_string(aUnits / admission::kUnitsPerToken);
+  };
+  for (rates::pool_row& pool : state.pools.pools) {
+    const workspace_row* workspace = aTables.fleet.declared.workspaces.Find(
+      workspace_id{ pool.resource.subject });
+    if (workspace == nullptr || pool.requests == 0) {
+      continue;
+    }
+    LogEvent(kLog,
+             log_level::eInfo,
+             "pool",
+             { { "workspace", workspace->name },
+               { "requests", std::to_string(pool.requests) },
+               { "requested", tokens(pool.requestedUnits) },
+               { "granted", tokens(pool.grantedUnits) },
+               { "level", tokens(pool.bucket.level) },
+               { "rate", tokens(pool.bucket.share.rate) },
+               { "hosts", std::to_string(aTables.fleet.hosts) } });
+    pool.requests = 0;
+    pool.requestedUnits = 0;
+    pool.grantedUnits = 0;
+  }
+}
+
 } // namespace
 
 // A previous leader grants nothing once its lease has ended, and the pools of a
@@ -101,6 +138,7 @@
     { aInput.peer,
       "",
       rates::HandleQuotaRequest(state.pools, aRequest, aNow) });
+  LogPools(aTables, aNow);
   if (aNow >= state.nextExpiry) {
     rates::EvictIdlePools(state.pools, aNow);
     state.nextExpiry = aNow + kExpiryInterval;
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -346,6 +346,7 @@
   wake_time Tick(steady_time aNow)
   {
     control_outbox outbox;
+    const std::size_t inbox = mTables.inbox.size();
     RunControl(mTables, aNow, outbox);
     CountTick(mMetrics, outbox, std::chrono::steady_clock::now() - aNow);
     if (outbox.fatal) {
@@ -383,6 +384,8 @@
     if (!mTables.committed.empty()) {
       mTimer.RunSoon();
     }
+    const steady_time end = std::chrono::steady_clock::now();
+    RecordLoad(mLoad, inbox, end - aNow, end);
     if (mStopBy) {
       if (aNow >= *mStopBy || IsHandedOver(mTables)) {
         mContext.stop();
@@ -397,14 +400,11 @@
     const std::string bytes = wire::Encode(
       { mTables.self.name, mTables.self.incarnation, std::move(aOut.body) },
       aNow);
-    if (aOut.control.empty()) {
-      mServer->Send(aOut.peer, bytes);
-      return;
-    }
     const auto link = mLinks.find(aOut.control);
-    if (link != mLinks.end()) {
-      link->second->Send(bytes);
-    }
+    const bool isSent = aOut.control.empty()
+                          ? mServer->Send(aOut.peer, bytes)
+                          : link != mLinks.end() && link->second->Send(bytes);
+    mLoad.dropped += isSent ? 0 : 1;
   }
 
   // Kept connections may resend a request; the order's condition makes that
@@ -510,6 +510,7 @@
   std::unique_ptr<net::http_server> mHttp;
   std::unique_ptr<net::http_server> mMetricsServer;
   metrics mMetrics{ "control" };
+  load_row mLoad;
   net::tick_timer mTimer;
   net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -215,6 +215,7 @@
   std::uint64_t manifestRevision = 0; ///< of the manifest whose rates are set
   rates::pool_tables pools;
   steady_time nextExpiry;
+  steady_time nextLog;
 };
 
 /// A host that reports demand for models, and the newest update sent to it.
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -197,12 +197,6 @@
   aOutbox.wake.NoLaterThan(out.wake.at);
 }
 
-bool
-ToleratesWindow(const admission_tables& aTables)
-{
-  return aTables.tolerance.window.count() > 0;
-}
-
 void
 RunEscrow(admission_tables& aTables,
           steady_time aNow,
@@ -326,6 +320,12 @@
 
 } // namespace
 
+bool
+ToleratesWindow(const admission_tables& aTables)
+{
+  return aTables.tolerance.window.count() > 0;
+}
+
 admission_tables
 MakeAdmission(host_id aHost, std::uint64_t aIncarnation)
 {
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -92,6 +92,9 @@
   wake_time wake;
 };
 
+/// Rates are served from baselines and the leader's pools.
+bool ToleratesWindow(const admission_tables& aTables);
+
 /// Tables of a thread that is the holder for aHost.
 admission_tables MakeAdmission(host_id aHost, std::uint64_t aIncarnation);
 
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -44,6 +44,7 @@
     aTables.fleet = std::move(next);
     aTables.hasNewFleet = true;
   }
+  aTables.newestRevision = std::max(aTables.newestRevision, aUpdate.revision);
 }
 
 bool
@@ -328,7 +329,8 @@
              log_level::eInfo,
              "configuration",
              { { "revision", std::to_string(aTables.fleet->revision) },
-               { "number", std::to_string(aTables.fleet->declared.number) } });
+               { "number", std::to_string(aTables.fleet->declared.number) },
+               { "newest", std::to_string(aTables.newestRevision) } });
   }
   if (aTables.hasNewEndpoints) {
     view.endpoints = std::make_shared<const std::vector<endpoint_row>>(
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -90,8 +90,9 @@
   std::uint64_t lastReport = 0;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
-  std::string leader;     ///< name of the leading control process
-  traffic_view published; ///< latest published view
+  std::uint64_t newestRevision = 0; ///< of all control processes, as received
+  std::string leader;               ///< name of the leading control process
+  traffic_view published;           ///< latest published view
   bool isStopping = false;
   bool hasNewFleet = true;
   bool hasNewEndpoints = true;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -23,6 +23,8 @@
 constexpr int kLeaderlessMaxWaitDivisor = 2;
 /// Shortest wait limit. The leader's answer takes a few milliseconds.
 constexpr std::chrono::milliseconds kMinWaitLimit{ 40 };
+/// Interval between the lines about the use of quotas.
+constexpr std::chrono::seconds kQuotaLogInterval{ 5 };
 /// When a host stops, requests may wait this much longer for an endpoint; then
 /// they are refused in time to be served by another host.
 constexpr std::chrono::milliseconds kStoppingPlacementTimeout{ 500 };
@@ -306,6 +308,7 @@
     const bool isResolved =
       call && Resolve(Context(), aRequest, *call, resolved, error);
     if (!isResolved) {
+      LogDenial(call ? call->id : "", aRequest.path, error);
       SendError(*aReply, error, aId);
       return;
     }
@@ -496,6 +499,26 @@
         { "revision", std::to_string(mView.fleet->revision) } });
   }
 
+  // A denied request leaves no other line. Its cause is the configuration in
+  // force here, which may lag behind the leader's.
+  void LogDenial(const std::string& aCallerId,
+                 const std::string& aPath,
+                 const caller_error& aError) const
+  {
+    const fleet_state& fleet = *mView.fleet;
+    LogEvent(kLog,
+             log_level::eInfo,
+             "request_denied",
+             { { "request", aCallerId },
+               { "path", aPath },
+               { "code", aError.code },
+               { "status", std::to_string(aError.status) },
+               { "revision", std::to_string(fleet.revision) },
+               { "number", std::to_string(fleet.declared.number) },
+               { "keys", std::to_string(fleet.keys.Size()) },
+               { "routes", std::to_string(fleet.declared.routes.Size()) } });
+  }
+
   // Lease and key are checked again: they may have ended while the request
   // waited.
   void StartAdmitted(routed_request aRouted, steady_time aNow)
@@ -515,6 +538,7 @@
                 : caller_error{
                     401, "key_withdrawn", "the key was withdrawn", false, {}
                   };
+    LogDenial(aRouted.callerId, aRouted.path, error);
     SendError(*aRouted.reply, error, aRouted.facts.id);
   }
 
@@ -535,6 +559,7 @@
                wasReachable ? "pool_lost" : "pool_back",
                { { "draw", std::to_string(mAdmission.quotas.sequence) } });
     }
+    LogQuotaUse(aNow);
     for (admission::renewal& report : out.renewals) {
       mHooks.onRenewal(std::move(report));
     }
@@ -556,6 +581,29 @@
     return out.wake;
   }
 
+  // Totals of all workspaces since the start, so that a lost line loses
+  // nothing. Expired tokens were granted here and missed by other hosts.
+  void LogQuotaUse(steady_time aNow)
+  {
+    if (!ToleratesWindow(mAdmission) || aNow < mNextQuotaLog) {
+      return;
+    }
+    mNextQuotaLog = aNow + kQuotaLogInterval;
+    const auto tokens = [](std::int64_t aUnits) {
+      return std::to_string(aUnits / admission::kUnitsPerToken);
+    };
+    const rates::quota_totals& totals = mAdmission.quotas.totals;
+    LogEvent(kLog,
+             log_level::eInfo,
+             "quota_use",
+             { { "requested", tokens(totals.requested) },
+               { "granted", tokens(totals.granted) },
+               { "granted_used", tokens(totals.grantedUsed) },
+               { "expired", tokens(totals.expired) },
+               { "baseline_used", tokens(totals.baselineUsed) },
+               { "hosts", std::to_string(mView.fleet->hosts) } });
+  }
+
   // Once admission has no requests left, returns the shares; the server stops
   // when the runner is idle and its answers are sent.
   void ReturnShares(steady_time aNow)
@@ -583,6 +631,7 @@
   bool mIsRefusing = false;
   std::function<void()> mOnStopped; ///< set while open requests finish
   std::uint64_t mLastRequest = 0;
+  steady_time mNextQuotaLog;
 };
 
 traffic_thread::traffic_thread(asio::io_context& aContext,
--- a/src/rates/pools.cpp
+++ b/src/rates/pools.cpp
@@ -86,6 +86,9 @@
       granted.units =
         std::clamp<std::int64_t>(requested.units, 0, pool->bucket.level);
       admission::TryConsume(pool->bucket, granted.units, aNow);
+      ++pool->requests;
+      pool->requestedUnits += requested.units;
+      pool->grantedUnits += granted.units;
       const std::int64_t shortfall = requested.units - granted.units;
       granted.refillsIn =
         shortfall <= 0 ? std::chrono::nanoseconds{ 0 }
--- a/src/rates/quotas.cpp
+++ b/src/rates/quotas.cpp
@@ -23,10 +23,12 @@
 }
 
 void
-EraseExpiredLots(quota_row& aQuota, steady_time aNow)
+EraseExpiredLots(quota_totals& aTotals, quota_row& aQuota, steady_time aNow)
 {
-  std::erase_if(aQuota.lots, [aNow](const granted_lot& aLot) {
-    return aLot.expiresAt <= aNow || aLot.units == 0;
+  std::erase_if(aQuota.lots, [&aTotals, aNow](const granted_lot& aLot) {
+    const bool isExpired = aLot.expiresAt <= aNow;
+    aTotals.expired += isExpired ? aLot.units : 0;
+    return isExpired || aLot.units == 0;
   });
 }
 
@@ -43,9 +45,9 @@
 // Expiry is checked at the time of use, since a process that was suspended must
 // not use tokens that expired meanwhile.
 std::int64_t
-RefreshAvailable(quota_row& aQuota, steady_time aNow)
+RefreshAvailable(quota_totals& aTotals, quota_row& aQuota, steady_time aNow)
 {
-  EraseExpiredLots(aQuota, aNow);
+  EraseExpiredLots(aTotals, aQuota, aNow);
   admission::Refill(aQuota.baseline, aNow);
   return aQuota.baseline.level + GrantedUnits(aQuota);
 }
@@ -94,23 +96,22 @@
 // grant nothing is requested until the pool is expected to have refilled, or
 // for a quarter of a token lifetime if that is shorter.
 std::int64_t
-UnitsToRequest(const quota_settings& aSettings,
-               quota_row& aQuota,
-               steady_time aNow)
+UnitsToRequest(quota_tables& aTables, quota_row& aQuota, steady_time aNow)
 {
-  const std::int64_t available = RefreshAvailable(aQuota, aNow);
+  const quota_settings& settings = aTables.settings;
+  const std::int64_t available = RefreshAvailable(aTables.totals, aQuota, aNow);
   const std::int64_t shortfall =
     std::max<std::int64_t>(0, aQuota.waitingUnits - available);
   if (aQuota.nextRequestAt && aNow < *aQuota.nextRequestAt) {
     return 0;
   }
   const std::int64_t lowUnits =
-    UnitsWithin(aQuota.demandRate, aSettings.requestBelow);
+    UnitsWithin(aQuota.demandRate, settings.requestBelow);
   if (shortfall == 0 && available >= lowUnits) {
     return 0;
   }
   const auto ahead = std::min<std::chrono::milliseconds>(
-    aSettings.requestAhead, LifetimeOf(aQuota.resource) / 2);
+    settings.requestAhead, LifetimeOf(aQuota.resource) / 2);
   return std::max(shortfall,
                   UnitsWithin(aQuota.demandRate, ahead) + aQuota.waitingUnits -
                     available);
@@ -131,6 +132,7 @@
   aTables.isReachable = true;
   for (const quota_grant_row& row : aGrant.rows) {
     quota_row& quota = FindOrAddQuota(aTables, row.resource, aNow);
+    aTables.totals.granted += row.units;
     // The lifetime counts from when the request was sent, which is before the
     // pool granted them.
     AddLot(quota,
@@ -156,8 +158,9 @@
   quota_request next;
   for (quota_row& quota : aTables.quotas) {
     UpdateDemandRate(aTables.settings, quota, aNow);
-    const std::int64_t units = UnitsToRequest(aTables.settings, quota, aNow);
+    const std::int64_t units = UnitsToRequest(aTables, quota, aNow);
     if (units > 0) {
+      aTables.totals.requested += units;
       next.rows.push_back({ quota.resource, units });
     } else if (quota.waitingUnits > 0 && quota.nextRequestAt) {
       aOut.wake.NoLaterThan(*quota.nextRequestAt);
@@ -223,7 +226,7 @@
                 steady_time aNow)
 {
   quota_row& quota = FindOrAddQuota(aTables, aResource, aNow);
-  if (RefreshAvailable(quota, aNow) < aUnits) {
+  if (RefreshAvailable(aTables.totals, quota, aNow) < aUnits) {
     quota.waitingUnits += aUnits;
     return std::nullopt;
   }
@@ -231,6 +234,8 @@
   consumed.quotaId = quota.id;
   consumed.baseline = std::min(aUnits, quota.baseline.level);
   consumed.granted = aUnits - consumed.baseline;
+  aTables.totals.baselineUsed += consumed.baseline;
+  aTables.totals.grantedUsed += consumed.granted;
   if (consumed.baseline > 0) {
     admission::TryConsume(quota.baseline, consumed.baseline, aNow);
     consumed.changeCount = quota.baseline.changeCount;
@@ -263,6 +268,7 @@
   }
   const std::int64_t granted = std::min(aUnits, aConsumed.granted);
   if (granted > 0 && aNow < aConsumed.grantExpiresAt) {
+    aTables.totals.grantedUsed -= granted;
     AddLot(*quota, { granted, aConsumed.grantExpiresAt });
   }
   const std::int64_t baseline = std::min(aUnits - granted, aConsumed.baseline);
@@ -274,7 +280,8 @@
 std::int64_t
 Available(quota_tables& aTables, const resource& aResource, steady_time aNow)
 {
-  return RefreshAvailable(FindOrAddQuota(aTables, aResource, aNow), aNow);
+  return RefreshAvailable(
+    aTables.totals, FindOrAddQuota(aTables, aResource, aNow), aNow);
 }
 
 // A quota request without an answer in time counts as lost. Its tokens expire
--- a/src/rates/rates.hpp
+++ b/src/rates/rates.hpp
@@ -136,9 +136,20 @@
   std::chrono::seconds expireAfter{ 10 }; ///< unused quotas
 };
 
+/// Totals over all limits since the start of the process, in units.
+struct quota_totals
+{
+  std::int64_t requested = 0;    ///< from the pool
+  std::int64_t granted = 0;      ///< by the pool
+  std::int64_t baselineUsed = 0; ///< consumed from baselines
+  std::int64_t grantedUsed = 0;  ///< consumed from grants, less returned
+  std::int64_t expired = 0;      ///< granted units that nothing consumed
+};
+
 struct quota_tables
 {
   quota_settings settings;
+  quota_totals totals;
   table<resource_id, quota_row> quotas;
   std::uint64_t sequence = 0;      ///< of the latest quota request
   steady_time sentAt;              ///< the latest quota request
@@ -208,7 +219,10 @@
   resource_id id;
   struct resource resource;
   admission::token_bucket bucket;
-  steady_time lastRequestAt; ///< by any host
+  steady_time lastRequestAt;       ///< by any host
+  std::uint64_t requests = 0;      ///< since they were last logged
+  std::int64_t requestedUnits = 0; ///< by these requests
+  std::int64_t grantedUnits = 0;   ///< by the answers to them
 };
 
 struct pool_tables
