Grant tokens for whole requests, and no baseline that cannot hold one

Cause: a limit was divided into parts smaller than one request. Half of each rate was a baseline in equal parts: at 40,000 tokens/s and 80 hosts a part held 390 tokens, so it filled up and its refill was lost. The pool granted whatever it had left, so that many hosts got crumbs that expired before the rest of a request came. Hosts with rare requests drew ahead of a demand that came after the tokens had expired, and for requests that they had just refused.

Change: hosts send the size of each waiting request and the pool grants whole ones, with a reserve against a bias to small ones; tokens ahead only for hosts with steady demand and while the pool is half full; a rate whose parts would hold less than a request has no baseline; tokens live for 500 ms. When hosts are added, the pool takes a baseline over 3 s after the count, so that hosts have given it up.

--- a/src/control/pools.cpp
+++ b/src/control/pools.cpp
@@ -11,16 +11,34 @@
 
 /// Interval between the lines about a pool that hosts draw from.
 constexpr std::chrono::seconds kLogInterval{ 1 };
+/// Time for all hosts to apply a new host count.
+constexpr std::chrono::seconds kBaselineHandOver{ 3 };
 /// Interval at which idle pools are expired.
 constexpr std::chrono::seconds kExpiryInterval{ 1 };
 
+// With more hosts a rate may lose its baseline to the pool. The pool takes it
+// over only after hosts have given it up.
 void
 SetRates(control_tables& aTables, steady_time aNow)
 {
   pool_state& state = aTables.pools;
-  if (state.manifestRevision == aTables.fleet.manifestRevision) {
+  if (state.hosts == aTables.fleet.hosts) {
+    state.newHostsSince.reset();
+  } else if (!state.newHostsSince) {
+    state.newHostsSince = aNow;
+  }
+  const bool isFirst = state.manifestRevision == 0;
+  const bool hasNewHosts =
+    state.newHostsSince && (isFirst || aTables.fleet.hosts < state.hosts ||
+                            aNow >= *state.newHostsSince + kBaselineHandOver);
+  if (!hasNewHosts &&
+      state.manifestRevision == aTables.fleet.manifestRevision) {
     return;
   }
+  if (hasNewHosts) {
+    state.hosts = aTables.fleet.hosts;
+    state.newHostsSince.reset();
+  }
   state.manifestRevision = aTables.fleet.manifestRevision;
   for (const workspace_row& workspace : aTables.fleet.declared.workspaces) {
     if (workspace.tokensPerSecond == 0) {
@@ -28,7 +46,8 @@
     }
     const rates::split_rate split = rates::SplitRate(aTables.leases.tolerance,
                                                      workspace.tokensPerSecond,
-                                                     workspace.burstTokens);
+                                                     workspace.burstTokens,
+                                                     state.hosts);
     rates::SetPool(
       state.pools, admission::RateOf(workspace.id), split.pool, aNow);
   }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -213,6 +213,8 @@
 {
   std::uint64_t term = 0;             ///< in which the pools were created
   std::uint64_t manifestRevision = 0; ///< of the manifest whose rates are set
+  std::uint32_t hosts = 0;            ///< for which the rates are split
+  std::optional<steady_time> newHostsSince; ///< another number is in the log
   rates::pool_tables pools;
   steady_time nextExpiry;
   steady_time nextLog;
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -113,9 +113,7 @@
   }
   const steady_time until = aRow.arrivedAt + MaxWaitOf(aTables, aRow);
   const bool mayWait = aNow < until;
-  if (mayWait && aShortWorkspaces.contains(aRow.workspace)) {
-    rates::RecordShortfall(aTables.quotas, what, units, aNow);
-  } else {
+  if (!mayWait || !aShortWorkspaces.contains(aRow.workspace)) {
     aRow.consumed = rates::TryConsumeQuota(aTables.quotas, what, units, aNow);
   }
   if (aRow.consumed) {
@@ -123,6 +121,7 @@
     return;
   }
   if (mayWait) {
+    rates::RecordWaiting(aTables.quotas, what, units, aNow);
     aShortWorkspaces.insert(aRow.workspace);
     aRow.state = admission_state::eWaitingForTokens;
     aOutbox.wake.NoLaterThan(until);
@@ -309,7 +308,8 @@
     }
     const admission::share all = rates::SplitRate(aTables.tolerance,
                                                   workspace.tokensPerSecond,
-                                                  workspace.burstTokens)
+                                                  workspace.burstTokens,
+                                                  aFleet.hosts)
                                    .baseline;
     rates::SetBaseline(aTables.quotas,
                        admission::RateOf(workspace.id),
--- a/src/entry/cold_gate.cpp
+++ b/src/entry/cold_gate.cpp
@@ -20,7 +20,7 @@
       admission::kUnitsPerToken) {
     return true;
   }
-  rates::RecordShortfall(aTables.quotas, what, admission::kUnitsPerToken, aNow);
+  rates::RecordWaiting(aTables.quotas, what, admission::kUnitsPerToken, aNow);
   return false;
 }
 
--- a/src/rates/pools.cpp
+++ b/src/rates/pools.cpp
@@ -13,12 +13,54 @@
 /// Sent to hosts whose pool is missing or too small for their request.
 constexpr std::chrono::seconds kUnknownRefillTime{ 1 };
 
-constexpr std::chrono::milliseconds kRateTokenLifetime{ 1'000 };
+constexpr std::chrono::milliseconds kRateTokenLifetime{ 500 };
 constexpr std::chrono::milliseconds kColdTokenLifetime{ 250 };
 
 /// Burst of a cold endpoint, as time at its limit.
 constexpr double kColdBurstSeconds = 0.25;
 
+/// A pool keeps back this fraction of its size from requests, or this many
+/// tokens if that is less, so that a large request finds its tokens as often
+/// as a small one.
+constexpr std::int64_t kReserveDivisor = 4;
+constexpr std::int64_t kMaxReserveUnits = 4'000 * admission::kUnitsPerToken;
+
+// The level at which a request of aUnits is granted.
+std::int64_t
+LevelFor(const admission::token_bucket& aBucket, std::int64_t aUnits)
+{
+  const std::int64_t reserve =
+    std::min(aBucket.share.size / kReserveDivisor, kMaxReserveUnits);
+  return std::max(aUnits, reserve);
+}
+
+quota_grant_row
+GrantFrom(admission::token_bucket& aBucket,
+          const quota_request_row& aRequested,
+          steady_time aNow)
+{
+  quota_grant_row granted;
+  granted.resource = aRequested.resource;
+  for (const std::int64_t units : aRequested.waiting) {
+    const std::int64_t needed = LevelFor(aBucket, units);
+    if (aBucket.level < needed) {
+      granted.refillsIn = admission::TimeUntil(aBucket, needed, aNow)
+                            .value_or(kUnknownRefillTime);
+      return granted;
+    }
+    admission::TryConsume(aBucket, units, aNow);
+    granted.units += units;
+  }
+  // Part of what is requested ahead is of use too, but not at the cost of
+  // requests that wait at other hosts.
+  const std::int64_t spare = aBucket.level - aBucket.share.size / 2;
+  const std::int64_t ahead =
+    std::clamp<std::int64_t>(spare, 0, aRequested.ahead);
+  admission::TryConsume(aBucket, ahead, aNow);
+  granted.units += ahead;
+  return granted;
+}
+
 } // namespace
 
 resource
@@ -83,17 +125,10 @@
     if (pool != nullptr) {
       pool->lastRequestAt = aNow;
       admission::Refill(pool->bucket, aNow);
-      granted.units =
-        std::clamp<std::int64_t>(requested.units, 0, pool->bucket.level);
-      admission::TryConsume(pool->bucket, granted.units, aNow);
+      granted = GrantFrom(pool->bucket, requested, aNow);
       ++pool->requests;
-      pool->requestedUnits += requested.units;
+      pool->requestedUnits += UnitsOf(requested);
       pool->grantedUnits += granted.units;
-      const std::int64_t shortfall = requested.units - granted.units;
-      granted.refillsIn =
-        shortfall <= 0 ? std::chrono::nanoseconds{ 0 }
-                       : admission::TimeUntil(pool->bucket, shortfall, aNow)
-                           .value_or(kUnknownRefillTime);
     }
     grant.rows.push_back(granted);
   }
--- a/src/rates/quotas.cpp
+++ b/src/rates/quotas.cpp
@@ -1,6 +1,7 @@
 #include "rates/rates.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bulrush::rates {
 namespace {
@@ -79,42 +80,71 @@
   if (aNow < aQuota.demandSince + aSettings.demandInterval) {
     return;
   }
-  const auto newestRate = static_cast<double>(aQuota.demandUnits) / age.count();
-  aQuota.demandRate += aSettings.demandGain * (newestRate - aQuota.demandRate);
+  const auto average = [&](double& aRate, double aCount) {
+    aRate += aSettings.demandGain * (aCount / age.count() - aRate);
+  };
+  average(aQuota.demandRate, static_cast<double>(aQuota.demandUnits));
+  average(aQuota.requestRate, aQuota.demandRequests);
   aQuota.demandUnits = 0;
+  aQuota.demandRequests = 0;
   aQuota.demandSince = aNow;
 }
 
+// What the waiting requests lack after the units at hand are given to them in
+// order of arrival.
+std::vector<std::int64_t>
+Shortfalls(const quota_row& aQuota, std::int64_t aAvailable)
+{
+  std::vector<std::int64_t> shortfalls;
+  for (const std::int64_t units : aQuota.waiting) {
+    const std::int64_t covered = std::min(units, aAvailable);
+    aAvailable -= covered;
+    if (covered < units) {
+      shortfalls.push_back(units - covered);
+    }
+  }
+  return shortfalls;
+}
+
+// Units for the demand that is expected while a grant lasts, less those at
+// hand.
 std::int64_t
-UnitsWithin(double aRate, std::chrono::duration<double> aTime)
+UnitsAhead(const quota_settings& aSettings,
+           const quota_row& aQuota,
+           std::int64_t aAvailable)
 {
-  return static_cast<std::int64_t>(aRate * aTime.count());
+  const std::chrono::duration<double> ahead =
+    std::min<std::chrono::milliseconds>(aSettings.requestAhead,
+                                        LifetimeOf(aQuota.resource) / 2);
+  if (aQuota.requestRate * ahead.count() < aSettings.minRequestsAhead) {
+    return 0;
+  }
+  const auto expected =
+    static_cast<std::int64_t>(aQuota.demandRate * ahead.count());
+  return std::max<std::int64_t>(0, expected - aAvailable);
 }
 
 // Waiting requests cause a quota request for their shortfall at once; otherwise
 // more is requested while the quota still covers some demand. After a partial
 // grant nothing is requested until the pool is expected to have refilled, or
 // for a quarter of a token lifetime if that is shorter.
-std::int64_t
-UnitsToRequest(quota_tables& aTables, quota_row& aQuota, steady_time aNow)
+quota_request_row
+RowToRequest(quota_tables& aTables, quota_row& aQuota, steady_time aNow)
 {
-  const quota_settings& settings = aTables.settings;
+  quota_request_row row;
+  row.resource = aQuota.resource;
   const std::int64_t available = RefreshAvailable(aTables.totals, aQuota, aNow);
-  const std::int64_t shortfall =
-    std::max<std::int64_t>(0, aQuota.waitingUnits - available);
   if (aQuota.nextRequestAt && aNow < *aQuota.nextRequestAt) {
-    return 0;
+    return row;
   }
-  const std::int64_t lowUnits =
-    UnitsWithin(aQuota.demandRate, settings.requestBelow);
-  if (shortfall == 0 && available >= lowUnits) {
-    return 0;
+  row.waiting = Shortfalls(aQuota, available);
+  const std::chrono::duration<double> below = aTables.settings.requestBelow;
+  const bool isLow =
+    static_cast<double>(available) < aQuota.demandRate * below.count();
+  if (isLow || !row.waiting.empty()) {
+    row.ahead = UnitsAhead(aTables.settings, aQuota, available);
   }
-  const auto ahead = std::min<std::chrono::milliseconds>(
-    settings.requestAhead, LifetimeOf(aQuota.resource) / 2);
-  return std::max(shortfall,
-                  UnitsWithin(aQuota.demandRate, ahead) + aQuota.waitingUnits -
-                    available);
+  return row;
 }
 
 void
@@ -158,11 +188,11 @@
   quota_request next;
   for (quota_row& quota : aTables.quotas) {
     UpdateDemandRate(aTables.settings, quota, aNow);
-    const std::int64_t units = UnitsToRequest(aTables, quota, aNow);
-    if (units > 0) {
-      aTables.totals.requested += units;
-      next.rows.push_back({ quota.resource, units });
-    } else if (quota.waitingUnits > 0 && quota.nextRequestAt) {
+    quota_request_row row = RowToRequest(aTables, quota, aNow);
+    if (UnitsOf(row) > 0) {
+      aTables.totals.requested += UnitsOf(row);
+      next.rows.push_back(std::move(row));
+    } else if (!quota.waiting.empty() && quota.nextRequestAt) {
       aOut.wake.NoLaterThan(*quota.nextRequestAt);
     }
   }
@@ -181,7 +211,7 @@
 {
   const auto quotas = aTables.quotas.Rows();
   return std::any_of(quotas.begin(), quotas.end(), [](const quota_row& aRow) {
-    return aRow.waitingUnits > 0;
+    return !aRow.waiting.empty();
   });
 }
 
@@ -191,13 +221,19 @@
   const auto& settings = aTables.settings;
   aTables.quotas.EraseIf([&](const quota_row& aRow) {
     return aRow.baseline.share == share{} && aRow.lots.empty() &&
-           aRow.demandUnits == 0 && aRow.waitingUnits == 0 &&
+           aRow.demandUnits == 0 && aRow.waiting.empty() &&
            aRow.demandSince + settings.expireAfter <= aNow;
   });
 }
 
 } // namespace
 
+std::int64_t
+UnitsOf(const quota_request_row& aRow)
+{
+  return std::accumulate(aRow.waiting.begin(), aRow.waiting.end(), aRow.ahead);
+}
+
 void
 SetBaseline(quota_tables& aTables,
             const resource& aResource,
@@ -216,7 +252,9 @@
              std::int64_t aUnits,
              steady_time aNow)
 {
-  FindOrAddQuota(aTables, aResource, aNow).demandUnits += aUnits;
+  quota_row& quota = FindOrAddQuota(aTables, aResource, aNow);
+  quota.demandUnits += aUnits;
+  ++quota.demandRequests;
 }
 
 std::optional<consumed_quota>
@@ -227,7 +265,6 @@
 {
   quota_row& quota = FindOrAddQuota(aTables, aResource, aNow);
   if (RefreshAvailable(aTables.totals, quota, aNow) < aUnits) {
-    quota.waitingUnits += aUnits;
     return std::nullopt;
   }
   consumed_quota consumed;
@@ -248,12 +285,12 @@
 }
 
 void
-RecordShortfall(quota_tables& aTables,
-                const resource& aResource,
-                std::int64_t aUnits,
-                steady_time aNow)
+RecordWaiting(quota_tables& aTables,
+              const resource& aResource,
+              std::int64_t aUnits,
+              steady_time aNow)
 {
-  FindOrAddQuota(aTables, aResource, aNow).waitingUnits += aUnits;
+  FindOrAddQuota(aTables, aResource, aNow).waiting.push_back(aUnits);
 }
 
 void
@@ -313,7 +350,7 @@
     aOut.wake.NoLaterThan(next);
   }
   for (quota_row& quota : aTables.quotas) {
-    quota.waitingUnits = 0; // requests that still wait add theirs in each tick
+    quota.waiting.clear(); // requests that still wait add theirs in each tick
   }
   EraseUnusedQuotas(aTables, aNow);
 }
--- a/src/rates/rates.hpp
+++ b/src/rates/rates.hpp
@@ -46,20 +46,28 @@
 };
 
 /// Splits a rate so that pool and baseline together stay within the tolerance
-/// in every window of its length.
+/// in every window of its length. There is no baseline if one of aHosts equal
+/// parts could not hold a request.
 split_rate SplitRate(const rate_tolerance& aTolerance,
                      double aTokensPerSecond,
-                     double aBurstTokens);
+                     double aBurstTokens,
+                     std::uint32_t aHosts);
 
 // --------------------------------------------------------------- messages
 
-/// A host's request for tokens of one limit.
+/// A host's request for tokens of one limit, in thousandths of a token.
 struct quota_request_row
 {
   struct resource resource;
-  std::int64_t units = 0; ///< thousandths of a token
+  /// Units that each waiting request lacks, in order of arrival. Fewer are of
+  /// no use to it, so the pool grants all of them or none.
+  std::vector<std::int64_t> waiting;
+  std::int64_t ahead = 0; ///< for requests that are expected soon
 };
 
+/// All units that a row requests.
+std::int64_t UnitsOf(const quota_request_row& aRow);
+
 /// A quota request: host to leader.
 struct quota_request
 {
@@ -101,9 +109,12 @@
   admission::token_bucket baseline;
   std::vector<granted_lot> lots; ///< by expiry, the earliest first
   double demandRate = 0;         ///< units/s, moving average
+  double requestRate = 0;        ///< requests/s, moving average
   std::int64_t demandUnits = 0;  ///< requested since demandSince
+  int demandRequests = 0;        ///< requests since demandSince
   steady_time demandSince;
-  std::int64_t waitingUnits = 0; ///< of the requests that wait in this tick
+  /// Units of each request that waits in this tick, in order of arrival.
+  std::vector<std::int64_t> waiting;
   std::optional<steady_time> nextRequestAt; ///< none earlier
   steady_time poolRefilledAt; ///< when the pool expects to cover the shortfall
 };
@@ -125,6 +136,9 @@
   /// Requested tokens cover the expected demand for this time, but for half a
   /// token lifetime at most.
   std::chrono::milliseconds requestAhead{ 500 };
+  /// Tokens are requested ahead only if so many requests are expected in that
+  /// time; with fewer they would mostly expire unused.
+  double minRequestsAhead = 2;
   /// Later answers count as lost. Round trips in a region take a few
   /// milliseconds.
   std::chrono::milliseconds answerTimeout{ 100 };
@@ -177,19 +191,17 @@
                   std::int64_t aUnits,
                   steady_time aNow);
 
-/// Consumes aUnits, those of the baseline first. With too few units it consumes
-/// none, adds aUnits to the next quota request and returns nullopt.
+/// Consumes aUnits, those of the baseline first; nullopt with too few units.
 std::optional<consumed_quota> TryConsumeQuota(quota_tables& aTables,
                                               const resource& aResource,
                                               std::int64_t aUnits,
                                               steady_time aNow);
 
-/// Adds aUnits to the next quota request without consuming any, for a request
-/// queued behind a waiting one.
-void RecordShortfall(quota_tables& aTables,
-                     const resource& aResource,
-                     std::int64_t aUnits,
-                     steady_time aNow);
+/// Adds a request of aUnits that waits in this tick to the next quota request.
+void RecordWaiting(quota_tables& aTables,
+                   const resource& aResource,
+                   std::int64_t aUnits,
+                   steady_time aNow);
 
 /// Returns aUnits of aConsumed that were not used. Granted units keep their
 /// expiry.
@@ -237,7 +249,9 @@
              const share& aShare,
              steady_time aNow);
 
-/// Answers a quota request. A limit without a pool grants nothing.
+/// Answers a quota request: whole waiting requests in order, then what is
+/// requested ahead while the pool is at least half full. A limit without a pool
+/// grants nothing.
 quota_grant HandleQuotaRequest(pool_tables& aTables,
                                const quota_request& aRequest,
                                steady_time aNow);
--- a/src/rates/split_rate.cpp
+++ b/src/rates/split_rate.cpp
@@ -14,13 +14,13 @@
 /// Fraction of the rate that is the hosts' baseline: usable while the leader is
 /// unreachable, and without quota requests under even load.
 constexpr double kBaselineFraction = 0.5;
-/// Burst tokens of the baseline and the pool, clamped to the fractions below of
-/// all tokens in the window: enough for a long request at every host of a small
-/// fleet plus one of usual length.
-constexpr double kBaselineSizeTokens = 22'400;
-constexpr double kPoolSizeTokens = 16'000;
-constexpr double kMinSizeFraction = 0.08;
-constexpr double kMaxBaselineSizeFraction = 0.12;
+/// Burst tokens of the baseline for each host: a request of usual length.
+constexpr double kHostBaselineTokens = 1'400;
+/// Burst tokens of the pool: a few long requests.
+constexpr double kPoolSizeTokens = 12'000;
+/// Bounds of both bursts, as fractions of all tokens in the window.
+constexpr double kMinSizeFraction = 0.06;
+constexpr double kMaxBaselineSizeFraction = 0.09;
 constexpr double kMaxPoolSizeFraction = 0.25;
 
 std::int64_t
@@ -32,11 +32,13 @@
 } // namespace
 
 // Tokens used in a window were granted by the pool within the window or within
-// one token lifetime before it.
+// one token lifetime before it. On many hosts the equal parts of a small rate
+// hold less than a request and would stay unused, so the pool gets all of it.
 split_rate
 SplitRate(const rate_tolerance& aTolerance,
           double aTokensPerSecond,
-          double aBurstTokens)
+          double aBurstTokens,
+          std::uint32_t aHosts)
 {
   const std::chrono::duration<double> window = aTolerance.window;
   const std::chrono::duration<double> lifetime = LifetimeOf({});
@@ -44,17 +46,20 @@
   const double maxTokens =
     kUsedToleranceFraction *
     (declared * (1 + aTolerance.overage) + aTolerance.slackTokens);
-  const double baseline = std::clamp(kBaselineSizeTokens,
-                                     kMinSizeFraction * maxTokens,
-                                     kMaxBaselineSizeFraction * maxTokens);
   const double pool = std::clamp(kPoolSizeTokens,
                                  kMinSizeFraction * maxTokens,
                                  kMaxPoolSizeFraction * maxTokens);
+  const double hostBaselines = kHostBaselineTokens * aHosts;
+  const bool hasBaseline =
+    hostBaselines <= kMaxBaselineSizeFraction * maxTokens;
+  const double baseline =
+    hasBaseline ? std::max(hostBaselines, kMinSizeFraction * maxTokens) : 0;
+  const double baselineFraction = hasBaseline ? kBaselineFraction : 0;
   const double seconds =
-    window.count() + (1 - kBaselineFraction) * lifetime.count();
+    window.count() + (1 - baselineFraction) * lifetime.count();
   const double rate = (maxTokens - baseline - pool) / seconds;
-  return { { Units((1 - kBaselineFraction) * rate), Units(pool) },
-           { Units(kBaselineFraction * rate), Units(baseline) } };
+  return { { Units((1 - baselineFraction) * rate), Units(pool) },
+           { Units(baselineFraction * rate), Units(baseline) } };
 }
 
 } // namespace bulrush::rates
--- a/src/wire/share_codec.cpp
+++ b/src/wire/share_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/convert.hpp"
 
+#include <algorithm>
+
 namespace bulrush::wire {
 
 namespace {
@@ -148,7 +150,8 @@
   for (const rates::quota_request_row& from : aFrom.rows) {
     pb::DrawRow& to = *aTo.add_rows();
     Put(from.resource, *to.mutable_what());
-    to.set_units(from.units);
+    to.set_units(from.ahead);
+    to.mutable_waiting()->Assign(from.waiting.begin(), from.waiting.end());
   }
 }
 
@@ -159,10 +162,17 @@
   request.sequence = aFrom.sequence();
   for (const pb::DrawRow& row : aFrom.rows()) {
     const auto resource = Get(row.what());
-    if (!resource || row.units() < 0) {
+    const bool isValid =
+      resource && row.units() >= 0 &&
+      std::all_of(row.waiting().begin(),
+                  row.waiting().end(),
+                  [](std::int64_t aUnits) { return aUnits >= 0; });
+    if (!isValid) {
       return std::nullopt;
     }
-    request.rows.push_back({ *resource, row.units() });
+    request.rows.push_back({ *resource,
+                             { row.waiting().begin(), row.waiting().end() },
+                             row.units() });
   }
   return request;
 }
