Deny requests only by a recent configuration, and send hosts no history

Cause: an absence was taken from a state that may be old. A host that restarts got every command since the first, each with a whole manifest of 65 KB that takes about 10 ms to apply, on a twelfth of a core and 10 Mbit/s, and all of it again with each report until it had confirmed the last. Meanwhile it denied keys and paths that it did not know yet. Control processes that had just restarted handed out the state up to their saved commit index as if it were the newest.

Change: a control process says in its updates whether it has applied all that the leader had committed. A host answers 401 and 404 only by a configuration that was the newest when a report of the last 2 s was sent, else 503 with configuration_outdated, so that the caller asks another host.

The new tests fail before: 401 and 404 in place of 503, 135,722 bytes in place of at most 13,560 after 20 manifests of 6.8 KB, 6,809 bytes sent again after 100 ms. test_control, test_entry and test_replication pass.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -432,6 +432,9 @@
                         replica.settings.electionTimeout,
                         IsLeaseHeld(replica, aNow) };
   };
+  hooks.hasNewestState = [&aLog](steady_time aNow) {
+    return HasLeadersState(aLog.replica, aNow);
+  };
   hooks.term = [&aLog] { return aLog.replica.vote.term; };
   hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
   hooks.replicas = [&aLog] {
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
 constexpr std::chrono::seconds kHostCountInterval{ 1 };
 constexpr std::chrono::minutes kHostCountDecreaseDelay{ 5 };
+/// A configuration that a host does not confirm for this long after it was sent
+/// counts as lost. Hosts confirm a revision as soon as they run it.
+constexpr std::chrono::milliseconds kConfirmTimeout{ 1'500 };
 constexpr std::size_t kMaxRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
@@ -39,6 +42,7 @@
   if (aInput.message.incarnation > host->incarnation) {
     host->incarnation = aInput.message.incarnation;
     host->sentRevision = 0;
+    host->configurationSentAt = {};
     host->sentEndpoints = 0;
   }
   host->domain = aReport.domain;
@@ -410,21 +414,47 @@
   }
 }
 
-// Sends the commands that the host lacks if they are still kept, else a
-// snapshot.
+std::size_t
+SizeOf(const fleet_command& aCommand)
+{
+  const auto* manifest = std::get_if<apply_manifest>(&aCommand.change);
+  return manifest == nullptr ? 0
+                             : manifest->text.size() + manifest->patch.size();
+}
+
+// Hosts do not use claims.
+std::string
+EncodeForHosts(fleet_state aState)
+{
+  aState.claims.Clear();
+  return wire::EncodeState(aState);
+}
+
+// Adds the commands that the host lacks, or a snapshot if they are not kept or
+// contain more than one whole manifest: a host with a slow link or processor
+// would take seconds for the history. aSnapshot is encoded once for all hosts.
 void
 AddConfiguration(const control_tables& aTables,
                  const host_row& aHost,
+                 std::string& aSnapshot,
                  wire::host_update& aUpdate)
 {
   const std::uint64_t from = std::max(aHost.revision, aHost.sentRevision);
   if (from >= aTables.fleet.revision) {
     return;
   }
-  const bool hasCommands =
+  bool hasCommands =
     !aTables.recent.empty() && aTables.recent.front().revision <= from + 1;
+  std::size_t bytes = 0;
+  for (const wire::numbered_command& command : aTables.recent) {
+    bytes += command.revision > from ? SizeOf(command.command) : 0;
+  }
+  hasCommands = hasCommands && bytes <= aTables.fleet.manifestText.size();
   if (!hasCommands) {
-    aUpdate.snapshot = wire::EncodeState(aTables.fleet);
+    if (aSnapshot.empty()) {
+      aSnapshot = EncodeForHosts(aTables.fleet);
+    }
+    aUpdate.snapshot = aSnapshot;
     return;
   }
   for (const wire::numbered_command& command : aTables.recent) {
@@ -454,28 +484,33 @@
 }
 
 void
-AddControls(const control_tables& aTables, wire::host_update& aUpdate)
+AddControls(const control_tables& aTables,
+            const std::string& aLeader,
+            wire::host_update& aUpdate)
 {
   aUpdate.controls.push_back({ aTables.self.name, aTables.self.linkAddress });
   for (const control_row& control : aTables.controls) {
     aUpdate.controls.push_back({ control.name, control.address });
   }
-  aUpdate.leader = aTables.log.leaderName();
+  aUpdate.leader = aLeader;
 }
 
 // Sends an update to each host that sent a renewal, or that misses a change.
 void
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
+  const std::string leader = aTables.log.leaderName();
+  const bool isNewest = aTables.log.hasNewestState(aNow);
+  std::string snapshot;
   for (host_row& host : aTables.hosts) {
     const bool isBehind =
       std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
-      host.sentEndpoints < aTables.serial ||
-      host.sentLeader != aTables.log.leaderName();
+      host.sentEndpoints < aTables.serial || host.sentLeader != leader;
     if (!host.isUpdateDue && !isBehind) {
       continue;
     }
-    if (host.isUpdateDue) {
+    if (host.isUpdateDue &&
+        aNow >= host.configurationSentAt + kConfirmTimeout) {
       host.sentRevision = 0; // resend what it has not confirmed
     }
     wire::host_update update;
@@ -485,14 +520,18 @@
         ? std::chrono::duration_cast<std::chrono::milliseconds>(kHostLease)
         : std::chrono::milliseconds(0);
     update.revision = aTables.fleet.revision;
-    AddConfiguration(aTables, host, update);
+    update.isNewest = isNewest;
+    AddConfiguration(aTables, host, snapshot, update);
+    if (!update.snapshot.empty() || !update.commands.empty()) {
+      host.configurationSentAt = aNow;
+    }
     AddEndpoints(aTables,
                  host.sentEndpoints,
                  false,
                  update.endpoints,
                  update.removedEndpoints);
     update.tombstones = TombstoneKeys(aTables);
-    AddControls(aTables, update);
+    AddControls(aTables, leader, update);
     host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
     host.sentLeader = update.leader;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -58,9 +58,10 @@
   std::string domain;
   std::string httpAddress;
   std::uint64_t incarnation = 0;
-  std::uint64_t renewal = 0;       ///< newest one received; echoed in updates
-  std::uint64_t revision = 0;      ///< confirmed by the host
-  std::uint64_t sentRevision = 0;  ///< zero: resend all after revision
+  std::uint64_t renewal = 0;      ///< newest one received; echoed in updates
+  std::uint64_t revision = 0;     ///< confirmed by the host
+  std::uint64_t sentRevision = 0; ///< zero: resend all after revision
+  steady_time configurationSentAt{};
   std::uint64_t sentEndpoints = 0; ///< serial of the newest change sent
   std::string sentLeader;          ///< name of the leader in the last update
   steady_time lastSeen{};
@@ -152,6 +153,9 @@
   std::function<bool(steady_time aNow)> isLeader;
   /// Set while this process considers itself the leader, also without lease.
   std::function<std::optional<leader_term>(steady_time aNow)> leaderTerm;
+  /// True while the state applied here includes all that the leader had
+  /// committed a moment ago.
+  std::function<bool(steady_time aNow)> hasNewestState;
   /// Name of the leader; empty while none is known.
   std::function<std::string()> leaderName;
   /// Rises with each change of leader.
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -11,6 +11,10 @@
 /// Delay before reporting to another control process when one knows no leader.
 constexpr std::chrono::milliseconds kNoLeaderReportDelay{ 250 };
 constexpr std::chrono::milliseconds kCommandRetryInterval{ 700 };
+/// An unknown key or path may have been added after the newest configuration
+/// known here. Requests are denied by one that was in force at most this long
+/// ago: two reports.
+constexpr std::chrono::milliseconds kMaxDenialAge{ 2'000 };
 /// Engines report more often than this, so after it their own reports are newer
 /// than the leader's update.
 constexpr std::chrono::milliseconds kHeldLifetime{ 10'000 };
@@ -47,6 +51,18 @@
   aTables.newestRevision = std::max(aTables.newestRevision, aUpdate.revision);
 }
 
+// Counts from when the report was sent that the update answers, since the
+// configuration may have changed after that.
+void
+UpdateMayDeny(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  if (aTables.fleet->revision < aTables.newestRevision) {
+    aTables.mayDenyUntil = {};
+  } else if (aUpdate.isNewest && aUpdate.renewal == aTables.lastReport) {
+    aTables.mayDenyUntil = aTables.lastReportAt + kMaxDenialAge;
+  }
+}
+
 bool
 UpdateEndpoint(entry_tables& aTables, const endpoint_row& aRow)
 {
@@ -96,6 +112,7 @@
   UpdateControls(aTables, aUpdate, aOutbox);
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
+  UpdateMayDeny(aTables, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
     UpdateEndpoint(aTables, row);
   }
@@ -241,12 +258,13 @@
   aTables.quotaRequests.clear();
 }
 
-// Reports periodically, and at once when endpoints have reported.
+// Reports periodically, and at once when endpoints have reported or a new
+// configuration is in force.
 void
 RunReport(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
   const bool isDue = aNow >= aTables.nextReport;
-  if (!isDue && aTables.unreportedEndpoints.empty()) {
+  if (!isDue && aTables.unreportedEndpoints.empty() && !aTables.hasNewFleet) {
     aOutbox.wake.NoLaterThan(aTables.nextReport);
     return;
   }
@@ -257,6 +275,7 @@
   wire::host_report report;
   report.domain = aTables.self.domain;
   report.renewal = ++aTables.lastReport;
+  aTables.lastReportAt = aNow;
   report.revision = aTables.fleet->revision;
   report.endpoints = std::move(aTables.unreportedEndpoints);
   report.httpAddress = aTables.self.httpAddress;
@@ -319,6 +338,7 @@
   traffic_view& view = aTables.published;
   const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
                       !aTables.hasNewTombstones &&
+                      view.mayDenyUntil == aTables.mayDenyUntil &&
                       view.isStopping == aTables.isStopping;
   if (isSame) {
     return;
@@ -346,6 +366,7 @@
         std::move(keys));
   }
   view.isStopping = aTables.isStopping;
+  view.mayDenyUntil = aTables.mayDenyUntil;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -23,6 +23,8 @@
 /// A request that has used up less of its deadline than this is taken as the
 /// caller's first attempt; a larger difference means that it was retried.
 constexpr std::chrono::milliseconds kFirstAttemptMargin{ 100 };
+/// Time for a caller to come back to another host, or for this one to catch up.
+constexpr std::chrono::milliseconds kOutdatedRetryTime{ 250 };
 constexpr int kRankStep = 1'000; // a workspace's rank outweighs a route's
 
 caller_error
@@ -35,6 +37,21 @@
            std::chrono::seconds(1) };
 }
 
+// An outdated configuration cannot tell whether a key or path exists. Another
+// host may know, so the caller is asked to come back soon.
+caller_error
+DeniedBy(const resolve_context& aContext, caller_error aDenial)
+{
+  if (std::chrono::steady_clock::now() < aContext.view.mayDenyUntil) {
+    return aDenial;
+  }
+  return { 503,
+           "configuration_outdated",
+           aDenial.text + " to this host, whose configuration may be outdated",
+           false,
+           kOutdatedRetryTime };
+}
+
 std::int64_t
 TokensOf(const workspace_row& aWorkspace,
          const caller_call& aCall,
@@ -211,8 +228,13 @@
   }
   const key_hash hash = HashKey(aKey);
   const auto workspace = FindWorkspace(*aContext.view.fleet, hash);
-  if (!workspace || aContext.view.tombstones->contains(hash)) {
-    aError = { 401, "unauthorized", "the key is not known", false, {} };
+  if (aContext.view.tombstones->contains(hash)) {
+    aError = { 401, "unauthorized", "the key was withdrawn", false, {} };
+    return nullptr;
+  }
+  if (!workspace) {
+    aError = DeniedBy(
+      aContext, { 401, "unauthorized", "the key is not known", false, {} });
     return nullptr;
   }
   return aContext.view.fleet->declared.workspaces.Find(*workspace);
@@ -240,7 +262,8 @@
   }
   const model_row* row = declared.models.Find(facts.model);
   if (row == nullptr) {
-    aError = { 404, "not_found", "no such model", false, std::nullopt };
+    aError = DeniedBy(
+      aContext, { 404, "not_found", "the model is not known", false, {} });
     return false;
   }
   facts.version = VersionOf(row->version);
@@ -269,7 +292,8 @@
     return false;
   }
   if (route == nullptr) {
-    aError = { 404, "not_found", "no such path", false, std::nullopt };
+    aError = DeniedBy(aContext,
+                      { 404, "not_found", "the path is not known", false, {} });
     return false;
   }
   if (!route->isOpen) {
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -23,6 +23,8 @@
     std::make_shared<const std::vector<endpoint_row>>();
   std::shared_ptr<const std::unordered_set<key_hash, id_hash>> tombstones =
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
+  /// Until then the configuration is recent enough to deny a request by it.
+  steady_time mayDenyUntil{};
   bool isStopping = false;
 };
 
@@ -88,6 +90,8 @@
   std::vector<wire::model_demand> demand;          ///< from the traffic thread
   std::vector<rates::quota_request> quotaRequests; ///< from the traffic thread
   std::uint64_t lastReport = 0;
+  steady_time lastReportAt{};
+  steady_time mayDenyUntil{};
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
--- a/src/replication/commit.cpp
+++ b/src/replication/commit.cpp
@@ -100,6 +100,22 @@
                   aTables.settings.leaseMargin;
 }
 
+// The commit index of a new leader may be an old one until it has committed an
+// entry of its own term.
+bool
+HasLeadersState(const replica_tables& aTables, steady_time aNow)
+{
+  if (aTables.role == replica_role::eLeader) {
+    return IsLeaseHeld(aTables, aNow) && aTables.released >= aTables.termStart;
+  }
+  return aTables.role == replica_role::eFollower && aTables.leader &&
+         aNow < aTables.leaderLastSeen + aTables.settings.electionTimeout &&
+         aTables.released >= aTables.leaderCommit &&
+         aTables.leaderCommit <= LastPosition(aTables).index &&
+         aTables.leaderCommit >= aTables.base.index &&
+         TermAt(aTables, aTables.leaderCommit) == aTables.vote.term;
+}
+
 std::optional<log_index>
 ReadIndex(const replica_tables& aTables, steady_time aNow, last_reason& aReason)
 {
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -357,6 +357,7 @@
   ballot vote;
   replica_role role = replica_role::eFollower;
   replica_id leader;
+  log_index leaderCommit = 0; ///< in the leader's latest append request
   steady_time electionDeadline;
   steady_time leaderLastSeen;
   table<replica_id, vote_row> votes;
@@ -428,6 +429,10 @@
 /// True while no other replica can have been elected leader.
 bool IsLeaseHeld(const replica_tables& aTables, steady_time aNow);
 
+/// True if this replica leads with a lease, or heard from the leader within an
+/// election timeout and has released every entry that was committed then.
+bool HasLeadersState(const replica_tables& aTables, steady_time aNow);
+
 /// Saves the program's state as of replica_tables::released and removes the
 /// entries before it, except for replica_settings::keptEntries.
 std::optional<stored> SaveSnapshot(replica_tables& aTables,
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -127,6 +127,7 @@
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
+  to->set_is_newest(aFrom.isNewest);
 }
 
 void
@@ -299,6 +300,7 @@
   update.tombstones = GetKeys(aFrom.tombstones());
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
+  update.isNewest = aFrom.is_newest();
   return update;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -107,6 +107,8 @@
   std::vector<key_hash> tombstones;      ///< withdrawn, not yet committed
   std::vector<control_address> controls; ///< all that the sender knows
   std::string leader; ///< name of the leader; empty while none is known
+  /// The sender had applied all that the leader had committed.
+  bool isNewest = false;
 };
 
 /// From the control host of a failure domain to other control processes: its
--- /dev/null
+++ b/tests/control/updates_test.cpp
@@ -0,0 +1,137 @@
+#include "control/tables.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A control process that leads a log of its own, and one entry host.
+struct updates_fixture
+{
+  static constexpr int kManifests = 20;
+  static constexpr int kModels = 200;
+
+  control_tables tables;
+  steady_time now = steady_time{} + std::chrono::hours{ 1 };
+  std::uint64_t lastPosition = 0;
+  std::uint64_t lastRenewal = 0;
+
+  updates_fixture()
+  {
+    tables.self.name = "control";
+    tables.self.domain = "north";
+    tables.wallClock = [] { return wall_time{}; };
+    tables.log.propose = [this](std::string aPayload, last_reason&) {
+      const position_id position{ ++lastPosition };
+      tables.committed.push_back({ position, std::move(aPayload), false });
+      return std::optional(position);
+    };
+    tables.log.isLeader = [](steady_time) { return true; };
+    tables.log.hasNewestState = [](steady_time) { return true; };
+    tables.log.leaderName = [this] { return tables.self.name; };
+    tables.log.term = [] { return std::uint64_t{ 1 }; };
+  }
+
+  static std::string ManifestText(int aNumber)
+  {
+    std::string text = R"({"name":"test","version":")" +
+                       std::to_string(aNumber) + R"(","number":)" +
+                       std::to_string(aNumber) +
+                       R"(,"failure_domains":[{"name":"north"}],"models":[)";
+    for (int i = 0; i < kModels; ++i) {
+      text += (i == 0 ? R"({"name":"model-)" : R"(,{"name":"model-)") +
+              std::to_string(i) + R"(","bytes":1000})";
+    }
+    return text + "]}";
+  }
+
+  void ApplyManifest(int aNumber)
+  {
+    fleet_command command;
+    apply_manifest change;
+    change.text = ManifestText(aNumber);
+    command.change = std::move(change);
+    last_reason reason;
+    tables.log.propose(wire::EncodeCommand(command), reason);
+    Tick();
+    Tick(); // commits what the first tick proposed
+  }
+
+  std::vector<wire::host_update> Tick()
+  {
+    control_outbox out;
+    RunControl(tables, now, out);
+    std::vector<wire::host_update> updates;
+    for (const outgoing_message& message : out.messages) {
+      if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
+        updates.push_back(*update);
+      }
+    }
+    return updates;
+  }
+
+  /// The answer to a report of a host that runs aRevision.
+  wire::host_update Report(std::uint64_t aRevision)
+  {
+    wire::host_report report;
+    report.domain = "north";
+    report.renewal = ++lastRenewal;
+    report.revision = aRevision;
+    received_message input;
+    input.peer = "host";
+    input.message.sender = "host";
+    input.message.incarnation = 1;
+    input.message.body = report;
+    tables.inbox.push_back(std::move(input));
+    const auto updates = Tick();
+    REQUIRE(updates.size() == 1);
+    return updates[0];
+  }
+
+  /// Bytes of configuration in an update.
+  static std::size_t BytesOf(const wire::host_update& aUpdate)
+  {
+    std::size_t bytes = aUpdate.snapshot.size();
+    for (const wire::numbered_command& command : aUpdate.commands) {
+      bytes += wire::EncodeCommand(command.command).size();
+    }
+    return bytes;
+  }
+};
+
+TEST_CASE_METHOD(updates_fixture,
+                 "RestartedHost_AfterManyManifests_GetsOneAndNotTheHistory",
+                 "[control]")
+{
+  for (int number = 1; number <= kManifests; ++number) {
+    ApplyManifest(number);
+  }
+  const wire::host_update update = Report(0);
+  CHECK(BytesOf(update) > ManifestText(kManifests).size() / 2);
+  CHECK(BytesOf(update) < 2 * ManifestText(kManifests).size());
+}
+
+TEST_CASE_METHOD(updates_fixture,
+                 "Configuration_OnItsWayToAHost_IsNotSentAgain",
+                 "[control]")
+{
+  ApplyManifest(1);
+  CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
+  now += milliseconds{ 100 };
+  CHECK(BytesOf(Report(0)) < ManifestText(1).size() / 2);
+}
+
+TEST_CASE_METHOD(updates_fixture,
+                 "Configuration_NotConfirmedInTime_IsSentAgain",
+                 "[control]")
+{
+  ApplyManifest(1);
+  Report(0);
+  now += milliseconds{ 1'500 };
+  CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
+}
+
+} // namespace
+} // namespace bulrush::control
--- a/tests/replication/cluster_test.cpp
+++ b/tests/replication/cluster_test.cpp
@@ -62,6 +62,33 @@
   CHECK_FALSE(cluster.ProposeAt(leader).has_value());
 }
 
+TEST_CASE_METHOD(three_replicas_fixture,
+                 "Follower_RestartedWithoutItsLeader_LacksTheLeadersState",
+                 "[replication]")
+{
+  REQUIRE(cluster.ProposeAndAwait(3));
+  cluster.Run(milliseconds(500));
+  const std::size_t follower = AnyFollower(cluster.AwaitLeader());
+  const auto hasLeadersState = [&] {
+    return HasLeadersState(*cluster.hosts[follower].tables,
+                           cluster.ClockOf(follower));
+  };
+  CHECK(hasLeadersState());
+  cluster.Isolate(follower);
+  cluster.Run(milliseconds(100)); // delivers what was already sent
+  cluster.Crash(follower);
+  cluster.Start(follower);
+  cluster.Run(milliseconds(100));
+  CHECK_FALSE(hasLeadersState());
+  REQUIRE(cluster.ProposeAndAwait(3));
+  cluster.Run(cluster.settings.electionTimeout);
+  CHECK_FALSE(hasLeadersState());
+  cluster.Heal();
+  REQUIRE(cluster.ProposeAndAwait(3));
+  cluster.Run(milliseconds(500));
+  CHECK(hasLeadersState());
+}
+
 TEST_CASE_METHOD(three_replicas_fixture,
                  "Leader_IsolatedForLongAndReturning_RevertsNoEntry",
                  "[replication]")
