Count each entry host once

The baselines of rates and the retry budget are divided by the number of entry hosts.

Cause: control processes told the leader how many hosts report to them, and the leader added these numbers. A host that looks for a control process that knows the leader reports to several within the 30 s for which each keeps it, and the count falls only after five minutes.

Change: control processes name the hosts, and the leader counts each name once, of control processes that it heard from within the same 30 s.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -2,6 +2,8 @@
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
+#include <unordered_set>
+
 namespace bulrush::control {
 namespace {
 
@@ -563,7 +565,9 @@
   gossip.confirmedRevision = own.confirmedRevision;
   gossip.hosts = own.hosts;
   gossip.httpAddress = aTables.self.httpAddress;
-  gossip.reporting = static_cast<std::uint32_t>(aTables.hosts.Size());
+  for (const host_row& host : aTables.hosts) {
+    gossip.reporting.push_back(host.id);
+  }
   aTables.gossipedSerial = aTables.serial;
   aTables.gossipedConfirmed = own.confirmedRevision;
   if (isPeriodic) {
@@ -575,10 +579,26 @@
   }
 }
 
+// Hosts that report to any control process. A host that moves to another one is
+// known to both for a while, and counts once.
+std::uint32_t
+CountHosts(const control_tables& aTables, steady_time aNow)
+{
+  std::unordered_set<host_id, id_hash> hosts;
+  for (const host_row& host : aTables.hosts) {
+    hosts.insert(host.id);
+  }
+  for (const control_row& control : aTables.controls) {
+    if (aNow < control.lastSeen + kHostTimeout) {
+      hosts.insert(control.reporting.begin(), control.reporting.end());
+    }
+  }
+  return static_cast<std::uint32_t>(hosts.size());
+}
+
 // The count divides limits: too high a count makes each host's part smaller,
-// too low a count makes the sum exceed the limit. A host that moves to another
-// control process is counted twice for a while. So the count rises at once and
-// falls only after a delay.
+// too low a count makes the sum exceed the limit. So the count rises at once
+// and falls only after a delay.
 void
 RunHostCount(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -588,10 +608,7 @@
       !isDue) {
     return;
   }
-  auto count = static_cast<std::uint32_t>(aTables.hosts.Size());
-  for (const control_row& control : aTables.controls) {
-    count += control.reporting;
-  }
+  const std::uint32_t count = CountHosts(aTables, aNow);
   const std::uint32_t recorded = aTables.fleet.hosts;
   if (count >= recorded) {
     hostCount.lowerSince.reset();
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -40,7 +40,7 @@
   std::string httpAddress;             ///< empty: none
   std::uint64_t confirmedRevision = 0; ///< by all hosts of its domain
   std::uint32_t hosts = 0;
-  std::uint32_t reporting = 0; ///< number of hosts that report to it
+  std::vector<host_id> reporting; ///< hosts that report to it
   steady_time lastSeen{};
 };
 
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -168,7 +168,9 @@
   to->set_confirmed_revision(aFrom.confirmedRevision);
   to->set_hosts(aFrom.hosts);
   to->set_http_address(aFrom.httpAddress);
-  to->set_reporting(aFrom.reporting);
+  for (const host_id& host : aFrom.reporting) {
+    to->add_reporting_hosts(host.value);
+  }
 }
 
 void
@@ -342,7 +344,9 @@
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
   gossip.httpAddress = aFrom.http_address();
-  gossip.reporting = aFrom.reporting();
+  for (const auto host : aFrom.reporting_hosts()) {
+    gossip.reporting.push_back({ host });
+  }
   return gossip;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -122,7 +122,7 @@
   std::uint64_t confirmedRevision = 0; ///< confirmed by every serving host
   std::uint32_t hosts = 0;             ///< number that hold a lease
   std::string httpAddress;             ///< address for HTTP calls; empty: none
-  std::uint32_t reporting = 0; ///< number of hosts that report to the sender
+  std::vector<host_id> reporting;      ///< hosts that report to the sender
 };
 
 /// Withdrawn keys, sent before the log has committed the withdrawals.
