--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -127,6 +127,7 @@
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
+  to->set_is_newest(aFrom.isNewest);
 }
 
 void
@@ -167,7 +168,9 @@
   to->set_confirmed_revision(aFrom.confirmedRevision);
   to->set_hosts(aFrom.hosts);
   to->set_http_address(aFrom.httpAddress);
-  to->set_reporting(aFrom.reporting);
+  for (const host_id& host : aFrom.reporting) {
+    to->add_reporting_hosts(host.value);
+  }
 }
 
 void
@@ -299,6 +302,7 @@
   update.tombstones = GetKeys(aFrom.tombstones());
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
+  update.isNewest = aFrom.is_newest();
   return update;
 }
 
@@ -340,7 +344,9 @@
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
   gossip.httpAddress = aFrom.http_address();
-  gossip.reporting = aFrom.reporting();
+  for (const auto host : aFrom.reporting_hosts()) {
+    gossip.reporting.push_back({ host });
+  }
   return gossip;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -107,6 +107,8 @@
   std::vector<key_hash> tombstones;      ///< withdrawn, not yet committed
   std::vector<control_address> controls; ///< all that the sender knows
   std::string leader; ///< name of the leader; empty while none is known
+  /// The sender had applied all that the leader had committed.
+  bool isNewest = false;
 };
 
 /// From the control host of a failure domain to other control processes: its
@@ -120,7 +122,7 @@
   std::uint64_t confirmedRevision = 0; ///< confirmed by every serving host
   std::uint32_t hosts = 0;             ///< number that hold a lease
   std::string httpAddress;             ///< address for HTTP calls; empty: none
-  std::uint32_t reporting = 0; ///< number of hosts that report to the sender
+  std::vector<host_id> reporting;      ///< hosts that report to the sender
 };
 
 /// Withdrawn keys, sent before the log has committed the withdrawals.
