Name no leader while none is known

Cause: while no leader is known, its identity is empty, and the name was looked up among processes of which some have no identity yet, so the first of these was named. A control process that lags behind, here a member that had been removed during a cut, so looked to hosts like one that follows a leader. They stayed with it and sent their quota requests to a process that does not lead. It is the same on deployments with three control processes after each restart and in each cut, until an election ends.

Change: an empty identity has no name.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -31,9 +31,13 @@
   return replica_id{ (high << 32U) | low | 1U };
 }
 
+// Empty for no identity: processes that were not heard from have none either.
 std::string
 NameOf(const log_tables& aLog, replica_id aIdentity)
 {
+  if (!aIdentity) {
+    return "";
+  }
   for (const log_member& member : aLog.replica.members) {
     if (member.id == aIdentity) {
       return member.name;
