Let removed members of the log join again

Change: a process that hears of no leader sends hellos, member or not; the leader takes it up like any process that waits. A replica without a vote gives up its leader after an election timeout too.

The new test fails before: no hello in 3 s.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -343,11 +343,13 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
+// A member that was removed while it was cut off is not told so: its own log
+// lists it still. It hears of no leader and offers itself like a new process.
 void
 SendHellos(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   log_tables& log = *aTables.replicated;
-  if (IsMember(log, log.replica.self)) {
+  if (IsMember(log, log.replica.self) && log.replica.leader) {
     return;
   }
   if (aNow >= log.nextHello) {
--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -248,6 +248,7 @@
     return;
   }
   if (!IsVoter(aTables, aTables.self)) {
+    aTables.leader = {};
     ResetElectionDeadline(aTables, aNow);
     return;
   }
--- a/tests/control/log_test.cpp
+++ b/tests/control/log_test.cpp
@@ -71,5 +71,13 @@
   CHECK(tables.log.leaderName().empty());
 }
 
+TEST_CASE_METHOD(log_fixture,
+                 "RemovedMember_ThatHearsOfNoLeader_OffersToJoinAgain",
+                 "[control]")
+{
+  Run(milliseconds{ 3'000 });
+  CHECK(hellos > 0);
+}
+
 } // namespace
 } // namespace bulrush::control
