Prefer the leader of the highest term at hosts, and log changes of leader

Hosts took the leader from whichever update came last.

Updates carry the sender's term now, and a host ignores a name of an earlier one. The lines "leader" of hosts name the sender and the term, control processes log theirs, and "manifest" is logged for each manifest, not only for those whose number of changes equals that of manifests.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -2,12 +2,15 @@
 #include "settings/settings.hpp"
 
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 #include <algorithm>
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_component kLog{ "log" };
+
 constexpr std::chrono::milliseconds kHelloInterval{ 200 };
 constexpr std::chrono::milliseconds kReplaceTimeout{ 5'000 };
 constexpr std::uint32_t kMaxReplaceHops = 2;
@@ -487,6 +490,28 @@
   return false;
 }
 
+namespace {
+
+void
+LogLeaderChange(control_tables& aTables)
+{
+  log_tables& log = *aTables.replicated;
+  if (log.loggedLeader == log.replica.leader) {
+    return;
+  }
+  log.loggedLeader = log.replica.leader;
+  LogEvent(kLog,
+           log_level::eInfo,
+           "leader",
+           { { "control", aTables.log.leaderName() },
+             { "term", std::to_string(log.replica.vote.term) },
+             { "member", IsMember(log, log.replica.self) ? "yes" : "no" },
+             { "applied", std::to_string(log.replica.released) },
+             { "leader_commit", std::to_string(log.replica.leaderCommit) } });
+}
+
+} // namespace
+
 void
 RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -523,6 +548,7 @@
     aOutbox.messages.push_back({ "", std::move(name), std::move(message) });
   }
   AnswerReplacements(aTables, aNow, aOutbox);
+  LogLeaderChange(aTables);
   aOutbox.wake.NoLaterThan(outbox.wake.at);
 }
 
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -45,6 +45,7 @@
   table<replica_id, known_replica> known;
   table<typed_id<struct replace_tag>, replace_row> replacements;
   std::uint64_t lastReplacement = 0;
+  replica_id loggedLeader; ///< in the latest "leader" line
   steady_time nextHello{};
   bool mayBootstrap = true; ///< this process may bootstrap a new log
   /// Processes are named by their link addresses, join without an operator's
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -345,9 +345,9 @@
       continue; // of a newer release; every replica of this one skips it
     }
     const std::uint64_t before = aTables.fleet.revision;
+    const std::uint64_t manifestBefore = aTables.fleet.manifestRevision;
     const command_result result = Apply(aTables.fleet, *command);
-    if (aTables.fleet.manifestRevision == aTables.fleet.revision &&
-        aTables.fleet.revision != before) {
+    if (aTables.fleet.manifestRevision != manifestBefore) {
       LogEvent(kLog,
                log_level::eInfo,
                "manifest",
@@ -523,6 +523,7 @@
         : std::chrono::milliseconds(0);
     update.revision = aTables.fleet.revision;
     update.isNewest = isNewest;
+    update.term = aTables.log.term();
     AddConfiguration(aTables, host, snapshot, update);
     if (!update.snapshot.empty() || !update.commands.empty()) {
       host.configurationSentAt = aNow;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -86,6 +86,28 @@
   }
 }
 
+// A control process that lags behind may still name the leader of an earlier
+// term.
+void
+UpdateLeader(entry_tables& aTables,
+             const std::string& aSender,
+             const wire::host_update& aUpdate)
+{
+  if (aUpdate.leader.empty() || aUpdate.term < aTables.leaderTerm) {
+    return;
+  }
+  aTables.leaderTerm = aUpdate.term;
+  if (aUpdate.leader != aTables.leader) {
+    aTables.leader = aUpdate.leader;
+    LogEvent(kLog,
+             log_level::eInfo,
+             "leader",
+             { { "control", aTables.leader },
+               { "term", std::to_string(aTables.leaderTerm) },
+               { "from", aSender } });
+  }
+}
+
 // The set of control processes changes; each update lists the current ones.
 void
 UpdateControls(entry_tables& aTables,
@@ -97,19 +119,16 @@
       aOutbox.links.push_back(control);
     }
   }
-  if (!aUpdate.leader.empty() && aUpdate.leader != aTables.leader) {
-    aTables.leader = aUpdate.leader;
-    LogEvent(
-      kLog, log_level::eInfo, "leader", { { "control", aTables.leader } });
-  }
 }
 
 void
 HandleMessage(entry_tables& aTables,
+              const std::string& aSender,
               const wire::host_update& aUpdate,
               entry_outbox& aOutbox)
 {
   UpdateControls(aTables, aUpdate, aOutbox);
+  UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
@@ -181,7 +200,7 @@
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       RecordLeaderKnown(aTables, message.sender, *update);
-      HandleMessage(aTables, *update, aOutbox);
+      HandleMessage(aTables, message.sender, *update, aOutbox);
     } else if (const auto* held =
                  std::get_if<wire::held_update>(&message.body)) {
       HandleMessage(aTables, *held, aNow);
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -96,6 +96,7 @@
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
   std::string leader;               ///< name of the leading control process
+  std::uint64_t leaderTerm = 0;     ///< in which it was named
   traffic_view published;           ///< latest published view
   bool isStopping = false;
   bool hasNewFleet = true;
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -128,6 +128,7 @@
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
   to->set_is_newest(aFrom.isNewest);
+  to->set_term(aFrom.term);
 }
 
 void
@@ -303,6 +304,7 @@
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
   update.isNewest = aFrom.is_newest();
+  update.term = aFrom.term();
   return update;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -106,7 +106,8 @@
   std::vector<endpoint_id> removedEndpoints;
   std::vector<key_hash> tombstones;      ///< withdrawn, not yet committed
   std::vector<control_address> controls; ///< all that the sender knows
-  std::string leader; ///< name of the leader; empty while none is known
+  std::string leader;     ///< name of the leader; empty while none is known
+  std::uint64_t term = 0; ///< of the log at the sender
   /// The sender had applied all that the leader had committed.
   bool isNewest = false;
 };
--- a/tests/control/log_test.cpp
+++ b/tests/control/log_test.cpp
@@ -30,11 +30,8 @@
     last_reason reason;
     replica_settings settings;
     settings.name = kSelf;
-    auto log = OpenLog(folder,
-                       settings,
-                       { "10.0.0.2:7100", "10.0.0.3:7100" },
-                       now,
-                       reason);
+    auto log = OpenLog(
+      folder, settings, { "10.0.0.2:7100", "10.0.0.3:7100" }, now, reason);
     REQUIRE(log);
     tables.replicated = std::move(*log);
     tables.replicated->hasDynamicMembers = true;
