--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -2,12 +2,15 @@
 #include "settings/settings.hpp"
 
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 #include <algorithm>
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_component kLog{ "log" };
+
 constexpr std::chrono::milliseconds kHelloInterval{ 200 };
 constexpr std::chrono::milliseconds kReplaceTimeout{ 5'000 };
 constexpr std::uint32_t kMaxReplaceHops = 2;
@@ -31,9 +34,13 @@
   return replica_id{ (high << 32U) | low | 1U };
 }
 
+// Empty for no identity: processes that were not heard from have none either.
 std::string
 NameOf(const log_tables& aLog, replica_id aIdentity)
 {
+  if (!aIdentity) {
+    return "";
+  }
   for (const log_member& member : aLog.replica.members) {
     if (member.id == aIdentity) {
       return member.name;
@@ -339,11 +346,13 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
+// A member that was removed while it was cut off is not told so: its own log
+// lists it still. It hears of no leader and offers itself like a new process.
 void
 SendHellos(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   log_tables& log = *aTables.replicated;
-  if (IsMember(log, log.replica.self)) {
+  if (IsMember(log, log.replica.self) && log.replica.leader) {
     return;
   }
   if (aNow >= log.nextHello) {
@@ -481,6 +490,28 @@
   return false;
 }
 
+namespace {
+
+void
+LogLeaderChange(control_tables& aTables)
+{
+  log_tables& log = *aTables.replicated;
+  if (log.loggedLeader == log.replica.leader) {
+    return;
+  }
+  log.loggedLeader = log.replica.leader;
+  LogEvent(kLog,
+           log_level::eInfo,
+           "leader",
+           { { "control", aTables.log.leaderName() },
+             { "term", std::to_string(log.replica.vote.term) },
+             { "member", IsMember(log, log.replica.self) ? "yes" : "no" },
+             { "applied", std::to_string(log.replica.released) },
+             { "leader_commit", std::to_string(log.replica.leaderCommit) } });
+}
+
+} // namespace
+
 void
 RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -517,6 +548,7 @@
     aOutbox.messages.push_back({ "", std::move(name), std::move(message) });
   }
   AnswerReplacements(aTables, aNow, aOutbox);
+  LogLeaderChange(aTables);
   aOutbox.wake.NoLaterThan(outbox.wake.at);
 }
 
