Spread the reports of hosts over control processes

Cause: hosts that find control processes by seeds preferred them in the order of the seeds, which is the same for all. Each control process that a host had tried went on to push every change to it for 30 s.

Change: with seeds, a host orders control processes by a hash of both names and starts its search at a place of its own; a process pushes changes only while the host's lease lasts. A configured list keeps its order.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -508,7 +508,9 @@
     const bool isBehind =
       std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
       host.sentEndpoints < aTables.serial || host.sentLeader != leader;
-    if (!host.isUpdateDue && !isBehind) {
+    const bool hasMoved =
+      host.leaseEnd <= aNow; // reports elsewhere, or is gone
+    if (!host.isUpdateDue && (!isBehind || hasMoved)) {
       continue;
     }
     if (host.isUpdateDue &&
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -404,8 +404,30 @@
 
 } // namespace
 
-// The most preferred control process that is reachable and knows the leader; if
-// there is none, each in turn, one per report.
+namespace {
+
+// Lower is better. By name, each host has an order of its own, so that a
+// control process that is lost leaves its hosts to all others.
+std::uint64_t
+RankOf(const entry_tables& aTables, const control_row& aControl)
+{
+  return aTables.spreadsReports
+           ? StableHash(aTables.self.name + '\n' + aControl.address)
+           : aControl.preference;
+}
+
+std::uint64_t
+FirstTurnOf(const entry_tables& aTables)
+{
+  return aTables.spreadsReports
+           ? StableHash(aTables.self.name) % aTables.controls.Size()
+           : 0;
+}
+
+} // namespace
+
+// The best control process that is reachable and knows the leader; if there is
+// none, each in turn, one per report.
 const control_row*
 CurrentControl(const entry_tables& aTables, steady_time aNow)
 {
@@ -414,10 +436,12 @@
   for (const control_row& row : aTables.controls) {
     const bool isUsable =
       row.knowsLeader && row.lastSeen + kControlTimeout > aNow;
-    if (isUsable && (best == nullptr || row.preference < best->preference)) {
+    if (isUsable &&
+        (best == nullptr || RankOf(aTables, row) < RankOf(aTables, *best))) {
       best = &row;
     }
-    const std::uint64_t turn = aTables.lastReport % aTables.controls.Size();
+    const std::uint64_t turn =
+      (FirstTurnOf(aTables) + aTables.lastReport) % aTables.controls.Size();
     if (row.preference == turn) {
       roundRobin = &row;
     }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -32,6 +32,7 @@
   {
     mTables.self.name = aOptions.Text("name");
     mTables.self.domain = aOptions.Text("domain");
+    mTables.spreadsReports = aOptions.IsSet("seeds");
     mTables.self.incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
   }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -77,6 +77,9 @@
 struct entry_tables
 {
   self_row self;
+  /// Hosts choose among control processes by their names, for processes found
+  /// by seeds; else by the configured order.
+  bool spreadsReports = false;
   std::shared_ptr<fleet_state> fleet = std::make_shared<fleet_state>();
   table<replica_id, control_row> controls;
   table<endpoint_id, endpoint_row> endpoints;
