--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -57,6 +57,9 @@
            std::chrono::nanoseconds aDuration,
            steady_time aNow)
 {
+  if (aRow.ticks == 0) {
+    aRow.since = std::max(aRow.since, aNow - aDuration);
+  }
   ++aRow.ticks;
   aRow.messages += aInbox;
   aRow.largestInbox = std::max(aRow.largestInbox, aInbox);
