Run residency decisions at most once in 10 ms

Cause: each tick ran the whole of residency: it copied every announcement and read every engine for each model and each demand, also when the tick carried one request for tokens.

Change: announcements and demand are taken over and decided on in rounds, at most one in 10 ms. Input after a pause of that length is handled in its own tick as before, later input in the next round, for which the process wakes. Answers of engines and due times (sends, publications, queries, rates) start a round at once, so an order is at most 10 ms later than before and nothing follows later from it. Leadership and the manifest are still read in each tick; a new leader starts a round at once and none sends after its loss.

--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -5,6 +5,8 @@
 #include "control/tables.hpp"
 #include "observe/observe.hpp"
 
+#include <algorithm>
+
 namespace bulrush::control {
 namespace {
 
@@ -44,6 +46,10 @@
   return "unknown";
 }
 
+/// Shortest interval between rounds for announcements and demand; shorter than
+/// the load of an adapter, which takes 12 ms.
+constexpr std::chrono::milliseconds kRoundInterval{ 10 };
+
 /// Updates stop for hosts that have reported no demand for this long.
 constexpr std::chrono::seconds kHostTimeout{ 5 };
 
@@ -186,6 +192,7 @@
              log_level::eInfo,
              mayOrder ? "may_order" : "may_order_no_more",
              { { "term", std::to_string(leaderTerm ? leaderTerm->term : 0) } });
+    aTables.residency.roundDue = aNow;
   }
   residency::OnLeadership(aTables.residency.decisions, mayOrder, from);
 }
@@ -292,6 +299,35 @@
   }
 }
 
+// Answers of engines and due times, of which there are few, don't wait for the
+// interval.
+bool
+IsRoundDue(const residency_tables& aResidency, steady_time aNow)
+{
+  return aNow >= std::min(aResidency.nextRound, aResidency.roundDue) ||
+         !aResidency.answers.empty();
+}
+
+void
+RunRound(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  residency_tables& residency = aTables.residency;
+  ++residency.rounds;
+  residency.nextRound = aNow + kRoundInterval;
+  SyncEngines(aTables, aNow);
+  residency::outbox decided;
+  HandleAnswers(aTables, aNow, decided);
+  residency::RunResidency(residency.decisions, aNow, decided);
+  residency.roundDue = decided.wake.at;
+  for (const endpoint_id engine : decided.changed) {
+    UpdateHeld(aTables, engine);
+  }
+  if (residency.decisions.mayOrder) {
+    SendOrders(aTables, decided, aNow, aOutbox);
+    PublishHeld(aTables, aNow, aOutbox);
+  }
+}
+
 } // namespace
 
 void
@@ -323,6 +359,10 @@
   }
 }
 
+// A round reads every engine, model and demand. One for each message would take
+// a large fraction of the leader's time with many hosts, so the input of a tick
+// soon after a round is left to the next one. Leadership is checked in every
+// tick: nothing is sent after its loss.
 void
 RunResidents(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -332,17 +372,13 @@
   }
   SyncManifest(aTables);
   SyncLeadership(aTables, aNow);
-  SyncEngines(aTables, aNow);
-  residency::outbox decided;
-  HandleAnswers(aTables, aNow, decided);
-  residency::RunResidency(residency.decisions, aNow, decided);
-  for (const endpoint_id engine : decided.changed) {
-    UpdateHeld(aTables, engine);
+  if (IsRoundDue(residency, aNow)) {
+    RunRound(aTables, aNow, aOutbox);
+  } else {
+    residency.roundDue = std::min(residency.roundDue, residency.nextRound);
   }
   if (residency.decisions.mayOrder) {
-    SendOrders(aTables, decided, aNow, aOutbox);
-    PublishHeld(aTables, aNow, aOutbox);
-    aOutbox.wake.NoLaterThan(decided.wake.at);
+    aOutbox.wake.NoLaterThan(residency.roundDue);
   }
 }
 
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -255,6 +255,9 @@
   table<endpoint_id, held_row> held;
   std::uint64_t serial = 0;
   std::vector<engine_answer> answers; ///< since the last tick
+  std::uint64_t rounds = 0;           ///< runs of the decision systems
+  steady_time nextRound;              ///< from then on any tick runs a round
+  steady_time roundDue;               ///< time by which a round must run
   /// Wait of a new leader before its first order.
   std::chrono::milliseconds orderHandOver{ 3'000 };
 };
@@ -341,7 +344,7 @@
                   steady_time aNow);
 
 /// System: orders models and adapters by demand, and publishes to hosts what
-/// engines hold.
+/// engines hold, in rounds with a minimum interval.
 void RunResidents(control_tables& aTables,
                   steady_time aNow,
                   control_outbox& aOutbox);
