Count copies and demand of all models in one pass

Cause: copies were counted by a search of every engine for each model, and again for each demand at the end of a run, also where nothing waits; each model's demand was summed by a pass over all demands, and the use of a model was found by a linear search.

Change: one pass over the engines and one over the demands, and the use of a model is found through the table of models. Copies are counted for waiting demands only, the only ones that the count can change.

--- a/src/residency/models.cpp
+++ b/src/residency/models.cpp
@@ -23,38 +23,78 @@
   }
 };
 
-std::size_t
-CountReady(const tables& aTables, model_id aModel)
+/// Use of every model, in the order of the rows of tables::models.
+using model_uses = std::vector<model_use>;
+
+model_use*
+FindUse(const tables& aTables, model_uses& aUses, model_id aModel)
 {
-  const auto engines = aTables.engines.Rows();
-  return static_cast<std::size_t>(std::count_if(
-    engines.begin(), engines.end(), [&](const engine_row& aEngine) {
-      const bool isUnloading = aEngine.open &&
-                               aEngine.open->kind == order_kind::eUnloadModel &&
-                               aEngine.open->artifact.model == aModel;
-      return aEngine.announced.acceptsRequests && !isUnloading &&
-             FindHeld(aEngine, aModel) != nullptr;
-    }));
+  const model_row* row = aTables.models.Find(aModel);
+  return row == nullptr ? nullptr
+                        : &aUses[static_cast<std::size_t>(
+                            row - aTables.models.Rows().data())];
+}
+
+const model_use*
+FindUse(const tables& aTables, const model_uses& aUses, model_id aModel)
+{
+  return FindUse(aTables, const_cast<model_uses&>(aUses), aModel);
+}
+
+// The model that the engine's open order loads or unloads, zero if none.
+model_id
+ModelOfOrder(const engine_row& aEngine, order_kind aKind)
+{
+  return aEngine.open && aEngine.open->kind == aKind
+           ? aEngine.open->artifact.model
+           : model_id{};
+}
+
+// A copy that is being unloaded is not counted.
+void
+CountCopiesOn(const engine_row& aEngine,
+              const tables& aTables,
+              model_uses& aUses)
+{
+  const model_id loading = ModelOfOrder(aEngine, order_kind::eLoadModel);
+  const model_id unloading = ModelOfOrder(aEngine, order_kind::eUnloadModel);
+  for (const held_model& held : aEngine.held) {
+    model_use* use = FindUse(aTables, aUses, held.model);
+    const bool isRepeated = FindHeld(aEngine, held.model) != &held;
+    if (use != nullptr && held.model != unloading && !isRepeated) {
+      ++use->copies;
+      ++use->ready;
+    }
+  }
+  model_use* use = FindUse(aTables, aUses, loading);
+  if (use != nullptr && FindHeld(aEngine, loading) == nullptr) {
+    ++use->copies;
+  }
 }
 
-std::vector<model_use>
+// Engines and demands are read once each, since the number of models times that
+// of engines is large.
+model_uses
 CountUse(const tables& aTables)
 {
-  std::vector<model_use> uses;
+  model_uses uses;
   for (const model_row& model : aTables.models) {
     model_use use;
     use.model = &model;
-    use.copies = CountCopies(aTables, { model.id, {} });
-    use.ready = CountReady(aTables, model.id);
-    for (const artifact_demand_row& demand : aTables.demands) {
-      if (demand.artifact.model == model.id) {
-        use.rate += demand.rate;
-        use.waiting += demand.waiting;
-        use.lastRequestAt = std::max(use.lastRequestAt, demand.lastRequestAt);
-      }
-    }
     uses.push_back(use);
   }
+  for (const engine_row& engine : aTables.engines) {
+    if (engine.announced.acceptsRequests) {
+      CountCopiesOn(engine, aTables, uses);
+    }
+  }
+  for (const artifact_demand_row& demand : aTables.demands) {
+    if (model_use* use = FindUse(aTables, uses, demand.artifact.model)) {
+      use->rate += demand.rate;
+      use->waiting += demand.waiting;
+      use->lastRequestAt = std::max(use->lastRequestAt, demand.lastRequestAt);
+    }
+  }
   return uses;
 }
 
@@ -67,24 +107,16 @@
            : 0;
 }
 
-const model_use*
-FindUse(const std::vector<model_use>& aUses, model_id aModel)
-{
-  const auto found =
-    std::find_if(aUses.begin(), aUses.end(), [&](const model_use& aUse) {
-      return aUse.model->id == aModel;
-    });
-  return found == aUses.end() ? nullptr : &*found;
-}
-
 // Requests/s to an engine, with a model's rate divided equally among its
 // copies.
 double
-LoadOf(const std::vector<model_use>& aUses, const engine_row& aEngine)
+LoadOf(const tables& aTables,
+       const model_uses& aUses,
+       const engine_row& aEngine)
 {
   double load = 0;
   for (const held_model& held : aEngine.held) {
-    const model_use* use = FindUse(aUses, held.model);
+    const model_use* use = FindUse(aTables, aUses, held.model);
     load += use == nullptr ? 0 : use->RatePerCopy(0);
   }
   return load;
@@ -118,7 +150,7 @@
 // load. The store's rate limit is checked by the caller.
 engine_row*
 FindEngineWithRoom(tables& aTables,
-                   const std::vector<model_use>& aUses,
+                   const model_uses& aUses,
                    const model_row& aModel)
 {
   engine_row* best = nullptr;
@@ -131,7 +163,7 @@
     if (!fits) {
       continue;
     }
-    const double load = LoadOf(aUses, engine);
+    const double load = LoadOf(aTables, aUses, engine);
     const load_source source = SourceOf(engine, aModel.id);
     const bool isBetter =
       source != bestSource ? source < bestSource : load < bestLoad;
@@ -190,7 +222,7 @@
 
 std::optional<eviction_candidate>
 FindEvictionCandidate(tables& aTables,
-                      const std::vector<model_use>& aUses,
+                      const model_uses& aUses,
                       const model_row& aFor,
                       steady_time aNow)
 {
@@ -200,9 +232,9 @@
         FindHeld(engine, aFor.id) != nullptr) {
       continue;
     }
-    const double load = LoadOf(aUses, engine);
+    const double load = LoadOf(aTables, aUses, engine);
     for (const held_model& held : engine.held) {
-      const model_use* use = FindUse(aUses, held.model);
+      const model_use* use = FindUse(aTables, aUses, held.model);
       const auto cost =
         use == nullptr ? 0.0 : EvictionCost(aTables.options, *use, aNow);
       const std::uint64_t bytes = use == nullptr ? 0 : use->model->bytes;
@@ -254,7 +286,7 @@
 // by the rate that each copy would get.
 std::vector<needed_copy>
 FindNeededCopies(const settings& aOptions,
-                 const std::vector<model_use>& aUses,
+                 const model_uses& aUses,
                  steady_time aNow)
 {
   std::vector<needed_copy> neededCopies;
@@ -290,7 +322,7 @@
 // False when no copy has a sufficiently lower value than the needed one.
 bool
 EvictFor(tables& aTables,
-         const std::vector<model_use>& aUses,
+         const model_uses& aUses,
          const needed_copy& aNeeded,
          steady_time aNow,
          outbox& aOutbox)
@@ -341,7 +373,7 @@
   if (aNow < aTables.nextLoad) {
     aOutbox.wake.NoLaterThan(aTables.nextLoad);
   }
-  const std::vector<model_use> uses = CountUse(aTables);
+  const model_uses uses = CountUse(aTables);
   std::size_t unloading = CountUnloading(aTables);
   std::size_t pendingUnloads = unloading; // engines that are making room
   for (const needed_copy& next :
--- a/src/residency/residency.cpp
+++ b/src/residency/residency.cpp
@@ -60,8 +60,9 @@
   }
   RunTick(kSystems, aTables, aNow, aOutbox);
   for (artifact_demand_row& demand : aTables.demands) {
-    demand.waiting =
-      CountCopies(aTables, demand.artifact) > 0 ? 0 : demand.waiting;
+    if (demand.waiting > 0 && CountCopies(aTables, demand.artifact) > 0) {
+      demand.waiting = 0;
+    }
   }
 }
 
