Bound the head and the trailer fields of an answer

A peer whose chunked answer ended in trailer fields without end was read until the call's timeout, and each field was stored: the client's memory grew without a bound, in an entry host and in a control process alike. libcurl bounds the bytes of a head, not the number of trailer fields, and passes both to the same callback.

The client now ends a call whose status lines, header fields and trailer fields exceed 64 KiB together, and stores no trailer field. The call is reported as incomplete with its reason, after the request was sent.

Endless status lines, header lines, 1xx answers and bytes that are no HTTP already ended the call; HttpClient_WhenAHeadIsEndless_EndsTheCall keeps that. Endless header fields took bytes where the test allows; they are now within the limit.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr long kMaxIdleConnections = 64;
+/// Of the status lines, header fields and trailer fields of one answer. Four
+/// times the head that the server accepts by default.
+constexpr std::size_t kMaxHeadBytes = 65'536;
 /// Interval of keep-alive probes: a silent connection is detected after this
 /// idle time and the probes below.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -45,6 +48,8 @@
   http_call call;
   http_call_hooks hooks;
   std::vector<http_field> answerFields;
+  std::size_t headBytes = 0;
+  std::string failure; ///< reason for which a callback ended the call
   bool hasHeaders = false;
   bool isCancelled = false;
 };
@@ -82,17 +87,28 @@
   }
 }
 
+// libcurl bounds a head but not the number of trailer fields, which it passes
+// to this callback too. Returning zero ends the call.
 std::size_t
 OnHeaderLine(char* aData, std::size_t aSize, std::size_t aCount, void* aCall)
 {
   auto& call = *static_cast<running_call*>(aCall);
   const std::string_view line(aData, aSize * aCount);
+  call.headBytes += line.size();
+  if (call.headBytes > kMaxHeadBytes) {
+    call.failure =
+      "head larger than " + std::to_string(kMaxHeadBytes) + " bytes";
+    return 0;
+  }
+  if (call.hasHeaders) {
+    return line.size(); // a trailer field
+  }
   if (line.starts_with("HTTP/")) {
     call.answerFields.clear(); // a status line; repeated after a 1xx answer
   } else if (auto field = ParseFieldLine(line)) {
     call.answerFields.push_back(std::move(*field));
   }
-  return aSize * aCount;
+  return line.size();
 }
 
 std::size_t
@@ -102,11 +118,12 @@
   if (call.isCancelled) {
     return 0;
   }
+  const std::string_view bytes(aData, aSize * aCount);
   ReportHeadersOnce(call);
   if (call.hooks.onBytes && !call.isCancelled) {
-    call.hooks.onBytes(std::string_view(aData, aSize * aCount));
+    call.hooks.onBytes(bytes);
   }
-  return call.isCancelled ? 0 : aSize * aCount;
+  return call.isCancelled ? 0 : bytes.size();
 }
 
 bool
@@ -426,7 +443,8 @@
       aResult == CURLE_COULDNT_CONNECT || aResult == CURLE_OPERATION_TIMEDOUT;
     end.requestSent = !failedBeforeSend || requestBytes > 0;
     if (!end.isComplete) {
-      end.error = curl_easy_strerror(aResult);
+      end.error = aCall.failure.empty() ? curl_easy_strerror(aResult)
+                                        : std::move(aCall.failure);
     }
     if (end.isComplete && !aCall.isCancelled) {
       ReportHeadersOnce(aCall);
