End a call whose body passes its limit instead of reading on

A control process kept at most 1 MiB of an engine's state and 4 KiB of an endpoint's answer to an order, but dropped the bytes beyond that and read on until the timeout of the call, 1 or 2 s at the speed of the connection; the answer was then lost all the same, or its cut body was parsed. The body of an answer to an engine order had no limit but the timeout, and bulrush-load kept all bytes of an answer until its deadline.

http_call::maxBodyBytes ends a call as incomplete, with a reason that names the limit: 1 MiB for each answer to a control process, 32 MiB in bulrush-load. An answer to an order between 4 KiB and 1 MiB, such as an error page, now counts with its whole body.

The calls of the programs have no test of their own here.

--- a/src/apps/load_process.cpp
+++ b/src/apps/load_process.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kRepeatDelay{ 500 };
 constexpr std::chrono::seconds kTimeoutMargin{ 5 };
 constexpr std::uint32_t kMaxTries = 8;
+/// Of one answer. Equals the most that an entry host buffers for its caller.
+constexpr std::size_t kMaxAnswerBytes = 33'554'432;
 
 // The phases of an experiment, in order.
 enum class load_phase
@@ -220,6 +222,7 @@
     call.url = "http://" + aAddress + "/readyz";
     call.timeout = kProbeTimeout;
     call.connectTimeout = kProbeTimeout;
+    call.maxBodyBytes = kMaxAnswerBytes;
     auto onEnd = [this, aEntry](const net::http_call_end& aEnd) {
       constexpr int kOk = 200;
       mEntries.Find(aEntry)->isReady = aEnd.isComplete && aEnd.status == kOk;
@@ -236,6 +239,7 @@
       call.method = "GET";
       call.url = "http://" + address + "/stats";
       call.timeout = kProbeTimeout;
+      call.maxBodyBytes = kMaxAnswerBytes;
       auto body = std::make_shared<std::string>();
       mClient->Start(std::move(call),
                      { {},
@@ -345,6 +349,7 @@
     call.body = FormatBody(mPlan, aRequest.planned, TagOf(aRequest));
     call.timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
       target.deadline + kTimeoutMargin);
+    call.maxBodyBytes = kMaxAnswerBytes;
     const std::string path =
       target.isRoute ? target.name : std::string("/v1/chat/completions");
     if (aRequest.isDirect) {
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -413,6 +413,7 @@
   {
     net::http_call call = mFrontEnd.writeOrder(aOrder);
     call.timeout = kEngineTimeout;
+    call.maxBodyBytes = kMaxAnswerBytes;
     net::http_call_hooks hooks;
     hooks.onEnd = [this, aEngine](const net::http_call_end& aEnd) {
       engine_answer answer;
@@ -429,13 +430,10 @@
   {
     net::http_call call = mFrontEnd.writeStateQuery(aQuery);
     call.timeout = kEngineTimeout;
+    call.maxBodyBytes = kMaxAnswerBytes;
     auto body = std::make_shared<std::string>();
     net::http_call_hooks hooks;
-    hooks.onBytes = [body](std::string_view aBytes) {
-      if (body->size() + aBytes.size() <= kMaxStateBytes) {
-        *body += aBytes;
-      }
-    };
+    hooks.onBytes = [body](std::string_view aBytes) { *body += aBytes; };
     hooks.onEnd =
       [this, aEngine, aQuery, body](const net::http_call_end& aEnd) {
         engine_answer answer;
@@ -467,14 +465,13 @@
     call.fields = { { "Content-Type", "application/json" } };
     call.body = std::move(aCall.body);
     call.timeout = kOrderTimeout;
+    call.maxBodyBytes = kMaxAnswerBytes;
     call.freshConnection = true;
     auto answer = std::make_shared<order_answer>();
     answer->order = aCall.order;
     net::http_call_hooks hooks;
     hooks.onBytes = [answer](std::string_view aBytes) {
-      if (answer->body.size() + aBytes.size() <= kMaxOrderAnswerBytes) {
-        answer->body += aBytes;
-      }
+      answer->body += aBytes;
     };
     hooks.onEnd = [this, answer](const net::http_call_end& aEnd) {
       answer->isSent = aEnd.requestSent;
@@ -486,11 +483,12 @@
   }
 
   static constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
-  static constexpr std::size_t kMaxOrderAnswerBytes = 4096;
   /// Engines answer orders and state queries at once, without waiting for a
   /// slot.
   static constexpr std::chrono::milliseconds kEngineTimeout{ 1'000 };
-  static constexpr std::size_t kMaxStateBytes = 1'048'576;
+  /// Of one endpoint's answer to an order or a state query; far more than a
+  /// state with all models and adapters takes.
+  static constexpr std::size_t kMaxAnswerBytes = 1'048'576;
 
   /// An HTTP call that waits for its answer.
   struct waiting_reply
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,6 +49,7 @@
   http_call_hooks hooks;
   std::vector<http_field> answerFields;
   std::size_t headBytes = 0;
+  std::size_t bodyBytes = 0;
   std::string failure; ///< reason for which a callback ended the call
   bool hasHeaders = false;
   bool isCancelled = false;
@@ -120,6 +121,12 @@
   }
   const std::string_view bytes(aData, aSize * aCount);
   ReportHeadersOnce(call);
+  call.bodyBytes += bytes.size();
+  const std::size_t limit = call.call.maxBodyBytes;
+  if (limit > 0 && call.bodyBytes > limit) {
+    call.failure = "body larger than " + std::to_string(limit) + " bytes";
+    return 0;
+  }
   if (call.hooks.onBytes && !call.isCancelled) {
     call.hooks.onBytes(bytes);
   }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -129,6 +129,8 @@
   std::chrono::milliseconds timeout{ 0 }; ///< zero for none
   std::chrono::milliseconds connectTimeout{ 1'000 };
   bool freshConnection = false; ///< so libcurl never resends the request
+  /// A longer body ends the call as incomplete; zero for no limit.
+  std::size_t maxBodyBytes = 0;
 };
 
 /// How a call ended.
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -109,12 +109,13 @@
   client_fixture() { ResetPeakResidentBytes(); }
 
   // Runs one call to its end and until the server's connection is closed.
-  void Call(const endless_server& aServer)
+  void Call(const endless_server& aServer, std::size_t aMaxBodyBytes = 0)
   {
     http_call call;
     call.method = "GET";
     call.url = aServer.Url();
     call.timeout = kLongTimeout;
+    call.maxBodyBytes = aMaxBodyBytes;
     http_call_hooks hooks;
     hooks.onBytes = [this](std::string_view aBytes) {
       bodyBytes += aBytes.size();
@@ -177,5 +178,23 @@
   RequireEndedEarly(before);
 }
 
+TEST_CASE_METHOD(client_fixture,
+                 "HttpClient_WhenABodyPassesItsLimit_EndsTheCall",
+                 "[net]")
+{
+  constexpr std::size_t kLimit = 100'000;
+  const std::string start =
+    GENERATE(as<std::string>(),
+             "HTTP/1.1 200 OK\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n",
+             "HTTP/1.1 500 Error\r\nContent-Length: 9000000000000\r\n\r\n");
+  INFO(start);
+  const std::size_t before = PeakResidentBytes();
+  endless_server server(start, "no answer");
+  Call(server, kLimit);
+  RequireEndedEarly(before);
+  CHECK(bodyBytes <= kLimit);
+}
+
 } // namespace
 } // namespace bulrush::net
