Search an incomplete event of a stream only once

A stream whose bytes form no event kept the traffic thread of its entry host busy: each arrival searched the whole incomplete event for its end again, twice, up to the 32 MiB that a host buffers. Its caller got no answer within 30 s, and requests to healthy endpoints of the same host waited meanwhile.

The search now continues where it ended, in one pass, and a block of many events is erased once.

--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -1,24 +1,31 @@
 #include "entry/answer.hpp"
 
+#include <algorithm>
+
 namespace bulrush::entry {
 
 namespace {
 
 constexpr std::string_view kEndMark = "data: [DONE]";
+/// "\r\n\r" may become the end of an event.
+constexpr std::size_t kLongestPart = 3;
 
-// Events end with an empty line; lines end with LF or CRLF.
+// Events end with an empty line; lines end with LF or CRLF. aFrom: no earlier
+// line feed is followed by an empty line.
 std::size_t
-EndOfEvent(const std::string& aText)
+EndOfEvent(std::string_view aText, std::size_t aFrom)
 {
-  const std::size_t plain = aText.find("\n\n");
-  const std::size_t carriage = aText.find("\r\n\r\n");
-  if (plain == std::string::npos && carriage == std::string::npos) {
-    return std::string::npos;
-  }
-  if (carriage < plain) {
-    return carriage + std::string_view("\r\n\r\n").size();
+  for (std::size_t at = aText.find('\n', aFrom); at != std::string_view::npos;
+       at = aText.find('\n', at + 1)) {
+    const std::string_view rest = aText.substr(at + 1);
+    if (rest.starts_with('\n')) {
+      return at + 2;
+    }
+    if (at > 0 && aText[at - 1] == '\r' && rest.starts_with("\r\n")) {
+      return at + 3;
+    }
   }
-  return plain + std::string_view("\n\n").size();
+  return std::string_view::npos;
 }
 
 // Value of the "id" field, which must start a line.
@@ -70,13 +77,18 @@
 {
   mTail += aBytes;
   std::uint64_t completed = 0;
-  for (std::size_t end = EndOfEvent(mTail); end != std::string::npos;
-       end = EndOfEvent(mTail)) {
-    mEvents.push_back(mTail.substr(0, end));
-    mTail.erase(0, end);
+  std::size_t begin = 0;
+  for (std::size_t end = EndOfEvent(mTail, mSearchedBytes);
+       end != std::string::npos;
+       end = EndOfEvent(mTail, begin)) {
+    mEvents.push_back(mTail.substr(begin, end - begin));
     mHasEndMark |= mEvents.back().starts_with(kEndMark);
+    begin = end;
     ++completed;
   }
+  mTail.erase(0, begin);
+  // An incomplete event is not searched again, except for a part of its end.
+  mSearchedBytes = mTail.size() - std::min(mTail.size(), kLongestPart);
   mNextUnit += completed;
   return completed;
 }
@@ -88,6 +100,7 @@
     return 0;
   }
   mEvents.push_back(std::exchange(mTail, {}));
+  mSearchedBytes = 0;
   ++mNextUnit;
   return 1;
 }
--- a/src/entry/answer.hpp
+++ b/src/entry/answer.hpp
@@ -43,6 +43,8 @@
   std::uint64_t mNextUnit;
   std::size_t mBufferedBytes = 0;
   std::string mTail; ///< incomplete event of a stream, else the body
+  /// Bytes of mTail that cannot be the start of an event's end.
+  std::size_t mSearchedBytes = 0;
   std::string mLastEvent;
   std::deque<std::string> mEvents;
 };
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -16,6 +16,8 @@
 
 constexpr int kReportIntervalMs = 400;
 constexpr int kBacklog = 64;
+constexpr std::size_t kEndlessBlockBytes = 65'536;
+constexpr std::string_view kAttemptMark = "{attempt}";
 
 std::string
 HeaderField(const std::string& aHead, const std::string& aName)
@@ -141,6 +143,9 @@
 {
   mIsStopping = true;
   mThread.join();
+  for (std::thread& thread : mEndlessThreads) {
+    thread.join();
+  }
   close(mListener);
 }
 
@@ -163,6 +168,67 @@
   return mode;
 }
 
+void
+raw_endpoint::SetEndlessAnswer(std::optional<endless_answer> aAnswer)
+{
+  const std::lock_guard guard(mMutex);
+  mEndlessAnswer = std::move(aAnswer);
+}
+
+std::optional<endless_answer>
+raw_endpoint::EndlessAnswer()
+{
+  const std::lock_guard guard(mMutex);
+  return mEndlessAnswer;
+}
+
+void
+raw_endpoint::ReportEmptyEngine(std::uint64_t aMemoryBytes)
+{
+  mMemoryBytes = aMemoryBytes;
+}
+
+// Sends without blocking, so that a caller that neither reads nor closes does
+// not keep the destructor waiting.
+void
+raw_endpoint::SendEndless(int aSocket, const endless_answer& aAnswer)
+{
+  const std::string request = ReadRequest(aSocket);
+  if (request.empty()) {
+    close(aSocket);
+    return;
+  }
+  ++mEndlessBegun;
+  std::string start = aAnswer.start;
+  const std::size_t mark = start.find(kAttemptMark);
+  if (mark != std::string::npos) {
+    start.replace(
+      mark, kAttemptMark.size(), HeaderField(request, "Bulrush-Attempt"));
+  }
+  SendAll(aSocket, start);
+  std::string block;
+  while (block.size() < kEndlessBlockBytes) {
+    block += aAnswer.block;
+  }
+  std::size_t sent = 0;
+  while (!mIsStopping) {
+    pollfd socket{ aSocket, POLLOUT, 0 };
+    if (poll(&socket, 1, kReportIntervalMs) <= 0) {
+      continue;
+    }
+    const ssize_t count = send(aSocket,
+                               block.data() + sent,
+                               block.size() - sent,
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count <= 0) {
+      ++mEndlessClosed;
+      break;
+    }
+    sent = (sent + static_cast<std::size_t>(count)) % block.size();
+  }
+  close(aSocket);
+}
+
 void
 raw_endpoint::Serve()
 {
@@ -171,6 +237,13 @@
     pollfd listener{ mListener, POLLIN, 0 };
     while (poll(&listener, 1, kReportIntervalMs) > 0) {
       const int accepted = accept(mListener, nullptr, nullptr);
+      if (auto endless = EndlessAnswer()) {
+        mEndlessThreads.emplace_back(
+          [this, accepted, answer = std::move(*endless)] {
+            SendEndless(accepted, answer);
+          });
+        continue;
+      }
       Answer(accepted);
       close(accepted);
     }
@@ -181,7 +254,10 @@
 raw_endpoint::Report()
 {
   const json draft = { { "model", "draft" }, { "version", "1" } };
+  const std::uint64_t memory = mMemoryBytes;
+  const json residents = memory == 0 ? json::array({ draft }) : json::array();
   const json report = { { "endpoint", mName },
+                        { "memory_bytes", memory },
                         { "incarnation", 1 },
                         { "sequence", ++mSequence },
                         { "address", "127.0.0.1:" + std::to_string(mPort) },
@@ -189,7 +265,7 @@
                         { "slots", 8 },
                         { "cold_slots", 8 },
                         { "resume", true },
-                        { "residents", json::array({ draft }) },
+                        { "residents", residents },
                         { "services", json::array({ "desk" }) } };
   for (const std::string& entry : mEntries) {
     SendHttpRequest("POST",
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -1,12 +1,14 @@
 #ifndef BULRUSH_TESTS_SUPPORT_RAW_ENDPOINT_HPP
 #define BULRUSH_TESTS_SUPPORT_RAW_ENDPOINT_HPP
 
-/// An endpoint on a bare socket that can truncate its answers, which HTTP
-/// server libraries prevent. It counts the requests that it ran.
+/// An endpoint on a bare socket that can truncate its answers or send them
+/// without end, which HTTP server libraries prevent. It counts the requests
+/// that it ran.
 
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,6 +24,15 @@
   eTruncateChunks ///< sends only the first half of a stream
 };
 
+/// Bytes sent for a request: a start, then a block that is repeated until the
+/// caller closes the connection. "{attempt}" in the start becomes the id of the
+/// request's attempt.
+struct endless_answer
+{
+  std::string start;
+  std::string block;
+};
+
 class raw_endpoint
 {
 public:
@@ -39,11 +50,24 @@
   void SetResponseModes(std::deque<response_mode> aModes);
   int Runs() const { return mRuns; }
 
+  /// Answers every request from now on, orders too, with these bytes; nullopt
+  /// for complete answers.
+  void SetEndlessAnswer(std::optional<endless_answer> aAnswer);
+  /// Endless answers that began, and those whose caller closed the connection.
+  int EndlessBegun() const { return mEndlessBegun; }
+  int EndlessClosed() const { return mEndlessClosed; }
+
+  /// From now on it reports as an engine with this memory and no model, so that
+  /// it receives orders.
+  void ReportEmptyEngine(std::uint64_t aMemoryBytes);
+
 private:
   void Serve();
   void Report();
   void Answer(int aSocket);
   response_mode NextResponseMode();
+  std::optional<endless_answer> EndlessAnswer();
+  void SendEndless(int aSocket, const endless_answer& aAnswer);
 
   std::string mName;
   std::string mDomain;
@@ -55,6 +79,11 @@
   std::atomic<bool> mIsStopping{ false };
   std::mutex mMutex;
   std::deque<response_mode> mResponseModes;
+  std::optional<endless_answer> mEndlessAnswer;
+  std::atomic<int> mEndlessBegun{ 0 };
+  std::atomic<int> mEndlessClosed{ 0 };
+  std::atomic<std::uint64_t> mMemoryBytes{ 0 };
+  std::vector<std::thread> mEndlessThreads;
   std::thread mThread;
 };
 
