Replace ZeroMQ's heartbeats of links by heartbeats of their own

When a socket reaches its receive high water mark, its engine stops the input; a reset by the peer is then noted and waits for the input to be resumed, but the next heartbeat is written all the same and fails the assertion. A received PING is answered by the same function, so a heartbeat of the peer is no safer.

The sockets no longer set heartbeat_ivl. A client that has received nothing for 0.5 s sends a message of two empty parts, which the server echoes, and disconnects and connects its endpoint after three without an answer: 1.5 to 2 s after a connection fell silent, as before.

Ruled out: keep-alive alone, as it is answered by any kernel on the way; ZeroMQ's heartbeats on the client only, as its PING can hit the same assertion in the server. Price: the echo comes from the server's io_context, so a server that does not run for 2 s loses its links until it runs again.

LinkServer_WhenAFullPeerResets_KeepsRunning: before, the server ended with signal 6 and the assertion above; now it passes. With the heartbeat of the client disabled, LinkClient_WhenItsConnectionFallsSilent_Reconnects fails; without the echo, the two tests of idle clients fail.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -2,14 +2,19 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <zmq.hpp>
 
 namespace bulrush::net {
 namespace {
 
 constexpr int kHighWaterMark = 4096;
-constexpr int kHeartbeatMs = 500;
-constexpr int kHeartbeatTimeoutMs = 1'500;
+/// A client that has received nothing for this long sends a heartbeat.
+constexpr std::chrono::milliseconds kHeartbeatInterval{ 500 };
+/// A connection is replaced when no heartbeat was answered for this long.
+constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1'500 };
+constexpr int kMaxUnanswered =
+  static_cast<int>(kHeartbeatTimeout / kHeartbeatInterval);
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
 /// The kernel retransmits a SYN after 1, 3 and 7 s, so without this timeout a
@@ -17,6 +22,10 @@
 constexpr int kConnectTimeoutMs = 400;
 /// The connection is closed if data stays unacknowledged for this long.
 constexpr int kUnacknowledgedTimeoutMs = 1'500;
+/// An idle connection is probed by the kernel each second and closed when a
+/// probe stays unacknowledged for kUnacknowledgedTimeoutMs.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveCount = 2;
 constexpr std::int64_t kMaxMessageBytes = 16'777'216;
 
 // One context per process, so that all links share its I/O thread.
@@ -27,6 +36,10 @@
   return sContext;
 }
 
+/// A heartbeat has two empty parts; messages of users have one part. Clients
+/// send heartbeats and servers echo them.
+const std::string kHeartbeatPart;
+
 // A ZeroMQ socket on an io_context. Its descriptor is edge-triggered, so after
 // each event and each send the socket is read until it has no more input.
 class polled_socket : public std::enable_shared_from_this<polled_socket>
@@ -40,8 +53,13 @@
     mSocket.set(zmq::sockopt::linger, 0);
     mSocket.set(zmq::sockopt::sndhwm, kHighWaterMark);
     mSocket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
-    mSocket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
-    mSocket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    // ZeroMQ's own heartbeats stay off: libzmq 4.3.4 aborts the process when it
+    // writes one on a connection that was reset while its input was stopped at
+    // the receive high water mark.
+    mSocket.set(zmq::sockopt::tcp_keepalive, 1);
+    mSocket.set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveSeconds);
+    mSocket.set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveSeconds);
+    mSocket.set(zmq::sockopt::tcp_keepalive_cnt, kKeepAliveCount);
     mSocket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
     mSocket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMaxMs);
     mSocket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
@@ -78,7 +96,17 @@
     mSocket.close();
   }
 
+  // Counts a message that cannot be sent as dropped.
   bool Send(const std::vector<const std::string*>& aParts)
+  {
+    const bool isSent = TrySend(aParts);
+    if (!isSent) {
+      ++mDropped;
+    }
+    return isSent;
+  }
+
+  bool TrySend(const std::vector<const std::string*>& aParts)
   {
     bool isSent = true;
     for (std::size_t i = 0; i < aParts.size() && isSent; ++i) {
@@ -87,9 +115,6 @@
       isSent = SendPart(*aParts[i], more);
     }
     DrainSoon();
-    if (!isSent) {
-      ++mDropped;
-    }
     return isSent;
   }
 
@@ -207,6 +232,85 @@
   std::string mAllowed;
 };
 
+// Replaces the connection of a client whose heartbeats stay unanswered.
+// Timeouts are counted in heartbeats rather than in time, so that a client that
+// was suspended waits for the answers that arrived meanwhile.
+class link_heartbeat : public std::enable_shared_from_this<link_heartbeat>
+{
+public:
+  link_heartbeat(asio::io_context& aContext,
+                 std::shared_ptr<polled_socket> aSocket,
+                 std::string aEndpoint)
+    : mSocket(std::move(aSocket))
+    , mEndpoint(std::move(aEndpoint))
+    , mTimer(aContext)
+  {
+  }
+
+  void Start() { WaitUntil(std::chrono::steady_clock::now()); }
+
+  void Stop()
+  {
+    mIsStopped = true;
+    mTimer.cancel();
+  }
+
+  void HandleArrival()
+  {
+    mLastArrival = std::chrono::steady_clock::now();
+    mWasConnected = true;
+    mUnanswered = 0;
+  }
+
+  void HandleSent() { mWasConnected = true; }
+
+private:
+  void WaitUntil(steady_time aTime)
+  {
+    mTimer.expires_at(aTime);
+    mTimer.async_wait([self = shared_from_this()](const std::error_code&) {
+      if (!self->mIsStopped) {
+        self->Tick(std::chrono::steady_clock::now());
+      }
+    });
+  }
+
+  // Nothing is counted before the socket has accepted a message on this
+  // connection: until then ZeroMQ is still connecting. After that, a send fails
+  // as well when the queue is full, which must not hide a silent connection.
+  void Tick(steady_time aNow)
+  {
+    if (aNow < mLastArrival + kHeartbeatInterval) {
+      WaitUntil(mLastArrival + kHeartbeatInterval);
+      return;
+    }
+    if (mUnanswered == kMaxUnanswered) {
+      Reconnect();
+    } else {
+      mWasConnected =
+        mSocket->TrySend({ &kHeartbeatPart, &kHeartbeatPart }) || mWasConnected;
+      mUnanswered += mWasConnected ? 1 : 0;
+    }
+    WaitUntil(aNow + kHeartbeatInterval);
+  }
+
+  void Reconnect()
+  {
+    mUnanswered = 0;
+    mWasConnected = false;
+    mSocket->Socket().disconnect(mEndpoint);
+    mSocket->Socket().connect(mEndpoint);
+  }
+
+  std::shared_ptr<polled_socket> mSocket;
+  std::string mEndpoint;
+  asio::steady_timer mTimer;
+  steady_time mLastArrival{};
+  int mUnanswered = 0;
+  bool mWasConnected = false;
+  bool mIsStopped = false;
+};
+
 class zmq_link_server : public link_server
 {
 public:
@@ -234,22 +338,33 @@
 class zmq_link_client : public link_client
 {
 public:
-  explicit zmq_link_client(std::shared_ptr<polled_socket> aSocket)
+  zmq_link_client(std::shared_ptr<polled_socket> aSocket,
+                  std::shared_ptr<link_heartbeat> aHeartbeat)
     : mSocket(std::move(aSocket))
+    , mHeartbeat(std::move(aHeartbeat))
+  {
+  }
+  ~zmq_link_client() override
   {
+    mHeartbeat->Stop();
+    mSocket->Close();
   }
-  ~zmq_link_client() override { mSocket->Close(); }
   zmq_link_client(const zmq_link_client&) = delete;
   zmq_link_client& operator=(const zmq_link_client&) = delete;
 
   bool Send(const std::string& aBytes) override
   {
-    return mSocket->Send({ &aBytes });
+    const bool isSent = mSocket->Send({ &aBytes });
+    if (isSent) {
+      mHeartbeat->HandleSent();
+    }
+    return isSent;
   }
   std::uint64_t Dropped() const override { return mSocket->Dropped(); }
 
 private:
   std::shared_ptr<polled_socket> mSocket;
+  std::shared_ptr<link_heartbeat> mHeartbeat;
 };
 
 } // namespace
@@ -309,11 +424,17 @@
       socket->Socket().set(zmq::sockopt::curve_secretkey, aKeys.secretKey);
     }
     socket->Socket().bind("tcp://" + aAddress);
-    socket->Open([hook = std::move(aOnMessage)](auto aParts) {
-      if (aParts.size() == 2) {
-        hook(std::move(aParts[0]), std::move(aParts[1]));
-      }
-    });
+    // The socket owns its hook, so the hook refers to it by a plain pointer.
+    socket->Open(
+      [hook = std::move(aOnMessage), answering = socket.get()](auto aParts) {
+        const std::string& peer = aParts.front();
+        if (aParts.size() == 2) {
+          hook(std::move(aParts[0]), std::move(aParts[1]));
+        } else if (aParts.size() == 3 && aParts[1] == kHeartbeatPart &&
+                   aParts[2] == kHeartbeatPart) {
+          answering->TrySend({ &peer, &kHeartbeatPart, &kHeartbeatPart });
+        }
+      });
     return std::make_unique<zmq_link_server>(std::move(socket),
                                              std::move(authenticator));
   } catch (const std::exception& error) {
@@ -341,13 +462,19 @@
       socket->Socket().set(zmq::sockopt::curve_publickey, aKeys.publicKey);
       socket->Socket().set(zmq::sockopt::curve_secretkey, aKeys.secretKey);
     }
-    socket->Socket().connect("tcp://" + aAddress);
-    socket->Open([hook = std::move(aOnMessage)](auto aParts) {
+    const std::string endpoint = "tcp://" + aAddress;
+    socket->Socket().connect(endpoint);
+    auto heartbeat =
+      std::make_shared<link_heartbeat>(aContext, socket, endpoint);
+    socket->Open([hook = std::move(aOnMessage), heartbeat](auto aParts) {
+      heartbeat->HandleArrival();
       if (aParts.size() == 1) {
         hook(std::move(aParts[0]));
       }
     });
-    return std::make_unique<zmq_link_client>(std::move(socket));
+    heartbeat->Start();
+    return std::make_unique<zmq_link_client>(std::move(socket),
+                                             std::move(heartbeat));
   } catch (const std::exception& error) {
     return Fail(aReason, "connect link", aAddress, error.what());
   }
