Hash the slots of cold endpoints only

Cause: the search for newly cold endpoints built the identifier of every endpoint's slots in each tick, and then used it for cold endpoints only.

Change: endpoints that are not cold are passed over first. No decision depends on the order of these two steps.

The process tests of cold endpoints, domains and orders pass; no test covers the time.

--- a/src/control/leases.cpp
+++ b/src/control/leases.cpp
@@ -150,9 +150,12 @@
     leases.coldSlots.Erase(row.id);
   }
   for (const known_endpoint& known : aTables.endpoints) {
+    if (!known.row.isCold) {
+      continue;
+    }
     const auto resource = admission::SlotsOf(known.id, known.row.incarnation);
     const auto id = admission::IdOfResource(resource);
-    if (known.row.isCold && leases.coldSlots.Find(id) == nullptr) {
+    if (leases.coldSlots.Find(id) == nullptr) {
       VoidOlderIncarnations(leases.root, known.id, known.row.incarnation, aNow);
       SetLimit(leases.root, resource, { 0, known.row.coldSlots }, aNow);
       leases.coldSlots.Insert({ id, resource });
