--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -20,6 +20,9 @@
 /// its earlier, smaller copies, which together take as much once more.
 constexpr std::size_t kBodyBound = 3 * kMaxBufferedBytes + kReserve;
 constexpr int kDeadlineMs = 2'000;
+/// kOrderTimeout of a control process.
+constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
+constexpr std::uint64_t kEngineBytes = 10'000;
 
 const std::string kFields =
   "Content-Type: application/json\r\nBulrush-Attempt: {attempt}\r\n";
@@ -144,11 +147,11 @@
                  "Release_WhenTheBodyOfItsAnswerIsEndless_IsAnsweredAsFailed",
                  "[process][endless]")
 {
-  const std::string length = "Content-Length: 9000000000000\r\n\r\n";
+  const std::string fields = kFields + "Content-Length: 9000000000000\r\n\r\n";
   for (const endless_answer& answer :
        { endless_answer{ "HTTP/1.1 200 OK\r\n" + kFields + "\r\n", "{" },
-         endless_answer{ "HTTP/1.1 200 OK\r\n" + kFields + length, "{" },
-         endless_answer{ "HTTP/1.1 500 Error\r\n" + kFields + length, "{" } }) {
+         endless_answer{ "HTTP/1.1 200 OK\r\n" + fields, "{" },
+         endless_answer{ "HTTP/1.1 500 Error\r\n" + fields, "{" } }) {
     RequireEnded(
       answer, [this] { return Release(); }, kBodyBound);
   }
@@ -178,5 +181,28 @@
   }
 }
 
+// The order may be executed later, so the control process does not take the
+// bytes for an answer; it neither keeps them nor reads on.
+TEST_CASE_METHOD(endless_fixture,
+                 "Order_WhenItsAnswerIsEndless_IsEndedByTheControlProcess",
+                 "[process][endless]")
+{
+  const int control = running.controls[0]->Pid();
+  std::ofstream("/proc/" + std::to_string(control) + "/clear_refs") << "5";
+  const std::size_t before = MemoryBytes(control, "VmRSS");
+  desk->SetEndlessAnswer(
+    GENERATE(endless_answer{ "HTTP/1.1 200 OK\r\n\r\n", "{" },
+             endless_answer{ "HTTP/1.1 200 OK\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                             "X: y\r\n" }));
+  desk->ReportEmptyEngine(kEngineBytes);
+  REQUIRE(WaitUntil([&] { return desk->EndlessBegun() > 0; }));
+  CHECK(
+    WaitUntil([&] { return desk->EndlessClosed() > 0; }, kOrderTimeout / 2));
+  CHECK(MemoryBytes(control, "VmHWM") < before + kReserve);
+  CHECK(running.Ctl({ "status" }).exitCode == 0);
+  CHECK(running.controls[0]->Pid() == control);
+}
+
 } // namespace
 } // namespace bulrush::test
