--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -259,6 +259,10 @@
     const std::uint64_t count = row->answer->Add(aBytes);
     if (row->answer->BufferedBytes() > kMaxBufferedBytes) {
       mClient->Cancel(row->call);
+      LogFailure(*row,
+                 "truncated",
+                 "buffered more than " + std::to_string(kMaxBufferedBytes) +
+                   " bytes");
       End(aAttempt, routing::attempt_end::eTruncated);
       return;
     }
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -119,6 +119,12 @@
       WaitUntil([&] { return desk->EndlessClosed() == desk->EndlessBegun(); },
                 std::chrono::seconds(1)));
     desk->SetEndlessAnswer(std::nullopt);
+    if (aBound > kReserve) {
+      CHECK(WaitUntil([&] {
+        return running.entries[0]->Log().find("buffered more than") !=
+               std::string::npos;
+      }));
+    }
     const std::size_t peak = MemoryBytes(EntryPid(), "VmHWM");
     CHECK(time < std::chrono::milliseconds(kDeadlineMs) * 2);
     CHECK(peak < before + aBound);
