--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -34,7 +34,7 @@
   return replica_id{ (high << 32U) | low | 1U };
 }
 
-// Empty for no identity: processes that were not heard from have none either.
+// Empty for no identity, which processes without a hello have as well.
 std::string
 NameOf(const log_tables& aLog, replica_id aIdentity)
 {
@@ -346,8 +346,8 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
-// A member that was removed while it was cut off is not told so: its own log
-// lists it still. It hears of no leader and offers itself like a new process.
+// A member that was removed while it was cut off is still listed in its own
+// log. It has no leader, and asks to join like a new process.
 void
 SendHellos(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -441,8 +441,8 @@
                         replica.settings.electionTimeout,
                         IsLeaseHeld(replica, aNow) };
   };
-  hooks.hasNewestState = [&aLog](steady_time aNow) {
-    return HasLeadersState(aLog.replica, aNow);
+  hooks.isCaughtUp = [&aLog](steady_time aNow) {
+    return IsCaughtUp(aLog.replica, aNow);
   };
   hooks.term = [&aLog] { return aLog.replica.vote.term; };
   hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -47,7 +47,7 @@
     leaderTerm.holdsLease = true;
     return leaderTerm;
   };
-  hooks.hasNewestState = [](steady_time) { return true; };
+  hooks.isCaughtUp = [](steady_time) { return true; };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
   hooks.term = [] { return std::uint64_t{ 1 }; };
   return hooks;
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -502,7 +502,7 @@
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   const std::string leader = aTables.log.leaderName();
-  const bool isNewest = aTables.log.hasNewestState(aNow);
+  const bool isCaughtUp = aTables.log.isCaughtUp(aNow);
   std::string snapshot;
   for (host_row& host : aTables.hosts) {
     const bool isBehind =
@@ -524,7 +524,7 @@
         ? std::chrono::duration_cast<std::chrono::milliseconds>(kHostLease)
         : std::chrono::milliseconds(0);
     update.revision = aTables.fleet.revision;
-    update.isNewest = isNewest;
+    update.isCaughtUp = isCaughtUp;
     update.term = aTables.log.term();
     AddConfiguration(aTables, host, snapshot, update);
     if (!update.snapshot.empty() || !update.commands.empty()) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -155,7 +155,7 @@
   std::function<std::optional<leader_term>(steady_time aNow)> leaderTerm;
   /// True while the state applied here includes all that the leader had
   /// committed a moment ago.
-  std::function<bool(steady_time aNow)> hasNewestState;
+  std::function<bool(steady_time aNow)> isCaughtUp;
   /// Name of the leader; empty while none is known.
   std::function<std::string()> leaderName;
   /// Rises with each change of leader.
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -58,7 +58,7 @@
 {
   if (aTables.fleet->revision < aTables.newestRevision) {
     aTables.mayDenyUntil = {};
-  } else if (aUpdate.isNewest && aUpdate.renewal == aTables.lastReport) {
+  } else if (aUpdate.isCaughtUp && aUpdate.renewal == aTables.lastReport) {
     aTables.mayDenyUntil = aTables.lastReportAt + kMaxDenialAge;
   }
 }
--- a/src/replication/append.cpp
+++ b/src/replication/append.cpp
@@ -219,7 +219,7 @@
     return;
   }
   FollowLeader(aTables, aRequest.header.from, aNow);
-  aTables.leaderCommit = aRequest.commit;
+  aTables.leaderCommit = std::max(aTables.leaderCommit, aRequest.commit);
   const log_index previous = aRequest.previous.index;
   if (previous < aTables.base.index) {
     reply.accepted = true;
--- a/src/replication/commit.cpp
+++ b/src/replication/commit.cpp
@@ -103,7 +103,7 @@
 // The commit index of a new leader may be an old one until it has committed an
 // entry of its own term.
 bool
-HasLeadersState(const replica_tables& aTables, steady_time aNow)
+IsCaughtUp(const replica_tables& aTables, steady_time aNow)
 {
   if (aTables.role == replica_role::eLeader) {
     return IsLeaseHeld(aTables, aNow) && aTables.released >= aTables.termStart;
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -357,7 +357,7 @@
   ballot vote;
   replica_role role = replica_role::eFollower;
   replica_id leader;
-  log_index leaderCommit = 0; ///< in the leader's latest append request
+  log_index leaderCommit = 0; ///< highest that a leader has stated
   steady_time electionDeadline;
   steady_time leaderLastSeen;
   table<replica_id, vote_row> votes;
@@ -429,9 +429,9 @@
 /// True while no other replica can have been elected leader.
 bool IsLeaseHeld(const replica_tables& aTables, steady_time aNow);
 
-/// True if this replica leads with a lease, or heard from the leader within an
-/// election timeout and has released every entry that was committed then.
-bool HasLeadersState(const replica_tables& aTables, steady_time aNow);
+/// True if this replica leads with a lease, or received a message of the leader
+/// within an election timeout and has released every entry committed by then.
+bool IsCaughtUp(const replica_tables& aTables, steady_time aNow);
 
 /// Saves the program's state as of replica_tables::released and removes the
 /// entries before it, except for replica_settings::keptEntries.
--- a/src/replication/snapshot.cpp
+++ b/src/replication/snapshot.cpp
@@ -77,6 +77,7 @@
   reply.index = aChunk.at.index;
   if (aChunk.header.term == aTables.vote.term) {
     FollowLeader(aTables, aChunk.header.from, aNow);
+    aTables.leaderCommit = std::max(aTables.leaderCommit, aChunk.at.index);
     reply.installed = ReceiveChunk(aTables, aChunk);
     reply.nextOffset = aTables.incoming.bytes.size();
   }
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -127,7 +127,7 @@
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
-  to->set_is_newest(aFrom.isNewest);
+  to->set_is_caught_up(aFrom.isCaughtUp);
   to->set_term(aFrom.term);
 }
 
@@ -303,7 +303,7 @@
   update.tombstones = GetKeys(aFrom.tombstones());
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
-  update.isNewest = aFrom.is_newest();
+  update.isCaughtUp = aFrom.is_caught_up();
   update.term = aFrom.term();
   return update;
 }
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -109,7 +109,7 @@
   std::string leader;     ///< name of the leader; empty while none is known
   std::uint64_t term = 0; ///< of the log at the sender
   /// The sender had applied all that the leader had committed.
-  bool isNewest = false;
+  bool isCaughtUp = false;
 };
 
 /// From the control host of a failure domain to other control processes: its
--- a/tests/control/log_test.cpp
+++ b/tests/control/log_test.cpp
@@ -68,9 +68,7 @@
   CHECK(tables.log.leaderName().empty());
 }
 
-TEST_CASE_METHOD(log_fixture,
-                 "RemovedMember_ThatHearsOfNoLeader_OffersToJoinAgain",
-                 "[control]")
+TEST_CASE_METHOD(log_fixture, "Member_WithoutALeader_SendsHellos", "[control]")
 {
   Run(milliseconds{ 3'000 });
   CHECK(hellos > 0);
--- a/tests/control/residents_test.cpp
+++ b/tests/control/residents_test.cpp
@@ -38,6 +38,7 @@
       term.holdsLease = isLeader;
       return std::optional<leader_term>(term);
     };
+    tables.log.isCaughtUp = [](steady_time) { return true; };
     tables.log.leaderName = [] { return std::string("control"); };
     tables.log.term = [] { return std::uint64_t{ 1 }; };
     tables.residency.isEnabled = true;
--- a/tests/control/updates_test.cpp
+++ b/tests/control/updates_test.cpp
@@ -29,7 +29,7 @@
       return std::optional(position);
     };
     tables.log.isLeader = [](steady_time) { return true; };
-    tables.log.hasNewestState = [](steady_time) { return true; };
+    tables.log.isCaughtUp = [](steady_time) { return true; };
     tables.log.leaderName = [this] { return tables.self.name; };
     tables.log.term = [] { return std::uint64_t{ 1 }; };
   }
--- a/tests/entry/configuration_test.cpp
+++ b/tests/entry/configuration_test.cpp
@@ -55,7 +55,7 @@
     update.renewal = tables.lastReport;
     update.revision = aNewest;
     update.leader = "control";
-    update.isNewest = true;
+    update.isCaughtUp = true;
     update.commands = { { 1, Manifest() } };
     wire::message message;
     message.sender = "control";
@@ -100,7 +100,7 @@
 }
 
 TEST_CASE_METHOD(configuration_fixture,
-                 "UnknownKey_WithoutWordFromControl_IsNotDenied",
+                 "UnknownKey_WithoutARecentUpdate_IsNotDenied",
                  "[entry]")
 {
   now -= std::chrono::seconds{ 5 };
--- a/tests/entry/control_choice_test.cpp
+++ b/tests/entry/control_choice_test.cpp
@@ -54,7 +54,7 @@
 }
 
 TEST_CASE_METHOD(control_choice_fixture,
-                 "Hosts_ThatHeardFromNobody_StartAtDifferentControlProcesses",
+                 "Hosts_WithoutAnUpdate_StartAtDifferentControlProcesses",
                  "[entry]")
 {
   CheckSpread(steady_time{});
--- a/tests/entry/leader_test.cpp
+++ b/tests/entry/leader_test.cpp
@@ -5,7 +5,7 @@
 namespace bulrush::entry {
 namespace {
 
-/// An entry host that hears from several control processes.
+/// An entry host with updates of several control processes.
 struct leader_fixture
 {
   entry_tables tables;
@@ -26,7 +26,7 @@
 };
 
 TEST_CASE_METHOD(leader_fixture,
-                 "Host_ToldOfThePreviousLeader_StaysWithTheNewOne",
+                 "Host_ReceivingThePreviousLeadersName_KeepsTheNewOne",
                  "[entry]")
 {
   Receive("control-1", 3);
--- a/tests/replication/cluster_test.cpp
+++ b/tests/replication/cluster_test.cpp
@@ -69,24 +69,24 @@
   REQUIRE(cluster.ProposeAndAwait(3));
   cluster.Run(milliseconds(500));
   const std::size_t follower = AnyFollower(cluster.AwaitLeader());
-  const auto hasLeadersState = [&] {
-    return HasLeadersState(*cluster.hosts[follower].tables,
-                           cluster.ClockOf(follower));
+  const auto isCaughtUp = [&] {
+    return IsCaughtUp(*cluster.hosts[follower].tables,
+                      cluster.ClockOf(follower));
   };
-  CHECK(hasLeadersState());
+  CHECK(isCaughtUp());
   cluster.Isolate(follower);
   cluster.Run(milliseconds(100)); // delivers what was already sent
   cluster.Crash(follower);
   cluster.Start(follower);
   cluster.Run(milliseconds(100));
-  CHECK_FALSE(hasLeadersState());
+  CHECK_FALSE(isCaughtUp());
   REQUIRE(cluster.ProposeAndAwait(3));
   cluster.Run(cluster.settings.electionTimeout);
-  CHECK_FALSE(hasLeadersState());
+  CHECK_FALSE(isCaughtUp());
   cluster.Heal();
   REQUIRE(cluster.ProposeAndAwait(3));
   cluster.Run(milliseconds(500));
-  CHECK(hasLeadersState());
+  CHECK(isCaughtUp());
 }
 
 TEST_CASE_METHOD(three_replicas_fixture,
