Do not count what replaced connections deliver as hosts

Cause: a host that reconnects takes its identity from its former connection, whose queued messages are then delivered under a generated one. Hosts were identified by the link.

Change: messages of hosts whose sender is not the identity of their link are dropped. Hosts of a control process that is cut off stay counted, since they still use their parts.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -264,6 +264,20 @@
   aTables.calls.Erase(call_id{ aReply.call });
 }
 
+// After a host has reconnected, what its former connection still delivers comes
+// from a generated identity. Taken for a host, that identity would be counted
+// and sent updates that nobody receives.
+bool
+IsOfReplacedLink(const received_message& aInput)
+{
+  const wire::message_body& body = aInput.message.body;
+  const bool isOfHost = std::holds_alternative<wire::host_report>(body) ||
+                        std::holds_alternative<wire::demand_report>(body) ||
+                        std::holds_alternative<wire::share_renewal>(body) ||
+                        std::holds_alternative<rates::quota_request>(body);
+  return isOfHost && aInput.peer != aInput.message.sender;
+}
+
 // Dispatches received messages into rows and queues of the other systems.
 void
 RunIngest(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
@@ -276,6 +290,9 @@
       control->lastSeen = aNow;
     }
     const wire::message_body& body = input.message.body;
+    if (IsOfReplacedLink(input)) {
+      continue;
+    }
     if (const auto* report = std::get_if<wire::host_report>(&body)) {
       Handle(aTables, input, *report, aNow);
     } else if (const auto* gossip = std::get_if<wire::endpoint_gossip>(&body)) {
@@ -583,18 +600,17 @@
 }
 
 // Hosts that report to any control process. A host that moves to another one is
-// known to both for a while, and counts once.
+// known to both for a while, and counts once. Those of a control process that
+// is cut off still use their parts of the limits, so they count too.
 std::uint32_t
-CountHosts(const control_tables& aTables, steady_time aNow)
+CountHosts(const control_tables& aTables)
 {
   std::unordered_set<host_id, id_hash> hosts;
   for (const host_row& host : aTables.hosts) {
     hosts.insert(host.id);
   }
   for (const control_row& control : aTables.controls) {
-    if (aNow < control.lastSeen + kHostTimeout) {
-      hosts.insert(control.reporting.begin(), control.reporting.end());
-    }
+    hosts.insert(control.reporting.begin(), control.reporting.end());
   }
   return static_cast<std::uint32_t>(hosts.size());
 }
@@ -611,7 +627,7 @@
       !isDue) {
     return;
   }
-  const std::uint32_t count = CountHosts(aTables, aNow);
+  const std::uint32_t count = CountHosts(aTables);
   const std::uint32_t recorded = aTables.fleet.hosts;
   if (count >= recorded) {
     hostCount.lowerSince.reset();
--- a/tests/control/host_count_test.cpp
+++ b/tests/control/host_count_test.cpp
@@ -5,8 +5,8 @@
 namespace bulrush::control {
 namespace {
 
-/// The leader, and two other control processes that tell it which hosts report
-/// to them.
+/// The leader, and two other control processes that send it the hosts that
+/// report to them.
 struct host_count_fixture
 {
   control_tables tables;
@@ -52,7 +52,7 @@
     tables.inbox.push_back(std::move(input));
   }
 
-  /// Passes some seconds in which nobody else is heard from.
+  /// Passes some seconds without further messages.
   void Run(std::chrono::seconds aTime)
   {
     for (const steady_time end = now + aTime; now < end;
@@ -80,5 +80,18 @@
   CHECK(tables.fleet.hosts == 3);
 }
 
+TEST_CASE_METHOD(host_count_fixture,
+                 "Host_WhoseFormerConnectionStillDelivers_CountsOnce",
+                 "[control]")
+{
+  wire::host_report report;
+  report.domain = "north";
+  Receive("host-1", report);
+  Receive("host-1", report);
+  tables.inbox.back().peer = "generated";
+  Run(std::chrono::seconds{ 3 });
+  CHECK(tables.fleet.hosts == 1);
+}
+
 } // namespace
 } // namespace bulrush::control
