Send a lost configuration again while others follow

The time after which an unconfirmed configuration is sent again was counted from the latest one, so with changes less than 1.5 s apart a host that lost one got no earlier command until they ended, and could apply none of the later ones. It is counted from the oldest that is not confirmed.

The new test fails before.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -525,9 +525,9 @@
     const bool isBehind =
       std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
       host.sentEndpoints < aTables.serial || host.sentLeader != leader;
-    const bool hasMoved =
-      host.leaseEnd <= aNow; // reports elsewhere, or is gone
-    if (!host.isUpdateDue && (!isBehind || hasMoved)) {
+    // Without a lease the host reports elsewhere or is gone.
+    const bool hasLease = aNow < host.leaseEnd;
+    if (!host.isUpdateDue && (!isBehind || !hasLease)) {
       continue;
     }
     if (host.isUpdateDue &&
@@ -544,7 +544,9 @@
     update.isCaughtUp = isCaughtUp;
     update.term = aTables.log.term();
     AddConfiguration(aTables, host, snapshot, update);
-    if (!update.snapshot.empty() || !update.commands.empty()) {
+    const bool hasConfiguration =
+      !update.snapshot.empty() || !update.commands.empty();
+    if (hasConfiguration && host.sentRevision <= host.revision) {
       host.configurationSentAt = aNow;
     }
     AddEndpoints(aTables,
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -61,7 +61,7 @@
   std::uint64_t renewal = 0;      ///< newest one received; echoed in updates
   std::uint64_t revision = 0;     ///< confirmed by the host
   std::uint64_t sentRevision = 0; ///< zero: resend all after revision
-  steady_time configurationSentAt{};
+  steady_time configurationSentAt{}; ///< the oldest that is not confirmed
   std::uint64_t sentEndpoints = 0; ///< serial of the newest change sent
   std::string sentLeader;          ///< name of the leader in the last update
   steady_time lastSeen{};
--- a/tests/control/updates_test.cpp
+++ b/tests/control/updates_test.cpp
@@ -133,5 +133,18 @@
   CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
 }
 
+TEST_CASE_METHOD(updates_fixture,
+                 "LostConfiguration_FollowedByOthers_IsSentAgain",
+                 "[control]")
+{
+  ApplyManifest(1);
+  Report(0); // the answer is lost
+  for (int number = 2; number <= 4; ++number) {
+    now += milliseconds{ 600 };
+    ApplyManifest(number);
+  }
+  CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
+}
+
 } // namespace
 } // namespace bulrush::control
