Refuse requests at once that no pool can grant, and lost keys by recent state

A request larger than its pool waited for tokens that the pool grants only whole, and held up those behind it; it is refused at once as too large. A request whose key is gone when its turn comes is denied only by a recent configuration, like one that arrives. Found in review.

--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -199,6 +199,13 @@
 
 } // namespace
 
+caller_error
+UnknownKey(const resolve_context& aContext)
+{
+  return DeniedBy(aContext,
+                  { 401, "unauthorized", "the key is not known", false, {} });
+}
+
 caller_error
 NoLease()
 {
@@ -233,8 +240,7 @@
     return nullptr;
   }
   if (!workspace) {
-    aError = DeniedBy(
-      aContext, { 401, "unauthorized", "the key is not known", false, {} });
+    aError = UnknownKey(aContext);
     return nullptr;
   }
   return aContext.view.fleet->declared.workspaces.Find(*workspace);
--- a/src/entry/resolve.hpp
+++ b/src/entry/resolve.hpp
@@ -34,6 +34,9 @@
                                const std::string& aKey,
                                caller_error& aError);
 
+/// The error for a key that the manifest here does not have.
+caller_error UnknownKey(const resolve_context& aContext);
+
 /// The error of a host whose lease has lapsed.
 caller_error NoLease();
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -416,15 +416,27 @@
     }
   }
 
+  // The pool grants whole requests, so one that is larger than the pool can
+  // never be granted.
+  std::int64_t LargestRequest(const workspace_row& aWorkspace) const
+  {
+    if (!ToleratesWindow(mAdmission)) {
+      return static_cast<std::int64_t>(aWorkspace.burstTokens);
+    }
+    const rates::split_rate split = rates::SplitRate(mSettings.tolerance,
+                                                     aWorkspace.tokensPerSecond,
+                                                     aWorkspace.burstTokens,
+                                                     mView.fleet->hosts);
+    return split.pool.size / admission::kUnitsPerToken;
+  }
+
   // Queues the request for tokens and its turn; it is routed once admitted.
   void Admit(routed_request aRouted, const resolved_call& aResolved)
   {
     const std::int64_t tokens = aResolved.tokens;
     const auto* workspace =
       mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
-    if (workspace != nullptr &&
-        static_cast<double>(tokens) - mSettings.tolerance.slackTokens >
-          workspace->burstTokens) {
+    if (workspace != nullptr && tokens > LargestRequest(*workspace)) {
       SendError(*aRouted.reply,
                 ErrorOf({ refusal_kind::eTooLarge, {} }),
                 aRouted.facts.id);
@@ -519,6 +531,21 @@
                { "routes", std::to_string(fleet.declared.routes.Size()) } });
   }
 
+  // A withdrawal holds for good. A key that the manifest only lacks may be back
+  // in a newer one.
+  caller_error ErrorOfLostKey(const key_hash& aKey)
+  {
+    const key_row* known = mView.fleet->keys.Find(aKey);
+    const bool isWithdrawn = mView.tombstones->contains(aKey) ||
+                             (known != nullptr && known->isWithdrawn);
+    return isWithdrawn ? caller_error{ 401,
+                                       "key_withdrawn",
+                                       "the key was withdrawn",
+                                       false,
+                                       {} }
+                       : UnknownKey(Context());
+  }
+
   // Lease and key are checked again: they may have ended while the request
   // waited.
   void StartAdmitted(routed_request aRouted, steady_time aNow)
@@ -533,11 +560,7 @@
       return;
     }
     Release(aRouted.facts.id, 0);
-    const caller_error error =
-      isKeyGood ? NoLease()
-                : caller_error{
-                    401, "key_withdrawn", "the key was withdrawn", false, {}
-                  };
+    const caller_error error = isKeyGood ? NoLease() : ErrorOfLostKey(key);
     LogDenial(aRouted.callerId, aRouted.path, error);
     SendError(*aRouted.reply, error, aRouted.facts.id);
   }
