--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -16,9 +16,8 @@
 constexpr std::size_t kMaxBufferedBytes = 32 * kMegabyte;
 /// For the buffers of the sockets, the logs and the other requests.
 constexpr std::size_t kReserve = 16 * kMegabyte;
-/// A growing buffer exists twice while it is copied, and the allocator may keep
-/// its earlier, smaller copies, which together take as much once more.
-constexpr std::size_t kBodyBound = 3 * kMaxBufferedBytes + kReserve;
+/// A growing buffer exists twice while it is copied.
+constexpr std::size_t kBodyBound = 2 * kMaxBufferedBytes + kReserve;
 constexpr int kDeadlineMs = 2'000;
 /// kOrderTimeout of a control process.
 constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
