Give up a control process that does not answer a report

A report without an answer for 300 ms is sent to the next process.

The new test fails before: one of four processes tried in a second.

--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -8,6 +8,9 @@
 
 constexpr std::chrono::milliseconds kReportInterval{ 1'000 };
 constexpr std::chrono::milliseconds kControlTimeout{ 1'500 };
+/// An answer to a report takes a few milliseconds. Without one for this long,
+/// another control process gets the next report at once.
+constexpr std::chrono::milliseconds kReportTimeout{ 300 };
 /// Delay before reporting to another control process when one knows no leader.
 constexpr std::chrono::milliseconds kNoLeaderReportDelay{ 250 };
 constexpr std::chrono::milliseconds kCommandRetryInterval{ 700 };
@@ -197,6 +200,9 @@
     if (control_row* control =
           aTables.controls.Find(IdOf<replica_id>(message.sender))) {
       control->lastSeen = aNow;
+      if (control->id == aTables.awaitedControl) {
+        aTables.awaitedControl = {};
+      }
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       RecordLeaderKnown(aTables, message.sender, *update);
@@ -277,6 +283,25 @@
   aTables.quotaRequests.clear();
 }
 
+// Gives up a control process that has not answered in time, so that a change of
+// configuration reaches the host within seconds when that process is cut off.
+void
+RunReportTimeout(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
+{
+  control_row* control = aTables.controls.Find(aTables.awaitedControl);
+  if (control == nullptr) {
+    return;
+  }
+  const steady_time timesOutAt = aTables.lastReportAt + kReportTimeout;
+  if (aNow < timesOutAt) {
+    aOutbox.wake.NoLaterThan(timesOutAt);
+    return;
+  }
+  control->lastSeen = {};
+  aTables.awaitedControl = {};
+  aTables.nextReport = aNow;
+}
+
 // Reports periodically, and at once when endpoints have reported or a new
 // configuration is in force.
 void
@@ -295,6 +320,8 @@
   report.domain = aTables.self.domain;
   report.renewal = ++aTables.lastReport;
   aTables.lastReportAt = aNow;
+  aTables.awaitedControl = control->id;
+  aOutbox.wake.NoLaterThan(aNow + kReportTimeout);
   report.revision = aTables.fleet->revision;
   report.endpoints = std::move(aTables.unreportedEndpoints);
   report.httpAddress = aTables.self.httpAddress;
@@ -392,11 +419,12 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 7> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 8> kSystems{
   { { "ingest", RunIngest },
     { "demand", RunDemand },
     { "draws", RunQuotaRequests },
     { "renewals", RunRenewals },
+    { "report_timeout", RunReportTimeout },
     { "report", RunReport },
     { "commands", RunCommands },
     { "publish", RunPublish } }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -94,6 +94,7 @@
   std::vector<rates::quota_request> quotaRequests; ///< from the traffic thread
   std::uint64_t lastReport = 0;
   steady_time lastReportAt{};
+  replica_id awaitedControl; ///< that has not answered the latest report
   steady_time mayDenyUntil{};
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
--- a/tests/entry/control_choice_test.cpp
+++ b/tests/entry/control_choice_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 namespace bulrush::entry {
 namespace {
@@ -60,5 +61,27 @@
   CheckSpread(steady_time{});
 }
 
+TEST_CASE_METHOD(control_choice_fixture,
+                 "Host_WithoutAnAnswerToItsReport_ReportsToOthersSoon",
+                 "[entry]")
+{
+  entry_tables tables = HostNamed("host", now);
+  std::vector<std::string> reportedTo;
+  for (int i = 0; i < 10; ++i) {
+    entry_outbox out;
+    RunEntryControl(tables, now, out);
+    for (const outgoing& message : out.messages) {
+      if (std::holds_alternative<wire::host_report>(message.body)) {
+        reportedTo.push_back(message.controlAddress);
+      }
+    }
+    now += std::chrono::milliseconds{ 100 };
+  }
+  // Within a second each process that is left of four has been tried, so that a
+  // change reaches the host in time even if three of them are cut off.
+  const std::set<std::string> tried(reportedTo.begin(), reportedTo.end());
+  CHECK(tried.size() >= 3);
+}
+
 } // namespace
 } // namespace bulrush::entry
