Unbind the link authenticator before it is closed

A link server with keys that was opened right after another one was closed sometimes failed to listen with "Address already in use": a closed socket keeps its inproc address until ZeroMQ's threads have ended it. Programs open one server only; the link tests open several.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -197,16 +197,23 @@
     std::array<std::uint8_t, kRawKeyBytes> raw{};
     zmq_z85_decode(raw.data(), aPublicKey.c_str());
     mAllowed.assign(raw.begin(), raw.end());
-    mSocket->Socket().bind("inproc://zeromq.zap.01");
+    mSocket->Socket().bind(kEndpoint);
     mSocket->Open([this](const std::vector<std::string>& aParts) {
       HandleRequest(aParts);
     });
   }
-  ~link_authenticator() { mSocket->Close(); }
+  // A closed socket keeps its address until ZeroMQ's threads have ended it,
+  // which would fail the next server's bind.
+  ~link_authenticator()
+  {
+    mSocket->Socket().unbind(kEndpoint);
+    mSocket->Close();
+  }
   link_authenticator(const link_authenticator&) = delete;
   link_authenticator& operator=(const link_authenticator&) = delete;
 
 private:
+  static constexpr const char* kEndpoint = "inproc://zeromq.zap.01";
   static constexpr std::size_t kRawKeyBytes = 32;
   static constexpr std::size_t kRequestId = 1;
   static constexpr std::size_t kMechanism = 5;
