Limit the handshake of links to 2 s

A connection that fell silent during its handshake kept a link down for 30 s, ZeroMQ's own limit: heartbeats begin after the handshake.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1'500 };
 constexpr int kMaxUnanswered =
   static_cast<int>(kHeartbeatTimeout / kHeartbeatInterval);
+/// A handshake on a connection that falls silent is given up after the time of
+/// an idle interval and the unanswered heartbeats.
+constexpr int kHandshakeTimeoutMs = 2'000;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 500;
 /// The kernel retransmits a SYN after 1, 3 and 7 s, so without this timeout a
@@ -56,6 +59,7 @@
     // ZeroMQ's own heartbeats stay off: libzmq 4.3.4 aborts the process when it
     // writes one on a connection that was reset while its input was stopped at
     // the receive high water mark.
+    mSocket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
     mSocket.set(zmq::sockopt::tcp_keepalive, 1);
     mSocket.set(zmq::sockopt::tcp_keepalive_idle, kKeepAliveSeconds);
     mSocket.set(zmq::sockopt::tcp_keepalive_intvl, kKeepAliveSeconds);
--- a/tests/net/link_test.cpp
+++ b/tests/net/link_test.cpp
@@ -130,6 +130,8 @@
   std::uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
   std::size_t Accepted() const { return mPairs.size(); }
 
+  void SetNewConnectionsSilent(bool aIsSilent) { mIsSilent = aIsSilent; }
+
   void SilenceOpenConnections()
   {
     for (const auto& pair : mPairs) {
@@ -155,6 +157,7 @@
       }
       auto pair = std::make_shared<connection_pair>(
         connection_pair{ std::move(aSocket), tcp::socket(mContext) });
+      pair->isSilent = mIsSilent;
       pair->server.connect(Loopback(mServerPort));
       Forward(pair, pair->client, pair->server, pair->fromClient);
       Forward(pair, pair->server, pair->client, pair->fromServer);
@@ -190,6 +193,7 @@
   tcp::acceptor mAcceptor;
   std::uint16_t mServerPort;
   std::vector<std::shared_ptr<connection_pair>> mPairs;
+  bool mIsSilent = false;
 };
 
 /// An encrypted server and its client with a proxy between them, on one
@@ -217,6 +221,7 @@
         atServer.push_back(std::move(aBytes));
       },
       reason);
+    INFO(Describe(reason));
     REQUIRE(listening);
     server = std::move(*listening);
     proxy = std::make_unique<silencing_proxy>(context, port);
@@ -321,6 +326,19 @@
   }
 }
 
+TEST_CASE_METHOD(link_fixture,
+                 "LinkClient_WhenItsHandshakeFallsSilent_Reconnects",
+                 "[links]")
+{
+  // The handshake's timeout of 2 s, and two attempts to connect of 0.4 s with
+  // the pauses before them.
+  constexpr milliseconds kReplaceTimeout{ 3'000 };
+  proxy->SetNewConnectionsSilent(true);
+  REQUIRE(RunUntil(milliseconds(2'000), [&] { return proxy->Accepted() > 0; }));
+  proxy->SetNewConnectionsSilent(false);
+  REQUIRE(SendUntilReceived(kReplaceTimeout));
+}
+
 TEST_CASE_METHOD(link_fixture,
                  "LinkClient_WhenIdle_KeepsItsConnection",
                  "[links]")
