Let all control processes vote, up to nine

Cause: the log has the three voters that founded it, the seeds. A change was acknowledged by two of them, and the loss of these two left neither the change nor a quorum.

Change: the leader adds each process that waits to join as a voter, up to nine. More than half of the control processes then go on in a cut as well.

--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -15,6 +15,11 @@
 /// waits to join. Allows for several heartbeats and reconnects of its link.
 constexpr std::chrono::milliseconds kMemberTimeout{ 1'500 };
 
+/// Up to so many control processes vote. With all of them as voters, more than
+/// half of them can go on, and a change is kept when fewer disks are lost; each
+/// vote more makes a commit wait for more disks.
+constexpr std::size_t kMaxVoters = 9;
+
 bool
 IsSilent(const control_tables& aTables,
          const log_member& aMember,
@@ -96,7 +101,7 @@
 }
 
 // The leader replaces lost members by processes that wait to join, one at a
-// time, so the number of voters stays the same as at bootstrap.
+// time, and adds the others as voters.
 void
 ReplaceLostMembers(control_tables& aTables, steady_time aNow)
 {
@@ -112,20 +117,24 @@
                            aNow < known.lastSeen + kHelloMaxAge;
     const log_member* old =
       isWaiting ? FindReplaceable(aTables, known, aNow) : nullptr;
-    if (old == nullptr) {
+    const bool isAdded =
+      isWaiting && old == nullptr && replica.members.size() < kMaxVoters;
+    if (old == nullptr && !isAdded) {
       continue;
     }
     last_reason reason;
     const log_member candidate{ known.identity,
                                 member_kind::eLearner,
                                 known.name };
-    if (ReplaceMember(log.replica, old->id, candidate, reason)) {
-      LogInfo(kLog, "{} takes the place of {}", known.name, old->name);
+    // A replacement of no member only adds the new one.
+    const replica_id oldId = isAdded ? replica_id{} : old->id;
+    if (!ReplaceMember(log.replica, oldId, candidate, reason)) {
+      LogWarning(
+        kLog, "{} cannot join the log: {}", known.name, Describe(reason));
+    } else if (isAdded) {
+      LogInfo(kLog, "{} joins the log", known.name);
     } else {
-      LogWarning(kLog,
-                 "{} cannot replace a lost member: {}",
-                 known.name,
-                 Describe(reason));
+      LogInfo(kLog, "{} takes the place of {}", known.name, old->name);
     }
     return;
   }
