Keep the number of voters odd

Voters are added in pairs; the process left over takes the place of one that is lost.

The new test gives 6 voters of six processes before, 5 now.

--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -15,9 +15,9 @@
 /// waits to join. Allows for several heartbeats and reconnects of its link.
 constexpr std::chrono::milliseconds kMemberTimeout{ 1'500 };
 
-/// Up to so many control processes vote. With all of them as voters, more than
-/// half of them can go on, and a change is kept when fewer disks are lost; each
-/// vote more makes a commit wait for more disks.
+/// Up to so many control processes vote. With nearly all of them as voters,
+/// more than half of them can go on, and a change is kept when fewer disks are
+/// lost; each vote more makes a commit wait for more disks.
 constexpr std::size_t kMaxVoters = 9;
 
 bool
@@ -49,6 +49,27 @@
   return silent;
 }
 
+bool
+IsWaiting(const log_tables& aLog, const known_replica& aKnown, steady_time aNow)
+{
+  return aKnown.identity && !IsMember(aLog, aKnown.identity) &&
+         aNow < aKnown.lastSeen + kHelloMaxAge;
+}
+
+// Voters are added in pairs: with an odd number of them, one part of any split
+// in two has a quorum.
+bool
+HasRoomForVoter(const log_tables& aLog, steady_time aNow)
+{
+  const std::size_t members = aLog.replica.members.size();
+  const auto waiting = std::count_if(
+    aLog.known.begin(), aLog.known.end(), [&](const known_replica& aKnown) {
+      return IsWaiting(aLog, aKnown, aNow);
+    });
+  const bool isEven = members % 2 == 0;
+  return members < kMaxVoters && (isEven || waiting >= 2);
+}
+
 } // namespace
 
 known_replica&
@@ -101,7 +122,7 @@
 }
 
 // The leader replaces lost members by processes that wait to join, one at a
-// time, and adds the others as voters.
+// time, and adds others as voters.
 void
 ReplaceLostMembers(control_tables& aTables, steady_time aNow)
 {
@@ -113,12 +134,11 @@
     return;
   }
   for (const known_replica& known : log.known) {
-    const bool isWaiting = known.identity && !IsMember(log, known.identity) &&
-                           aNow < known.lastSeen + kHelloMaxAge;
+    const bool isWaiting = IsWaiting(log, known, aNow);
     const log_member* old =
       isWaiting ? FindReplaceable(aTables, known, aNow) : nullptr;
     const bool isAdded =
-      isWaiting && old == nullptr && replica.members.size() < kMaxVoters;
+      isWaiting && old == nullptr && HasRoomForVoter(log, aNow);
     if (old == nullptr && !isAdded) {
       continue;
     }
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <deque>
 
@@ -169,5 +170,17 @@
   CHECK(processes[*Leader()].tables->fleet.declared.number == 1);
 }
 
+TEST_CASE_METHOD(voters_fixture,
+                 "Voters_AmongSixProcesses_AreOddInNumber",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  REQUIRE(Leader());
+  const membership& members =
+    processes[*Leader()].tables->replicated->replica.members;
+  CHECK(std::ranges::count(members, member_kind::eVoter, &log_member::kind) ==
+        5);
+}
+
 } // namespace
 } // namespace bulrush::control
