Log and measure the age of a host's configuration

Nothing told whether a host that serves by an old configuration gets no answers, answers from a control process that lags behind, or lost an update. A host now logs configuration_unconfirmed and configuration_confirmed with the control process that answered last and whether that one had caught up, and endpoint_leaving and endpoint_removed when it learns of them; each attempt carries the manifest's number. Control processes log configuration_repeated. Gauges for the number and the age. No decision changes.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -514,6 +514,24 @@
   aUpdate.leader = aLeader;
 }
 
+// A host that was sent a configuration and still reports an older one.
+void
+LogRepeat(const host_row& aHost, steady_time aNow)
+{
+  if (aHost.revision >= aHost.sentRevision) {
+    return;
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aNow - aHost.configurationSentAt);
+  LogEvent(kLog,
+           log_level::eInfo,
+           "configuration_repeated",
+           { { "host", aHost.name },
+             { "revision", std::to_string(aHost.revision) },
+             { "sent_revision", std::to_string(aHost.sentRevision) },
+             { "sent_ms_ago", std::to_string(age.count()) } });
+}
+
 // Sends an update to each host that sent a renewal, or that misses a change.
 void
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
@@ -532,6 +550,7 @@
     }
     if (host.isUpdateDue &&
         aNow >= host.configurationSentAt + kConfirmTimeout) {
+      LogRepeat(host, aNow);
       host.sentRevision = 0; // resend what it has not confirmed
     }
     wire::host_update update;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -63,9 +63,17 @@
     aTables.mayDenyUntil = {};
   } else if (aUpdate.isCaughtUp && aUpdate.renewal == aTables.lastReport) {
     aTables.mayDenyUntil = aTables.lastReportAt + kMaxDenialAge;
+    aTables.confirmedAt = aTables.lastReportAt;
   }
 }
 
+std::string
+Milliseconds(std::chrono::nanoseconds aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 bool
 UpdateEndpoint(entry_tables& aTables, const endpoint_row& aRow)
 {
@@ -73,6 +81,14 @@
   if (known != nullptr && !IsNewer(aRow, *known)) {
     return false;
   }
+  const bool wasLeaving = known != nullptr && known->isLeaving;
+  if (aRow.isLeaving && !wasLeaving) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "endpoint_leaving",
+             { { "endpoint", aRow.name },
+               { "sequence", std::to_string(aRow.sequence) } });
+  }
   aTables.endpoints.Insert(aRow);
   aTables.hasNewEndpoints = true;
   return true;
@@ -130,6 +146,7 @@
               const wire::host_update& aUpdate,
               entry_outbox& aOutbox)
 {
+  aTables.latestUpdate = { aSender, aUpdate.revision, aUpdate.isCaughtUp };
   UpdateControls(aTables, aUpdate, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
@@ -139,9 +156,16 @@
     UpdateEndpoint(aTables, row);
   }
   for (const endpoint_id& id : aUpdate.removedEndpoints) {
-    if (aTables.endpoints.Erase(id)) {
-      aTables.hasNewEndpoints = true;
+    const endpoint_row* known = aTables.endpoints.Find(id);
+    if (known == nullptr) {
+      continue;
     }
+    LogEvent(kLog,
+             log_level::eInfo,
+             "endpoint_removed",
+             { { "endpoint", known->name }, { "from", aSender } });
+    aTables.endpoints.Erase(id);
+    aTables.hasNewEndpoints = true;
   }
 }
 
@@ -230,6 +254,30 @@
   }
 }
 
+// Logs the beginning and the end of each time in which the configuration is not
+// known to be the newest, with the control process that answered last.
+void
+RunConfigurationAge(entry_tables& aTables, steady_time aNow, entry_outbox&)
+{
+  const auto age = aNow - aTables.confirmedAt;
+  const bool isOutdated = age >= kMaxDenialAge;
+  if (isOutdated == aTables.isOutdated || aTables.confirmedAt == steady_time{}) {
+    return;
+  }
+  aTables.isOutdated = isOutdated;
+  const latest_update& latest = aTables.latestUpdate;
+  LogEvent(kLog,
+           log_level::eInfo,
+           isOutdated ? "configuration_unconfirmed" : "configuration_confirmed",
+           { { "age_ms", Milliseconds(age) },
+             { "number", std::to_string(aTables.fleet->declared.number) },
+             { "revision", std::to_string(aTables.fleet->revision) },
+             { "newest", std::to_string(aTables.newestRevision) },
+             { "control", latest.sender },
+             { "control_revision", std::to_string(latest.revision) },
+             { "control_caught_up", latest.isCaughtUp ? "yes" : "no" } });
+}
+
 // The delegate of this host's failure domain in the current configuration.
 const control_row*
 Delegate(const entry_tables& aTables)
@@ -385,6 +433,7 @@
   const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
                       !aTables.hasNewTombstones &&
                       view.mayDenyUntil == aTables.mayDenyUntil &&
+                      view.confirmedAt == aTables.confirmedAt &&
                       view.isStopping == aTables.isStopping;
   if (isSame) {
     return;
@@ -413,14 +462,16 @@
   }
   view.isStopping = aTables.isStopping;
   view.mayDenyUntil = aTables.mayDenyUntil;
+  view.confirmedAt = aTables.confirmedAt;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 8> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 9> kSystems{
   { { "ingest", RunIngest },
+    { "configuration_age", RunConfigurationAge },
     { "demand", RunDemand },
     { "draws", RunQuotaRequests },
     { "renewals", RunRenewals },
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -32,6 +32,14 @@
 constexpr metric_definition kRevision{ "bulrush_entry_revision",
                                        metric_kind::eGauge,
                                        "Configuration in force on this host" };
+constexpr metric_definition kNumber{ "bulrush_entry_manifest_number",
+                                     metric_kind::eGauge,
+                                     "Number of the manifest in force here" };
+constexpr metric_definition kConfigurationAge{
+  "bulrush_entry_configuration_age_seconds",
+  metric_kind::eGauge,
+  "Time since the configuration was known to be the newest"
+};
 constexpr metric_definition kEndpoints{ "bulrush_entry_endpoints",
                                         metric_kind::eGauge,
                                         "Endpoints known to this host" };
@@ -374,6 +382,9 @@
 {
   metrics& page = mState->page;
   page.Set(kRevision, static_cast<double>(aGauges.revision));
+  page.Set(kNumber, static_cast<double>(aGauges.number));
+  page.Set(kConfigurationAge,
+           std::chrono::duration<double>(aGauges.configurationAge).count());
   page.Set(kEndpoints, static_cast<double>(aGauges.endpoints));
   page.Set(kOpenRequests, static_cast<double>(aGauges.openRequests));
   page.Set(kLease, aGauges.hasLease ? 1 : 0);
--- a/src/entry/recorder.hpp
+++ b/src/entry/recorder.hpp
@@ -23,6 +23,9 @@
 struct host_gauges
 {
   std::uint64_t revision = 0;
+  std::uint64_t number = 0; ///< of the manifest
+  /// Time since the configuration was known to be the newest.
+  std::chrono::nanoseconds configurationAge{ 0 };
   std::size_t endpoints = 0;
   std::size_t openRequests = 0;
   bool hasLease = false;
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -21,7 +21,7 @@
            const routing::start_attempt& aStart,
            const routed_request& aRequest,
            const attempt_metadata& aMetadata,
-           std::uint64_t aRevision)
+           const fleet_state& aConfiguration)
 {
   if (!IsLogged(log_level::eInfo)) {
     return;
@@ -45,7 +45,8 @@
         Milliseconds(attempt.startedAt - endpoint.facts.reportedAt) },
       { "cold", endpoint.coldStart.isCold ? "yes" : "no" },
       { "resumed_at", std::to_string(aStart.resumeOffset) },
-      { "revision", std::to_string(aRevision) } });
+      { "revision", std::to_string(aConfiguration.revision) },
+      { "number", std::to_string(aConfiguration.declared.number) } });
 }
 
 void
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -13,7 +13,7 @@
                 const routing::start_attempt& aStart,
                 const routed_request& aRequest,
                 const attempt_metadata& aMetadata,
-                std::uint64_t aRevision);
+                const fleet_state& aConfiguration);
 
 /// An attempt with an incomplete answer or an error status.
 struct failed_attempt
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -401,7 +401,7 @@
     call.connectTimeout = std::min(kConnectTimeout, aStart.timeout);
     const attempt_id attempt = aStart.attempt;
     LogAttempt(
-      mEngine, aStart, waiting.request, row.metadata, mView.fleet->revision);
+      mEngine, aStart, waiting.request, row.metadata, *mView.fleet);
     row.id = attempt;
     row.startedAt = Now();
     row.request = aStart.request;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -25,6 +25,8 @@
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
   /// Until then the configuration is recent enough to deny a request by it.
   steady_time mayDenyUntil{};
+  /// When the configuration was last known to be the newest; never: zero.
+  steady_time confirmedAt{};
   bool isStopping = false;
 };
 
@@ -53,6 +55,14 @@
   key_hash id;
 };
 
+/// State of the control process that sent the latest update.
+struct latest_update
+{
+  std::string sender;
+  std::uint64_t revision = 0;
+  bool isCaughtUp = false;
+};
+
 using command_hook = std::function<void(const wire::command_reply&)>;
 
 /// A command from a traffic thread that is not committed yet.
@@ -96,6 +106,10 @@
   steady_time lastReportAt{};
   replica_id awaitedControl; ///< that has not answered the latest report
   steady_time mayDenyUntil{};
+  /// When the report was sent that confirmed the configuration as the newest.
+  steady_time confirmedAt{};
+  bool isOutdated = false; ///< confirmedAt is too old; has been logged
+  latest_update latestUpdate;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -175,6 +175,8 @@
   std::string MetricsPage()
   {
     return mRecorder.Page({ mView.fleet->revision,
+                            mView.fleet->declared.number,
+                            Now() - mView.confirmedAt,
                             mView.endpoints->size(),
                             mRunner.OpenRequests(),
                             HasLease() });
