Send updates again that were lost with their connection

Cause: a control process took an update to a host as received once it was sent. One that is lost when its connection breaks, or while the host reconnects, was sent again for a configuration only, at the first report 1.5 s later, so up to 2.5 s after the change; changes of endpoints were never sent again, so the host kept a server that leaves or has left until its next change. Class: a delivery concluded from a send.

Change: updates are numbered for each host. A host that sees a gap reports it at once, and gets everything anew.

Evidence: a fleet of tables whose messages a test can lose.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -22,8 +22,30 @@
 constexpr std::size_t kMaxRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
+void
+SendAllAgain(host_row& aHost)
+{
+  aHost.sentRevision = 0;
+  aHost.configurationSentAt = {};
+  aHost.sentEndpoints = 0;
+  aHost.sentUpdates = 0;
+}
+
+void
+LogMissedUpdates(const host_row& aHost)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "updates_missed",
+           { { "host", aHost.name },
+             { "sent", std::to_string(aHost.sentUpdates) },
+             { "revision", std::to_string(aHost.revision) },
+             { "sent_revision", std::to_string(aHost.sentRevision) } });
+}
+
 // A report renews the host's lease and confirms the revision that it runs.
-// After a restart of the host everything is sent anew.
+// After a restart of the host, or when updates were lost with its connection,
+// everything is sent anew.
 void
 Handle(control_tables& aTables,
        const received_message& aInput,
@@ -43,9 +65,10 @@
   }
   if (aInput.message.incarnation > host->incarnation) {
     host->incarnation = aInput.message.incarnation;
-    host->sentRevision = 0;
-    host->configurationSentAt = {};
-    host->sentEndpoints = 0;
+    SendAllAgain(*host);
+  } else if (aReport.missesUpdates) {
+    LogMissedUpdates(*host);
+    SendAllAgain(*host);
   }
   host->domain = aReport.domain;
   host->httpAddress = aReport.httpAddress;
@@ -575,6 +598,7 @@
                  update.removedEndpoints);
     update.tombstones = TombstoneKeys(aTables);
     AddControls(aTables, leader, update);
+    update.number = ++host.sentUpdates;
     host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
     host.sentLeader = update.leader;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -64,6 +64,7 @@
   steady_time configurationSentAt{}; ///< the oldest that is not confirmed
   std::uint64_t sentEndpoints = 0;   ///< serial of the newest change sent
   std::string sentLeader;            ///< name of the leader in the last update
+  std::uint64_t sentUpdates = 0;     ///< since everything was sent
   steady_time lastSeen{};
   steady_time leaseEnd{};
   bool isUpdateDue = false;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -215,6 +215,33 @@
   }
 }
 
+// Updates are sent once, and lost if their connection breaks. A gap in their
+// numbers is reported at once.
+void
+CheckUpdateNumber(entry_tables& aTables,
+                  const wire::message& aMessage,
+                  const wire::host_update& aUpdate,
+                  steady_time aNow)
+{
+  control_row* control =
+    aTables.controls.Find(IdOf<replica_id>(aMessage.sender));
+  if (control == nullptr || aUpdate.number == 0) {
+    return; // zero: of an earlier release
+  }
+  if (control->incarnation != aMessage.incarnation) {
+    control->incarnation = aMessage.incarnation;
+    control->updates = 0;
+  }
+  const bool hasGap = aUpdate.number > control->updates + 1;
+  if (aUpdate.number == 1) {
+    control->missesUpdates = false;
+  } else if (hasGap && !control->missesUpdates) {
+    control->missesUpdates = true;
+    aTables.nextReport = aNow;
+  }
+  control->updates = aUpdate.number;
+}
+
 void
 RunIngest(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
@@ -230,6 +257,7 @@
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       RecordLeaderKnown(aTables, message.sender, *update);
+      CheckUpdateNumber(aTables, message, *update, aNow);
       HandleMessage(aTables, message.sender, *update, aOutbox);
     } else if (const auto* held =
                  std::get_if<wire::held_update>(&message.body)) {
@@ -261,7 +289,8 @@
 {
   const auto age = aNow - aTables.confirmedAt;
   const bool isOutdated = age >= kMaxDenialAge;
-  if (isOutdated == aTables.isOutdated || aTables.confirmedAt == steady_time{}) {
+  if (isOutdated == aTables.isOutdated ||
+      aTables.confirmedAt == steady_time{}) {
     return;
   }
   aTables.isOutdated = isOutdated;
@@ -374,6 +403,7 @@
   report.endpoints = std::move(aTables.unreportedEndpoints);
   report.httpAddress = aTables.self.httpAddress;
   report.isLeaving = aTables.isStopping;
+  report.missesUpdates = control->missesUpdates;
   aTables.unreportedEndpoints.clear();
   aOutbox.messages.push_back({ control->address, std::move(report) });
   aTables.nextReport = aNow + kReportInterval;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -38,6 +38,9 @@
   std::size_t preference = 0;
   steady_time lastSeen{};
   bool knowsLeader = true; ///< in its latest update; else it may be stale
+  std::uint64_t incarnation = 0;
+  std::uint64_t updates = 0;  ///< number of its latest update
+  bool missesUpdates = false; ///< some numbers before were not received
 };
 
 /// Models that an engine holds according to the leader, which learns of a
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -104,6 +104,7 @@
   PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
   to->set_http_address(aFrom.httpAddress);
   to->set_is_leaving(aFrom.isLeaving);
+  to->set_misses_updates(aFrom.missesUpdates);
 }
 
 void
@@ -129,6 +130,7 @@
   to->set_leader(aFrom.leader);
   to->set_is_caught_up(aFrom.isCaughtUp);
   to->set_term(aFrom.term);
+  to->set_number(aFrom.number);
 }
 
 void
@@ -274,9 +276,10 @@
 GetBody(const pb::HostReport& aFrom, steady_time aNow)
 {
   return host_report{
-    aFrom.domain(),       aFrom.renewal(),
-    aFrom.revision(),     GetEndpoints(aFrom.endpoints(), aNow),
-    aFrom.http_address(), aFrom.is_leaving()
+    aFrom.domain(),        aFrom.renewal(),
+    aFrom.revision(),      GetEndpoints(aFrom.endpoints(), aNow),
+    aFrom.http_address(),  aFrom.is_leaving(),
+    aFrom.misses_updates()
   };
 }
 
@@ -305,6 +308,7 @@
   update.leader = aFrom.leader();
   update.isCaughtUp = aFrom.is_caught_up();
   update.term = aFrom.term();
+  update.number = aFrom.number();
   return update;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -48,6 +48,7 @@
   std::vector<endpoint_row> endpoints; ///< only those that changed
   std::string httpAddress;
   bool isLeaving = false;
+  bool missesUpdates = false; ///< of the receiver, by their numbers
 };
 
 struct numbered_command
@@ -110,6 +111,9 @@
   std::uint64_t term = 0; ///< of the log at the sender
   /// The sender had applied all that the leader had committed.
   bool isCaughtUp = false;
+  /// Counts the updates to this host; the first holds all that the sender
+  /// knows.
+  std::uint64_t number = 0;
 };
 
 /// From the control host of a failure domain to other control processes: its
--- /dev/null
+++ b/tests/control/delivery_test.cpp
@@ -0,0 +1,89 @@
+#include "simulated_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Two control processes, of which control-0 leads, and a host that reports to
+/// each.
+struct delivery_fixture
+{
+  /// The shortest bound for a configuration or a leaving server to take effect.
+  static constexpr milliseconds kBound{ 2'000 };
+  simulated_fleet fleet{ 2, 2 };
+
+  delivery_fixture()
+  {
+    fleet.ApplyManifest(1);
+    fleet.Report("control-0", 1);
+    fleet.Run(milliseconds{ 1'000 });
+  }
+
+  /// Loses all updates to host-0 in the next step in which there are any.
+  void LoseNextUpdate()
+  {
+    fleet.isLost = [lostAt = std::optional<steady_time>(),
+                    this](const simulated_message& aMessage) mutable {
+      const bool isUpdate =
+        aMessage.to == "host-0" &&
+        std::holds_alternative<wire::host_update>(aMessage.body);
+      if (isUpdate && !lostAt) {
+        lostAt = fleet.now;
+      }
+      return isUpdate && lostAt == fleet.now;
+    };
+  }
+
+  /// Passes time with reports of the endpoint, which keep it known.
+  void RunWithReports(milliseconds aTime,
+                      std::uint64_t aSequence,
+                      bool aIsLeaving)
+  {
+    const steady_time end = fleet.now + aTime;
+    while (fleet.now < end) {
+      fleet.Report("control-0", ++aSequence, aIsLeaving);
+      fleet.Run(milliseconds{ 500 });
+    }
+  }
+};
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "LeavingEndpoint_InALostUpdate_IsUsedNoLongerThanTheBound",
+                 "[control]")
+{
+  REQUIRE(fleet.IsUsed("host-0"));
+  LoseNextUpdate();
+  fleet.Report("control-0", 2, true);
+  RunWithReports(kBound, 2, true);
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_InALostUpdate_IsUsedNoLongerThanTheBound",
+                 "[control]")
+{
+  LoseNextUpdate();
+  CHECK(fleet.Deregister("control-0"));
+  fleet.Run(kBound);
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+}
+
+// Reports come once a second, so the loss is tried at each phase.
+TEST_CASE_METHOD(delivery_fixture,
+                 "Configuration_InALostUpdate_IsInForceWithinTheBound",
+                 "[control]")
+{
+  const int phase = GENERATE(range(0, 1'000, 50));
+  INFO("phase " << phase);
+  fleet.Run(milliseconds{ phase });
+  LoseNextUpdate();
+  fleet.ApplyManifest(2);
+  fleet.Run(kBound);
+  CHECK(fleet.NumberAt("host-0") == 2);
+}
+
+} // namespace
+} // namespace bulrush::control
--- /dev/null
+++ b/tests/control/simulated_fleet.hpp
@@ -0,0 +1,259 @@
+#ifndef BULRUSH_TESTS_SIMULATED_FLEET_HPP
+#define BULRUSH_TESTS_SIMULATED_FLEET_HPP
+
+/// Control processes and entry hosts whose messages a test delivers or loses.
+
+#include "control/tables.hpp"
+#include "entry/tables.hpp"
+
+#include <map>
+
+namespace bulrush::control {
+
+/// A message on its way.
+struct simulated_message
+{
+  std::string from;
+  std::string to;
+  wire::message_body body;
+};
+
+struct simulated_control
+{
+  control_tables tables;
+  std::size_t applied = 0; ///< entries of the common log
+  bool isStopped = false;  ///< receives, runs and sends nothing
+  bool lags = false;       ///< receives no entries of the log
+};
+
+struct simulated_host
+{
+  entry::entry_tables tables;
+  /// Newest view of the traffic threads.
+  entry::traffic_view view;
+};
+
+/// A fleet with one log, led by the first control process. Time passes in steps
+/// of 10 ms, in which each message arrives unless it is lost.
+struct simulated_fleet
+{
+  static constexpr std::chrono::milliseconds kStep{ 10 };
+
+  steady_time now = steady_time{} + std::chrono::hours{ 1 };
+  std::map<std::string, simulated_control> controls;
+  std::map<std::string, simulated_host> hosts;
+  std::vector<std::string> log;
+  std::vector<simulated_message> messages;
+  /// True for messages that get lost.
+  std::function<bool(const simulated_message&)> isLost;
+  std::uint64_t lastCall = 0;
+  std::map<std::uint64_t, answer_kind> answers; ///< to HTTP calls
+
+  simulated_fleet(int aControls, int aHosts)
+  {
+    for (int i = 0; i < aControls; ++i) {
+      controls["control-" + std::to_string(i)];
+    }
+    for (auto& [name, control] : controls) {
+      SetUp(name, control);
+    }
+    for (int i = 0; i < aHosts; ++i) {
+      SetUp("host-" + std::to_string(i), i % aControls);
+    }
+  }
+  simulated_fleet(const simulated_fleet&) = delete;
+  simulated_fleet& operator=(const simulated_fleet&) = delete;
+
+  const std::string& Leader() const { return controls.begin()->first; }
+
+  void SetUp(const std::string& aName, simulated_control& aControl)
+  {
+    control_tables& tables = aControl.tables;
+    tables.self.name = aName;
+    tables.self.linkAddress = aName;
+    tables.self.domain = "north";
+    tables.self.incarnation = 1;
+    tables.wallClock = [] { return wall_time{}; };
+    tables.log.propose = [this](std::string aPayload, last_reason&) {
+      log.push_back(std::move(aPayload));
+      return std::optional(position_id{ log.size() });
+    };
+    tables.log.isLeader = [this, aName](steady_time) {
+      return aName == Leader();
+    };
+    tables.log.leaderTerm = [this, aName](steady_time) {
+      return aName == Leader() ? std::optional(leader_term{ 1, {}, true })
+                               : std::nullopt;
+    };
+    tables.log.isCaughtUp = [this, &aControl](steady_time) {
+      return aControl.applied == log.size();
+    };
+    tables.log.leaderName = [this] { return Leader(); };
+    tables.log.term = [] { return std::uint64_t{ 1 }; };
+    for (const auto& [name, other] : controls) {
+      if (name != aName) {
+        control_row row;
+        row.id = IdOf<replica_id>(name);
+        row.name = name;
+        row.address = name;
+        tables.controls.Insert(row);
+      }
+    }
+  }
+
+  /// Each host reports to the control process at its place, while it can.
+  void SetUp(const std::string& aName, int aPlace)
+  {
+    entry::entry_tables& tables = hosts[aName].tables;
+    tables.self.name = aName;
+    tables.self.domain = "north";
+    tables.self.incarnation = 1;
+    for (const auto& [name, control] : controls) {
+      entry::control_row row;
+      row.id = IdOf<replica_id>(name);
+      row.address = name;
+      row.preference = (tables.controls.Size() + controls.size() -
+                        static_cast<std::size_t>(aPlace)) %
+                       controls.size();
+      tables.controls.Insert(row);
+    }
+  }
+
+  /// Commits a manifest at the leader.
+  void ApplyManifest(int aNumber)
+  {
+    const std::string number = std::to_string(aNumber);
+    apply_manifest change;
+    change.text = R"({"name":"test","version":")" + number + R"(","number":)" +
+                  number + R"(,"failure_domains":[{"name":"north"}]})";
+    fleet_command command;
+    command.change = std::move(change);
+    last_reason reason;
+    controls.begin()->second.tables.log.propose(wire::EncodeCommand(command),
+                                                reason);
+  }
+
+  static endpoint_row Endpoint(std::uint64_t aSequence, bool aIsLeaving)
+  {
+    endpoint_row row;
+    row.name = "engine";
+    row.id = IdOf<endpoint_id>(row.name);
+    row.incarnation = 1;
+    row.sequence = aSequence;
+    row.address = "10.0.0.9:8080";
+    row.domain = IdOf<domain_id>("north");
+    row.slots = 8;
+    row.isLeaving = aIsLeaving;
+    return row;
+  }
+
+  /// The endpoint's report arrives at a control process.
+  void Report(const std::string& aControl,
+              std::uint64_t aSequence,
+              bool aIsLeaving = false)
+  {
+    endpoint_row row = Endpoint(aSequence, aIsLeaving);
+    row.lastSeen = now;
+    controls[aControl].tables.httpInbox.push_back(
+      { http_call_id{ ++lastCall }, register_endpoint{ std::move(row) } });
+  }
+
+  /// The endpoint says at a control process that it leaves for good. Returns
+  /// whether that is acknowledged.
+  bool Deregister(const std::string& aControl)
+  {
+    const http_call_id call{ ++lastCall };
+    controls[aControl].tables.httpInbox.push_back(
+      { call, deregister_endpoint{ "engine" } });
+    Run(kStep);
+    return answers[call.value] == answer_kind::eDone;
+  }
+
+  void Run(std::chrono::milliseconds aTime)
+  {
+    for (const steady_time end = now + aTime; now < end; now += kStep) {
+      Step();
+    }
+  }
+
+  /// Whether the host may send new requests to the endpoint.
+  bool IsUsed(const std::string& aHost)
+  {
+    for (const endpoint_row& row : *hosts[aHost].view.endpoints) {
+      if (row.name == "engine") {
+        return !row.isLeaving;
+      }
+    }
+    return false;
+  }
+
+  std::uint64_t NumberAt(const std::string& aHost)
+  {
+    return hosts[aHost].view.fleet->declared.number;
+  }
+
+private:
+  void Step()
+  {
+    for (simulated_message& message : std::exchange(messages, {})) {
+      if (!isLost || !isLost(message)) {
+        Deliver(message);
+      }
+    }
+    for (auto& [name, control] : controls) {
+      if (!control.isStopped) {
+        Run(name, control);
+      }
+    }
+    for (auto& [name, host] : hosts) {
+      entry::entry_outbox out;
+      entry::RunEntryControl(host.tables, now, out);
+      for (entry::outgoing& message : out.messages) {
+        messages.push_back(
+          { name, message.controlAddress, std::move(message.body) });
+      }
+      if (out.view) {
+        host.view = *out.view;
+      }
+    }
+  }
+
+  void Run(const std::string& aName, simulated_control& aControl)
+  {
+    while (!aControl.lags && aControl.applied < log.size()) {
+      const std::string& payload = log[aControl.applied++];
+      aControl.tables.committed.push_back(
+        { position_id{ aControl.applied }, payload, false });
+    }
+    control_outbox out;
+    RunControl(aControl.tables, now, out);
+    for (const answered_call& answered : out.httpAnswers) {
+      answers[answered.id.value] = answered.answer.kind;
+    }
+    for (outgoing_message& message : out.messages) {
+      messages.push_back(
+        { aName,
+          message.control.empty() ? message.peer : message.control,
+          std::move(message.body) });
+    }
+  }
+
+  void Deliver(simulated_message& aMessage)
+  {
+    wire::message message;
+    message.sender = aMessage.from;
+    message.incarnation = 1;
+    message.body = std::move(aMessage.body);
+    const auto control = controls.find(aMessage.to);
+    if (control == controls.end()) {
+      hosts[aMessage.to].tables.inbox.push_back(std::move(message));
+    } else if (!control->second.isStopped) {
+      control->second.tables.inbox.push_back(
+        { aMessage.from, std::move(message) });
+    }
+  }
+};
+
+} // namespace bulrush::control
+
+#endif
