Pass removals of endpoints on with their report, and keep them

A server got requests after it had deregistered and a control process had acknowledged that (DRAIN).

Causes: the process told the others only of endpoints that reported to it, so one that deregistered elsewhere stayed in use until its silence was noticed, 3 s later; a process that had just started acknowledged the removal of an endpoint that it did not know, and dropped it; a removal that came from another process was kept as silence, so a report that was under way brought the endpoint back there, as did an older report after its silence. Class: a fact acknowledged before it is recorded where it counts. Beside these, a process that had removed a silent endpoint removed it again each second at the process it then reported to.

Change: the process that learns of a removal tells the others, with the incarnation and the sequence of the newest report and whether the endpoint left; only a newer report brings it back, or a newer incarnation if it left. A removal is acknowledged where it is recorded.

Evidence: five tests of tests/control/delivery_test.cpp failed before.

--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -55,14 +55,32 @@
   return false;
 }
 
-// An endpoint that left returns only as a newer incarnation: delayed messages
-// of the old process must not restore it.
+// Delayed reports must not restore an endpoint: one that left returns only as a
+// newer incarnation, one that was silent with a newer report.
 bool
-HasLeft(const control_tables& aTables, const endpoint_row& aRow)
+MayReturn(const control_tables& aTables, const endpoint_row& aRow)
 {
-  const removed_endpoint* removed = aTables.removedEndpoints.Find(aRow.id);
-  return removed != nullptr && removed->hasLeft &&
-         aRow.incarnation <= removed->incarnation;
+  const removed_row* known = aTables.removedEndpoints.Find(aRow.id);
+  if (known == nullptr) {
+    return true;
+  }
+  const wire::removed_endpoint& removed = known->removed;
+  return aRow.incarnation > removed.incarnation ||
+         (!removed.hasLeft && aRow.incarnation == removed.incarnation &&
+          aRow.sequence > removed.sequence);
+}
+
+void
+Remove(control_tables& aTables,
+       const known_endpoint& aKnown,
+       wire::removed_endpoint aRemoved,
+       bool aIsOwn)
+{
+  LogEndpoint(aRemoved.hasLeft ? "endpoint_left" : "endpoint_silent",
+              aKnown.row);
+  const endpoint_id id = aKnown.id;
+  aTables.removedEndpoints.Insert({ id, ++aTables.serial, aIsOwn, aRemoved });
+  aTables.endpoints.Erase(id);
 }
 
 } // namespace
@@ -72,7 +90,7 @@
 {
   known_endpoint* known = aTables.endpoints.Find(aRow.id);
   if (known == nullptr) {
-    if (HasLeft(aTables, aRow) || IsSupersededAtAddress(aTables, aRow)) {
+    if (!MayReturn(aTables, aRow) || IsSupersededAtAddress(aTables, aRow)) {
       return;
     }
     aTables.removedEndpoints.Erase(aRow.id);
@@ -92,20 +110,59 @@
   }
 }
 
+// The process that learns of it tells the others, whichever the endpoint
+// reported to before.
 void
 RemoveEndpoint(control_tables& aTables, endpoint_id aEndpoint, bool aHasLeft)
 {
   const known_endpoint* known = aTables.endpoints.Find(aEndpoint);
+  if (known != nullptr) {
+    const endpoint_row& row = known->row;
+    Remove(aTables,
+           *known,
+           { aEndpoint, row.incarnation, row.sequence, aHasLeft },
+           true);
+    return;
+  }
+  removed_row* silent = aTables.removedEndpoints.Find(aEndpoint);
+  if (silent != nullptr && aHasLeft && !silent->removed.hasLeft) {
+    silent->removed.hasLeft = true;
+    silent->isOwn = true;
+    silent->serial = ++aTables.serial;
+  }
+}
+
+void
+HandleRemoval(control_tables& aTables, const wire::removed_endpoint& aRemoved)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aRemoved.id);
   if (known == nullptr) {
+    const removed_row* before = aTables.removedEndpoints.Find(aRemoved.id);
+    const bool isNewer = before == nullptr ||
+                         aRemoved.incarnation > before->removed.incarnation ||
+                         (aRemoved.incarnation == before->removed.incarnation &&
+                          aRemoved.hasLeft && !before->removed.hasLeft);
+    if (isNewer) {
+      aTables.removedEndpoints.Insert(
+        { aRemoved.id, ++aTables.serial, false, aRemoved });
+    }
     return;
   }
-  LogEndpoint(aHasLeft ? "endpoint_left" : "endpoint_silent", known->row);
-  aTables.removedEndpoints.Insert({ aEndpoint,
-                                    ++aTables.serial,
-                                    known->isOwn,
-                                    aHasLeft,
-                                    known->row.incarnation });
-  aTables.endpoints.Erase(aEndpoint);
+  const endpoint_row& row = known->row;
+  const bool isCovered =
+    row.incarnation < aRemoved.incarnation ||
+    (row.incarnation == aRemoved.incarnation &&
+     (aRemoved.hasLeft || row.sequence <= aRemoved.sequence));
+  if (isCovered) {
+    Remove(aTables, *known, aRemoved, false);
+  }
+}
+
+bool
+HasLeft(const control_tables& aTables, endpoint_id aEndpoint)
+{
+  const removed_row* known = aTables.removedEndpoints.Find(aEndpoint);
+  return known != nullptr && known->removed.hasLeft;
 }
 
 } // namespace bulrush::control
--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -99,6 +99,8 @@
   Answer(aOutbox, aId, answer_kind::eDone, "");
 }
 
+// A process that does not know the endpoint yet has no incarnation to remove
+// and tell the others, so the endpoint has to turn to another one.
 void
 Handle(control_tables& aTables,
        http_call_id aId,
@@ -106,8 +108,13 @@
        steady_time,
        control_outbox& aOutbox)
 {
-  RemoveEndpoint(aTables, IdOf<endpoint_id>(aCall.endpoint), true);
-  Answer(aOutbox, aId, answer_kind::eDone, "");
+  const auto id = IdOf<endpoint_id>(aCall.endpoint);
+  RemoveEndpoint(aTables, id, true);
+  if (HasLeft(aTables, id)) {
+    Answer(aOutbox, aId, answer_kind::eDone, "");
+  } else {
+    Answer(aOutbox, aId, answer_kind::eUnknown, "the endpoint is not known");
+  }
 }
 
 // A malformed manifest is refused before it enters the log.
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -129,8 +129,8 @@
   for (const endpoint_row& row : aGossip.endpoints) {
     UpdateEndpoint(aTables, row, false);
   }
-  for (const endpoint_id& id : aGossip.removedEndpoints) {
-    RemoveEndpoint(aTables, id, false);
+  for (const wire::removed_endpoint& removed : aGossip.removedEndpoints) {
+    HandleRemoval(aTables, removed);
   }
 }
 
@@ -506,23 +506,18 @@
   }
 }
 
-void
-AddEndpoints(const control_tables& aTables,
-             std::uint64_t aSince,
-             bool aOwnOnly,
-             std::vector<endpoint_row>& aRows,
-             std::vector<endpoint_id>& aRemoved)
+std::vector<endpoint_row>
+EndpointsSince(const control_tables& aTables,
+               std::uint64_t aSerial,
+               bool aOwnOnly)
 {
+  std::vector<endpoint_row> rows;
   for (const known_endpoint& known : aTables.endpoints) {
-    if (known.serial > aSince && (known.isOwn || !aOwnOnly)) {
-      aRows.push_back(known.row);
-    }
-  }
-  for (const removed_endpoint& removed : aTables.removedEndpoints) {
-    if (removed.serial > aSince && (removed.isOwn || !aOwnOnly)) {
-      aRemoved.push_back(removed.id);
+    if (known.serial > aSerial && (known.isOwn || !aOwnOnly)) {
+      rows.push_back(known.row);
     }
   }
+  return rows;
 }
 
 void
@@ -591,11 +586,12 @@
     if (hasConfiguration && host.sentRevision <= host.revision) {
       host.configurationSentAt = aNow;
     }
-    AddEndpoints(aTables,
-                 host.sentEndpoints,
-                 false,
-                 update.endpoints,
-                 update.removedEndpoints);
+    update.endpoints = EndpointsSince(aTables, host.sentEndpoints, false);
+    for (const removed_row& removed : aTables.removedEndpoints) {
+      if (removed.serial > host.sentEndpoints) {
+        update.removedEndpoints.push_back(removed.id);
+      }
+    }
     update.tombstones = TombstoneKeys(aTables);
     AddControls(aTables, leader, update);
     update.number = ++host.sentUpdates;
@@ -621,11 +617,13 @@
   }
   wire::endpoint_gossip gossip;
   gossip.domain = aTables.self.domain;
-  AddEndpoints(aTables,
-               isPeriodic ? 0 : aTables.gossipedSerial,
-               true,
-               gossip.endpoints,
-               gossip.removedEndpoints);
+  const std::uint64_t since = isPeriodic ? 0 : aTables.gossipedSerial;
+  gossip.endpoints = EndpointsSince(aTables, since, true);
+  for (const removed_row& removed : aTables.removedEndpoints) {
+    if (removed.serial > since && removed.isOwn) {
+      gossip.removedEndpoints.push_back(removed.removed);
+    }
+  }
   gossip.tombstones = TombstoneKeys(aTables);
   gossip.confirmedRevision = own.confirmedRevision;
   gossip.hosts = own.hosts;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -82,13 +82,12 @@
 };
 
 /// Tombstone of an endpoint that left or became silent.
-struct removed_endpoint
+struct removed_row
 {
   endpoint_id id;
   std::uint64_t serial = 0;
-  bool isOwn = false;
-  bool hasLeft = false; ///< only a newer incarnation may return
-  std::uint64_t incarnation = 0;
+  bool isOwn = false; ///< removed by this process, which tells the others
+  wire::removed_endpoint removed;
 };
 
 /// A message received since the last tick.
@@ -279,7 +278,7 @@
   table<replica_id, control_row> controls;
   table<host_id, host_row> hosts;
   table<endpoint_id, known_endpoint> endpoints;
-  table<endpoint_id, removed_endpoint> removedEndpoints;
+  table<endpoint_id, removed_row> removedEndpoints;
   table<call_id, pending_call> calls;
   table<key_hash, tombstone_row> tombstones;
   lease_tables leases;
@@ -393,9 +392,15 @@
 void UpdateEndpoint(control_tables& aTables,
                     const endpoint_row& aRow,
                     bool aIsOwn);
+/// Removes an endpoint that left, or that this process has not heard from.
 void RemoveEndpoint(control_tables& aTables,
                     endpoint_id aEndpoint,
                     bool aHasLeft);
+/// Applies a removal by another control process.
+void HandleRemoval(control_tables& aTables,
+                   const wire::removed_endpoint& aRemoved);
+/// Whether the endpoint is known to have left.
+bool HasLeft(const control_tables& aTables, endpoint_id aEndpoint);
 
 /// System: names delegates, divides limits and answers renewals.
 void RunLeases(control_tables& aTables,
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -116,13 +116,22 @@
   std::uint64_t number = 0;
 };
 
+/// An endpoint that left or became silent, with its newest report.
+struct removed_endpoint
+{
+  endpoint_id id;
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  bool hasLeft = false; ///< only a newer incarnation may return
+};
+
 /// From the control host of a failure domain to other control processes: its
 /// endpoints and status.
 struct endpoint_gossip
 {
   std::string domain;
   std::vector<endpoint_row> endpoints;
-  std::vector<endpoint_id> removedEndpoints;
+  std::vector<removed_endpoint> removedEndpoints;
   std::vector<key_hash> tombstones;    ///< withdrawn, not yet committed
   std::uint64_t confirmedRevision = 0; ///< confirmed by every serving host
   std::uint32_t hosts = 0;             ///< number that hold a lease
--- a/tests/control/delivery_test.cpp
+++ b/tests/control/delivery_test.cpp
@@ -85,5 +85,70 @@
   CHECK(fleet.NumberAt("host-0") == 2);
 }
 
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_ToldToAnotherProcess_IsUsedNoLonger",
+                 "[control]")
+{
+  // control-0 still gets reports until the endpoint turns to control-1.
+  fleet.Report("control-0", 2);
+  fleet.Run(milliseconds{ 500 });
+  CHECK(fleet.Deregister("control-1"));
+  fleet.Run(kBound);
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "Removal_AtAProcessThatDoesNotKnowIt_IsNotAcknowledged",
+                 "[control]")
+{
+  // control-1 has just started and knows no endpoint.
+  fleet.controls["control-1"].tables.endpoints.Clear();
+  CHECK_FALSE(fleet.Deregister("control-1"));
+  CHECK(fleet.Deregister("control-0"));
+  fleet.Run(milliseconds{ 1'500 });
+  CHECK(fleet.Deregister("control-1")); // has learned of it meanwhile
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_WithALateReportElsewhere_IsNotRestored",
+                 "[control]")
+{
+  CHECK(fleet.Deregister("control-0"));
+  fleet.Run(milliseconds{ 500 });
+  REQUIRE_FALSE(fleet.IsUsed("host-0"));
+  fleet.Report("control-1", 2); // sent before, arrives late
+  fleet.Run(milliseconds{ 500 });
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "LeavingEndpoint_LostFromSightWithALateReport_IsNotRestored",
+                 "[control]")
+{
+  fleet.Report("control-0", 5, true);
+  fleet.Run(milliseconds{ 4'000 }); // silent: its reports are cut off
+  REQUIRE_FALSE(fleet.IsUsed("host-0"));
+  fleet.Report("control-0", 4); // sent before the fifth, arrives late
+  fleet.Run(milliseconds{ 500 });
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "SilentEndpoint_ThatReportsAgain_IsUsedAgain",
+                 "[control]")
+{
+  fleet.Run(milliseconds{ 4'000 });
+  REQUIRE_FALSE(fleet.IsUsed("host-0"));
+  fleet.Report("control-1", 2);
+  fleet.Run(milliseconds{ 1'500 });
+  CHECK(fleet.IsUsed("host-0"));
+  CHECK(fleet.IsUsed("host-1"));
+}
+
 } // namespace
 } // namespace bulrush::control
