Turn to another control process when one lags behind

A host whose control process had lost touch with the log, but still named a leader, kept serving by the configuration that it got there (CONFIG).

Cause: hosts left a process that knows no leader; whether it had applied what the leader committed was in its answers, and used for denials only. Class: a freshness that is sent and not checked.

Change: a process that is not caught up counts like one without a leader.

Evidence: Configuration_AtAProcessThatLagsBehind_IsSoughtElsewhere; before, the host stayed there for good.

--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -11,8 +11,8 @@
 /// An answer to a report takes a few milliseconds. Without one for this long,
 /// another control process gets the next report at once.
 constexpr std::chrono::milliseconds kReportTimeout{ 300 };
-/// Delay before reporting to another control process when one knows no leader.
-constexpr std::chrono::milliseconds kNoLeaderReportDelay{ 250 };
+/// Delay before reporting to another control process when one lags behind.
+constexpr std::chrono::milliseconds kLaggingReportDelay{ 250 };
 constexpr std::chrono::milliseconds kCommandRetryInterval{ 700 };
 /// An unknown key or path may have been added after the newest configuration
 /// known here. Requests are denied by one that was in force at most this long
@@ -197,21 +197,22 @@
   aTables.commands.Erase(call_id{ aReply.call });
 }
 
-// A control process that is cut off from the leader answers with stale state,
-// so the next report goes to another one, and earlier.
+// A control process that is cut off from the leader, or still receives the log,
+// answers with stale state, so the next report goes to another one, and
+// earlier.
 void
-RecordLeaderKnown(entry_tables& aTables,
-                  const std::string& aSender,
-                  const wire::host_update& aUpdate)
+RecordCaughtUp(entry_tables& aTables,
+               const std::string& aSender,
+               const wire::host_update& aUpdate)
 {
   control_row* control = aTables.controls.Find(IdOf<replica_id>(aSender));
   if (control == nullptr) {
     return;
   }
-  control->knowsLeader = !aUpdate.leader.empty();
-  if (!control->knowsLeader) {
+  control->isCaughtUp = aUpdate.isCaughtUp && !aUpdate.leader.empty();
+  if (!control->isCaughtUp) {
     aTables.nextReport =
-      std::min(aTables.nextReport, control->lastSeen + kNoLeaderReportDelay);
+      std::min(aTables.nextReport, control->lastSeen + kLaggingReportDelay);
   }
 }
 
@@ -256,7 +257,7 @@
       }
     }
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
-      RecordLeaderKnown(aTables, message.sender, *update);
+      RecordCaughtUp(aTables, message.sender, *update);
       CheckUpdateNumber(aTables, message, *update, aNow);
       HandleMessage(aTables, message.sender, *update, aOutbox);
     } else if (const auto* held =
@@ -535,8 +536,8 @@
 
 } // namespace
 
-// The best control process that is reachable and knows the leader; if there is
-// none, each in turn, one per report.
+// The best control process that is reachable and does not lag behind; if there
+// is none, each in turn, one per report.
 const control_row*
 CurrentControl(const entry_tables& aTables, steady_time aNow)
 {
@@ -544,7 +545,7 @@
   const control_row* roundRobin = nullptr;
   for (const control_row& row : aTables.controls) {
     const bool isUsable =
-      row.knowsLeader && row.lastSeen + kControlTimeout > aNow;
+      row.isCaughtUp && row.lastSeen + kControlTimeout > aNow;
     if (isUsable &&
         (best == nullptr || RankOf(aTables, row) < RankOf(aTables, *best))) {
       best = &row;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -37,7 +37,7 @@
   std::string address;
   std::size_t preference = 0;
   steady_time lastSeen{};
-  bool knowsLeader = true; ///< in its latest update; else it may be stale
+  bool isCaughtUp = true; ///< in its latest update; else it may be stale
   std::uint64_t incarnation = 0;
   std::uint64_t updates = 0;  ///< number of its latest update
   bool missesUpdates = false; ///< some numbers before were not received
--- a/tests/control/delivery_test.cpp
+++ b/tests/control/delivery_test.cpp
@@ -85,6 +85,21 @@
   CHECK(fleet.NumberAt("host-0") == 2);
 }
 
+TEST_CASE_METHOD(delivery_fixture,
+                 "Configuration_AtAProcessThatLagsBehind_IsSoughtElsewhere",
+                 "[control]")
+{
+  fleet.controls["control-1"].lags = true;
+  // Host-0 turns to the process that lags, and stays when the leader is back.
+  fleet.controls["control-0"].isStopped = true;
+  fleet.Run(milliseconds{ 4'000 });
+  fleet.controls["control-0"].isStopped = false;
+  fleet.ApplyManifest(2);
+  fleet.Run(kBound);
+  CHECK(fleet.NumberAt("host-0") == 2);
+  CHECK(fleet.NumberAt("host-1") == 2);
+}
+
 TEST_CASE_METHOD(delivery_fixture,
                  "RemovedEndpoint_ToldToAnotherProcess_IsUsedNoLonger",
                  "[control]")
