Take an answer that ends inside its head as incomplete

Class: success concluded from the absence of an error.

Change: an answer is complete only if the empty line after its head came; it holds for both front ends, orders and state queries, which share the client. The head is passed on as one struct, which also says whether the answer is the first on its connection.

--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -222,19 +222,18 @@
     mTimer.RunSoon();
   }
 
-  void OnHeaders(attempt_id aAttempt,
-                 int aStatus,
-                 const std::vector<net::http_field>& aFields)
+  void OnHead(attempt_id aAttempt, const net::http_answer_head& aHead)
   {
     call_row* row = mCalls.Find(aAttempt);
-    row->status = aStatus;
-    row->answerFields = mFront.answerFields(aFields);
-    if (const auto load = mFront.readLoad(aFields)) {
+    row->status = aHead.status;
+    row->answerFields = mFront.answerFields(aHead.fields);
+    if (const auto load = mFront.readLoad(aHead.fields)) {
       HandleLoad(aAttempt, *load);
     }
     const routing::answer_head head =
-      mFront.readAnswer(row->metadata, aStatus, aFields);
-    const bool isSuccess = aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+      mFront.readAnswer(row->metadata, aHead.status, aHead.fields);
+    const bool isSuccess =
+      aHead.status >= kFirstSuccess && aHead.status < kFirstRedirect;
     row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
                                                   head.startOffset);
     routing::OnAttemptHeaders(mEngine, aAttempt, head, Now());
@@ -400,16 +399,15 @@
     call.freshConnection = aStart.freshConnection;
     call.connectTimeout = std::min(kConnectTimeout, aStart.timeout);
     const attempt_id attempt = aStart.attempt;
-    LogAttempt(
-      mEngine, aStart, waiting.request, row.metadata, *mView.fleet);
+    LogAttempt(mEngine, aStart, waiting.request, row.metadata, *mView.fleet);
     row.id = attempt;
     row.startedAt = Now();
     row.request = aStart.request;
     row.isStreamed = waiting.request.facts.isStreamed;
     row.call = mClient->Start(
       std::move(call),
-      { [this, attempt](int aStatus, const auto& aFields) {
-         OnHeaders(attempt, aStatus, aFields);
+      { [this, attempt](const net::http_answer_head& aHead) {
+         OnHead(attempt, aHead);
        },
         [this, attempt](std::string_view aBytes) { OnBytes(attempt, aBytes); },
         [this, attempt](const net::http_call_end& aEnd) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -47,15 +47,16 @@
   curl_slist* fieldList = nullptr;
   http_call call;
   http_call_hooks hooks;
-  std::vector<http_field> answerFields;
+  http_answer_head head;
   std::size_t headBytes = 0;
   std::size_t bodyBytes = 0;
   std::string failure; ///< reason for which a callback ended the call
-  bool hasHeaders = false;
+  bool isHeadComplete = false;
+  bool isHeadReported = false;
   bool isCancelled = false;
 };
 
-// Returns nullopt for the empty line after the header fields.
+// nullopt for a line that is no field.
 std::optional<http_field>
 ParseFieldLine(std::string_view aLine)
 {
@@ -75,16 +76,20 @@
 }
 
 void
-ReportHeadersOnce(running_call& aCall)
+ReportHeadOnce(running_call& aCall)
 {
-  if (aCall.hasHeaders) {
+  if (aCall.isHeadReported) {
     return;
   }
-  aCall.hasHeaders = true;
+  aCall.isHeadReported = true;
   long status = 0;
+  long connects = 0;
   curl_easy_getinfo(aCall.easy, CURLINFO_RESPONSE_CODE, &status);
-  if (aCall.hooks.onHeaders) {
-    aCall.hooks.onHeaders(static_cast<int>(status), aCall.answerFields);
+  curl_easy_getinfo(aCall.easy, CURLINFO_NUM_CONNECTS, &connects);
+  aCall.head.status = static_cast<int>(status);
+  aCall.head.isFirstOnConnection = connects > 0;
+  if (aCall.hooks.onHead) {
+    aCall.hooks.onHead(aCall.head);
   }
 }
 
@@ -101,13 +106,16 @@
       "head larger than " + std::to_string(kMaxHeadBytes) + " bytes";
     return 0;
   }
-  if (call.hasHeaders) {
+  if (call.isHeadReported) {
     return line.size(); // a trailer field
   }
-  if (line.starts_with("HTTP/")) {
-    call.answerFields.clear(); // a status line; repeated after a 1xx answer
+  if (line.starts_with("HTTP/")) { // a status line; repeated after a 1xx answer
+    call.head.fields.clear();
+    call.isHeadComplete = false;
+  } else if (line == "\r\n" || line == "\n") {
+    call.isHeadComplete = true;
   } else if (auto field = ParseFieldLine(line)) {
-    call.answerFields.push_back(std::move(*field));
+    call.head.fields.push_back(std::move(*field));
   }
   return line.size();
 }
@@ -120,7 +128,7 @@
     return 0;
   }
   const std::string_view bytes(aData, aSize * aCount);
-  ReportHeadersOnce(call);
+  ReportHeadOnce(call);
   call.bodyBytes += bytes.size();
   const std::size_t limit = call.call.maxBodyBytes;
   if (limit > 0 && call.bodyBytes > limit) {
@@ -435,6 +443,8 @@
     }
   }
 
+  // libcurl takes an answer without a length whose connection closes inside its
+  // head as complete, with an empty body.
   // requestSent is false only if libcurl counts no request byte and connecting
   // failed or timed out.
   void End(running_call& aCall, CURLcode aResult)
@@ -445,7 +455,10 @@
     curl_easy_getinfo(aCall.easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(aCall.easy, CURLINFO_REQUEST_SIZE, &requestBytes);
     end.status = static_cast<int>(status);
-    end.isComplete = aResult == CURLE_OK;
+    end.isComplete = aResult == CURLE_OK && aCall.isHeadComplete;
+    if (aResult == CURLE_OK && !aCall.isHeadComplete) {
+      aCall.failure = "the connection was closed inside the head";
+    }
     const bool failedBeforeSend =
       aResult == CURLE_COULDNT_CONNECT || aResult == CURLE_OPERATION_TIMEDOUT;
     end.requestSent = !failedBeforeSend || requestBytes > 0;
@@ -454,7 +467,7 @@
                                         : std::move(aCall.failure);
     }
     if (end.isComplete && !aCall.isCancelled) {
-      ReportHeadersOnce(aCall);
+      ReportHeadOnce(aCall);
     }
     const bool isCancelled = aCall.isCancelled;
     const auto onEnd = std::move(aCall.hooks.onEnd);
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -133,6 +133,16 @@
   std::size_t maxBodyBytes = 0;
 };
 
+/// Status and header fields of an answer.
+struct http_answer_head
+{
+  int status = 0;
+  std::vector<http_field> fields;
+  /// No earlier call used the connection, so no late bytes of an answer to one
+  /// can arrive on it.
+  bool isFirstOnConnection = false;
+};
+
 /// How a call ended.
 struct http_call_end
 {
@@ -145,8 +155,7 @@
 /// Callbacks of a running call.
 struct http_call_hooks
 {
-  std::function<void(int aStatus, const std::vector<http_field>& aFields)>
-    onHeaders;
+  std::function<void(const http_answer_head& aHead)> onHead;
   std::function<void(std::string_view aBytes)> onBytes;
   std::function<void(const http_call_end& aEnd)> onEnd;
 };
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -308,8 +308,9 @@
   const auto desk = AddRaw("desk");
   const auto other = AddRaw("other");
   WaitForDesk();
-  const response_mode mode =
-    GENERATE(response_mode::eClose, response_mode::eTruncateBody);
+  const response_mode mode = GENERATE(response_mode::eClose,
+                                      response_mode::eTruncateHead,
+                                      response_mode::eTruncateBody);
   const std::string idempotencyKey = GENERATE("", "release-1");
   const int before = desk->Runs() + other->Runs();
   desk->SetResponseModes({ mode });
@@ -339,8 +340,9 @@
   const auto desk = AddRaw("desk");
   const auto other = AddRaw("other");
   WaitForDesk();
-  const response_mode mode =
-    GENERATE(response_mode::eClose, response_mode::eTruncateBody);
+  const response_mode mode = GENERATE(response_mode::eClose,
+                                      response_mode::eTruncateHead,
+                                      response_mode::eTruncateBody);
   desk->SetResponseModes({ mode });
   for (int i = 0; i < 8; ++i) {
     const http_answer answer = Status(0);
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -289,10 +289,14 @@
     return;
   }
   const bool isStream = request.find("\"stream\":true") != std::string::npos;
-  SendAll(aSocket,
-          isStream
-            ? StreamAnswer(request, mode == response_mode::eTruncateChunks)
-            : JsonAnswer(request, mode == response_mode::eTruncateBody));
+  std::string answer =
+    isStream ? StreamAnswer(request, mode == response_mode::eTruncateChunks)
+             : JsonAnswer(request, mode == response_mode::eTruncateBody);
+  if (mode == response_mode::eTruncateHead) {
+    const std::size_t statusEnd = answer.find("\r\n") + 2;
+    answer.resize(answer.find("\r\n", statusEnd) + 2);
+  }
+  SendAll(aSocket, answer);
 }
 
 } // namespace bulrush::test
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -20,6 +20,7 @@
 {
   eComplete,
   eClose,         ///< closes the connection after the request
+  eTruncateHead,  ///< closes the connection within the header fields
   eTruncateBody,  ///< sends fewer bytes than Content-Length
   eTruncateChunks ///< sends only the first half of a stream
 };
