Obey what servers say of themselves in their answers

A server that leaves says so in each answer, and one that refuses a request may say for how long it wants none.

Cause: leaving was known by way of the control processes only, and the backoff was a constant. Class: a statement that nobody reads.

Change: Server-Leaving, or Bulrush-Leaving in the other front end, takes the endpoint out of service at this host for the life of its process, also when a late report lists it again; the waiting, retried and resumed requests go through the same check. Retry-After sets the backoff, which a later answer cannot shorten and a restart of the endpoint ends. A request that no endpoint accepts before its deadline is refused at once, with the time until one does.

--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -301,11 +301,14 @@
            const std::vector<net::http_field>& aFields)
 {
   const std::string* notRun = net::FindField(aFields, "Bulrush-Not-Run");
+  const std::string* leaving = net::FindField(aFields, "Bulrush-Leaving");
   routing::answer_head head;
   head.status = aStatus;
   head.echoed = ParseAttempt(net::FindField(aFields, "Bulrush-Attempt"));
   head.statesNotRun = notRun != nullptr && *notRun == "true";
   head.startOffset = ParseNumber(net::FindField(aFields, "Bulrush-Resume"));
+  head.isLeaving = leaving != nullptr && *leaving == "true";
+  head.retryAfter = net::ReadRetryAfter(aFields);
   return head;
 }
 
--- a/src/entry/outcomes.cpp
+++ b/src/entry/outcomes.cpp
@@ -106,7 +106,7 @@
   if (found->isWorthRetrying) {
     error.retryAfter = aEnd.outcome == request_outcome::eNotResident
                          ? kRetryAfterNotResident
-                         : kRetryAfter;
+                         : std::max(kRetryAfter, aEnd.retryAfter);
   }
   return error;
 }
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -49,6 +49,16 @@
       { "number", std::to_string(aConfiguration.declared.number) } });
 }
 
+void
+LogLeavingAnswer(const attempt_metadata& aMetadata)
+{
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "endpoint_leaving",
+    { { "endpoint", aMetadata.endpoint }, { "request", aMetadata.callerId } });
+}
+
 void
 LogFailedAttempt(const routed_request& aRequest, const failed_attempt& aAttempt)
 {
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -25,6 +25,9 @@
   std::chrono::nanoseconds took{};
 };
 
+/// An answer with the statement that its endpoint shuts down.
+void LogLeavingAnswer(const attempt_metadata& aMetadata);
+
 void LogFailedAttempt(const routed_request& aRequest,
                       const failed_attempt& aAttempt);
 
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -232,6 +232,7 @@
     }
     const routing::answer_head head =
       mFront.readAnswer(row->metadata, aHead.status, aHead.fields);
+    LogLeaving(*row, head);
     const bool isSuccess =
       aHead.status >= kFirstSuccess && aHead.status < kFirstRedirect;
     row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
@@ -298,6 +299,17 @@
     End(aAttempt, how);
   }
 
+  // Logged for the first answer of an endpoint that states so.
+  void LogLeaving(const call_row& aRow, const routing::answer_head& aHead) const
+  {
+    const auto* attempt = mEngine.attempts.Find(aRow.id);
+    const auto* endpoint =
+      attempt == nullptr ? nullptr : mEngine.endpoints.Find(attempt->endpoint);
+    if (aHead.isLeaving && endpoint != nullptr && !endpoint->isLeaving) {
+      LogLeavingAnswer(aRow.metadata);
+    }
+  }
+
   void LogFailure(const call_row& aRow,
                   const char* aHow,
                   const std::string& aError) const
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,30 +2,8 @@
 
 #include <asio/steady_timer.hpp>
 
-#include <cctype>
-
 namespace bulrush::net {
 
-// Field names are ASCII and compared without case (RFC 9110).
-const std::string*
-FindField(const std::vector<http_field>& aFields, std::string_view aName)
-{
-  const auto isSame = [](char aLeft, char aRight) {
-    return std::tolower(static_cast<unsigned char>(aLeft)) ==
-           std::tolower(static_cast<unsigned char>(aRight));
-  };
-  for (const http_field& field : aFields) {
-    if (std::equal(field.name.begin(),
-                   field.name.end(),
-                   aName.begin(),
-                   aName.end(),
-                   isSame)) {
-      return &field.value;
-    }
-  }
-  return nullptr;
-}
-
 namespace {
 
 using asio::ip::tcp;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -36,6 +36,11 @@
 const std::string* FindField(const std::vector<http_field>& aFields,
                              std::string_view aName);
 
+/// Time from a Retry-After field in seconds, which may have a fraction; at most
+/// a day. nullopt if there is none, or for a date.
+std::optional<std::chrono::milliseconds> ReadRetryAfter(
+  const std::vector<http_field>& aFields);
+
 /// The answer to one http_request. Methods are called on the server's thread.
 class http_reply
 {
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -93,19 +93,30 @@
   }
 }
 
-// The endpoint's next report will show the overload or the missing model; until
-// then the endpoint is avoided by a backoff.
+// The endpoint's next report will show the overload; until then, or for as long
+// as it asks, the endpoint is avoided. The answers to requests that were under
+// way together do not shorten the time.
 void
-RecordRefusal(tables& aTables,
-              const attempt_row& aAttempt,
-              const request_row& aRequest,
-              steady_time aNow)
+RecordOverload(tables& aTables, const attempt_row& aAttempt, steady_time aNow)
 {
-  const options& settings = aTables.settings;
-  if (IsOverload(aAttempt.head->status)) {
-    aTables.endpoints.Find(aAttempt.endpoint)->avoidUntil =
-      aNow + settings.overloadBackoff;
+  endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+  if (endpoint.facts.incarnation != aAttempt.incarnation) {
+    return;
   }
+  const std::chrono::milliseconds backoff = std::max(
+    aTables.settings.overloadBackoff,
+    aAttempt.head->retryAfter.value_or(std::chrono::milliseconds{ 0 }));
+  endpoint.avoidUntil = std::max(endpoint.avoidUntil, aNow + backoff);
+}
+
+// The endpoint's next report will show the missing model.
+void
+RecordMissingModel(tables& aTables,
+                   const attempt_row& aAttempt,
+                   const request_row& aRequest,
+                   steady_time aNow)
+{
+  const options& settings = aTables.settings;
   std::erase_if(aTables.missingModels,
                 [aNow](const missing_model_row& aMissing) {
                   return aMissing.until <= aNow;
@@ -128,6 +139,12 @@
   endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
   endpoint.unansweredAttempts = 0;
   endpoint.suspectUntil = {};
+  if (aAttempt.head->isLeaving) {
+    MarkLeaving(aTables, aAttempt, aNow);
+  }
+  if (IsOverload(aAttempt.head->status)) {
+    RecordOverload(aTables, aAttempt, aNow);
+  }
   if (!IsOwnAnswer(aAttempt, aRequest, endpoint)) {
     FailAttempt(aTables,
                 aAttempt,
@@ -139,7 +156,7 @@
     return;
   }
   if (IsRefusal(*aAttempt.head)) {
-    RecordRefusal(aTables, aAttempt, aRequest, aNow);
+    RecordMissingModel(aTables, aAttempt, aRequest, aNow);
     FailAttempt(aTables,
                 aAttempt,
                 aRequest,
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -34,8 +34,8 @@
 bool
 IsServing(const endpoint_row& aEndpoint)
 {
-  return !aEndpoint.isRemoved && !aEndpoint.facts.isDraining &&
-         !aEndpoint.facts.isDomainOut;
+  return !aEndpoint.isRemoved && !aEndpoint.isLeaving &&
+         !aEndpoint.facts.isDraining && !aEndpoint.facts.isDomainOut;
 }
 
 bool
@@ -201,6 +201,7 @@
   attempt.id = NewAttemptId(aTables);
   attempt.request = aRequest.id;
   attempt.endpoint = aEndpoint.id;
+  attempt.incarnation = aEndpoint.facts.incarnation;
   attempt.coldEpoch = aEndpoint.coldStart.epoch;
   attempt.startedAt = aNow;
   const auto timeout =
@@ -255,6 +256,7 @@
              CurrentRanState(aRequest),
              aNow,
              aOutbox);
+  aOutbox.ends.back().retryAfter = TimeUntilAccepted(aTables, aRequest, aNow);
 }
 
 // Higher priority first, then the order in which the fair queue of admission
@@ -293,14 +295,16 @@
   const request_facts& facts = aRequest.facts;
   const requested_model needed{ { facts.model, facts.adapter }, facts.version };
   const bool isFirst = aRequest.attemptsMade == 0;
-  if (isFirst && std::find(aTables.modelsWithoutSlot.begin(),
-                           aTables.modelsWithoutSlot.end(),
-                           needed) != aTables.modelsWithoutSlot.end()) {
-    return { 0, choice_failure::eNoSlot };
+  const auto known = std::find_if(
+    aTables.modelsWithoutSlot.begin(),
+    aTables.modelsWithoutSlot.end(),
+    [&](const model_without_slot& aRow) { return aRow.needed == needed; });
+  if (isFirst && known != aTables.modelsWithoutSlot.end()) {
+    return { 0, choice_failure::eNoSlot, known->availableAt };
   }
   const choice chosen = ChooseEndpoint(aTables, aRequest, aNow);
   if (isFirst && chosen.failure == choice_failure::eNoSlot) {
-    aTables.modelsWithoutSlot.push_back(needed);
+    aTables.modelsWithoutSlot.push_back({ needed, chosen.availableAt });
   }
   return chosen;
 }
@@ -427,12 +431,13 @@
   const request_facts& facts = aRequest.facts;
   const auto found = aTables.holders.find({ facts.model, facts.adapter });
   if (found == aTables.holders.end()) {
-    return { 0, choice_failure::eNotResident };
+    return { 0, choice_failure::eNotResident, {} };
   }
   aTables.candidates.clear();
   tier best = tier::eNone;
   bool hasUsable = false;
   bool hasUntried = false;
+  steady_time availableAt = steady_time::max();
   const auto rows = aTables.endpoints.Rows();
   for (const holder& each : found->second) {
     endpoint_row& endpoint = rows[each.position];
@@ -442,6 +447,9 @@
     const endpoint_check checked =
       CheckEndpoint(aTables, endpoint, aRequest, aNow);
     hasUsable |= checked.isUsable;
+    if (checked.isUsable) {
+      availableAt = std::min(availableAt, endpoint.avoidUntil);
+    }
     hasUntried |= checked.isUsable && !HasTried(aRequest, endpoint.id);
     if (checked.rank == tier::eNone || checked.rank > best) {
       continue;
@@ -454,15 +462,31 @@
       { each.position, Score(aTables, endpoint, aRequest, aNow) });
   }
   if (!hasUsable) {
-    return { 0, choice_failure::eNotResident };
+    return { 0, choice_failure::eNotResident, {} };
   }
   const bool mustWait = best == tier::eTriedBefore && hasUntried;
   if (aTables.candidates.empty() || mustWait) {
-    return { 0, choice_failure::eNoSlot };
+    return { 0, choice_failure::eNoSlot, availableAt };
   }
   const std::size_t picked =
     aTables.policy.pick(aTables.candidates, aTables.random);
-  return { aTables.candidates[picked].position, std::nullopt };
+  return { aTables.candidates[picked].position, std::nullopt, {} };
+}
+
+std::chrono::milliseconds
+TimeUntilAccepted(tables& aTables,
+                  const request_row& aRequest,
+                  steady_time aNow)
+{
+  IndexHolders(aTables);
+  steady_time earliest = steady_time::max();
+  AnyHolder(aTables, aRequest.facts, [&](const endpoint_row& aEndpoint) {
+    earliest = std::min(earliest, aEndpoint.avoidUntil);
+    return earliest <= aNow;
+  });
+  const bool isKnown = earliest > aNow && earliest != steady_time::max();
+  return isKnown ? std::chrono::ceil<std::chrono::milliseconds>(earliest - aNow)
+                 : std::chrono::milliseconds{ 0 };
 }
 
 bool
@@ -529,7 +553,10 @@
     }
     const choice chosen = ChooseOrShareResult(aTables, request, aNow);
     request.wasNotResident = chosen.failure == choice_failure::eNotResident;
-    if (chosen.failure && aNow >= request.facts.placementDeadline) {
+    const steady_time last = std::min({ request.facts.deadline,
+                                        request.facts.placementDeadline,
+                                        aTables.settings.placementDeadline });
+    if (chosen.failure && (aNow >= last || chosen.availableAt >= last)) {
       EndUnplaced(aTables, request, aNow, aOutbox);
       continue;
     }
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -18,6 +18,29 @@
   ++state.epoch;
 }
 
+// The statement holds for one process of the endpoint only.
+static bool
+IsKnownLeaving(const tables& aTables, const endpoint_facts& aFacts)
+{
+  const leaving_row* row = aTables.leaving.Find(aFacts.id);
+  return row != nullptr && row->incarnation == aFacts.incarnation;
+}
+
+void
+MarkLeaving(tables& aTables, const attempt_row& aAttempt, steady_time aNow)
+{
+  aTables.leaving.EraseIf([&](const leaving_row& aRow) {
+    return aRow.statedAt + aTables.settings.leavingLifetime <= aNow;
+  });
+  const leaving_row* known = aTables.leaving.Find(aAttempt.endpoint);
+  if (known != nullptr && known->incarnation > aAttempt.incarnation) {
+    return;
+  }
+  aTables.leaving.Insert({ aAttempt.endpoint, aAttempt.incarnation, aNow });
+  endpoint_row& endpoint = *aTables.endpoints.Find(aAttempt.endpoint);
+  endpoint.isLeaving = IsKnownLeaving(aTables, endpoint.facts);
+}
+
 // A new endpoint is assumed cold, since this host cannot know, unless the
 // endpoint reports its cold state.
 static void
@@ -31,6 +54,7 @@
   } else {
     row.coldStart.isCold = false;
   }
+  row.isLeaving = IsKnownLeaving(aTables, aFacts);
   aTables.endpoints.Insert(std::move(row));
   aTables.holdersAreStale = true;
 }
@@ -51,6 +75,10 @@
   }
   row->facts = aFacts;
   row->isRemoved = false;
+  row->isLeaving = IsKnownLeaving(aTables, aFacts);
+  if (isRestarted) {
+    row->avoidUntil = {}; // its former process requested the backoff
+  }
   if (aFacts.reportsColdState) {
     row->coldStart.isCold = aFacts.reportsCold;
     row->coldStart.limit = aFacts.coldSlots;
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -42,6 +42,18 @@
                  endpoint_row& aEndpoint,
                  steady_time aNow);
 
+/// Records that the endpoint of aAttempt states that it shuts down: it gets no
+/// further request.
+void MarkLeaving(tables& aTables,
+                 const attempt_row& aAttempt,
+                 steady_time aNow);
+
+/// Time until an endpoint that holds the request's model accepts requests; zero
+/// if one does, or if none holds it.
+std::chrono::milliseconds TimeUntilAccepted(tables& aTables,
+                                            const request_row& aRequest,
+                                            steady_time aNow);
+
 /// Resets an endpoint to its cold limit.
 void ResetToCold(endpoint_row& aEndpoint);
 
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -198,6 +198,10 @@
                  CurrentRanState(request),
                  aNow,
                  aOutbox);
+      if (request.lastFailure == attempt_failure::eRefused) {
+        aOutbox.ends.back().retryAfter =
+          TimeUntilAccepted(aTables, request, aNow);
+      }
     }
   }
 }
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -95,13 +95,23 @@
   std::uint32_t inFlight = 0;             ///< attempts of this thread
   std::uint32_t inFlightWhenReported = 0; ///< inFlight at reportedAt
   bool isRemoved = false;                 ///< erased once nothing is in flight
-  steady_time avoidUntil;                 ///< backoff after an overload refusal
+  bool isLeaving = false;   ///< an answer of this incarnation stated so
+  steady_time avoidUntil;   ///< backoff after an overload refusal
   double failureShare = 0;  ///< moving average over its attempts at failedAt
   steady_time failedAt;     ///< last failure that counts against it
   steady_time suspectUntil; ///< did not answer; lower tier until then
   std::uint32_t unansweredAttempts = 0; ///< since its last answer
 };
 
+/// An endpoint whose answer stated that it shuts down. Kept when the endpoint
+/// is removed, since a delayed report may list it again.
+struct leaving_row
+{
+  endpoint_id id;
+  std::uint64_t incarnation = 0;
+  steady_time statedAt;
+};
+
 /// An endpoint that refused a request because the model is not resident,
 /// though its report lists it.
 struct missing_model_row
@@ -238,6 +248,11 @@
   bool statesNotRun =
     false; ///< the endpoint states that the request did not run
   std::uint64_t startOffset = 0; ///< offset of the first byte of a stream
+  /// No other request was sent on the connection.
+  bool isFirstOnConnection = false;
+  bool isLeaving = false; ///< the endpoint states that it is shutting down
+  /// Of a refusal: time for which the endpoint accepts nothing from this host.
+  std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 /// How an attempt ended at the transport.
@@ -264,6 +279,7 @@
   request_id request;
   endpoint_id endpoint;
   std::uint32_t coldEpoch = 0;
+  std::uint64_t incarnation = 0;     ///< of the endpoint
   std::uint64_t gateIncarnation = 0; ///< at the cold-start gate; 0: not gated
   bool wasBusy = false; ///< its endpoint was at half of its limit or more
   attempt_state state = attempt_state::eStarted;
@@ -389,8 +405,11 @@
   std::chrono::milliseconds maxReportAge{ 2'000 };
   std::chrono::milliseconds claimTimeout{ 2'000 };
   std::chrono::milliseconds detachedTimeout{ 60'000 };
-  /// Backoff of an endpoint after an overload refusal.
+  /// Shortest backoff of an endpoint after an overload refusal.
   std::chrono::milliseconds overloadBackoff{ 100 };
+  /// Rows of leaving endpoints are kept for this long after their last answer,
+  /// far longer than any report is delayed.
+  std::chrono::minutes leavingLifetime{ 10 };
   /// An endpoint that did not answer is probed by one request after this time,
   /// which doubles twice on further failures.
   std::chrono::milliseconds suspectDuration{ 1'500 };
@@ -444,6 +463,13 @@
   bool operator==(const requested_model&) const = default;
 };
 
+/// A model whose endpoints have no free slot in this tick.
+struct model_without_slot
+{
+  requested_model needed;
+  steady_time availableAt; ///< see choice
+};
+
 /// Endpoint that last received a prompt prefix.
 struct prefix_slot
 {
@@ -463,6 +489,7 @@
   random_engine random;
   table<endpoint_id, endpoint_row> endpoints;
   table<endpoint_id, resident_row> residents;
+  table<endpoint_id, leaving_row> leaving;
   table<request_id, request_row> requests;
   table<attempt_id, attempt_row> attempts;
   std::vector<request_id>
@@ -475,7 +502,7 @@
   std::vector<prefix_slot> prefixes;
   std::vector<candidate> candidates;    ///< scratch buffer of one decision
   std::vector<waiting_request> waiting; ///< scratch buffer of one tick
-  std::vector<requested_model>
+  std::vector<model_without_slot>
     modelsWithoutSlot; ///< scratch buffer of one tick
   table<service_id, retry_row> retries;
   std::uint64_t arrivals = 0;
@@ -539,6 +566,8 @@
   ran_state ran = ran_state::eNotRun;
   bool hasForwarded = false; ///< part of the answer was forwarded
   last_reason reason;
+  /// Time until an endpoint accepts requests again; 0: now, or unknown.
+  std::chrono::milliseconds retryAfter{ 0 };
 };
 
 /// Intents, executed in the order of the members.
@@ -610,6 +639,8 @@
 {
   std::uint32_t position = 0;
   std::optional<choice_failure> failure;
+  /// Of a failure for lack of slots: no endpoint accepts a request before.
+  steady_time availableAt{};
 };
 
 /// Chooses an endpoint; allocates only while the scratch buffers grow.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -197,6 +197,36 @@
   CHECK_FALSE(front.readAnswer(metadata, 503, {}).statesNotRun);
 }
 
+TEST_CASE_METHOD(codec_fixture, "Answer_OfALeavingServer_SaysSo", "[platform]")
+{
+  const entry::attempt_metadata metadata;
+  CHECK(
+    front.readAnswer(metadata, 200, { { "Server-Leaving", "1" } }).isLeaving);
+  CHECK(
+    front.readAnswer(metadata, 503, { { "server-leaving", "1" } }).isLeaving);
+  CHECK_FALSE(
+    front.readAnswer(metadata, 200, { { "Server-Leaving", "0" } }).isLeaving);
+  CHECK_FALSE(front.readAnswer(metadata, 200, {}).isLeaving);
+}
+
+TEST_CASE_METHOD(codec_fixture,
+                 "Refusal_WithRetryAfter_CarriesTheTime",
+                 "[platform]")
+{
+  const auto read = [this](const std::string& aValue) {
+    return front.readAnswer({}, 503, { { "Retry-After", aValue } }).retryAfter;
+  };
+  CHECK(read("2") == std::chrono::milliseconds{ 2'000 });
+  CHECK(read("0.25") == std::chrono::milliseconds{ 250 });
+  CHECK(read("0") == std::chrono::milliseconds{ 0 });
+  CHECK(read("1e300") == std::chrono::hours{ 24 });
+  for (const char* invalid : { "", "-1", "nan", "soon", "2 s" }) {
+    INFO(invalid);
+    CHECK_FALSE(read(invalid));
+  }
+  CHECK_FALSE(front.readAnswer({}, 503, {}).retryAfter);
+}
+
 struct recorded_reply : net::http_reply
 {
   int status = 0;
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -411,6 +411,22 @@
   CHECK(answer.body.ends_with("data: [DONE]\n\n"));
 }
 
+TEST_CASE_METHOD(requests_fixture,
+                 "Endpoint_WhoseAnswersSayThatItLeaves_GetsNoFurtherRequest",
+                 "[process][requests]")
+{
+  const auto desk = AddRaw("desk");
+  const auto other = AddRaw("other");
+  WaitForDesk();
+  desk->SayLeavingInAnswers();
+  const int before = desk->Runs();
+  for (int i = 0; i < 40; ++i) {
+    CHECK(Status(0).status == 200);
+  }
+  CHECK(desk->Runs() <= before + 1);
+  CHECK(other->Runs() > 0);
+}
+
 TEST_CASE_METHOD(requests_fixture,
                  "Stream_WhenItsKeyIsWithdrawn_IsCutWithAnError",
                  "[process][requests]")
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -292,6 +292,10 @@
   std::string answer =
     isStream ? StreamAnswer(request, mode == response_mode::eTruncateChunks)
              : JsonAnswer(request, mode == response_mode::eTruncateBody);
+  if (mIsLeaving) {
+    const std::size_t statusEnd = answer.find("\r\n") + 2;
+    answer.insert(statusEnd, "Bulrush-Leaving: true\r\n");
+  }
   if (mode == response_mode::eTruncateHead) {
     const std::size_t statusEnd = answer.find("\r\n") + 2;
     answer.resize(answer.find("\r\n", statusEnd) + 2);
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -51,6 +51,9 @@
   void SetResponseModes(std::deque<response_mode> aModes);
   int Runs() const { return mRuns; }
 
+  /// From now on its answers say that it leaves, and its reports do not.
+  void SayLeavingInAnswers() { mIsLeaving = true; }
+
   /// Answers every request from now on, orders too, with these bytes; nullopt
   /// for complete answers.
   void SetEndlessAnswer(std::optional<endless_answer> aAnswer);
@@ -78,6 +81,7 @@
   int mSequence = 0;
   std::atomic<int> mRuns{ 0 };
   std::atomic<bool> mIsStopping{ false };
+  std::atomic<bool> mIsLeaving{ false };
   std::mutex mMutex;
   std::deque<response_mode> mResponseModes;
   std::optional<endless_answer> mEndlessAnswer;
