Tie errors without an echo to their request by the connection

A refusal that a faulty server writes once more on a kept connection was taken for the answer to the next request there: its caller was told "not run, try again" of a request that the server had run or was running. An error of another kind reached the caller as the answer.

Cause: an error may lack the caller's id, and was taken as the answer to whichever request waited. Requests that may run once only were safe, as each has a connection of its own. Class: an answer matched by its place.

Change: an error without an echo is accepted only as the first answer on its connection; else the request counts as perhaps run and the connection is closed. A request that returns to an endpoint gets a new connection, since a repeated refusal would carry its own id.

--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -14,6 +14,14 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
 }
 
+std::string
+RetryAfterOf(const failed_attempt& aAttempt)
+{
+  return aAttempt.head && aAttempt.head->retryAfter
+           ? std::to_string(aAttempt.head->retryAfter->count())
+           : "";
+}
+
 } // namespace
 
 void
@@ -62,15 +70,20 @@
 void
 LogFailedAttempt(const routed_request& aRequest, const failed_attempt& aAttempt)
 {
-  LogEvent(kLog,
-           log_level::eInfo,
-           "attempt_failed",
-           { { "request", aRequest.callerId },
-             { "endpoint", aAttempt.endpoint },
-             { "how", aAttempt.result },
-             { "status", std::to_string(aAttempt.status) },
-             { "error", aAttempt.error },
-             { "took_ms", Milliseconds(aAttempt.took) } });
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "attempt_failed",
+    { { "request", aRequest.callerId },
+      { "endpoint", aAttempt.endpoint },
+      { "how", aAttempt.result },
+      { "status", std::to_string(aAttempt.status) },
+      { "error", aAttempt.error },
+      { "echo", aAttempt.head && aAttempt.head->echoed ? "yes" : "no" },
+      { "connection",
+        aAttempt.head && aAttempt.head->isFirstOnConnection ? "new" : "kept" },
+      { "retry_after_ms", RetryAfterOf(aAttempt) },
+      { "took_ms", Milliseconds(aAttempt.took) } });
 }
 
 void
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -23,6 +23,7 @@
   int status = 0; ///< zero: no status line arrived
   std::string error;
   std::chrono::nanoseconds took{};
+  std::optional<routing::answer_head> head;
 };
 
 /// An answer with the statement that its endpoint shuts down.
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -48,6 +48,7 @@
   attempt_metadata metadata; ///< as sent to the endpoint
   steady_time startedAt;
   int status = 0; ///< of its answer; zero: no status line arrived
+  std::optional<routing::answer_head> head;
   std::vector<net::http_field> answerFields;
   bool isStreamed = false;
   bool isPaused = false;
@@ -230,8 +231,10 @@
     if (const auto load = mFront.readLoad(aHead.fields)) {
       HandleLoad(aAttempt, *load);
     }
-    const routing::answer_head head =
+    routing::answer_head head =
       mFront.readAnswer(row->metadata, aHead.status, aHead.fields);
+    head.isFirstOnConnection = aHead.isFirstOnConnection;
+    row->head = head;
     LogLeaving(*row, head);
     const bool isSuccess =
       aHead.status >= kFirstSuccess && aHead.status < kFirstRedirect;
@@ -320,7 +323,8 @@
                          aHow,
                          aRow.status,
                          aError,
-                         Now() - aRow.startedAt });
+                         Now() - aRow.startedAt,
+                         aRow.head });
     }
   }
 
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -31,8 +31,10 @@
   return aRequest.state == request_state::eRunning;
 }
 
-// The echoed attempt id ties an answer to its attempt. A resumed stream must
-// also start at the offset that was forwarded last.
+// The echoed attempt id ties an answer to its attempt. Without one, the order
+// on the connection does, which a second answer to an earlier request would
+// break: an error may lack the echo only where no earlier request was sent. A
+// resumed stream must also start at the offset that was forwarded last.
 bool
 IsOwnAnswer(const attempt_row& aAttempt,
             const request_row& aRequest,
@@ -40,8 +42,10 @@
 {
   const answer_head& head = *aAttempt.head;
   const bool isEchoed = head.echoed == aAttempt.id;
-  const bool needsNoEcho = !aEndpoint.facts.echoesAttempt && !head.echoed;
-  if (!isEchoed && !needsNoEcho) {
+  const bool mayLackEcho =
+    !aEndpoint.facts.echoesAttempt ||
+    (head.isFirstOnConnection && head.status >= kFirstClientError);
+  if (!isEchoed && (head.echoed || !mayLackEcho)) {
     return false;
   }
   const bool isSuccess =
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -213,6 +213,9 @@
   if (aEndpoint.unansweredAttempts > 0) {
     MarkSuspect(aTables.settings, aEndpoint, aNow); // this attempt is the probe
   }
+  // After a refusal a kept connection may bring the same refusal once more,
+  // with the same id.
+  const bool isRepeated = HasTried(aRequest, aEndpoint.id);
   RecordAttempt(aTables, aRequest, aEndpoint.id);
   RecordPrefix(aTables, aRequest.facts.prefix, aEndpoint.id);
   aRequest.attempt = attempt.id;
@@ -226,14 +229,14 @@
   }
   aEndpoint.coldBudget -= aEndpoint.coldStart.isCold ? 1.0 : 0.0;
   attempt.wasBusy = 2 * aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint);
-  aOutbox.starts.push_back(
-    { attempt.id,
-      aRequest.id,
-      aEndpoint.id,
-      aEndpoint.facts.address,
-      !aRequest.facts.isIdempotent || !aEndpoint.facts.echoesAttempt,
-      attempt.startOffset,
-      timeout });
+  aOutbox.starts.push_back({ attempt.id,
+                             aRequest.id,
+                             aEndpoint.id,
+                             aEndpoint.facts.address,
+                             !aRequest.facts.isIdempotent ||
+                               !aEndpoint.facts.echoesAttempt || isRepeated,
+                             attempt.startOffset,
+                             timeout });
   aTables.attempts.Insert(attempt);
 }
 
@@ -539,7 +542,8 @@
 }
 
 // The deadline is checked right before sending, so that a thread that was
-// suspended sends no expired request.
+// suspended sends no expired request. A request that no endpoint accepts before
+// its deadline is refused at once.
 void
 RunChoose(tables& aTables, steady_time aNow, outbox& aOutbox)
 {
--- a/tests/routing/answers_test.cpp
+++ b/tests/routing/answers_test.cpp
@@ -124,6 +124,72 @@
   CheckEnd(request_outcome::eAnswered, ran_state::eRan);
 }
 
+// A faulty endpoint may write the refusal of an earlier request once more.
+TEST_CASE_METHOD(answers_fixture,
+                 "Refusal_WithoutEchoOnAKeptConnection_IsNoProof",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.maxAttempts = 1;
+  const start_attempt sent = Send(facts);
+  REQUIRE_FALSE(sent.freshConnection);
+  answer_head head;
+  head.status = 503;
+  head.statesNotRun = true;
+  OnAttemptHeaders(engine, sent.attempt, head, now);
+  RunOnce();
+  CheckEnd(request_outcome::eLost, ran_state::eMayHaveRun);
+  REQUIRE(out.cancels.size() == 1); // closes the connection
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "Refusal_WithoutEchoOnANewConnection_IsProof",
+                 "[routing]")
+{
+  engine.settings.trustsNotRun = true;
+  const start_attempt sent = Send(NonIdempotentRequest());
+  REQUIRE(sent.freshConnection);
+  answer_head head;
+  head.status = 503;
+  head.statesNotRun = true;
+  head.isFirstOnConnection = true;
+  OnAttemptHeaders(engine, sent.attempt, head, now);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "Error_WithoutEchoOnAKeptConnection_NeverReachesTheCaller",
+                 "[routing]")
+{
+  request_facts facts = Request();
+  facts.maxAttempts = 1;
+  const start_attempt sent = Send(facts);
+  answer_head head;
+  head.status = 404;
+  OnAttemptHeaders(engine, sent.attempt, head, now);
+  End(sent.attempt, attempt_end::eComplete);
+  RunOnce();
+  CHECK(out.forwards.empty());
+  CheckEnd(request_outcome::eLost, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(answers_fixture,
+                 "Request_SentToTheSameEndpointAgain_GetsANewConnection",
+                 "[routing]")
+{
+  RemoveEndpoint(engine, endpoint_id{ 2 });
+  const start_attempt sent = Send(Request());
+  Head(sent.attempt, 503, true);
+  RunOnce();
+  End(sent.attempt, attempt_end::eCancelled);
+  RunOnce(milliseconds{ 200 });
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint == sent.endpoint);
+  CHECK(out.starts.front().freshConnection);
+}
+
 TEST_CASE_METHOD(answers_fixture,
                  "Answer_WhenItComesAfterTheTimeout_IsDropped",
                  "[routing]")
