End streams visibly incomplete, and resumed ones in order

What holds already, with tests: an error answer is never appended to a stream, and the platform's streams end without the last chunk.

Change: numeric event ids of the platform's streams must rise, also across servers; an event that does not follow ends the attempt.

Evidence: ResumedStream_ThatStartsAgain_IsOutOfOrder, Stream_WithARepeatedEvent_EndsBeforeIt, Stream_WhenAbortedAfterAWrite_DeliversItWithoutALastChunk and, over processes, Stream_WhenNoEndpointCompletesIt_IsVisiblyIncomplete.

--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -1,6 +1,7 @@
 #include "entry/answer.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace bulrush::entry {
 
@@ -52,6 +53,17 @@
   return "";
 }
 
+std::optional<std::uint64_t>
+ParseId(std::string_view aText)
+{
+  std::uint64_t id = 0;
+  const auto read =
+    std::from_chars(aText.data(), aText.data() + aText.size(), id);
+  const bool isNumber =
+    read.ec == std::errc{} && read.ptr == aText.data() + aText.size();
+  return isNumber ? std::optional(id) : std::nullopt;
+}
+
 } // namespace
 
 answer_buffer::answer_buffer(bool aIsStream, std::uint64_t aOffset)
@@ -60,6 +72,13 @@
 {
 }
 
+void
+answer_buffer::RequireRisingIds(const std::string& aLastEvent)
+{
+  mRequiresRisingIds = true;
+  mNewestId = ParseId(aLastEvent);
+}
+
 std::uint64_t
 answer_buffer::Add(std::string_view aBytes)
 {
@@ -72,37 +91,55 @@
   return aBytes.size();
 }
 
+// An endpoint that ignores where a stream is to go on starts it again, and its
+// events would come twice.
+bool
+answer_buffer::AddEvent(std::string aText)
+{
+  std::string idText = EventId(aText);
+  if (mRequiresRisingIds) {
+    const auto id = ParseId(idText);
+    if (id && mNewestId && *id <= *mNewestId) {
+      mIsOutOfOrder = true;
+      return false;
+    }
+    mNewestId = id ? id : mNewestId;
+  }
+  mHasEndMark |= aText.starts_with(kEndMark);
+  mEvents.push_back({ std::move(aText), std::move(idText) });
+  ++mNextUnit;
+  return true;
+}
+
 std::uint64_t
 answer_buffer::AddEvents(std::string_view aBytes)
 {
+  if (mIsOutOfOrder) {
+    return 0;
+  }
   mTail += aBytes;
   std::uint64_t completed = 0;
   std::size_t begin = 0;
   for (std::size_t end = EndOfEvent(mTail, mSearchedBytes);
-       end != std::string::npos;
+       end != std::string::npos && AddEvent(mTail.substr(begin, end - begin));
        end = EndOfEvent(mTail, begin)) {
-    mEvents.push_back(mTail.substr(begin, end - begin));
-    mHasEndMark |= mEvents.back().starts_with(kEndMark);
     begin = end;
     ++completed;
   }
   mTail.erase(0, begin);
   // An incomplete event is not searched again, except for a part of its end.
   mSearchedBytes = mTail.size() - std::min(mTail.size(), kLongestPart);
-  mNextUnit += completed;
   return completed;
 }
 
 std::uint64_t
 answer_buffer::EndMessage()
 {
-  if (!mIsStream || mTail.empty()) {
+  if (!mIsStream || mTail.empty() || mIsOutOfOrder) {
     return 0;
   }
-  mEvents.push_back(std::exchange(mTail, {}));
   mSearchedBytes = 0;
-  ++mNextUnit;
-  return 1;
+  return AddEvent(std::exchange(mTail, {})) ? 1 : 0;
 }
 
 std::string
@@ -114,9 +151,9 @@
   }
   std::string taken;
   for (std::uint64_t i = 0; i < aCount && !mEvents.empty(); ++i) {
-    const std::string id = EventId(mEvents.front());
-    mLastEvent = id.empty() ? mLastEvent : id;
-    taken += mEvents.front();
+    stream_event& event = mEvents.front();
+    mLastEvent = event.id.empty() ? mLastEvent : std::move(event.id);
+    taken += event.text;
     mEvents.pop_front();
   }
   mBufferedBytes -= taken.size();
--- a/src/entry/answer.hpp
+++ b/src/entry/answer.hpp
@@ -16,6 +16,10 @@
   /// aIsStream: units are server-sent events; the first has number aOffset.
   answer_buffer(bool aIsStream, std::uint64_t aOffset);
 
+  /// From now on event ids must rise, and be above aLastEvent unless that is
+  /// empty.
+  void RequireRisingIds(const std::string& aLastEvent);
+
   /// Appends bytes; returns the number of units they completed.
   std::uint64_t Add(std::string_view aBytes);
 
@@ -27,6 +31,9 @@
   bool IsStream() const { return mIsStream; }
   /// True once the stream's end mark was seen.
   bool HasEndMark() const { return mHasEndMark; }
+  /// True once an event did not follow the one before it. It is dropped, and so
+  /// are all later ones.
+  bool IsOutOfOrder() const { return mIsOutOfOrder; }
   /// Called at the complete end of the message: the rest of a stream becomes
   /// its last unit. Returns the number of units that this completed.
   std::uint64_t EndMessage();
@@ -36,7 +43,14 @@
   std::size_t BufferedBytes() const { return mBufferedBytes; }
 
 private:
+  struct stream_event
+  {
+    std::string text;
+    std::string id;
+  };
+
   std::uint64_t AddEvents(std::string_view aBytes);
+  bool AddEvent(std::string aText);
 
   bool mIsStream;
   bool mHasEndMark = false;
@@ -46,7 +60,10 @@
   /// Bytes of mTail that cannot be the start of an event's end.
   std::size_t mSearchedBytes = 0;
   std::string mLastEvent;
-  std::deque<std::string> mEvents;
+  std::deque<stream_event> mEvents;
+  bool mRequiresRisingIds = false;
+  bool mIsOutOfOrder = false;
+  std::optional<std::uint64_t> mNewestId; ///< among events added
 };
 
 } // namespace bulrush::entry
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -107,6 +107,7 @@
     readUsage;
   bool servesPages = true;        ///< models, reports, health and metrics
   bool streamsHaveEndMark = true; ///< else the end of the message ends a stream
+  bool eventIdsRise = false;      ///< numeric ids of a stream's events
   bool endpointsReportCold = false;
   bool trustsNotRun = false; ///< an endpoint's "not run" is relied upon
 };
--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -326,7 +326,7 @@
 {
   aReply.Write("event: error\ndata: " + FormatError(aError, aRequestId) +
                "\n\n");
-  aReply.Finish();
+  aReply.Abort();
 }
 
 } // namespace
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -240,6 +240,11 @@
       aHead.status >= kFirstSuccess && aHead.status < kFirstRedirect;
     row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
                                                   head.startOffset);
+    if (mFront.eventIdsRise) {
+      const waiting_row* waiting = mWaiting.Find(row->request);
+      row->answer->RequireRisingIds(waiting == nullptr ? ""
+                                                       : waiting->lastEvent);
+    }
     routing::OnAttemptHeaders(mEngine, aAttempt, head, Now());
     mTimer.RunSoon();
   }
@@ -270,6 +275,11 @@
       return;
     }
     routing::OnAttemptBytes(mEngine, aAttempt, first, count, Now());
+    if (row->answer->IsOutOfOrder()) {
+      mClient->Cancel(row->call);
+      LogFailure(*row, "out_of_order", "an event id does not follow");
+      End(aAttempt, routing::attempt_end::eTruncated);
+    }
     mTimer.RunSoon();
   }
 
@@ -287,7 +297,7 @@
     if (!aEnd.requestSent) {
       how = routing::attempt_end::eNotSent;
       text = "not_sent";
-    } else if (aEnd.isComplete && IsWhole(row)) {
+    } else if (aEnd.isComplete && IsWhole(row) && !row.answer->IsOutOfOrder()) {
       how = routing::attempt_end::eComplete;
       text = "answered";
     } else if (row.answer != nullptr) {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -443,13 +443,18 @@
   Queue("0\r\n\r\n");
 }
 
-// The caller detects the truncation by the missing last chunk.
+// The caller detects the truncation by the missing last chunk. What was written
+// before is still sent, for a limited time.
 void
 http_connection::Abort(std::uint64_t aRequest)
 {
   if (MayAnswer(aRequest)) {
     Close();
   }
+  mIsAnswered = true;
+  mKeepsAlive = false;
+  mPhaseDeadline = std::chrono::steady_clock::now() + kLingerTimeout;
+  Write();
 }
 
 std::size_t
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -59,8 +59,8 @@
   /// Ends a chunked answer as complete.
   virtual void Finish() = 0;
 
-  /// Closes the connection without the last chunk, so that the caller sees that
-  /// the answer is truncated.
+  /// Closes the connection after the written bytes and without the last chunk,
+  /// so that the caller sees that the answer is truncated.
   virtual void Abort() = 0;
 
   /// Bytes passed to Write and not yet accepted by the caller's connection.
--- a/tests/entry/answer_test.cpp
+++ b/tests/entry/answer_test.cpp
@@ -57,5 +57,45 @@
   CHECK(Units({ "\n" }) == std::vector<std::string>{ "\n\n" });
 }
 
+TEST_CASE_METHOD(answer_fixture,
+                 "ResumedStream_ThatStartsAgain_IsOutOfOrder",
+                 "[entry]")
+{
+  const std::string first = GENERATE("1", "11", "12");
+  stream.RequireRisingIds("12");
+  CHECK(Units({ "id: " + first + "\ndata: a\n\nid: 13\ndata: b\n\n" }).empty());
+  CHECK(stream.IsOutOfOrder());
+  CHECK(Units({ "id: 14\ndata: c\n\n" }).empty());
+  CHECK(stream.EndMessage() == 0);
+}
+
+TEST_CASE_METHOD(answer_fixture,
+                 "ResumedStream_ThatGoesOn_IsInOrder",
+                 "[entry]")
+{
+  stream.RequireRisingIds("12");
+  CHECK(Units({ "id: 13\ndata: a\n\n", "id: 15\ndata: b\n\n", ": note\n\n" })
+          .size() == 3);
+  CHECK_FALSE(stream.IsOutOfOrder());
+  CHECK(stream.LastEvent() == "15");
+}
+
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_WithARepeatedEvent_EndsBeforeIt",
+                 "[entry]")
+{
+  stream.RequireRisingIds("");
+  CHECK(Units({ "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 2\ndata: b\n\n" })
+          .size() == 2);
+  CHECK(stream.IsOutOfOrder());
+}
+
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_WithoutRisingIdsRequired_MayRepeatThem",
+                 "[entry]")
+{
+  CHECK(Units({ "id: 2\n\nid: 2\n\nid: 1\n\n" }).size() == 3);
+}
+
 } // namespace
 } // namespace bulrush::entry
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -170,6 +170,24 @@
   CHECK(isClosed);
 }
 
+TEST_CASE_METHOD(server_fixture,
+                 "Stream_WhenAbortedAfterAWrite_DeliversItWithoutALastChunk",
+                 "[net]")
+{
+  isAnswering = false;
+  Exchange(kGet);
+  REQUIRE(replies.size() == 1);
+  replies[0]->Start(200, {});
+  replies[0]->Write("data: 1\n\n");
+  replies[0]->Abort();
+  replies[0]->Write("data: 2\n\n");
+  const std::string text = ReadFor(std::chrono::milliseconds(50));
+  CHECK(text.find("data: 1") != std::string::npos);
+  CHECK(text.find("data: 2") == std::string::npos);
+  CHECK_FALSE(text.ends_with("0\r\n\r\n"));
+  CHECK(isClosed);
+}
+
 TEST_CASE_METHOD(server_fixture, "Caller_WhenDisconnected_IsReported", "[net]")
 {
   isAnswering = false;
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -411,6 +411,24 @@
   CHECK(answer.body.ends_with("data: [DONE]\n\n"));
 }
 
+TEST_CASE_METHOD(requests_fixture,
+                 "Stream_WhenNoEndpointCompletesIt_IsVisiblyIncomplete",
+                 "[process][requests]")
+{
+  const auto engine = AddRaw("engine");
+  const auto other = AddRaw("other");
+  WaitForEngines();
+  const std::deque<response_mode> broken(4, response_mode::eTruncateChunks);
+  engine->SetResponseModes(broken);
+  other->SetResponseModes(broken);
+  const http_answer answer = Complete(0, raw_endpoint::kTokens, true);
+  INFO(answer.body);
+  CHECK(answer.status == 0); // the last chunk is missing
+  CHECK(answer.body.find("\"content\":\"t0 \"") != std::string::npos);
+  CHECK(answer.body.find("HTTP/1.1") == std::string::npos);
+  CHECK(answer.body.find("[DONE]") == std::string::npos);
+}
+
 TEST_CASE_METHOD(requests_fixture,
                  "Endpoint_WhoseAnswersSayThatItLeaves_GetsNoFurtherRequest",
                  "[process][requests]")
