Count the time for which the machine was suspended

A leader that wakes from a suspension held its lease by a clock that had stood still, and could answer a read of the configuration with a version that had been replaced meanwhile, before the first message of its successor reached it (CONFIG: any machine, in touch or not). Leases of hosts and granted tokens lasted longer in the same way.

Change: all times come from net::Now(), the boot clock; timers are armed by the time left.

--- a/src/apps/ctl_call.cpp
+++ b/src/apps/ctl_call.cpp
@@ -25,7 +25,7 @@
 
   std::optional<wire::message_body> Run(last_reason& aReason)
   {
-    mDeadline = std::chrono::steady_clock::now() + mSettings.timeout;
+    mDeadline = net::Now() + mSettings.timeout;
     for (const std::string& address : mSettings.controls) {
       auto link = net::ConnectLink(
         mContext,
@@ -79,8 +79,7 @@
   void Receive(const std::string& aBytes)
   {
     last_reason reason;
-    auto message =
-      wire::Decode(aBytes, std::chrono::steady_clock::now(), reason);
+    auto message = wire::Decode(aBytes, net::Now(), reason);
     if (!message) {
       return;
     }
@@ -88,7 +87,7 @@
     if (reply != nullptr && (reply->outcome == wire::call_outcome::eNoLeader ||
                              reply->outcome == wire::call_outcome::eUnknown)) {
       mLastReplyText = reply->text;
-      mNextSend = std::chrono::steady_clock::now() + kResendInterval;
+      mNextSend = net::Now() + kResendInterval;
       mTimer.RunSoon();
       return;
     }
@@ -169,11 +168,11 @@
   }
   const std::string bytes = wire::Encode(
     { "bulrushctl", 1, wire::tombstones{ { aKey }, aSettings.credential } },
-    std::chrono::steady_clock::now());
-  const auto end = std::chrono::steady_clock::now() + kPublishTimeout;
+    net::Now());
+  const auto end = net::Now() + kPublishTimeout;
   std::size_t sent = 0;
   std::vector<bool> isSent(links.size(), false);
-  while (sent < links.size() && std::chrono::steady_clock::now() < end) {
+  while (sent < links.size() && net::Now() < end) {
     for (std::size_t i = 0; i < links.size(); ++i) {
       if (!isSent[i] && links[i]->Send(bytes)) {
         isSent[i] = true;
@@ -190,7 +189,7 @@
                 std::uint64_t aRevision,
                 std::vector<std::string>& aPending)
 {
-  const auto end = std::chrono::steady_clock::now() + aSettings.wait;
+  const auto end = net::Now() + aSettings.wait;
   do {
     last_reason reason;
     const auto answer =
@@ -207,7 +206,7 @@
     asio::io_context context{ 1 };
     const auto guard = asio::make_work_guard(context);
     RunFor(context, kPollInterval);
-  } while (std::chrono::steady_clock::now() < end);
+  } while (net::Now() < end);
   return false;
 }
 
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -119,7 +119,7 @@
   // an election timeout.
   void BeginStop()
   {
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = net::Now();
     if (!BeginHandOver(mTables, now)) {
       mContext.stop();
       return;
@@ -151,11 +151,8 @@
     settings.snapshotAfterEntries =
       static_cast<log_index>(aOptions.Integer("snapshot-after"));
     settings.keptEntries = settings.snapshotAfterEntries / kKeptFraction;
-    auto log = OpenLog(aOptions.Path("data"),
-                       std::move(settings),
-                       names,
-                       std::chrono::steady_clock::now(),
-                       aReason);
+    auto log = OpenLog(
+      aOptions.Path("data"), std::move(settings), names, net::Now(), aReason);
     if (!log) {
       return false;
     }
@@ -261,10 +258,9 @@
       settings,
       [this](const net::http_request&,
              const std::shared_ptr<net::http_reply>& aReply) {
-        aReply->Send(
-          200,
-          { { "Content-Type", "text/plain; version=0.0.4" } },
-          MetricsPage(mMetrics, mTables, std::chrono::steady_clock::now()));
+        aReply->Send(200,
+                     { { "Content-Type", "text/plain; version=0.0.4" } },
+                     MetricsPage(mMetrics, mTables, net::Now()));
       },
       aReason);
     if (!server) {
@@ -278,7 +274,7 @@
                       std::shared_ptr<net::http_reply> aReply)
   {
     last_reason reason;
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = net::Now();
     auto call = mFrontEnd.readCall(aRequest, { mDomains, now }, reason);
     if (!call) {
       LogWarning(kLog, "Refused an HTTP call: {}", Describe(reason));
@@ -333,8 +329,7 @@
   void Receive(std::string aPeer, const std::string& aBytes)
   {
     last_reason reason;
-    auto message =
-      wire::Decode(aBytes, std::chrono::steady_clock::now(), reason);
+    auto message = wire::Decode(aBytes, net::Now(), reason);
     if (!message) {
       LogWarning(
         kLog, "Dropped a message from {}: {}", aPeer, Describe(reason));
@@ -349,7 +344,7 @@
     control_outbox outbox;
     const std::size_t inbox = mTables.inbox.size();
     RunControl(mTables, aNow, outbox);
-    CountTick(mMetrics, outbox, std::chrono::steady_clock::now() - aNow);
+    CountTick(mMetrics, outbox, net::Now() - aNow);
     if (outbox.fatal) {
       // Send nothing: the messages of this tick may depend on a write that
       // failed.
@@ -385,7 +380,7 @@
     if (!mTables.committed.empty()) {
       mTimer.RunSoon();
     }
-    const steady_time end = std::chrono::steady_clock::now();
+    const steady_time end = net::Now();
     RecordLoad(mLoad, inbox, end - aNow, end);
     if (mStopBy) {
       if (aNow >= *mStopBy || IsHandedOver(mTables)) {
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -115,8 +115,7 @@
   void Receive(const std::string& aBytes)
   {
     last_reason reason;
-    auto message =
-      wire::Decode(aBytes, std::chrono::steady_clock::now(), reason);
+    auto message = wire::Decode(aBytes, net::Now(), reason);
     if (!message) {
       LogWarning(
         kLog, "Dropped a message that cannot be decoded: {}", Describe(reason));
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -126,13 +126,10 @@
   void Begin()
   {
     row.start = std::chrono::system_clock::now();
-    begin = std::chrono::steady_clock::now();
+    begin = net::Now();
   }
 
-  std::chrono::nanoseconds Elapsed() const
-  {
-    return std::chrono::steady_clock::now() - begin;
-  }
+  std::chrono::nanoseconds Elapsed() const { return net::Now() - begin; }
 
   // Computed from the start, as the system clock may be adjusted meanwhile.
   void End()
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -9,6 +9,7 @@
 
 namespace bulrush::entry {
 
+using net::Now;
 using routing::request_outcome;
 
 namespace {
@@ -651,8 +652,6 @@
     mOnCommand(std::move(command), aDeadline, std::move(aHook));
   }
 
-  static steady_time Now() { return std::chrono::steady_clock::now(); }
-
   /// The latest report of an endpoint that was passed to routing.
   struct report_key
   {
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -42,7 +42,7 @@
 caller_error
 DeniedBy(const resolve_context& aContext, caller_error aDenial)
 {
-  if (std::chrono::steady_clock::now() < aContext.view.mayDenyUntil) {
+  if (net::Now() < aContext.view.mayDenyUntil) {
     return aDenial;
   }
   return { 503,
@@ -171,10 +171,9 @@
   facts.maxAttempts = aRoute.maxAttempts;
   const auto timeLeft = std::min(
     aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
-  facts.deadline = std::chrono::steady_clock::now() + timeLeft;
+  facts.deadline = net::Now() + timeLeft;
   facts.lastByteDeadline = facts.deadline;
-  facts.placementDeadline =
-    PlacementDeadline(aRoute, timeLeft, std::chrono::steady_clock::now());
+  facts.placementDeadline = PlacementDeadline(aRoute, timeLeft, net::Now());
   facts.targetFirstByte = aRoute.target;
   facts.targetGap = aRoute.targetGap;
   facts.prefix = PrefixOf(aCall.prompt);
@@ -277,7 +276,7 @@
   if (!aCall.isStreamed) {
     facts.expectedFirstByte = aCall.answerTokens * kExpectedTimePerToken;
   }
-  facts.deadline = std::chrono::steady_clock::now() + row->deadline;
+  facts.deadline = net::Now() + row->deadline;
   aResolved.tokens = aCall.tokens.value_or(0);
   aResolved.kind = kind_id{ facts.model.value };
   SetCaller(aCall, aResolved);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -11,6 +11,9 @@
 #include <random>
 
 namespace bulrush::entry {
+
+using net::Now;
+
 namespace {
 
 constexpr log_component kLog{ "entry" };
@@ -102,10 +105,8 @@
   {
     mView = std::move(aView);
     mRunner.SetView(mView);
-    SetFleet(mAdmission,
-             *mView.fleet,
-             IdOf<domain_id>(mSettings.domain),
-             std::chrono::steady_clock::now());
+    SetFleet(
+      mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain), Now());
     mAdmission.capacity = Capacity();
     const caller_limits& limits = mView.fleet->declared.callers;
     mServer->SetLimits({ limits.maxHeaderBytes,
@@ -136,8 +137,7 @@
   void StopWhenIdle(std::function<void()> aOnStopped)
   {
     mIsRefusing = true;
-    mRunner.SetPlacementDeadline(std::chrono::steady_clock::now() +
-                                 kStoppingPlacementTimeout);
+    mRunner.SetPlacementDeadline(Now() + kStoppingPlacementTimeout);
     mOnStopped = std::move(aOnStopped);
     mAdmissionTimer.RunSoon();
   }
@@ -319,8 +319,7 @@
 
   bool HasLease() const
   {
-    return admission::MayServe(mAdmission.escrow.link,
-                               std::chrono::steady_clock::now());
+    return admission::MayServe(mAdmission.escrow.link, Now());
   }
 
   // Concurrent requests that the endpoints accept; more would queue up there.
@@ -359,8 +358,7 @@
       return;
     }
     last_reason reason;
-    auto row = ParseEndpointReport(
-      aRequest.body, std::chrono::steady_clock::now(), reason);
+    auto row = ParseEndpointReport(aRequest.body, Now(), reason);
     if (!row) {
       SendError(aReply,
                 { 400, "bad_request", Describe(reason), false, std::nullopt },
@@ -455,7 +453,7 @@
       row.maxWaitWithoutLeader = aResolved.target / kLeaderlessMaxWaitDivisor;
     }
     row.tokens = tokens;
-    row.arrivedAt = std::chrono::steady_clock::now();
+    row.arrivedAt = Now();
     row.deadline = aRouted.facts.deadline;
     row.onRefused = [this,
                      reply = aRouted.reply,
@@ -479,8 +477,6 @@
     mAdmissionTimer.RunSoon();
   }
 
-  static steady_time Now() { return std::chrono::steady_clock::now(); }
-
   // Units of a rate that this thread holds in the escrow.
   std::int64_t HeldUnits(const admission::resource& aWhat) const
   {
@@ -569,7 +565,7 @@
 
   void Release(request_id aRequest, std::int64_t aUsedTokens)
   {
-    Finish(mAdmission, aRequest, aUsedTokens, std::chrono::steady_clock::now());
+    Finish(mAdmission, aRequest, aUsedTokens, Now());
     mAdmissionTimer.RunSoon();
   }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -170,8 +170,7 @@
 void
 http_connection::Start()
 {
-  mPhaseDeadline =
-    std::chrono::steady_clock::now() + mState->settings.idleTimeout;
+  mPhaseDeadline = Now() + mState->settings.idleTimeout;
   Read();
 }
 
@@ -203,8 +202,7 @@
     return;
   }
   if (mPhase == phase::eHead && mInput.empty()) {
-    mPhaseDeadline =
-      std::chrono::steady_clock::now() + mState->settings.headerTimeout;
+    mPhaseDeadline = Now() + mState->settings.headerTimeout;
   }
   mInput.append(mBuffer.data(), aCount);
   Process();
@@ -260,8 +258,7 @@
   mIsComplete = false;
   mIsTooLarge = false;
   mPhase = phase::eBody;
-  mPhaseDeadline =
-    std::chrono::steady_clock::now() + mState->settings.readTimeout;
+  mPhaseDeadline = Now() + mState->settings.readTimeout;
   const bool canContinue = ProcessBody();
   const bool isPartial = mPhase == phase::eBody;
   if (isPartial && FindField(mRequest.fields, "Expect") != nullptr) {
@@ -448,12 +445,16 @@
 void
 http_connection::Abort(std::uint64_t aRequest)
 {
-  if (MayAnswer(aRequest)) {
+  if (!MayAnswer(aRequest)) {
+    return;
+  }
+  if (!mIsWriting && mOutput.empty()) {
     Close();
+    return;
   }
   mIsAnswered = true;
   mKeepsAlive = false;
-  mPhaseDeadline = std::chrono::steady_clock::now() + kLingerTimeout;
+  mPhaseDeadline = Now() + kLingerTimeout;
   Write();
 }
 
@@ -524,9 +525,8 @@
     BeginLinger();
   } else {
     mPhase = phase::eHead;
-    mPhaseDeadline = std::chrono::steady_clock::now() +
-                     (mInput.empty() ? mState->settings.idleTimeout
-                                     : mState->settings.headerTimeout);
+    mPhaseDeadline = Now() + (mInput.empty() ? mState->settings.idleTimeout
+                                             : mState->settings.headerTimeout);
     Process();
     Read();
   }
@@ -539,7 +539,7 @@
 http_connection::BeginLinger()
 {
   mPhase = phase::eLinger;
-  mPhaseDeadline = std::chrono::steady_clock::now() + kLingerTimeout;
+  mPhaseDeadline = Now() + kLingerTimeout;
   mInput.clear();
   std::error_code ignored; // the peer may have closed first
   mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -119,14 +119,14 @@
       std::make_shared<http_connection>(std::move(aSocket), mState));
     mConnections.back()->Start();
     if (!mIsTimerArmed) {
-      ArmTimer(std::chrono::steady_clock::now() + kTimeoutResolution);
+      ArmTimer(Now() + kTimeoutResolution);
     }
   }
 
   void ArmTimer(steady_time aWhen)
   {
     mIsTimerArmed = true;
-    mTimer.expires_at(aWhen);
+    mTimer.expires_after(aWhen - Now());
     mTimer.async_wait([this, alive = mIsAlive](const std::error_code& aError) {
       if (!aError && *alive) {
         CheckTimeouts();
@@ -139,7 +139,7 @@
   void CheckTimeouts()
   {
     constexpr std::chrono::seconds kMaxCheckInterval{ 1 };
-    const steady_time now = std::chrono::steady_clock::now();
+    const steady_time now = Now();
     steady_time next = now + kMaxCheckInterval;
     for (const auto& connection : std::vector(mConnections)) {
       next = std::min(next, connection->CheckTimeout(now));
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -258,7 +258,7 @@
   {
   }
 
-  void Start() { WaitUntil(std::chrono::steady_clock::now()); }
+  void Start() { WaitUntil(Now()); }
 
   void Stop()
   {
@@ -268,7 +268,7 @@
 
   void HandleArrival()
   {
-    mLastArrival = std::chrono::steady_clock::now();
+    mLastArrival = Now();
     mWasConnected = true;
     mUnanswered = 0;
   }
@@ -278,10 +278,10 @@
 private:
   void WaitUntil(steady_time aTime)
   {
-    mTimer.expires_at(aTime);
+    mTimer.expires_after(aTime - Now());
     mTimer.async_wait([self = shared_from_this()](const std::error_code&) {
       if (!self->mIsStopped) {
-        self->Tick(std::chrono::steady_clock::now());
+        self->Tick(Now());
       }
     });
   }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -13,6 +13,11 @@
 
 namespace bulrush::net {
 
+/// The time now. Counts the time for which the machine was suspended, unlike
+/// std::chrono::steady_clock, whose type it has: points in time of the two are
+/// not comparable.
+steady_time Now();
+
 /// One header field, name as received.
 struct http_field
 {
--- a/src/net/tick_timer.cpp
+++ b/src/net/tick_timer.cpp
@@ -4,8 +4,21 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <ctime>
+
 namespace bulrush::net {
 
+// After a suspension, leases that this process granted or holds have expired
+// for all others. A clock that stood still would keep them.
+steady_time
+Now()
+{
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return steady_time{ std::chrono::seconds{ time.tv_sec } +
+                      std::chrono::nanoseconds{ time.tv_nsec } };
+}
+
 struct tick_timer::state
 {
   asio::io_context& context;
@@ -34,11 +47,12 @@
     return;
   }
   aState->isPending = false;
-  const wake_time wake = aState->onTick(std::chrono::steady_clock::now());
+  const wake_time wake = aState->onTick(Now());
   if (aState->isStopped || wake.at == steady_time::max()) {
     return;
   }
-  aState->timer.expires_at(wake.at);
+  const steady_time now = Now();
+  aState->timer.expires_after(std::max(wake.at, now) - now);
   aState->timer.async_wait([aState](const std::error_code& aError) {
     if (!aError && !aState->isPending) {
       Tick(aState);
--- a/tests/entry/configuration_test.cpp
+++ b/tests/entry/configuration_test.cpp
@@ -13,7 +13,7 @@
   traffic_view view;
   front_end front;
   random_engine random{ 1 };
-  steady_time now = std::chrono::steady_clock::now();
+  steady_time now = net::Now();
 
   configuration_fixture()
   {
