--- a/src/apps/load_process.cpp
+++ b/src/apps/load_process.cpp
@@ -333,8 +333,8 @@
     mInFlight.Insert(std::move(aRequest));
     const auto number = mClient->Start(
       std::move(call),
-      { [this, id](int aStatus, const std::vector<net::http_field>&) {
-         mInFlight.Find(id)->reader.HandleStatus(aStatus);
+      { [this, id](const net::http_answer_head& aHead) {
+         mInFlight.Find(id)->reader.HandleStatus(aHead.status);
        },
         [this, id](std::string_view aBytes) { HandleBytes(id, aBytes); },
         [this, id](const net::http_call_end& aEnd) { End(id, aEnd); } });
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -252,7 +252,7 @@
   bool isFirstOnConnection = false;
   bool isLeaving = false; ///< the endpoint states that it is shutting down
   /// Of a refusal: time for which the endpoint accepts nothing from this host.
-  std::optional<std::chrono::milliseconds> retryAfter;
+  std::optional<std::chrono::milliseconds> retryAfter{};
 };
 
 /// How an attempt ended at the transport.
