--- a/tests/control/simulated_fleet.hpp
+++ b/tests/control/simulated_fleet.hpp
@@ -133,14 +133,17 @@
                                                 reason);
   }
 
-  static endpoint_row Endpoint(std::uint64_t aSequence, bool aIsLeaving)
+  /// The address follows from the length of the name.
+  static endpoint_row Endpoint(const std::string& aName,
+                               std::uint64_t aSequence,
+                               bool aIsLeaving)
   {
     endpoint_row row;
-    row.name = "engine";
+    row.name = aName;
     row.id = IdOf<endpoint_id>(row.name);
     row.incarnation = 1;
     row.sequence = aSequence;
-    row.address = "10.0.0.9:8080";
+    row.address = "10.0.0.9:" + std::to_string(8'000 + aName.size());
     row.domain = IdOf<domain_id>("north");
     row.slots = 8;
     row.isLeaving = aIsLeaving;
@@ -150,9 +153,10 @@
   /// The endpoint's report arrives at a control process.
   void Report(const std::string& aControl,
               std::uint64_t aSequence,
-              bool aIsLeaving = false)
+              bool aIsLeaving = false,
+              const std::string& aName = "engine")
   {
-    endpoint_row row = Endpoint(aSequence, aIsLeaving);
+    endpoint_row row = Endpoint(aName, aSequence, aIsLeaving);
     row.lastSeen = now;
     controls[aControl].tables.httpInbox.push_back(
       { http_call_id{ ++lastCall }, register_endpoint{ std::move(row) } });
@@ -160,11 +164,12 @@
 
   /// The endpoint says at a control process that it leaves for good. Returns
   /// whether that is acknowledged.
-  bool Deregister(const std::string& aControl)
+  bool Deregister(const std::string& aControl,
+                  const std::string& aName = "engine")
   {
     const http_call_id call{ ++lastCall };
     controls[aControl].tables.httpInbox.push_back(
-      { call, deregister_endpoint{ "engine" } });
+      { call, deregister_endpoint{ aName } });
     Run(kStep);
     return answers[call.value] == answer_kind::eDone;
   }
@@ -177,10 +182,10 @@
   }
 
   /// Whether the host may send new requests to the endpoint.
-  bool IsUsed(const std::string& aHost)
+  bool IsUsed(const std::string& aHost, const std::string& aName = "engine")
   {
     for (const endpoint_row& row : *hosts[aHost].view.endpoints) {
-      if (row.name == "engine") {
+      if (row.name == aName) {
         return !row.isLeaving;
       }
     }
@@ -192,6 +197,26 @@
     return hosts[aHost].view.fleet->declared.number;
   }
 
+  /// The process starts again. Its log is kept, all else is lost.
+  void RestartControl(const std::string& aName)
+  {
+    simulated_control& control = controls[aName];
+    const std::uint64_t incarnation = control.tables.self.incarnation;
+    control.tables = {};
+    control.applied = 0;
+    SetUp(aName, control);
+    control.tables.self.incarnation = incarnation + 1;
+  }
+
+  void RestartHost(const std::string& aName)
+  {
+    const entry::entry_tables before = std::move(hosts[aName].tables);
+    hosts[aName] = {};
+    SetUp(aName, 0);
+    entry::entry_tables& tables = hosts[aName].tables;
+    tables.self.incarnation = before.self.incarnation + 1;
+  }
+
 private:
   void Step()
   {
@@ -238,11 +263,17 @@
     }
   }
 
+  std::uint64_t IncarnationOf(const std::string& aName)
+  {
+    return controls.contains(aName) ? controls[aName].tables.self.incarnation
+                                    : hosts[aName].tables.self.incarnation;
+  }
+
   void Deliver(simulated_message& aMessage)
   {
     wire::message message;
     message.sender = aMessage.from;
-    message.incarnation = 1;
+    message.incarnation = IncarnationOf(aMessage.from);
     message.body = std::move(aMessage.body);
     const auto control = controls.find(aMessage.to);
     if (control == controls.end()) {
