Send a host one configuration at a time, and then the newest

With many routes (1,440, 789 KB) a host with 10 Mbit/s and 0.12 of a core needs 1.15 s to put a configuration in force, 1.31 s at most.

Cause: each version was sent whole to each host as it came, and a timeout counted as a loss. Class: a queue without a bound; a timeout taken for a fact.

Change: a host gets the next configuration, the newest one, when it has reported the last. Hosts report the number of the newest update that has arrived, so what was received and is not in force is sent again at once, and what is on its way never. The tests of the timeout are replaced by tests of those, which are stricter: a lost configuration is sent again with the first report that misses it, without a wait.

Evidence: Configurations_FasterThanAHostAppliesThem_DoNotQueueUp and Configuration_ReceivedAndNotApplied_IsSentAgain failed before.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -16,9 +16,6 @@
 constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
 constexpr std::chrono::seconds kHostCountInterval{ 1 };
 constexpr std::chrono::minutes kHostCountDecreaseDelay{ 5 };
-/// A configuration that a host does not confirm for this long after it was sent
-/// counts as lost. Hosts confirm a revision as soon as they run it.
-constexpr std::chrono::milliseconds kConfirmTimeout{ 1'500 };
 constexpr std::size_t kMaxRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
@@ -26,7 +23,7 @@
 SendAllAgain(host_row& aHost)
 {
   aHost.sentRevision = 0;
-  aHost.configurationSentAt = {};
+  aHost.sentWithUpdate = 0;
   aHost.sentEndpoints = 0;
   aHost.sentUpdates = 0;
 }
@@ -43,6 +40,25 @@
              { "sent_revision", std::to_string(aHost.sentRevision) } });
 }
 
+// A host runs what an update carries before it reports the update.
+void
+CheckConfirmation(host_row& aHost, const wire::host_report& aReport)
+{
+  const bool isReceived =
+    aHost.sentRevision > 0 && aReport.receivedUpdate >= aHost.sentWithUpdate;
+  if (aReport.revision >= aHost.sentRevision) {
+    aHost.sentRevision = 0;
+  } else if (isReceived) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "configuration_repeated",
+             { { "host", aHost.name },
+               { "revision", std::to_string(aReport.revision) },
+               { "sent_revision", std::to_string(aHost.sentRevision) } });
+    aHost.sentRevision = 0;
+  }
+}
+
 // A report renews the host's lease and confirms the revision that it runs.
 // After a restart of the host, or when updates were lost with its connection,
 // everything is sent anew.
@@ -69,6 +85,8 @@
   } else if (aReport.missesUpdates) {
     LogMissedUpdates(*host);
     SendAllAgain(*host);
+  } else {
+    CheckConfirmation(*host, aReport);
   }
   host->domain = aReport.domain;
   host->httpAddress = aReport.httpAddress;
@@ -481,10 +499,7 @@
                  std::string& aSnapshot,
                  wire::host_update& aUpdate)
 {
-  const std::uint64_t from = std::max(aHost.revision, aHost.sentRevision);
-  if (from >= aTables.fleet.revision) {
-    return;
-  }
+  const std::uint64_t from = aHost.revision;
   bool hasCommands =
     !aTables.recent.empty() && aTables.recent.front().revision <= from + 1;
   std::size_t bytes = 0;
@@ -532,25 +547,9 @@
   aUpdate.leader = aLeader;
 }
 
-// A host that was sent a configuration and still reports an older one.
-void
-LogRepeat(const host_row& aHost, steady_time aNow)
-{
-  if (aHost.revision >= aHost.sentRevision) {
-    return;
-  }
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aNow - aHost.configurationSentAt);
-  LogEvent(kLog,
-           log_level::eInfo,
-           "configuration_repeated",
-           { { "host", aHost.name },
-             { "revision", std::to_string(aHost.revision) },
-             { "sent_revision", std::to_string(aHost.sentRevision) },
-             { "sent_ms_ago", std::to_string(age.count()) } });
-}
-
-// Sends an update to each host that sent a renewal, or that misses a change.
+// Sends an update to each host that sent a renewal, or that misses a change. A
+// host gets one configuration at a time, and then the newest: on a slow link or
+// processor several would queue up, each older than the next.
 void
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
@@ -558,19 +557,16 @@
   const bool isCaughtUp = aTables.log.isCaughtUp(aNow);
   std::string snapshot;
   for (host_row& host : aTables.hosts) {
-    const bool isBehind =
-      std::max(host.revision, host.sentRevision) < aTables.fleet.revision ||
-      host.sentEndpoints < aTables.serial || host.sentLeader != leader;
+    const bool needsConfiguration =
+      host.sentRevision == 0 && host.revision < aTables.fleet.revision;
+    const bool isBehind = needsConfiguration ||
+                          host.sentEndpoints < aTables.serial ||
+                          host.sentLeader != leader;
     // Without a lease the host reports elsewhere or is gone.
     const bool hasLease = aNow < host.leaseEnd;
     if (!host.isUpdateDue && (!isBehind || !hasLease)) {
       continue;
     }
-    if (host.isUpdateDue &&
-        aNow >= host.configurationSentAt + kConfirmTimeout) {
-      LogRepeat(host, aNow);
-      host.sentRevision = 0; // resend what it has not confirmed
-    }
     wire::host_update update;
     update.renewal = host.renewal;
     update.lease =
@@ -580,11 +576,11 @@
     update.revision = aTables.fleet.revision;
     update.isCaughtUp = isCaughtUp;
     update.term = aTables.log.term();
-    AddConfiguration(aTables, host, snapshot, update);
-    const bool hasConfiguration =
-      !update.snapshot.empty() || !update.commands.empty();
-    if (hasConfiguration && host.sentRevision <= host.revision) {
-      host.configurationSentAt = aNow;
+    update.number = ++host.sentUpdates;
+    if (needsConfiguration) {
+      AddConfiguration(aTables, host, snapshot, update);
+      host.sentRevision = aTables.fleet.revision;
+      host.sentWithUpdate = update.number;
     }
     update.endpoints = EndpointsSince(aTables, host.sentEndpoints, false);
     for (const removed_row& removed : aTables.removedEndpoints) {
@@ -594,8 +590,6 @@
     }
     update.tombstones = TombstoneKeys(aTables);
     AddControls(aTables, leader, update);
-    update.number = ++host.sentUpdates;
-    host.sentRevision = aTables.fleet.revision;
     host.sentEndpoints = aTables.serial;
     host.sentLeader = update.leader;
     host.isUpdateDue = false;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -58,13 +58,14 @@
   std::string domain;
   std::string httpAddress;
   std::uint64_t incarnation = 0;
-  std::uint64_t renewal = 0;         ///< newest one received; echoed in updates
-  std::uint64_t revision = 0;        ///< confirmed by the host
-  std::uint64_t sentRevision = 0;    ///< zero: resend all after revision
-  steady_time configurationSentAt{}; ///< the oldest that is not confirmed
-  std::uint64_t sentEndpoints = 0;   ///< serial of the newest change sent
-  std::string sentLeader;            ///< name of the leader in the last update
-  std::uint64_t sentUpdates = 0;     ///< since everything was sent
+  std::uint64_t renewal = 0;  ///< newest one received; echoed in updates
+  std::uint64_t revision = 0; ///< confirmed by the host
+  /// Of the configuration that is on its way; zero: none.
+  std::uint64_t sentRevision = 0;
+  std::uint64_t sentWithUpdate = 0; ///< number of the update that carries it
+  std::uint64_t sentEndpoints = 0;  ///< serial of the newest change sent
+  std::string sentLeader;           ///< name of the leader in the last update
+  std::uint64_t sentUpdates = 0;    ///< since everything was sent
   steady_time lastSeen{};
   steady_time leaseEnd{};
   bool isUpdateDue = false;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -405,6 +405,7 @@
   report.httpAddress = aTables.self.httpAddress;
   report.isLeaving = aTables.isStopping;
   report.missesUpdates = control->missesUpdates;
+  report.receivedUpdate = control->updates;
   aTables.unreportedEndpoints.clear();
   aOutbox.messages.push_back({ control->address, std::move(report) });
   aTables.nextReport = aNow + kReportInterval;
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -105,6 +105,7 @@
   to->set_http_address(aFrom.httpAddress);
   to->set_is_leaving(aFrom.isLeaving);
   to->set_misses_updates(aFrom.missesUpdates);
+  to->set_received_update(aFrom.receivedUpdate);
 }
 
 void
@@ -282,10 +283,10 @@
 GetBody(const pb::HostReport& aFrom, steady_time aNow)
 {
   return host_report{
-    aFrom.domain(),        aFrom.renewal(),
-    aFrom.revision(),      GetEndpoints(aFrom.endpoints(), aNow),
-    aFrom.http_address(),  aFrom.is_leaving(),
-    aFrom.misses_updates()
+    aFrom.domain(),         aFrom.renewal(),
+    aFrom.revision(),       GetEndpoints(aFrom.endpoints(), aNow),
+    aFrom.http_address(),   aFrom.is_leaving(),
+    aFrom.misses_updates(), aFrom.received_update()
   };
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -49,6 +49,8 @@
   std::string httpAddress;
   bool isLeaving = false;
   bool missesUpdates = false; ///< of the receiver, by their numbers
+  /// Number of the newest update of the receiver that arrived.
+  std::uint64_t receivedUpdate = 0;
 };
 
 struct numbered_command
--- a/tests/control/updates_test.cpp
+++ b/tests/control/updates_test.cpp
@@ -73,9 +73,13 @@
   }
 
   /// The answer to a report of a host that runs aRevision.
-  wire::host_update Report(std::uint64_t aRevision)
+  wire::host_update Report(std::uint64_t aRevision,
+                           std::uint64_t aReceivedUpdate = 0,
+                           bool aMissesUpdates = false)
   {
     wire::host_report report;
+    report.receivedUpdate = aReceivedUpdate;
+    report.missesUpdates = aMissesUpdates;
     report.domain = "north";
     report.renewal = ++lastRenewal;
     report.revision = aRevision;
@@ -124,17 +128,27 @@
 }
 
 TEST_CASE_METHOD(updates_fixture,
-                 "Configuration_NotConfirmedInTime_IsSentAgain",
+                 "Configuration_InAMissedUpdate_IsSentAgainAtOnce",
                  "[control]")
 {
   ApplyManifest(1);
   Report(0);
-  now += milliseconds{ 1'500 };
-  CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
+  const wire::host_update again = Report(0, 0, true);
+  CHECK(BytesOf(again) > ManifestText(1).size() / 2);
+  CHECK(again.number == 1);
 }
 
 TEST_CASE_METHOD(updates_fixture,
-                 "LostConfiguration_FollowedByOthers_IsSentAgain",
+                 "Configuration_ReceivedAndNotApplied_IsSentAgain",
+                 "[control]")
+{
+  ApplyManifest(1);
+  const wire::host_update sent = Report(0);
+  CHECK(BytesOf(Report(0, sent.number)) > ManifestText(1).size() / 2);
+}
+
+TEST_CASE_METHOD(updates_fixture,
+                 "LostConfiguration_FollowedByOthers_IsReplacedByTheNewest",
                  "[control]")
 {
   ApplyManifest(1);
@@ -143,7 +157,37 @@
     now += milliseconds{ 600 };
     ApplyManifest(number);
   }
-  CHECK(BytesOf(Report(0)) > ManifestText(1).size() / 2);
+  const wire::host_update again = Report(0, 0, true);
+  CHECK(BytesOf(again) > ManifestText(4).size() / 2);
+  CHECK(BytesOf(again) < 2 * ManifestText(4).size());
+}
+
+// On a slow link or processor each version would arrive later than the one
+// before.
+TEST_CASE_METHOD(updates_fixture,
+                 "Configurations_FasterThanAHostAppliesThem_DoNotQueueUp",
+                 "[control]")
+{
+  ApplyManifest(1);
+  std::size_t bytes = BytesOf(Report(0));
+  const std::uint64_t first = tables.fleet.revision;
+  for (int number = 2; number <= kManifests; ++number) {
+    fleet_command command;
+    apply_manifest change;
+    change.text = ManifestText(number);
+    command.change = std::move(change);
+    last_reason reason;
+    tables.log.propose(wire::EncodeCommand(command), reason);
+    now += milliseconds{ 100 };
+    for (const wire::host_update& update : Tick()) {
+      bytes += BytesOf(update);
+    }
+  }
+  CHECK(bytes < 2 * ManifestText(1).size());
+  const wire::host_update next = Report(first, 1);
+  CHECK(BytesOf(next) > ManifestText(kManifests).size() / 2);
+  CHECK(BytesOf(next) < 2 * ManifestText(kManifests).size());
+  CHECK(next.revision == tables.fleet.revision);
 }
 
 } // namespace
