--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -132,6 +132,8 @@
   }
 }
 
+// Without the newest report of the endpoint, the one that is known here is
+// taken for it.
 void
 HandleRemoval(control_tables& aTables, const wire::removed_endpoint& aRemoved)
 {
@@ -149,6 +151,13 @@
     return;
   }
   const endpoint_row& row = known->row;
+  if (aRemoved.incarnation == 0) {
+    Remove(aTables,
+           *known,
+           { row.id, row.incarnation, row.sequence, aRemoved.hasLeft },
+           false);
+    return;
+  }
   const bool isCovered =
     row.incarnation < aRemoved.incarnation ||
     (row.incarnation == aRemoved.incarnation &&
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -356,6 +356,11 @@
                                         removed.sequence(),
                                         removed.has_left() });
   }
+  if (aFrom.removed().empty()) { // an earlier release sends ids only
+    for (const auto removed : aFrom.gone()) {
+      gossip.removedEndpoints.push_back({ { removed } });
+    }
+  }
   gossip.tombstones = GetKeys(aFrom.tombstones());
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -122,7 +122,7 @@
 struct removed_endpoint
 {
   endpoint_id id;
-  std::uint64_t incarnation = 0;
+  std::uint64_t incarnation = 0; ///< zero: unknown
   std::uint64_t sequence = 0;
   bool hasLeft = false; ///< only a newer incarnation may return
 };
--- a/tests/control/delivery_test.cpp
+++ b/tests/control/delivery_test.cpp
@@ -153,6 +153,17 @@
   CHECK_FALSE(fleet.IsUsed("host-1"));
 }
 
+TEST_CASE_METHOD(delivery_fixture,
+                 "Removal_OfAnEarlierRelease_IsApplied",
+                 "[control]")
+{
+  wire::endpoint_gossip gossip;
+  gossip.removedEndpoints = { { IdOf<endpoint_id>("engine") } };
+  fleet.messages.push_back({ "control-1", "control-0", gossip });
+  fleet.Run(milliseconds{ 100 });
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+}
+
 TEST_CASE_METHOD(delivery_fixture,
                  "SilentEndpoint_ThatReportsAgain_IsUsedAgain",
                  "[control]")
