--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -419,6 +419,23 @@
 std::optional<confirmed_hosts> ConfirmedHosts(const control_tables& aTables,
                                               steady_time aNow);
 
+/// A host may serve for this long after its report without another one.
+inline constexpr std::chrono::milliseconds kHostLease{ 3'000 };
+
+/// Takes note of what a host's report confirms. After a restart of the host, or
+/// when updates were lost with its connection, everything is sent anew.
+void HandleConfirmation(host_row& aHost,
+                        std::uint64_t aIncarnation,
+                        const wire::host_report& aReport);
+
+/// Systems: send updates to hosts, and endpoints to other control processes.
+void RunUpdates(control_tables& aTables,
+                steady_time aNow,
+                control_outbox& aOutbox);
+void RunGossip(control_tables& aTables,
+               steady_time aNow,
+               control_outbox& aOutbox);
+
 /// Runs one tick: all systems in order.
 void RunControl(control_tables& aTables,
                 steady_time aNow,
--- /dev/null
+++ b/src/control/updates.cpp
@@ -0,0 +1,245 @@
+/// What a control process sends on its own: updates to hosts and gossip to
+/// other control processes.
+
+#include "control/tables.hpp"
+#include "observe/observe.hpp"
+
+namespace bulrush::control {
+namespace {
+
+constexpr log_component kLog{ "control" };
+
+constexpr std::chrono::milliseconds kGossipInterval{ 1'000 };
+
+void
+SendAllAgain(host_row& aHost)
+{
+  aHost.sentRevision = 0;
+  aHost.sentWithUpdate = 0;
+  aHost.sentEndpoints = 0;
+  aHost.sentUpdates = 0;
+}
+
+void
+LogMissedUpdates(const host_row& aHost)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "updates_missed",
+           { { "host", aHost.name },
+             { "sent", std::to_string(aHost.sentUpdates) },
+             { "revision", std::to_string(aHost.revision) },
+             { "sent_revision", std::to_string(aHost.sentRevision) } });
+}
+
+// A host runs what an update carries before it reports the update.
+void
+CheckConfirmation(host_row& aHost, const wire::host_report& aReport)
+{
+  const bool isReceived =
+    aHost.sentRevision > 0 && aReport.receivedUpdate >= aHost.sentWithUpdate;
+  if (aReport.revision >= aHost.sentRevision) {
+    aHost.sentRevision = 0;
+  } else if (isReceived) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "configuration_repeated",
+             { { "host", aHost.name },
+               { "revision", std::to_string(aReport.revision) },
+               { "sent_revision", std::to_string(aHost.sentRevision) } });
+    aHost.sentRevision = 0;
+  }
+}
+
+std::vector<key_hash>
+TombstoneKeys(const control_tables& aTables)
+{
+  std::vector<key_hash> keys;
+  for (const tombstone_row& row : aTables.tombstones) {
+    keys.push_back(row.id);
+  }
+  return keys;
+}
+
+std::size_t
+SizeOf(const fleet_command& aCommand)
+{
+  const auto* manifest = std::get_if<apply_manifest>(&aCommand.change);
+  return manifest == nullptr ? 0
+                             : manifest->text.size() + manifest->patch.size();
+}
+
+// Hosts use neither claims nor the source of the manifest.
+std::string
+EncodeForHosts(fleet_state aState)
+{
+  aState.claims.Clear();
+  aState.declared.source.clear();
+  return wire::EncodeState(aState);
+}
+
+// Adds the commands that the host lacks, or a snapshot if they are not kept or
+// contain more than one whole manifest: a host with a slow link or processor
+// would take seconds for the history. aSnapshot is encoded once for all hosts.
+void
+AddConfiguration(const control_tables& aTables,
+                 const host_row& aHost,
+                 std::string& aSnapshot,
+                 wire::host_update& aUpdate)
+{
+  const std::uint64_t from = aHost.revision;
+  bool hasCommands =
+    !aTables.recent.empty() && aTables.recent.front().revision <= from + 1;
+  std::size_t bytes = 0;
+  for (const wire::numbered_command& command : aTables.recent) {
+    bytes += command.revision > from ? SizeOf(command.command) : 0;
+  }
+  hasCommands = hasCommands && bytes <= aTables.fleet.manifestText.size();
+  if (!hasCommands) {
+    if (aSnapshot.empty()) {
+      aSnapshot = EncodeForHosts(aTables.fleet);
+    }
+    aUpdate.snapshot = aSnapshot;
+    return;
+  }
+  for (const wire::numbered_command& command : aTables.recent) {
+    if (command.revision > from) {
+      aUpdate.commands.push_back(command);
+    }
+  }
+}
+
+std::vector<endpoint_row>
+EndpointsSince(const control_tables& aTables,
+               std::uint64_t aSerial,
+               bool aOwnOnly)
+{
+  std::vector<endpoint_row> rows;
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (known.serial > aSerial && (known.isOwn || !aOwnOnly)) {
+      rows.push_back(known.row);
+    }
+  }
+  return rows;
+}
+
+void
+AddControls(const control_tables& aTables,
+            const std::string& aLeader,
+            wire::host_update& aUpdate)
+{
+  aUpdate.controls.push_back({ aTables.self.name, aTables.self.linkAddress });
+  for (const control_row& control : aTables.controls) {
+    aUpdate.controls.push_back({ control.name, control.address });
+  }
+  aUpdate.leader = aLeader;
+}
+
+} // namespace
+
+void
+HandleConfirmation(host_row& aHost,
+                   std::uint64_t aIncarnation,
+                   const wire::host_report& aReport)
+{
+  if (aIncarnation > aHost.incarnation) {
+    aHost.incarnation = aIncarnation;
+    SendAllAgain(aHost);
+  } else if (aReport.missesUpdates) {
+    LogMissedUpdates(aHost);
+    SendAllAgain(aHost);
+  } else {
+    CheckConfirmation(aHost, aReport);
+  }
+}
+
+// Sends an update to each host that sent a renewal, or that misses a change. A
+// host gets one configuration at a time, and then the newest: on a slow link or
+// processor several would queue up, each older than the next.
+void
+RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  const std::string leader = aTables.log.leaderName();
+  const bool isCaughtUp = aTables.log.isCaughtUp(aNow);
+  std::string snapshot;
+  for (host_row& host : aTables.hosts) {
+    const bool needsConfiguration =
+      host.sentRevision == 0 && host.revision < aTables.fleet.revision;
+    const bool isBehind = needsConfiguration ||
+                          host.sentEndpoints < aTables.serial ||
+                          host.sentLeader != leader;
+    // Without a lease the host reports elsewhere or is gone.
+    const bool hasLease = aNow < host.leaseEnd;
+    if (!host.isUpdateDue && (!isBehind || !hasLease)) {
+      continue;
+    }
+    wire::host_update update;
+    update.renewal = host.renewal;
+    update.lease =
+      host.leaseEnd > aNow
+        ? std::chrono::duration_cast<std::chrono::milliseconds>(kHostLease)
+        : std::chrono::milliseconds(0);
+    update.revision = aTables.fleet.revision;
+    update.isCaughtUp = isCaughtUp;
+    update.term = aTables.log.term();
+    update.number = ++host.sentUpdates;
+    if (needsConfiguration) {
+      AddConfiguration(aTables, host, snapshot, update);
+      host.sentRevision = aTables.fleet.revision;
+      host.sentWithUpdate = update.number;
+    }
+    update.endpoints = EndpointsSince(aTables, host.sentEndpoints, false);
+    for (const removed_row& removed : aTables.removedEndpoints) {
+      if (removed.serial > host.sentEndpoints) {
+        update.removedEndpoints.push_back(removed.id);
+      }
+    }
+    update.tombstones = TombstoneKeys(aTables);
+    AddControls(aTables, leader, update);
+    host.sentEndpoints = aTables.serial;
+    host.sentLeader = update.leader;
+    host.isUpdateDue = false;
+    aOutbox.messages.push_back({ host.name, "", std::move(update) });
+  }
+}
+
+// Changes are sent at once. All endpoints of this domain are sent once a second
+// as well, which repairs the effect of lost messages.
+void
+RunGossip(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  const bool isPeriodic = aNow >= aTables.nextGossip;
+  const wire::domain_status own = OwnDomainStatus(aTables, aNow);
+  if (!isPeriodic && aTables.gossipedSerial == aTables.serial &&
+      aTables.gossipedConfirmed == own.confirmedRevision) {
+    aOutbox.wake.NoLaterThan(aTables.nextGossip);
+    return;
+  }
+  wire::endpoint_gossip gossip;
+  gossip.domain = aTables.self.domain;
+  const std::uint64_t since = isPeriodic ? 0 : aTables.gossipedSerial;
+  gossip.endpoints = EndpointsSince(aTables, since, true);
+  for (const removed_row& removed : aTables.removedEndpoints) {
+    if (removed.serial > since && removed.isOwn) {
+      gossip.removedEndpoints.push_back(removed.removed);
+    }
+  }
+  gossip.tombstones = TombstoneKeys(aTables);
+  gossip.confirmedRevision = own.confirmedRevision;
+  gossip.hosts = own.hosts;
+  gossip.httpAddress = aTables.self.httpAddress;
+  for (const host_row& host : aTables.hosts) {
+    gossip.reporting.push_back(host.id);
+  }
+  aTables.gossipedSerial = aTables.serial;
+  aTables.gossipedConfirmed = own.confirmedRevision;
+  if (isPeriodic) {
+    aTables.nextGossip = aNow + kGossipInterval;
+  }
+  aOutbox.wake.NoLaterThan(aTables.nextGossip);
+  for (const control_row& control : aTables.controls) {
+    aOutbox.messages.push_back({ "", control.name, gossip });
+  }
+}
+
+} // namespace bulrush::control
