Give the ids of calls at hosts a tag of their own

clang-tidy finds two declarations of one name once a test includes the tables of both programs; and name a test's global as the linter asks.

--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -12,7 +12,7 @@
 
 namespace bulrush::entry {
 
-using call_id = typed_id<struct call_tag>;
+using call_id = typed_id<struct host_call_tag>;
 
 /// Snapshot for the traffic threads. Immutable once published.
 struct traffic_view
--- a/tests/net/clock_test.cpp
+++ b/tests/net/clock_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// By which CLOCK_BOOTTIME runs ahead of the other clocks of this program.
-std::chrono::seconds sSuspended{ 0 };
+std::chrono::seconds gSuspended{ 0 };
 
 } // namespace
 
@@ -20,7 +20,7 @@
 {
   const long result = ::syscall(SYS_clock_gettime, aClock, aTime);
   if (aClock == CLOCK_BOOTTIME) {
-    aTime->tv_sec += sSuspended.count();
+    aTime->tv_sec += gSuspended.count();
   }
   return static_cast<int>(result);
 }
@@ -35,19 +35,19 @@
 {
   asio::io_context context;
 
-  clock_fixture() { sSuspended = std::chrono::seconds{ 0 }; }
-  ~clock_fixture() { sSuspended = std::chrono::seconds{ 0 }; }
+  clock_fixture() { gSuspended = std::chrono::seconds{ 0 }; }
+  ~clock_fixture() { gSuspended = std::chrono::seconds{ 0 }; }
   clock_fixture(const clock_fixture&) = delete;
   clock_fixture& operator=(const clock_fixture&) = delete;
 };
 
 // The lease of a leader, of a host and of a quota all end by this clock.
 TEST_CASE_METHOD(clock_fixture,
-                 "Time_WhileTheMachineIsSuspended_Passes",
+                 "Time_WhileTheMachineIgSuspended_Passes",
                  "[net]")
 {
   const steady_time before = Now();
-  sSuspended = std::chrono::seconds{ 5 };
+  gSuspended = std::chrono::seconds{ 5 };
   CHECK(Now() - before >= std::chrono::seconds{ 5 });
 }
 
@@ -60,7 +60,7 @@
     ticks.push_back(aNow);
     wake_time wake;
     if (ticks.size() == 1) {
-      sSuspended = std::chrono::seconds{ 5 };
+      gSuspended = std::chrono::seconds{ 5 };
       wake.NoLaterThan(aNow + std::chrono::seconds{ 3 });
     }
     return wake;
