Keep trailer fields out of an answer's head

An answer without body bytes had its trailer fields among those of its head, where they can say that the endpoint leaves or for how long it refuses. After the empty line only another status line begins a head. Answer_WithTrailersAfterAnEmptyBody_HasNoSuchFields failed before. Also one copy of the text of milliseconds in the entry library.

--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -1,3 +1,4 @@
+#include "entry/request_log.hpp"
 #include "entry/tables.hpp"
 #include "observe/observe.hpp"
 
@@ -67,13 +68,6 @@
   }
 }
 
-std::string
-Milliseconds(std::chrono::nanoseconds aTime)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
-}
-
 bool
 UpdateEndpoint(entry_tables& aTables, const endpoint_row& aRow)
 {
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -7,13 +7,6 @@
 
 constexpr log_component kLog{ "request" };
 
-std::string
-Milliseconds(std::chrono::nanoseconds aTime)
-{
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
-}
-
 // Of the head of an attempt's answer; empty without one.
 struct head_texts
 {
@@ -38,6 +31,13 @@
 
 } // namespace
 
+std::string
+Milliseconds(std::chrono::nanoseconds aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
 void
 LogAttempt(const routing::tables& aEngine,
            const routing::start_attempt& aStart,
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -8,6 +8,9 @@
 
 namespace bulrush::entry {
 
+/// Whole milliseconds, as log lines have them.
+std::string Milliseconds(std::chrono::nanoseconds aTime);
+
 /// aEngine holds the rows of the attempt and its endpoint.
 void LogAttempt(const routing::tables& aEngine,
                 const routing::start_attempt& aStart,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -106,10 +106,11 @@
       "head larger than " + std::to_string(kMaxHeadBytes) + " bytes";
     return 0;
   }
-  if (call.isHeadReported) {
+  const bool isStatusLine = line.starts_with("HTTP/");
+  if (call.isHeadReported || (call.isHeadComplete && !isStatusLine)) {
     return line.size(); // a trailer field
   }
-  if (line.starts_with("HTTP/")) { // a status line; repeated after a 1xx answer
+  if (isStatusLine) { // repeated after a 1xx answer
     call.head.fields.clear();
     call.isHeadComplete = false;
   } else if (line == "\r\n" || line == "\n") {
--- a/tests/net/truncated_answer_test.cpp
+++ b/tests/net/truncated_answer_test.cpp
@@ -25,6 +25,7 @@
   std::unique_ptr<http_client> client = MakeHttpClient(context);
   std::optional<http_call_end> end;
   bool hasHead = false;
+  http_answer_head head;
 
   void Call(const std::string& aAnswer)
   {
@@ -45,7 +46,10 @@
       "/";
     call.timeout = kLongTimeout;
     http_call_hooks hooks;
-    hooks.onHead = [this](const auto&) { hasHead = true; };
+    hooks.onHead = [this](const http_answer_head& aHead) {
+      hasHead = true;
+      head = aHead;
+    };
     hooks.onEnd = [this](const http_call_end& aEnd) { end = aEnd; };
     client->Start(std::move(call), std::move(hooks));
     while (!end) {
@@ -94,5 +98,16 @@
   CHECK(hasHead);
 }
 
+TEST_CASE_METHOD(truncated_answer_fixture,
+                 "Answer_WithTrailersAfterAnEmptyBody_HasNoSuchFields",
+                 "[net]")
+{
+  Call("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Early: 1\r\n\r\n"
+       "0\r\nX-Late: 1\r\n\r\n");
+  CHECK(end->isComplete);
+  CHECK(FindField(head.fields, "X-Early") != nullptr);
+  CHECK(FindField(head.fields, "X-Late") == nullptr);
+}
+
 } // namespace
 } // namespace bulrush::net
