Remember that an endpoint leaves for as long as it is listed

Its row was dropped after ten minutes when another endpoint said that it leaves, and the endpoint was used again if its reports still listed it. LeavingEndpoint_StillListedLongAfter_GetsNoFurtherRequest failed before.

--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -30,7 +30,8 @@
 MarkLeaving(tables& aTables, const attempt_row& aAttempt, steady_time aNow)
 {
   aTables.leaving.EraseIf([&](const leaving_row& aRow) {
-    return aRow.statedAt + aTables.settings.leavingLifetime <= aNow;
+    return aTables.endpoints.Find(aRow.id) == nullptr &&
+           aRow.statedAt + aTables.settings.leavingLifetime <= aNow;
   });
   const leaving_row* known = aTables.leaving.Find(aAttempt.endpoint);
   if (known != nullptr && known->incarnation > aAttempt.incarnation) {
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -407,8 +407,8 @@
   std::chrono::milliseconds detachedTimeout{ 60'000 };
   /// Shortest backoff of an endpoint after an overload refusal.
   std::chrono::milliseconds overloadBackoff{ 100 };
-  /// Rows of leaving endpoints are kept for this long after their last answer,
-  /// far longer than any report is delayed.
+  /// Rows of leaving endpoints are kept while these are listed, and for this
+  /// long after their last answer: far longer than any report is delayed.
   std::chrono::minutes leavingLifetime{ 10 };
   /// An endpoint that did not answer is probed by one request after this time,
   /// which doubles twice on further failures.
--- a/tests/routing/leaving_test.cpp
+++ b/tests/routing/leaving_test.cpp
@@ -78,6 +78,22 @@
   CheckNotUsed(leaving);
 }
 
+TEST_CASE_METHOD(leaving_fixture,
+                 "LeavingEndpoint_StillListedLongAfter_GetsNoFurtherRequest",
+                 "[routing]")
+{
+  const endpoint_id first = AnswerWithLeaving();
+  now += 2 * engine.settings.leavingLifetime;
+  const endpoint_id second = AnswerWithLeaving();
+  REQUIRE(second != first);
+  for (const endpoint_id id : { first, second }) {
+    UpdateEndpoint(engine, Facts(id.value));
+  }
+  REQUIRE(AddRequest(engine, Request()));
+  RunOnce();
+  CHECK(out.starts.empty());
+}
+
 TEST_CASE_METHOD(leaving_fixture,
                  "LeavingEndpoint_StartedAgain_IsUsedAgain",
                  "[routing]")
