--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -110,8 +110,8 @@
   }
 }
 
-// The process that learns of it tells the others, whichever the endpoint
-// reported to before.
+// The process that handles a removal publishes it, whichever process the
+// endpoint reported to before.
 void
 RemoveEndpoint(control_tables& aTables, endpoint_id aEndpoint, bool aHasLeft)
 {
--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -99,8 +99,8 @@
   Answer(aOutbox, aId, answer_kind::eDone, "");
 }
 
-// A process that does not know the endpoint yet has no incarnation to remove
-// and tell the others, so the endpoint has to turn to another one.
+// Without a row of the endpoint there is no incarnation to remove and publish,
+// so the call fails and the endpoint tries another process.
 void
 Handle(control_tables& aTables,
        http_call_id aId,
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -87,7 +87,7 @@
 {
   endpoint_id id;
   std::uint64_t serial = 0;
-  bool isOwn = false; ///< removed by this process, which tells the others
+  bool isOwn = false; ///< removed by this process, which publishes it
   wire::removed_endpoint removed;
 };
 
@@ -393,7 +393,7 @@
 void UpdateEndpoint(control_tables& aTables,
                     const endpoint_row& aRow,
                     bool aIsOwn);
-/// Removes an endpoint that left, or that this process has not heard from.
+/// Removes an endpoint that left, or whose reports to this process stopped.
 void RemoveEndpoint(control_tables& aTables,
                     endpoint_id aEndpoint,
                     bool aHasLeft);
@@ -422,8 +422,8 @@
 /// A host may serve for this long after its report without another one.
 inline constexpr std::chrono::milliseconds kHostLease{ 3'000 };
 
-/// Takes note of what a host's report confirms. After a restart of the host, or
-/// when updates were lost with its connection, everything is sent anew.
+/// Records what a host's report confirms. After a restart of the host, or when
+/// updates were lost with its connection, everything is sent anew.
 void HandleConfirmation(host_row& aHost,
                         std::uint64_t aIncarnation,
                         const wire::host_report& aReport);
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -97,8 +97,8 @@
   }
 }
 
-// The endpoint's next report will show the overload; until then, or for as long
-// as it asks, the endpoint is avoided. The answers to requests that were under
+// The endpoint's next report will show the overload; until then, or until its
+// Retry-After, the endpoint is avoided. The answers to requests that were under
 // way together do not shorten the time.
 void
 RecordOverload(tables& aTables, const attempt_row& aAttempt, steady_time aNow)
--- a/tests/control/delivery_test.cpp
+++ b/tests/control/delivery_test.cpp
@@ -90,7 +90,7 @@
                  "[control]")
 {
   fleet.controls["control-1"].lags = true;
-  // Host-0 turns to the process that lags, and stays when the leader is back.
+  // Host-0 reports to the process that lags, also when the leader is back.
   fleet.controls["control-0"].isStopped = true;
   fleet.Run(milliseconds{ 4'000 });
   fleet.controls["control-0"].isStopped = false;
@@ -101,10 +101,10 @@
 }
 
 TEST_CASE_METHOD(delivery_fixture,
-                 "RemovedEndpoint_ToldToAnotherProcess_IsUsedNoLonger",
+                 "Removal_AtAProcessWithoutItsReports_EndsItsUse",
                  "[control]")
 {
-  // control-0 still gets reports until the endpoint turns to control-1.
+  // The endpoint reports to control-0, then calls control-1.
   fleet.Report("control-0", 2);
   fleet.Run(milliseconds{ 500 });
   CHECK(fleet.Deregister("control-1"));
@@ -122,7 +122,7 @@
   CHECK_FALSE(fleet.Deregister("control-1"));
   CHECK(fleet.Deregister("control-0"));
   fleet.Run(milliseconds{ 1'500 });
-  CHECK(fleet.Deregister("control-1")); // has learned of it meanwhile
+  CHECK(fleet.Deregister("control-1")); // by gossip
   CHECK_FALSE(fleet.IsUsed("host-0"));
   CHECK_FALSE(fleet.IsUsed("host-1"));
 }
