Log why a silent attempt is not moved, and endpoints that go under one

The lines on a request that got no byte until its deadline cannot tell whether no other endpoint could take it, its attempts or the retry budget were used up, or its endpoint was removed meanwhile. An attempt that is past its timeout and goes on now reports the reason, once each; so does the removal of an endpoint that still runs attempts. No decision changes.

Attempt_KeptPastItsTarget_IsReportedOnceAReason covers the reasons.

--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -99,6 +99,33 @@
              { "took_ms", Milliseconds(aAttempt.took) } });
 }
 
+void
+LogKeptAttempt(const routed_request& aRequest,
+               const std::string& aEndpoint,
+               const routing::kept_attempt& aKept,
+               steady_time aNow)
+{
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "attempt_kept",
+    { { "request", aRequest.callerId },
+      { "endpoint", aEndpoint },
+      { "reason", routing::Name(aKept.reason) },
+      { "idle_ms", Milliseconds(aKept.idle) },
+      { "time_left_ms", Milliseconds(aRequest.facts.deadline - aNow) } });
+}
+
+void
+LogRemovedEndpoint(const std::string& aEndpoint, std::uint32_t aInFlight)
+{
+  LogEvent(
+    kLog,
+    log_level::eInfo,
+    "endpoint_removed",
+    { { "endpoint", aEndpoint }, { "in_flight", std::to_string(aInFlight) } });
+}
+
 void
 LogRequestEnd(const routed_request& aRequest,
               const routing::end_request& aEnd,
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -35,6 +35,15 @@
 void LogFailedAttempt(const routed_request& aRequest,
                       const failed_attempt& aAttempt);
 
+/// An attempt that is past its timeout and is not moved.
+void LogKeptAttempt(const routed_request& aRequest,
+                    const std::string& aEndpoint,
+                    const routing::kept_attempt& aKept,
+                    steady_time aNow);
+
+/// An endpoint that is no longer listed while aInFlight attempts run there.
+void LogRemovedEndpoint(const std::string& aEndpoint, std::uint32_t aInFlight);
+
 void LogRequestEnd(const routed_request& aRequest,
                    const routing::end_request& aEnd,
                    int aStatus,
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -196,6 +196,7 @@
     mReports.EraseIf([&](const report_key& aKnown) {
       const bool isGone = !present.contains(aKnown.id);
       if (isGone) {
+        LogRemovalUnderAttempts(aKnown.id);
         routing::RemoveEndpoint(mEngine, aKnown.id);
         mEndpointNames.erase(aKnown.id);
       }
@@ -203,6 +204,14 @@
     });
   }
 
+  void LogRemovalUnderAttempts(endpoint_id aEndpoint) const
+  {
+    const auto* endpoint = mEngine.endpoints.Find(aEndpoint);
+    if (endpoint != nullptr && endpoint->inFlight > 0) {
+      LogRemovedEndpoint(mEndpointNames.at(aEndpoint), endpoint->inFlight);
+    }
+  }
+
   // Only withdrawal cancels requests. A key that is just removed from the
   // manifest admits no new requests, and those admitted are finished.
   void CancelWithdrawnKeys()
@@ -339,6 +348,15 @@
     }
   }
 
+  void LogKept(const routing::kept_attempt& aKept, steady_time aNow) const
+  {
+    const waiting_row* waiting = mWaiting.Find(aKept.request);
+    const call_row* call = mCalls.Find(aKept.attempt);
+    if (waiting != nullptr && call != nullptr) {
+      LogKeptAttempt(waiting->request, call->metadata.endpoint, aKept, aNow);
+    }
+  }
+
   // A stream without its end mark is truncated even if the message is complete.
   bool IsWhole(const call_row& aRow) const
   {
@@ -379,6 +397,9 @@
     for (const routing::start_attempt& each : mOutbox.starts) {
       StartCall(each);
     }
+    for (const routing::kept_attempt& each : mOutbox.kept) {
+      LogKept(each, aNow);
+    }
     EraseEnded();
     NotifyIfIdle();
     mDemand.Report(mEngine, aNow, mOutbox.wake);
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -92,10 +92,11 @@
                       const request_row& aRequest,
                       steady_time aNow);
 
-/// True when the request's attempt may be replaced by one at another endpoint.
-bool CanMoveAttempt(tables& aTables,
-                    const request_row& aRequest,
-                    steady_time aNow);
+/// Why the request's attempt cannot be replaced by one at another endpoint;
+/// eNone if it can.
+stay_reason WhyAttemptStays(tables& aTables,
+                            const request_row& aRequest,
+                            steady_time aNow);
 
 /// Longest gap in a stream before the request moves to another endpoint.
 std::chrono::milliseconds IdleTimeout(const options& aOptions,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -1,5 +1,7 @@
 #include "routing/parts.hpp"
 
+#include <utility>
+
 namespace bulrush::routing {
 
 namespace {
@@ -56,6 +58,21 @@
   aAttempt.timeoutAt = std::min(aLatest, aNow + aOptions.minIdleTimeout);
 }
 
+void
+ReportKept(attempt_row& aAttempt,
+           stay_reason aReason,
+           steady_time aNow,
+           outbox& aOutbox)
+{
+  if (std::exchange(aAttempt.stays, aReason) == aReason) {
+    return;
+  }
+  const steady_time progress =
+    std::max(aAttempt.startedAt, aAttempt.lastProgressAt);
+  aOutbox.kept.push_back(
+    { aAttempt.id, aAttempt.request, aReason, aNow - progress });
+}
+
 // An idempotent request or a stream fails this attempt and may be retried at
 // another endpoint. Any other request ends: it has no further attempt.
 void
@@ -71,7 +88,9 @@
       ? std::min(aRequest.facts.lastByteDeadline,
                  aAttempt.lastProgressAt + aTables.settings.streamIdleTimeout)
       : aRequest.facts.deadline;
-  if (aNow < last && !CanMoveAttempt(aTables, aRequest, aNow)) {
+  const stay_reason stays = WhyAttemptStays(aTables, aRequest, aNow);
+  if (aNow < last && stays != stay_reason::eNone) {
+    ReportKept(aAttempt, stays, aNow, aOutbox);
     ExtendTimeout(aTables.settings, aAttempt, last, aNow);
     return;
   }
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -115,17 +115,24 @@
   return (isFree || aInput.budget >= 1.0) && aInput.timeLeft.count() > 0;
 }
 
-bool
-CanMoveAttempt(tables& aTables, const request_row& aRequest, steady_time aNow)
+stay_reason
+WhyAttemptStays(tables& aTables, const request_row& aRequest, steady_time aNow)
 {
-  return aRequest.facts.isIdempotent &&
-         HasAttemptLeft(aTables.settings, aRequest) &&
-         HasOtherEndpoint(aTables, aRequest, aNow) &&
-         aTables.policy.retry(
-           { aRequest,
-             FindOrAddRetryBudget(aTables, aRequest.facts.service).budget,
-             TimeLeft(aRequest, aNow),
-             MaxAttempts(aTables.settings, aRequest) });
+  if (!aRequest.facts.isIdempotent) {
+    return stay_reason::eNotRepeatable;
+  }
+  if (!HasAttemptLeft(aTables.settings, aRequest)) {
+    return stay_reason::eNoAttemptLeft;
+  }
+  if (!HasOtherEndpoint(aTables, aRequest, aNow)) {
+    return stay_reason::eNoOther;
+  }
+  const bool mayRetry = aTables.policy.retry(
+    { aRequest,
+      FindOrAddRetryBudget(aTables, aRequest.facts.service).budget,
+      TimeLeft(aRequest, aNow),
+      MaxAttempts(aTables.settings, aRequest) });
+  return mayRetry ? stay_reason::eNone : stay_reason::eNoRetryBudget;
 }
 
 std::chrono::milliseconds
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -45,9 +45,20 @@
   eKeyWithdrawn
 };
 
+/// Why an attempt that made no progress was not moved to another endpoint.
+enum class stay_reason : std::uint8_t
+{
+  eNone,          ///< it was moved
+  eNotRepeatable, ///< the request may run once only
+  eNoAttemptLeft, ///< all attempts of the request are used
+  eNoOther,       ///< no other endpoint could take it
+  eNoRetryBudget  ///< the retry rule refused
+};
+
 /// Short names for logs, metrics and error bodies.
 const char* Name(ran_state aRan);
 const char* Name(request_outcome aOutcome);
+const char* Name(stay_reason aReason);
 
 // Endpoints ----------------------------------------------------------------
 
@@ -292,6 +303,7 @@
   steady_time firstByteAt;
   std::uint64_t received = 0; ///< end offset of the bytes without a gap
   bool hasGap = false;
+  stay_reason stays = stay_reason::eNone; ///< as last reported
   attempt_end end = attempt_end::eNone;
 };
 
@@ -527,6 +539,15 @@
   attempt_id attempt;
 };
 
+/// An attempt is past its timeout and goes on; reported once a reason.
+struct kept_attempt
+{
+  attempt_id attempt;
+  request_id request;
+  stay_reason reason = stay_reason::eNone;
+  std::chrono::nanoseconds idle{ 0 }; ///< since its last progress
+};
+
 struct request_claim
 {
   request_id request;
@@ -579,6 +600,7 @@
   std::vector<end_request> ends;
   std::vector<request_claim> claims;
   std::vector<start_attempt> starts;
+  std::vector<kept_attempt> kept;
   wake_time wake;
 
   void Clear();
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -48,6 +48,7 @@
   ends.clear();
   claims.clear();
   starts.clear();
+  kept.clear();
   wake = {};
 }
 
@@ -107,4 +108,21 @@
   }
 }
 
+const char*
+Name(stay_reason aReason)
+{
+  switch (aReason) {
+    case stay_reason::eNotRepeatable:
+      return "not_repeatable";
+    case stay_reason::eNoAttemptLeft:
+      return "no_attempt_left";
+    case stay_reason::eNoOther:
+      return "no_other_endpoint";
+    case stay_reason::eNoRetryBudget:
+      return "no_retry_budget";
+    default:
+      return "none";
+  }
+}
+
 } // namespace bulrush::routing
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -247,6 +247,33 @@
   CheckEnd(request_outcome::eAnswered, ran_state::eRan);
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempt_KeptPastItsTarget_IsReportedOnceAReason",
+                 "[routing]")
+{
+  engine.settings.retryShare = 0;
+  engine.settings.retryBurst = 0;
+  request_facts facts = Request();
+  facts.targetFirstByte = milliseconds{ 100 };
+  facts.deadline = now + std::chrono::seconds{ 10 };
+  const start_attempt sent = Send(facts);
+  RunOnce(milliseconds{ 200 });
+  REQUIRE(out.kept.size() == 1);
+  CHECK(out.kept.front().attempt == sent.attempt);
+  CHECK(out.kept.front().reason == stay_reason::eNoRetryBudget);
+  CHECK(out.kept.front().idle == milliseconds{ 200 });
+  RunOnce(engine.settings.minIdleTimeout);
+  CHECK(out.kept.empty());
+  for (const endpoint_row& row : engine.endpoints) {
+    if (row.id != sent.endpoint) {
+      RemoveEndpoint(engine, row.id);
+    }
+  }
+  RunOnce(engine.settings.minIdleTimeout);
+  REQUIRE(out.kept.size() == 1);
+  CHECK(out.kept.front().reason == stay_reason::eNoOther);
+}
+
 TEST_CASE_METHOD(retry_fixture,
                  "Attempt_WhenNotSent_DoesNotCountTowardsTheLimit",
                  "[routing]")
