Keep an unfinished answer in blocks

A host grew by up to three times the limit of one answer: the text in which an answer gathers doubles when it is full and is copied meanwhile. The bytes now lie in blocks of 64 KiB, and only new bytes are searched for the end of an event.

--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view kEndMark = "data: [DONE]";
 /// "\r\n\r" may become the end of an event.
 constexpr std::size_t kLongestPart = 3;
+constexpr std::size_t kBlockBytes = 65'536;
 
 // Events end with an empty line; lines end with LF or CRLF. aFrom: no earlier
 // line feed is followed by an empty line.
@@ -66,6 +67,51 @@
 
 } // namespace
 
+void
+byte_blocks::Append(std::string_view aBytes)
+{
+  mSize += aBytes.size();
+  while (!aBytes.empty()) {
+    if (mBlocks.empty() || mBlocks.back().size() == kBlockBytes) {
+      mBlocks.emplace_back();
+    }
+    std::string& block = mBlocks.back();
+    const std::size_t count =
+      std::min(aBytes.size(), kBlockBytes - block.size());
+    block += aBytes.substr(0, count);
+    aBytes.remove_prefix(count);
+  }
+}
+
+std::string
+byte_blocks::Take()
+{
+  std::string bytes;
+  if (mBlocks.size() == 1) {
+    bytes = std::move(mBlocks.front());
+    mBlocks.clear();
+  }
+  bytes.reserve(mSize);
+  for (; !mBlocks.empty(); mBlocks.pop_front()) {
+    bytes += mBlocks.front();
+  }
+  mSize = 0;
+  return bytes;
+}
+
+std::string
+byte_blocks::Last(std::size_t aCount) const
+{
+  std::string bytes;
+  for (auto block = mBlocks.rbegin();
+       block != mBlocks.rend() && bytes.size() < aCount;
+       ++block) {
+    const std::size_t count = std::min(block->size(), aCount - bytes.size());
+    bytes.insert(0, *block, block->size() - count, count);
+  }
+  return bytes;
+}
+
 answer_buffer::answer_buffer(bool aIsStream, std::uint64_t aOffset)
   : mIsStream(aIsStream)
   , mNextUnit(aOffset)
@@ -86,7 +132,7 @@
   if (mIsStream) {
     return AddEvents(aBytes);
   }
-  mTail += aBytes;
+  mTail.Append(aBytes);
   mNextUnit += aBytes.size();
   return aBytes.size();
 }
@@ -111,35 +157,38 @@
   return true;
 }
 
+// Only the new bytes are searched, after the last ones of an incomplete event
+// that may be a part of its end.
 std::uint64_t
 answer_buffer::AddEvents(std::string_view aBytes)
 {
   if (mIsOutOfOrder) {
     return 0;
   }
-  mTail += aBytes;
+  const std::string part = mTail.Last(kLongestPart);
+  const std::string searched = part + std::string(aBytes);
   std::uint64_t completed = 0;
-  std::size_t begin = 0;
-  for (std::size_t end = EndOfEvent(mTail, mSearchedBytes);
-       end != std::string::npos && AddEvent(mTail.substr(begin, end - begin));
-       end = EndOfEvent(mTail, begin)) {
+  std::size_t begin = part.size(); // of the bytes that are not in mTail yet
+  for (std::size_t end = EndOfEvent(searched, 0); end != std::string::npos;
+       end = EndOfEvent(searched, begin)) {
+    mTail.Append(std::string_view(searched).substr(begin, end - begin));
     begin = end;
+    if (!AddEvent(mTail.Take())) {
+      return completed;
+    }
     ++completed;
   }
-  mTail.erase(0, begin);
-  // An incomplete event is not searched again, except for a part of its end.
-  mSearchedBytes = mTail.size() - std::min(mTail.size(), kLongestPart);
+  mTail.Append(std::string_view(searched).substr(begin));
   return completed;
 }
 
 std::uint64_t
 answer_buffer::EndMessage()
 {
-  if (!mIsStream || mTail.empty() || mIsOutOfOrder) {
+  if (!mIsStream || mTail.Size() == 0 || mIsOutOfOrder) {
     return 0;
   }
-  mSearchedBytes = 0;
-  return AddEvent(std::exchange(mTail, {})) ? 1 : 0;
+  return AddEvent(mTail.Take()) ? 1 : 0;
 }
 
 std::string
@@ -147,7 +196,7 @@
 {
   if (!mIsStream) {
     mBufferedBytes = 0;
-    return std::exchange(mTail, {});
+    return mTail.Take();
   }
   std::string taken;
   for (std::uint64_t i = 0; i < aCount && !mEvents.empty(); ++i) {
--- a/src/entry/answer.hpp
+++ b/src/entry/answer.hpp
@@ -10,6 +10,23 @@
 
 namespace bulrush::entry {
 
+/// Bytes in blocks of bounded size. A string that grows copies itself into one
+/// of twice the size, so that for a while it takes three times its size.
+class byte_blocks
+{
+public:
+  void Append(std::string_view aBytes);
+  /// Removes and returns all bytes.
+  std::string Take();
+  std::size_t Size() const { return mSize; }
+  /// The last aCount bytes, or all if there are fewer.
+  std::string Last(std::size_t aCount) const;
+
+private:
+  std::deque<std::string> mBlocks;
+  std::size_t mSize = 0;
+};
+
 class answer_buffer
 {
 public:
@@ -56,9 +73,7 @@
   bool mHasEndMark = false;
   std::uint64_t mNextUnit;
   std::size_t mBufferedBytes = 0;
-  std::string mTail; ///< incomplete event of a stream, else the body
-  /// Bytes of mTail that cannot be the start of an event's end.
-  std::size_t mSearchedBytes = 0;
+  byte_blocks mTail; ///< incomplete event of a stream, else the body
   std::string mLastEvent;
   std::deque<stream_event> mEvents;
   bool mRequiresRisingIds = false;
--- a/tests/entry/answer_test.cpp
+++ b/tests/entry/answer_test.cpp
@@ -57,6 +57,31 @@
   CHECK(Units({ "\n" }) == std::vector<std::string>{ "\n\n" });
 }
 
+TEST_CASE_METHOD(answer_fixture,
+                 "Body_InPartsOfAnySize_IsTakenWhole",
+                 "[entry]")
+{
+  answer_buffer body(false, 0);
+  std::string expected;
+  for (const std::size_t size : { 1, 65'535, 1, 65'536, 200'000, 3 }) {
+    const std::string part(size, static_cast<char>('a' + expected.size() % 26));
+    CHECK(body.Add(part) == size);
+    expected += part;
+  }
+  CHECK(body.BufferedBytes() == expected.size());
+  CHECK(body.Take(0) == expected);
+  CHECK(body.Take(0).empty());
+}
+
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_WhenAnEventIsLargerThanABlock_IsSplitAtItsEnd",
+                 "[entry]")
+{
+  const std::string text = "data: " + std::string(150'000, 'x');
+  CHECK(Units({ text, "\r\n\r", "\ndata" }) ==
+        std::vector<std::string>{ text + "\r\n\r\n" });
+}
+
 TEST_CASE_METHOD(answer_fixture,
                  "ResumedStream_ThatStartsAgain_IsOutOfOrder",
                  "[entry]")
