Keep waiting for signals during a planned stop

Cause: OnStopSignal waited once and then dropped its signal_set, which gave SIGTERM and SIGINT their default action back. A second signal during a planned stop ended the process at once. Change: the set waits for as long as the io_context exists. The first signal calls the stop hook; each later one calls a second hook, which leaves a log line and changes nothing. bulrush-entry, bulrush-control, fake-endpoint and bulrush-load all pass one. SIGHUP already waited again and is covered by the tests now.

--- a/src/apps/fake_main.cpp
+++ b/src/apps/fake_main.cpp
@@ -263,7 +263,10 @@
     LogError(kLog, "Cannot start: {}", Describe(reason));
     return 1;
   }
-  net::OnStopSignal(context, [&context] { context.stop(); });
+  net::OnStopSignal(
+    context,
+    [&context] { context.stop(); },
+    [] { LogInfo(kLog, "Already stopping"); });
   context.run();
   return 0;
 }
--- a/src/apps/load_main.cpp
+++ b/src/apps/load_main.cpp
@@ -279,7 +279,10 @@
       report = aReport;
       context.stop();
     });
-  net::OnStopSignal(context, [&process] { process.Stop(); });
+  net::OnStopSignal(
+    context,
+    [&process] { process.Stop(); },
+    [] { WriteLogLines(kLog, log_level::eInfo, "already stopping"); });
   process.Start();
   context.run();
   return Report(*options, *plan, report);
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -563,10 +563,13 @@
     LogError(kLog, "Cannot start: {}", Describe(reason));
     return 1;
   }
-  net::OnStopSignal(context, [&process] {
-    LogInfo(kLog, "Stops");
-    process.BeginStop();
-  });
+  net::OnStopSignal(
+    context,
+    [&process] {
+      LogInfo(kLog, "Stops");
+      process.BeginStop();
+    },
+    [] { LogInfo(kLog, "Stop signal ignored: already stopping"); });
   net::OnReloadSignal(context, [] {
     LogInfo(kLog, "SIGHUP ignored: settings are read at startup only");
   });
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -241,7 +241,10 @@
   {
     const auto guard = asio::make_work_guard(mTrafficContext);
     std::thread traffic([this] { mTrafficContext.run(); });
-    net::OnStopSignal(mControlContext, [this] { BeginStop(); });
+    net::OnStopSignal(
+      mControlContext,
+      [this] { BeginStop(); },
+      [] { LogInfo(kLog, "Stop signal ignored: already stopping"); });
     // Control processes are discovered from connected ones, so changed seeds
     // only matter at the next start.
     net::OnReloadSignal(mControlContext, [] {
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -274,8 +274,11 @@
   std::shared_ptr<state> mState;
 };
 
-/// Calls aOnSignal once for SIGTERM or SIGINT.
-void OnStopSignal(asio::io_context& aContext, std::function<void()> aOnSignal);
+/// Calls aOnSignal for the first SIGTERM or SIGINT, and aOnRepeat for each
+/// later one, so that a second signal does not end a process that is stopping.
+void OnStopSignal(asio::io_context& aContext,
+                  std::function<void()> aOnSignal,
+                  std::function<void()> aOnRepeat);
 
 /// Calls aOnSignal for each SIGHUP.
 void OnReloadSignal(asio::io_context& aContext,
--- a/src/net/tick_timer.cpp
+++ b/src/net/tick_timer.cpp
@@ -83,39 +83,48 @@
   asio::post(mState->context, [state = mState] { Tick(state); });
 }
 
-void
-OnStopSignal(asio::io_context& aContext, std::function<void()> aOnSignal)
-{
-  auto signals = std::make_shared<asio::signal_set>(aContext, SIGTERM, SIGINT);
-  signals->async_wait(
-    [signals, hook = std::move(aOnSignal)](const std::error_code& aError, int) {
-      if (!aError) {
-        hook();
-      }
-    });
-}
-
 namespace {
 
+using signal_hook = std::function<void()>;
+
+// A signal_set that is destroyed restores the default action, which ends the
+// process, so the wait goes on for as long as the io_context exists.
 void
-WaitForReload(const std::shared_ptr<asio::signal_set>& aSignals,
-              const std::shared_ptr<std::function<void()>>& aHook)
+WaitForSignals(const std::shared_ptr<asio::signal_set>& aSignals,
+               const std::shared_ptr<signal_hook>& aHook)
 {
   aSignals->async_wait([aSignals, aHook](const std::error_code& aError, int) {
     if (!aError) {
       (*aHook)();
-      WaitForReload(aSignals, aHook);
+      WaitForSignals(aSignals, aHook);
     }
   });
 }
 
 } // namespace
 
+void
+OnStopSignal(asio::io_context& aContext,
+             std::function<void()> aOnSignal,
+             std::function<void()> aOnRepeat)
+{
+  signal_hook hook = [onSignal = std::move(aOnSignal),
+                      onRepeat = std::move(aOnRepeat)]() mutable {
+    if (const auto first = std::exchange(onSignal, nullptr)) {
+      first();
+    } else {
+      onRepeat();
+    }
+  };
+  WaitForSignals(std::make_shared<asio::signal_set>(aContext, SIGTERM, SIGINT),
+                 std::make_shared<signal_hook>(std::move(hook)));
+}
+
 void
 OnReloadSignal(asio::io_context& aContext, std::function<void()> aOnSignal)
 {
-  WaitForReload(std::make_shared<asio::signal_set>(aContext, SIGHUP),
-                std::make_shared<std::function<void()>>(std::move(aOnSignal)));
+  WaitForSignals(std::make_shared<asio::signal_set>(aContext, SIGHUP),
+                 std::make_shared<signal_hook>(std::move(aOnSignal)));
 }
 
 } // namespace bulrush::net
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -78,6 +78,31 @@
   CHECK(running.entries[0]->Wait() == 0);
 }
 
+TEST_CASE_METHOD(stop_fixture,
+                 "Entry_WhenSignalledAgainDuringAStop_FinishesTheStream",
+                 "[process]")
+{
+  auto streamed =
+    std::async(std::launch::async, [this] { return Complete(100); });
+  REQUIRE(WaitUntil([&] {
+    const auto stats = nlohmann::json::parse(
+      SendHttpRequest(
+        "GET", "http://" + running.endpointAddresses["engine"] + "/stats")
+        .body);
+    return stats["running"] == 1;
+  }));
+  running.entries[0]->Signal(SIGTERM);
+  REQUIRE(WaitUntil([&] { return ReadyStatus() != 200; }));
+  constexpr std::chrono::milliseconds kBetweenSignals{ 200 };
+  CHECK(streamed.wait_for(kBetweenSignals) == std::future_status::timeout);
+  running.entries[0]->Signal(SIGTERM);
+  running.entries[0]->Signal(SIGHUP);
+  const http_answer answer = streamed.get();
+  CHECK(answer.status == 200);
+  CHECK(answer.body.ends_with("data: [DONE]\n\n"));
+  CHECK(running.entries[0]->Wait() == 0);
+}
+
 TEST_CASE_METHOD(stop_fixture,
                  "Entry_WhenStoppedIdle_ExitsWithZero",
                  "[process]")
