Sync recovered records of the log before they count

If the process before it had ended between a write and its sync (killed, or because its disk was full), the records were only in the page cache: the new process confirmed them to its leader, or its vote to a candidate, without another sync, and a later power loss removed them.

--- a/src/replication/disk.cpp
+++ b/src/replication/disk.cpp
@@ -168,8 +168,9 @@
   std::optional<stored> Recover(replica_id aNewIdentity,
                                 recovered_log& aLog,
                                 last_reason& aReason);
-  std::optional<stored> RemoveTornTail(const recovered_log& aLog,
-                                       last_reason& aReason);
+  std::optional<stored> MakeDurable(const recovered_log& aLog,
+                                    std::string_view aJournal,
+                                    last_reason& aReason);
   std::optional<stored> OpenJournal(last_reason& aReason);
   std::optional<stored> WriteJournal(const recovered_log& aLog,
                                      last_reason& aReason);
@@ -325,23 +326,39 @@
   return OpenJournal(aReason);
 }
 
-// A torn tail was never confirmed to anyone. It is removed before new records
-// are written, and the truncation is synced, so that the tail cannot reappear
-// between them.
+// Syncs what the process before this one left unsynced: it may have ended
+// between a write and its sync, and the caller relies on all recovered records.
+// Writes these records again in place, since a sync after a failed one may
+// report success for pages that the kernel has dropped. A torn tail was never
+// confirmed to anyone and is removed, so that it cannot reappear between later
+// records.
 std::optional<stored>
-disk_log::state::RemoveTornTail(const recovered_log& aLog, last_reason& aReason)
+disk_log::state::MakeDurable(const recovered_log& aLog,
+                             std::string_view aJournal,
+                             last_reason& aReason)
 {
-  if (aLog.tornTailBytes == 0) {
-    return stored{};
+  const std::string path = JournalPath();
+  const std::uint64_t kept = size - aLog.tornTailBytes;
+  if (aLog.tornTailBytes > 0 &&
+      ::ftruncate(journal.value, static_cast<off_t>(kept)) != 0) {
+    return FailErrno(aReason, "truncate torn tail", path);
+  }
+  const std::uint64_t synced = std::min(aLog.syncedBytes, kept);
+  const descriptor file(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
+  if (file.value < 0 ||
+      ::lseek(file.value, static_cast<off_t>(synced), SEEK_SET) < 0) {
+    return FailErrno(aReason, "open", path);
   }
-  const off_t keptBytes = static_cast<off_t>(size - aLog.tornTailBytes);
-  if (::ftruncate(journal.value, keptBytes) != 0 ||
-      disk.sync(journal.value) != 0) {
-    return FailErrno(aReason, "truncate torn tail", JournalPath());
+  const std::string_view unsynced = aJournal.substr(synced, kept - synced);
+  if (!WriteAll(disk, file.value, unsynced, path, aReason)) {
+    return std::nullopt;
   }
-  size = static_cast<std::uint64_t>(keptBytes);
-  syncedBytes = size;
-  return stored{};
+  if (disk.sync(file.value) != 0) {
+    return FailErrno(aReason, "sync", path);
+  }
+  size = kept;
+  syncedBytes = kept;
+  return SyncFolder(disk, folder, aReason);
 }
 
 std::optional<stored>
@@ -386,7 +403,7 @@
   if (!OpenJournal(aReason)) {
     return std::nullopt;
   }
-  return RemoveTornTail(aLog, aReason);
+  return MakeDurable(aLog, *bytes, aReason);
 }
 
 std::optional<stored>
--- a/src/replication/journal.cpp
+++ b/src/replication/journal.cpp
@@ -321,6 +321,7 @@
   recovered_log log;
   log.identity = header->identity;
   log.base = header->base;
+  log.syncedBytes = header->initialBytes;
   std::uint64_t offset = first->end;
   while (offset < aFile.size()) {
     const auto next = RecordAt(aFile, offset, aSeed);
@@ -331,6 +332,7 @@
       return Fail(
         aReason, step, aPath, OffsetText("a record out of order", offset));
     }
+    log.syncedBytes = std::max(log.syncedBytes, next->syncedBytes);
     offset = next->end;
   }
   if (WasSynced(aFile, offset, aSeed, header->initialBytes)) {
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -201,6 +201,7 @@
   log_position base; ///< position before the first of `entries`
   std::vector<log_entry> entries;
   std::uint64_t tornTailBytes = 0; ///< removed incomplete writes at the end
+  std::uint64_t syncedBytes = 0;   ///< known to be synced before the restart
 };
 
 /// System calls that tests replace to inject failures.
