End no running call because its server is silent

Cause: each connection to a server had TCP_USER_TIMEOUT of 1,000 ms and keep-alive probes that gave up after about 2 s, also while a call ran on it. A machine that stood still for a second and went on lost its calls; those that may run once and streams that could not be resumed ended, though their deadline was later. Routing cannot extend what the transport ends.

Change: both limits apply only to connections that no call uses, which are the descriptors that libcurl does not have watched; a paused call counts as use. Deadlines and moves stay with routing.

Callers saw 502 "the answer was lost" 1.5 s after an endpoint stood still.

A machine that acknowledges nothing was not tried: loopback cannot show it without root.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,12 +16,11 @@
 /// Of the status lines, header fields and trailer fields of one answer. Four
 /// times the head that the server accepts by default.
 constexpr std::size_t kMaxHeadBytes = 65'536;
-/// Interval of keep-alive probes: a silent connection is detected after this
-/// idle time and the probes below.
+/// Of connections that no call uses: the interval of their keep-alive probes.
+/// One that falls silent is closed after this idle time and the probes below.
 constexpr int kKeepAliveIntervalSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-/// A peer that acknowledges no data for this long is taken as lost: it has no
-/// power or is cut off from the network.
+/// Of connections that no call uses: time without an acknowledgement.
 constexpr std::chrono::milliseconds kUnacknowledgedTimeout{ 1'000 };
 
 // libcurl owns the descriptor; the watch only waits on it and releases it
@@ -54,6 +53,7 @@
   bool isHeadComplete = false;
   bool isHeadReported = false;
   bool isCancelled = false;
+  bool isPaused = false;
 };
 
 // nullopt for a line that is no field.
@@ -148,19 +148,28 @@
   return ::setsockopt(aFd, aLevel, aName, &aValue, sizeof(aValue)) == 0;
 }
 
-// Detects within seconds a peer that is lost without closing the connection.
+// An idle connection whose peer is lost without closing it is detected within
+// seconds, so that no request is sent on it. A running call has no such limit:
+// its server may stand still and go on, and whoever started the call decides
+// how long to wait. An error means that the descriptor is being closed or is
+// no TCP socket.
+void
+SetLossDetection(curl_socket_t aFd, bool aIsOn)
+{
+  SetOption(aFd, SOL_SOCKET, SO_KEEPALIVE, aIsOn ? 1 : 0);
+  SetOption(aFd,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            aIsOn ? static_cast<int>(kUnacknowledgedTimeout.count()) : 0);
+}
+
 bool
-EnableLossDetection(curl_socket_t aFd)
+SetProbeIntervals(curl_socket_t aFd)
 {
-  return SetOption(aFd, SOL_SOCKET, SO_KEEPALIVE, 1) &&
-         SetOption(aFd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds) &&
+  return SetOption(aFd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalSeconds) &&
          SetOption(
            aFd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds) &&
-         SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes) &&
-         SetOption(aFd,
-                   IPPROTO_TCP,
-                   TCP_USER_TIMEOUT,
-                   static_cast<int>(kUnacknowledgedTimeout.count()));
+         SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
 // A cancelled request must not reach the endpoint later. Closing with a reset
@@ -173,8 +182,8 @@
   const bool resetsOnClose =
     ::setsockopt(
       aFd, SOL_SOCKET, SO_LINGER, &kResetOnClose, sizeof(kResetOnClose)) == 0;
-  return resetsOnClose && EnableLossDetection(aFd) ? CURL_SOCKOPT_OK
-                                                   : CURL_SOCKOPT_ERROR;
+  return resetsOnClose && SetProbeIntervals(aFd) ? CURL_SOCKOPT_OK
+                                                 : CURL_SOCKOPT_ERROR;
 }
 
 class curl_client : public http_client
@@ -251,6 +260,7 @@
     Post([this, aCall, aMask] {
       const auto found = mCalls.find(aCall);
       if (found != mCalls.end() && !found->second->isCancelled) {
+        found->second->isPaused = aMask != CURLPAUSE_CONT;
         curl_easy_pause(found->second->easy, aMask);
         HandleEndedCalls();
       }
@@ -334,9 +344,13 @@
     Free(*call);
   }
 
-  static int OnSocket(CURL*, curl_socket_t aFd, int aEvents, void* aSelf, void*)
+  static int OnSocket(CURL* aEasy,
+                      curl_socket_t aFd,
+                      int aEvents,
+                      void* aSelf,
+                      void*)
   {
-    static_cast<curl_client*>(aSelf)->Watch(aFd, aEvents);
+    static_cast<curl_client*>(aSelf)->Watch(aEasy, aFd, aEvents);
     return 0;
   }
 
@@ -368,10 +382,20 @@
     }
   }
 
-  void Watch(curl_socket_t aFd, int aEvents)
+  static bool IsPaused(CURL* aEasy)
+  {
+    const running_call* call = nullptr;
+    return curl_easy_getinfo(aEasy, CURLINFO_PRIVATE, &call) == CURLE_OK &&
+           call != nullptr && call->isPaused;
+  }
+
+  // libcurl has a descriptor watched exactly while a call that is not paused
+  // uses it.
+  void Watch(CURL* aEasy, curl_socket_t aFd, int aEvents)
   {
     auto& watch = mWatches[aFd];
     if (aEvents == CURL_POLL_REMOVE) {
+      SetLossDetection(aFd, !IsPaused(aEasy));
       if (watch) {
         ReleaseWatch(*watch);
       }
@@ -381,6 +405,7 @@
     if (!watch) {
       watch = std::make_shared<socket_watch>(mContext);
       watch->descriptor.assign(aFd);
+      SetLossDetection(aFd, false);
     }
     watch->events = aEvents;
     WaitFor(aFd, watch);
