End every request before a planned stop's grace does

A host that was told to stop waited for its open requests however long they lasted, and the platform killed it: it knew neither the grace nor an end. It also began calls that may run once though they could outlast it.

The new setting stop-grace gives the end. A stop_plan holds the times by which requests are refused, placed, ended, and the process exits. Routing gets them at the signal: a system "stop" refuses waiting calls that may run once and could outlast the stop as not run, cuts the deadlines of repeatable ones, refuses those with too little time, and ends what is open at nine tenths of the grace with the outcome host_stopped: waiting ones as not run, running ones as may have run, streams broken off, claims without an outcome. An unanswered claim is given up at the placement deadline and released at the end. Admission refuses what waits for tokens or a turn at the placement deadline. The process exits in any case shortly before the grace ends, and logs stop_begun and stop_ended.

--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -13,6 +13,7 @@
 constexpr double kServiceTimeGain = 0.1;
 
 constexpr std::chrono::seconds kRetryAfterMissedDeadline{ 1 };
+constexpr std::chrono::milliseconds kRetryAfterStop{ 250 };
 /// Added to the time at which the pool expects to have tokens again; callers
 /// that were refused together are spread over as long again.
 constexpr std::chrono::milliseconds kRetryMargin{ 250 };
@@ -257,13 +258,40 @@
   }
 }
 
-constexpr std::array<named_system<admission_tables, admission_outbox>, 5>
+// Refused in time to be served by another host.
+void
+RunStop(admission_tables& aTables, steady_time aNow, admission_outbox& aOutbox)
+{
+  const auto isWaiting = [](const admitted_row& aRow) {
+    return aRow.state != admission_state::eRunning;
+  };
+  if (!std::ranges::any_of(aTables.requests, isWaiting)) {
+    return;
+  }
+  if (aNow < aTables.admitBy) {
+    aOutbox.wake.NoLaterThan(aTables.admitBy);
+    return;
+  }
+  std::vector<admitted_row> waiting;
+  std::ranges::copy_if(
+    aTables.requests, std::back_inserter(waiting), isWaiting);
+  for (const admitted_row& row : waiting) {
+    if (row.state == admission_state::eQueued) {
+      admission::Cancel(aTables.queue, row.id);
+      SettleTokens(aTables, row, 0, aNow);
+    }
+    Refuse(aTables, row, { refusal_kind::eStopping, kRetryAfterStop }, aOutbox);
+  }
+}
+
+constexpr std::array<named_system<admission_tables, admission_outbox>, 6>
   kSystems{ {
     { "escrow", RunEscrow },
     { "purse_answers", RunQuotaGrants },
     { "reservations", RunReservations },
     { "draws", RunQuotaRequests },
     { "turns", RunTurns },
+    { "stop", RunStop },
   } };
 
 // One average per kind: long streams must not distort the estimate for short
--- a/src/entry/admission.hpp
+++ b/src/entry/admission.hpp
@@ -19,6 +19,7 @@
   eRateUnreachable, ///< no tokens here, and no way to request more
   eTooLarge,        ///< larger than the burst of the workspace
   eMissesDeadline,
+  eStopping, ///< this host stops
 };
 
 struct refusal
@@ -80,6 +81,9 @@
   table<kind_id, kind_row> kinds;
   rates::rate_tolerance tolerance; ///< window 0: rates use the escrow
   rates::quota_tables quotas;
+  /// Requests that are not admitted by then are refused; set when the host
+  /// stops.
+  steady_time admitBy = steady_time::max();
 };
 
 struct admission_outbox
--- a/src/entry/outcomes.cpp
+++ b/src/entry/outcomes.cpp
@@ -22,7 +22,7 @@
 
 using routing::request_outcome;
 
-constexpr std::array<outcome_text, 13> kOutcomes{ {
+constexpr std::array<outcome_text, 14> kOutcomes{ {
   { request_outcome::eInProgress,
     409,
     "in_progress",
@@ -83,6 +83,11 @@
     "key_withdrawn",
     "the key was withdrawn",
     false },
+  { request_outcome::eHostStopped,
+    504,
+    "stopping",
+    "this host is being stopped",
+    true },
   { request_outcome::eCallerGone, 499, "caller_gone", "", false },
 } };
 
@@ -103,7 +108,7 @@
   if (!error.mayHaveRun && error.status > kUnavailable) {
     error.status = kUnavailable; // safe to retry
   }
-  if (found->isWorthRetrying) {
+  if (found->isWorthRetrying && error.status <= kUnavailable) {
     error.retryAfter = aEnd.outcome == request_outcome::eNotResident
                          ? kRetryAfterNotResident
                          : std::max(kRetryAfter, aEnd.retryAfter);
@@ -169,6 +174,11 @@
       error.code = "overloaded";
       error.text = "the request could not make its deadline";
       break;
+    case refusal_kind::eStopping:
+      error.status = 503;
+      error.code = "stopping";
+      error.text = "this host is being stopped";
+      break;
   }
   return error;
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,4 +1,5 @@
 #include "entry/options.hpp"
+#include "entry/request_log.hpp"
 #include "entry/traffic.hpp"
 #include "observe/observe.hpp"
 #include "program/program.hpp"
@@ -92,6 +93,8 @@
     mTimer.RunSoon();
   }
 
+  std::size_t OpenCommands() const { return mTables.commands.Size(); }
+
   void HandleReport(endpoint_row aRow)
   {
     mTables.reports.push_back(std::move(aRow));
@@ -178,6 +181,7 @@
                 const secret_text& aEndpointSecret,
                 front_end aFront)
     : mStopDelay(aOptions.Duration("stop-delay"))
+    , mStopGrace(aOptions.Duration("stop-grace"))
     , mControl(
         mControlContext,
         aOptions,
@@ -259,23 +263,30 @@
   // ones finished.
   void BeginStop()
   {
-    LogInfo(kLog,
-            "Stopping: unready now, refusing requests in {}",
-            FormatDuration(mStopDelay));
+    const steady_time now = net::Now();
+    const stop_plan plan = PlanStop(now, mStopDelay, mStopGrace);
+    asio::post(mTrafficContext, [this, plan] { mTraffic.BeginStop(plan); });
     mControl.BeginStop();
-    mStopTimer.expires_after(mStopDelay);
+    mStopTimer.expires_after(plan.refuseAt - now);
     mStopTimer.async_wait([this](const std::error_code&) {
       asio::post(mTrafficContext, [this] {
         mTraffic.StopWhenIdle(
           [this] { asio::post(mControlContext, [this] { EndStop(); }); });
       });
     });
+    mExitTimer.expires_after(plan.exitBy - now);
+    mExitTimer.async_wait([this](const std::error_code&) { EndStop(); });
   }
 
+  // The traffic thread counts what is left.
   void EndStop()
   {
-    LogInfo(kLog, "Stopping: all requests are finished");
-    mControlContext.stop();
+    asio::post(mTrafficContext, [this] {
+      asio::post(mControlContext, [this, open = mTraffic.OpenRequests()] {
+        LogStopEnd(open, mControl.OpenCommands());
+        mControlContext.stop();
+      });
+    });
   }
 
   // With seeds, the names of control processes are not known yet, so their
@@ -404,7 +415,9 @@
   asio::io_context mControlContext{ 1 };
   asio::io_context mTrafficContext{ 1 };
   asio::steady_timer mStopTimer{ mControlContext };
+  asio::steady_timer mExitTimer{ mControlContext };
   std::chrono::milliseconds mStopDelay;
+  std::chrono::milliseconds mStopGrace;
   control_thread mControl;
   traffic_thread mTraffic;
 };
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -126,6 +126,29 @@
     { { "endpoint", aEndpoint }, { "in_flight", std::to_string(aInFlight) } });
 }
 
+void
+LogStop(const stop_plan& aPlan, std::size_t aOpen, steady_time aNow)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "stop_begun",
+           { { "open_requests", std::to_string(aOpen) },
+             { "refuse_in_ms", Milliseconds(aPlan.refuseAt - aNow) },
+             { "finish_in_ms", Milliseconds(aPlan.finishBy - aNow) },
+             { "exit_in_ms", Milliseconds(aPlan.exitBy - aNow) } });
+}
+
+void
+LogStopEnd(std::size_t aOpen, std::size_t aCommands)
+{
+  const bool isClean = aOpen == 0 && aCommands == 0;
+  LogEvent(kLog,
+           isClean ? log_level::eInfo : log_level::eWarning,
+           "stop_ended",
+           { { "open_requests", std::to_string(aOpen) },
+             { "open_commands", std::to_string(aCommands) } });
+}
+
 void
 LogRequestEnd(const routed_request& aRequest,
               const routing::end_request& aEnd,
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -44,6 +44,12 @@
 /// An endpoint that is no longer listed while aInFlight attempts run there.
 void LogRemovedEndpoint(const std::string& aEndpoint, std::uint32_t aInFlight);
 
+/// The host begins to stop with aOpen requests open.
+void LogStop(const stop_plan& aPlan, std::size_t aOpen, steady_time aNow);
+
+/// The host exits.
+void LogStopEnd(std::size_t aOpen, std::size_t aCommands);
+
 void LogRequestEnd(const routed_request& aRequest,
                    const routing::end_request& aEnd,
                    int aStatus,
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -80,9 +80,10 @@
   std::size_t OpenRequests() const { return mWaiting.Size(); }
   void RunSoon() { mTimer.RunSoon(); }
 
-  void SetPlacementDeadline(steady_time aBy)
+  void SetStop(const stop_plan& aPlan)
   {
-    mEngine.settings.placementDeadline = aBy;
+    mEngine.settings.placementDeadline = aPlan.placeBy;
+    mEngine.settings.finishBy = aPlan.finishBy;
     mTimer.RunSoon();
   }
 
@@ -736,9 +737,9 @@
 }
 
 void
-request_runner::SetPlacementDeadline(steady_time aBy)
+request_runner::SetStop(const stop_plan& aPlan)
 {
-  mImplementation->SetPlacementDeadline(aBy);
+  mImplementation->SetStop(aPlan);
 }
 
 void
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -6,6 +6,7 @@
 
 #include "entry/demand.hpp"
 #include "entry/entry.hpp"
+#include "entry/stop.hpp"
 #include "entry/tables.hpp"
 #include "net/net.hpp"
 #include "routing/routing.hpp"
@@ -71,8 +72,8 @@
   void RunSoon();
   /// Number of unanswered requests and of claimed ones that still run.
   std::size_t OpenRequests() const;
-  /// Requests still without an endpoint at aBy are refused as not run.
-  void SetPlacementDeadline(steady_time aBy);
+  /// Applies the times by which requests start and end.
+  void SetStop(const stop_plan& aPlan);
   /// Calls aOnIdle once, as soon as no request is open.
   void WhenIdle(std::function<void()> aOnIdle);
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -3,6 +3,7 @@
 #include "entry/admission.hpp"
 #include "entry/openai.hpp"
 #include "entry/outcomes.hpp"
+#include "entry/request_log.hpp"
 #include "entry/requests.hpp"
 #include "entry/resolve.hpp"
 #include "observe/observe.hpp"
@@ -28,9 +29,6 @@
 constexpr std::chrono::milliseconds kMinWaitLimit{ 40 };
 /// Interval between the lines about the use of quotas.
 constexpr std::chrono::seconds kQuotaLogInterval{ 5 };
-/// When a host stops, requests may wait this much longer for an endpoint; then
-/// they are refused in time to be served by another host.
-constexpr std::chrono::milliseconds kStoppingPlacementTimeout{ 500 };
 
 // Admitted even while no endpoint is known, so that routing can answer with the
 // proper error.
@@ -134,10 +132,17 @@
     return std::max(mRunner.OpenRequests(), mAdmission.requests.Size());
   }
 
+  void BeginStop(const stop_plan& aPlan)
+  {
+    LogStop(aPlan, OpenRequests(), Now());
+    mRunner.SetStop(aPlan);
+    mAdmission.admitBy = aPlan.placeBy;
+    mAdmissionTimer.RunSoon();
+  }
+
   void StopWhenIdle(std::function<void()> aOnStopped)
   {
     mIsRefusing = true;
-    mRunner.SetPlacementDeadline(Now() + kStoppingPlacementTimeout);
     mOnStopped = std::move(aOnStopped);
     mAdmissionTimer.RunSoon();
   }
@@ -696,6 +701,12 @@
   mImplementation->HandleQuotaGrant(std::move(aGrant));
 }
 
+void
+traffic_thread::BeginStop(const stop_plan& aPlan)
+{
+  mImplementation->BeginStop(aPlan);
+}
+
 void
 traffic_thread::StopWhenIdle(std::function<void()> aOnStopped)
 {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -66,6 +66,9 @@
   void HandleShareGrant(admission::grant aGrant);
   void HandleQuotaGrant(rates::quota_grant aGrant);
   std::size_t OpenRequests() const;
+  /// The stop signal came: open requests end as planned, and a new one starts
+  /// only if it can end in time.
+  void BeginStop(const stop_plan& aPlan);
   /// Refuses new requests as not run, finishes the open ones, then calls
   /// aOnStopped once.
   void StopWhenIdle(std::function<void()> aOnStopped);
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -11,6 +11,7 @@
 void RunIndexHolders(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunAnswers(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunCancels(tables& aTables, steady_time aNow, outbox& aOutbox);
+void RunStop(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunTimeouts(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunColdStart(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunClaims(tables& aTables, steady_time aNow, outbox& aOutbox);
@@ -106,13 +107,17 @@
 bool CanResumeSomewhere(const tables& aTables, const request_row& aRequest);
 
 /// Ends a request that has a live attempt. If it holds a claim, its attempt
-/// runs on and the outcome is stored, unless its key was withdrawn.
+/// runs on and the outcome is stored, unless its key was withdrawn or the host
+/// stops.
 void EndRunningRequest(tables& aTables,
                        request_row& aRequest,
                        request_outcome aOutcome,
                        steady_time aNow,
                        outbox& aOutbox);
 
+/// Ends a request whose caller was answered, and its attempt.
+void CancelDetached(tables& aTables, request_row& aRequest, outbox& aOutbox);
+
 /// Records the outcome of a claimed request, once.
 void RecordClaimOutcome(request_row& aRequest,
                         ran_state aRan,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -14,17 +14,6 @@
          aState == request_state::eReady || aState == request_state::eFailed;
 }
 
-void
-CancelDetached(tables& aTables, request_row& aRequest, outbox& aOutbox)
-{
-  attempt_row* attempt = aTables.attempts.Find(aRequest.attempt);
-  if (attempt != nullptr) {
-    CancelAttempt(*attempt, aOutbox);
-  }
-  RecordClaimOutcome(aRequest, ran_state::eMayHaveRun, {}, 0, aOutbox);
-  aRequest.state = request_state::eEnded;
-}
-
 void
 CancelRequest(tables& aTables,
               request_row& aRequest,
@@ -123,6 +112,9 @@
                                    aOptions.placementDeadline }));
       break;
     case request_state::eAwaitingClaim:
+      aWake.NoLaterThan(
+        std::min(aRequest.keepUntil, aOptions.placementDeadline));
+      break;
     case request_state::eAbandonedClaim:
     case request_state::eDetached:
       aWake.NoLaterThan(aRequest.keepUntil);
@@ -148,6 +140,8 @@
     case request_outcome::eCallerGone:
     case request_outcome::eKeyWithdrawn:
       return "serve caller";
+    case request_outcome::eHostStopped:
+      return "stop host";
     default:
       return "run attempt";
   }
@@ -223,6 +217,17 @@
 
 } // namespace
 
+void
+CancelDetached(tables& aTables, request_row& aRequest, outbox& aOutbox)
+{
+  attempt_row* attempt = aTables.attempts.Find(aRequest.attempt);
+  if (attempt != nullptr) {
+    CancelAttempt(*attempt, aOutbox);
+  }
+  RecordClaimOutcome(aRequest, ran_state::eMayHaveRun, {}, 0, aOutbox);
+  aRequest.state = request_state::eEnded;
+}
+
 void
 MarkPending(tables& aTables, request_row& aRequest)
 {
@@ -268,7 +273,9 @@
 {
   AddEnd(aRequest, aOutcome, ran_state::eMayHaveRun, aOutbox);
   MarkPending(aTables, aRequest);
-  if (aRequest.holdsClaim && aOutcome != request_outcome::eKeyWithdrawn) {
+  const bool mayRunOn = aOutcome != request_outcome::eKeyWithdrawn &&
+                        aOutcome != request_outcome::eHostStopped;
+  if (aRequest.holdsClaim && mayRunOn) {
     aRequest.state = request_state::eDetached;
     aRequest.keepUntil = aNow + aTables.settings.detachedTimeout;
     aTables.attempts.Find(aRequest.attempt)->timeoutAt = steady_time::max();
@@ -371,6 +378,9 @@
   for (const attempt_row& attempt : aTables.attempts) {
     aOutbox.wake.NoLaterThan(attempt.timeoutAt);
   }
+  if (!aTables.requests.Empty()) {
+    aOutbox.wake.NoLaterThan(aTables.settings.finishBy);
+  }
 }
 
 } // namespace bulrush::routing
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -42,7 +42,8 @@
   eLost,           ///< sent; the answer was lost, misdelivered or an error
   eBrokenStream,   ///< part of a stream was forwarded, then an error event
   eCallerGone,
-  eKeyWithdrawn
+  eKeyWithdrawn,
+  eHostStopped ///< this host stops; see options::finishBy
 };
 
 /// Why an attempt that made no progress was not moved to another endpoint.
@@ -431,6 +432,11 @@
   std::chrono::milliseconds failureHalfLife{ 2'000 };
   /// Waiting requests end at this time; set when the host stops.
   steady_time placementDeadline = steady_time::max();
+  /// Every request ends at this time; set when the host stops. One that may run
+  /// once starts only if its own deadline is not later.
+  steady_time finishBy = steady_time::max();
+  /// A request without a target starts only if it has this long until finishBy.
+  std::chrono::milliseconds minTimeToFinish{ 500 };
 };
 
 // Tables -------------------------------------------------------------------
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -7,10 +7,11 @@
 // Order of a tick. Cancels precede answers, so that no byte is forwarded after
 // a key was withdrawn. Answers precede the choice of endpoints, which uses the
 // slots that they free.
-constexpr std::array<named_system<tables, outbox>, 9> kSystems{ {
+constexpr std::array<named_system<tables, outbox>, 10> kSystems{ {
   { "index_holders", RunIndexHolders },
   { "cancels", RunCancels },
   { "answers", RunAnswers },
+  { "stop", RunStop },
   { "timeouts", RunTimeouts },
   { "cold_start", RunColdStart },
   { "claims", RunClaims },
@@ -103,6 +104,8 @@
       return "broken_stream";
     case request_outcome::eCallerGone:
       return "caller_gone";
+    case request_outcome::eHostStopped:
+      return "host_stopped";
     default:
       return "key_withdrawn";
   }
--- a/tests/entry/admission_test.cpp
+++ b/tests/entry/admission_test.cpp
@@ -139,5 +139,28 @@
   CHECK(refused == std::vector<refusal_kind>{ refusal_kind::eRateUnreachable });
 }
 
+TEST_CASE_METHOD(admission_fixture,
+                 "QueuedRequest_WhenTheHostStops_IsRefusedInTime",
+                 "[entry]")
+{
+  tables.capacity = GENERATE(0U, 100U); // waits for its turn, or for tokens
+  const request_id id = Submit(100);
+  tables.requests.Find(id)->maxWait = std::chrono::seconds{ 10 };
+  tables.escrow.settings.maxWait = std::chrono::seconds{ 10 };
+  Run();
+  if (tables.capacity == 0) {
+    GrantTokens(100);
+    Run(milliseconds{ 5 });
+  }
+  CHECK(admitted.empty());
+  tables.admitBy = now + milliseconds{ 500 };
+  Run();
+  CHECK(refused.empty());
+  CHECK(out.wake.at <= tables.admitBy);
+  Run(milliseconds{ 500 });
+  CHECK(refused == std::vector<refusal_kind>{ refusal_kind::eStopping });
+  CHECK(tables.requests.Empty());
+}
+
 } // namespace
 } // namespace bulrush::entry
