Record outcomes before a stopped host exits

When the last request was answered, the control thread stopped at once, though the traffic thread may just have handed it the outcome of a claimed call, or a release. The claim stayed without an outcome: a resend under the same Idempotency-Key was told "may have run" until the claim ran out. The process now exits once each command has its reply, or at the latest shortly before the grace ends.

Before: ClaimedCall_AnsweredDuringAStop_LeavesItsOutcome: "again.status == 200: 409 == 200", no idempotent-replay. After: the six process tests of a stop passed.

--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -93,6 +93,13 @@
     mTimer.RunSoon();
   }
 
+  /// Calls aOnSettled once, as soon as each command has its reply.
+  void WhenSettled(std::function<void()> aOnSettled)
+  {
+    mOnSettled = std::move(aOnSettled);
+    mTimer.RunSoon();
+  }
+
   std::size_t OpenCommands() const { return mTables.commands.Size(); }
 
   void HandleReport(endpoint_row aRow)
@@ -160,6 +167,9 @@
     for (rates::quota_grant& next : outbox.quotaGrants) {
       mOnQuotaGrant(std::move(next));
     }
+    if (mOnSettled && mTables.commands.Empty()) {
+      std::exchange(mOnSettled, nullptr)();
+    }
     return outbox.wake;
   }
 
@@ -169,6 +179,7 @@
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
+  std::function<void()> mOnSettled; ///< set while the process stops
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
@@ -270,8 +281,10 @@
     mStopTimer.expires_after(plan.refuseAt - now);
     mStopTimer.async_wait([this](const std::error_code&) {
       asio::post(mTrafficContext, [this] {
-        mTraffic.StopWhenIdle(
-          [this] { asio::post(mControlContext, [this] { EndStop(); }); });
+        mTraffic.StopWhenIdle([this] {
+          asio::post(mControlContext,
+                     [this] { mControl.WhenSettled([this] { EndStop(); }); });
+        });
       });
     });
     mExitTimer.expires_after(plan.exitBy - now);
--- a/tests/process/stop_test.cpp
+++ b/tests/process/stop_test.cpp
@@ -256,5 +256,31 @@
   CHECK(Runs() == 0);
 }
 
+struct immediate_stop_fixture : short_grace_fixture
+{
+  immediate_stop_fixture()
+    : short_grace_fixture("0ms")
+  {
+  }
+};
+
+TEST_CASE_METHOD(immediate_stop_fixture,
+                 "ClaimedCall_AnsweredDuringAStop_LeavesItsOutcome",
+                 "[process]")
+{
+  DelayRelease(kGrace / 4);
+  const std::vector<std::string> fields{ "Idempotency-Key: plate 1" };
+  auto answer =
+    std::async(std::launch::async, [&] { return Release(0, fields); });
+  REQUIRE(WaitUntil([&] { return Runs() == 1; }));
+  Stop();
+  CHECK(answer.get().status == 200);
+  CHECK(Exit() == 0);
+  const http_answer again = Release(1, fields);
+  CHECK(again.status == 200);
+  CHECK(again.fields.contains("idempotent-replay"));
+  CHECK(Runs() == 1);
+}
+
 } // namespace
 } // namespace bulrush::test
