--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,4 +1,5 @@
 #include "entry/options.hpp"
+#include "entry/request_log.hpp"
 #include "entry/traffic.hpp"
 #include "observe/observe.hpp"
 #include "program/program.hpp"
@@ -92,6 +93,15 @@
     mTimer.RunSoon();
   }
 
+  /// Calls aOnSettled once, as soon as each command has its reply.
+  void WhenSettled(std::function<void()> aOnSettled)
+  {
+    mOnSettled = std::move(aOnSettled);
+    mTimer.RunSoon();
+  }
+
+  std::size_t OpenCommands() const { return mTables.commands.Size(); }
+
   void HandleReport(endpoint_row aRow)
   {
     mTables.reports.push_back(std::move(aRow));
@@ -157,6 +167,9 @@
     for (rates::quota_grant& next : outbox.quotaGrants) {
       mOnQuotaGrant(std::move(next));
     }
+    if (mOnSettled && mTables.commands.Empty()) {
+      std::exchange(mOnSettled, nullptr)();
+    }
     return outbox.wake;
   }
 
@@ -166,6 +179,7 @@
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
+  std::function<void()> mOnSettled; ///< set while the process stops
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
 };
@@ -178,6 +192,7 @@
                 const secret_text& aEndpointSecret,
                 front_end aFront)
     : mStopDelay(aOptions.Duration("stop-delay"))
+    , mStopGrace(aOptions.Duration("stop-grace"))
     , mControl(
         mControlContext,
         aOptions,
@@ -262,23 +277,32 @@
   // ones finished.
   void BeginStop()
   {
-    LogInfo(kLog,
-            "Stopping: unready now, refusing requests in {}",
-            FormatDuration(mStopDelay));
+    const steady_time now = net::Now();
+    const stop_plan plan = PlanStop(now, mStopDelay, mStopGrace);
+    asio::post(mTrafficContext, [this, plan] { mTraffic.BeginStop(plan); });
     mControl.BeginStop();
-    mStopTimer.expires_after(mStopDelay);
+    mStopTimer.expires_after(plan.refuseAt - now);
     mStopTimer.async_wait([this](const std::error_code&) {
       asio::post(mTrafficContext, [this] {
-        mTraffic.StopWhenIdle(
-          [this] { asio::post(mControlContext, [this] { EndStop(); }); });
+        mTraffic.StopWhenIdle([this] {
+          asio::post(mControlContext,
+                     [this] { mControl.WhenSettled([this] { EndStop(); }); });
+        });
       });
     });
+    mExitTimer.expires_after(plan.exitBy - now);
+    mExitTimer.async_wait([this](const std::error_code&) { EndStop(); });
   }
 
+  // The traffic thread counts what is left.
   void EndStop()
   {
-    LogInfo(kLog, "Stopping: all requests are finished");
-    mControlContext.stop();
+    asio::post(mTrafficContext, [this] {
+      asio::post(mControlContext, [this, open = mTraffic.OpenRequests()] {
+        LogStopEnd(open, mControl.OpenCommands());
+        mControlContext.stop();
+      });
+    });
   }
 
   // With seeds, the names of control processes are not known yet, so their
@@ -407,7 +431,9 @@
   asio::io_context mControlContext{ 1 };
   asio::io_context mTrafficContext{ 1 };
   asio::steady_timer mStopTimer{ mControlContext };
+  asio::steady_timer mExitTimer{ mControlContext };
   std::chrono::milliseconds mStopDelay;
+  std::chrono::milliseconds mStopGrace;
   control_thread mControl;
   traffic_thread mTraffic;
 };
