Wait for silent streams until their deadline

Cause: a stream without an event for 30 s (streamIdleTimeout) was broken off or started again though its last byte had a later deadline and no other endpoint could take it. And a resumable stream was taken from its silent endpoint for another one that was full; past its placement deadline it could not wait there and ended at once.

Change: a stream that cannot move is waited for up to the deadline of its last byte; without one (the OpenAI front end) for 30 s as before. An endpoint without room counts as another endpoint only while the request may still wait for a slot.

Callers saw a stream break off although its time was not up.

before: test_routing "[silence]" 5 of 8 failed, "out.ends.empty() false" in Stream_ThatCannotBeResumed_IsWaitedForUntilItsDeadline and in Stream_WhenTheOtherEndpointIsFull_IsWaitedFor. Calls that may run once and buffered answers were waited for before and are now. now: test_routing 97 cases, passed.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -410,9 +410,16 @@
 HasOtherEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
 {
   IndexHolders(aTables);
+  const bool mayWait = aNow < std::min(aRequest.facts.placementDeadline,
+                                       aTables.settings.placementDeadline);
+  const auto accepts = [&](const endpoint_row& aEndpoint) {
+    endpoint_row& endpoint = *aTables.endpoints.Find(aEndpoint.id);
+    return CheckEndpoint(aTables, endpoint, aRequest, aNow).rank != tier::eNone;
+  };
   return AnyHolder(aTables, aRequest.facts, [&](const endpoint_row& aEndpoint) {
     return CanResumeStream(aEndpoint, aRequest) &&
-           !HasTried(aRequest, aEndpoint.id) && aNow >= aEndpoint.suspectUntil;
+           !HasTried(aRequest, aEndpoint.id) &&
+           aNow >= aEndpoint.suspectUntil && (mayWait || accepts(aEndpoint));
   });
 }
 
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -87,7 +87,7 @@
                   endpoint_id aEndpoint);
 
 /// True when an endpoint that is neither tried nor suspect could serve the
-/// request.
+/// request: now, or after a wait for a slot that its placement deadline allows.
 bool HasOtherEndpoint(tables& aTables,
                       const request_row& aRequest,
                       steady_time aNow);
@@ -102,6 +102,12 @@
 std::chrono::milliseconds IdleTimeout(const options& aOptions,
                                       const request_row& aRequest);
 
+/// Until when a stream that cannot move to another endpoint is waited for: its
+/// deadline, or options::streamIdleTimeout if it has none.
+steady_time LastWait(const options& aOptions,
+                     const attempt_row& aAttempt,
+                     const request_row& aRequest);
+
 /// True when an endpoint that can resume streams holds the request's model.
 bool CanResumeSomewhere(const tables& aTables, const request_row& aRequest);
 
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -83,11 +83,9 @@
               outbox& aOutbox)
 {
   const bool isStream = IsForwardedOnArrival(aRequest, aAttempt);
-  const steady_time last =
-    isStream
-      ? std::min(aRequest.facts.lastByteDeadline,
-                 aAttempt.lastProgressAt + aTables.settings.streamIdleTimeout)
-      : aRequest.facts.deadline;
+  const steady_time last = isStream
+                             ? LastWait(aTables.settings, aAttempt, aRequest)
+                             : aRequest.facts.deadline;
   const stay_reason stays = WhyAttemptStays(aTables, aRequest, aNow);
   if (aNow < last && stays != stay_reason::eNone) {
     ReportKept(aAttempt, stays, aNow, aOutbox);
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -148,6 +148,17 @@
                   std::max(aOptions.minIdleTimeout, timeout));
 }
 
+steady_time
+LastWait(const options& aOptions,
+         const attempt_row& aAttempt,
+         const request_row& aRequest)
+{
+  const steady_time deadline = aRequest.facts.lastByteDeadline;
+  return deadline == steady_time::max()
+           ? aAttempt.lastProgressAt + aOptions.streamIdleTimeout
+           : deadline;
+}
+
 // An idempotent request moves to another endpoint after a multiple of its
 // target. Without a target, the time left is split over the attempts left, so
 // that each later attempt can still meet the caller's deadline. An attempt that
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -404,6 +404,8 @@
   double retryShare = 0.2; ///< long-term retries per request of a service
   double retryBurst = 20;  ///< largest retry budget of a service
   std::chrono::milliseconds minAttemptTimeout{ 50 };
+  /// Longest gap in a stream before it may move, and before it is broken off if
+  /// its last byte has no deadline.
   std::chrono::milliseconds streamIdleTimeout{ 30'000 };
   /// An idempotent attempt moves to another endpoint after this many targets
   /// to the first byte, and a stream after this many target gaps, but not
