Bound the depth of JSON from outside in one parser

Cause: copying, comparing, writing and destroying a nested JSON value recurse once per level. Only the OpenAI front end's request bodies had a bound; heartbeats, configurations, engine states, manifests, patches, answers of engines and endpoints, load answers and spans had none. A patch can also nest a value deeper than its own text, by copying a value into itself or by adding level after level.

Callers saw: a control process of the platform ended with a segmentation fault on one heartbeat or configuration of 120 KB that is nested 60,000 deep, and again on each repetition. An endpoint's answer with a nested usage ended the entry host.

Change: a library json with ParseJson, the only caller of json::parse outside the tests. It refuses texts of more than 64 levels before any value is built. PatchManifest accepts only the operations that DiffManifests writes (add, remove, replace), with paths of at most 64 levels. An engine's answer that cannot be parsed is logged.

SIGSEGV in Heartbeat_, Configuration_ and EngineState_WhenNestedDeep_IsRefused, in Manifest_WhenNestedDeep_IsRefused, Patch_WithANestedValue_IsRefused and Usage_OfAnAnswerThatIsNestedDeep_IsUnknown. The patches that copy a value into itself and that add 100 levels were accepted.

--- a/src/apps/fake_requests.cpp
+++ b/src/apps/fake_requests.cpp
@@ -1,6 +1,7 @@
 #include "apps/fake_tables.hpp"
+#include "json/json.hpp"
 
-#include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace bulrush::fake {
 namespace {
@@ -10,6 +11,17 @@
 const std::vector<net::http_field> kJson = { { "Content-Type",
                                                "application/json" } };
 
+json
+ParseBody(const std::string& aText)
+{
+  last_reason reason;
+  auto body = ParseJson(aText, reason);
+  if (!body) {
+    throw std::invalid_argument(reason.text);
+  }
+  return std::move(*body);
+}
+
 // Consumes one use of a fault of this kind; nullopt if none is active.
 std::optional<fault_row>
 UseFault(fake_tables& aTables, const std::string& aKind)
@@ -227,7 +239,8 @@
     Refuse(aTables, attempt == nullptr ? "" : *attempt, *aReply);
     return;
   }
-  json body = json::parse(aRequest.body, nullptr, false);
+  last_reason ignored; // services take any body
+  const json body = ParseJson(aRequest.body, ignored).value_or(json());
   run_row& run = BeginRun(aTables, aRequest, std::move(aReply), body, aNow);
   run.isService = !aRequest.path.starts_with("/v1/");
   if (!run.isService && body.is_object()) {
@@ -258,10 +271,10 @@
     if (aRequest.path == "/stats") {
       aReply->Send(200, kJson, FormatStats(aTables).dump());
     } else if (aRequest.path == "/faults") {
-      HandleFault(aTables, json::parse(aRequest.body), aNow);
+      HandleFault(aTables, ParseBody(aRequest.body), aNow);
       aReply->Send(200, kJson, "{\"ok\":true}");
     } else if (aRequest.path == "/orders") {
-      HandleOrder(aTables, json::parse(aRequest.body), *aReply, aNow);
+      HandleOrder(aTables, ParseBody(aRequest.body), *aReply, aNow);
     } else {
       HandleRun(aTables, aRequest, std::move(aReply), aNow);
     }
--- a/src/apps/load_process.cpp
+++ b/src/apps/load_process.cpp
@@ -1,8 +1,7 @@
 #include "apps/load_process.hpp"
 
 #include "observe/observe.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <set>
 
@@ -35,10 +34,12 @@
 endpoint_totals&
 AddStats(endpoint_totals& aTotals, const std::string& aBody)
 {
-  const json stats = json::parse(aBody, nullptr, false);
-  if (!stats.is_object()) {
+  last_reason reason;
+  const auto parsed = ParseJson(aBody, reason);
+  if (!parsed || !parsed->is_object()) {
     return aTotals;
   }
+  const json& stats = *parsed;
   ++aTotals.endpoints;
   aTotals.orders += stats.value("orders", std::uint64_t{ 0 });
   aTotals.keysSeen += stats.value("keys_seen", std::uint64_t{ 0 });
--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -2,7 +2,7 @@
 function(bulrush_program aName)
   add_executable(${aName} ${ARGN})
   target_link_libraries(${aName} PRIVATE bulrush_program bulrush_wire
-    bulrush_net bulrush_observe bulrush_settings bulrush_fleet)
+    bulrush_net bulrush_observe bulrush_settings bulrush_json bulrush_fleet)
 endfunction()
 
 bulrush_program(bulrush-control src/apps/control_main.cpp)
--- a/src/control/orders.cpp
+++ b/src/control/orders.cpp
@@ -1,14 +1,15 @@
 #include "control/orders.hpp"
 
 #include "control/tables.hpp"
-
-#include <nlohmann/json.hpp>
+#include "observe/observe.hpp"
+#include "json/json.hpp"
 
 namespace bulrush::control {
 namespace {
 
 using nlohmann::json;
 
+constexpr log_component kLog{ "orders" };
 constexpr int kStatusAlreadyDone = 200;
 constexpr int kStatusAccepted = 202;
 constexpr int kStatusStaleFencing = 409;
@@ -227,14 +228,21 @@
     placement::OnOrderNotSent(aTables.placement, aAnswer.order);
     return;
   }
-  const json body = json::parse(aAnswer.body, nullptr, false);
+  last_reason reason;
+  const auto parsed = ParseJson(aAnswer.body, reason);
+  if (!parsed) {
+    LogWarning(kLog, "Ignored an engine's answer: {}", Describe(reason));
+    return;
+  }
+  const json& body = *parsed;
   if (!body.is_object() || !body.contains("incarnation") ||
-      !body.contains("sequence") || !body["incarnation"].is_number_unsigned() ||
-      !body["sequence"].is_number_unsigned()) {
+      !body.contains("sequence") ||
+      !body.at("incarnation").is_number_unsigned() ||
+      !body.at("sequence").is_number_unsigned()) {
     return;
   }
-  const auto incarnation = body["incarnation"].get<std::uint64_t>();
-  const auto sequence = body["sequence"].get<std::uint64_t>();
+  const auto incarnation = body.at("incarnation").get<std::uint64_t>();
+  const auto sequence = body.at("sequence").get<std::uint64_t>();
   if (aAnswer.status == kStatusAccepted) {
     placement::OnOrderAccepted(aTables.placement, aAnswer.order, incarnation);
   } else if (aAnswer.status == kStatusAlreadyDone ||
--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -2,8 +2,7 @@
 
 #include "entry/requests.hpp"
 #include "settings/settings.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <charconv>
 #include <limits>
@@ -59,38 +58,13 @@
   return kDefaultMaxTokens;
 }
 
-// Serialising a document recurses once per level, so deep nesting could
-// overflow the stack. Ordinary requests nest about ten levels.
-constexpr int kMaxDepth = 64;
-
-// nlohmann validates UTF-8 while parsing, so invalid text is rejected here.
-std::optional<json>
-ParseJson(const std::string& aBody, std::string& aError)
-{
-  bool isTooDeep = false;
-  const auto checkDepth = [&isTooDeep](int aDepth, json::parse_event_t, json&) {
-    isTooDeep = isTooDeep || aDepth > kMaxDepth;
-    return !isTooDeep;
-  };
-  json document = json::parse(aBody, checkDepth, false);
-  if (isTooDeep) {
-    aError = "the body is nested more than 64 levels deep";
-    return std::nullopt;
-  }
-  if (document.is_discarded()) {
-    aError = "the body is not valid JSON in UTF-8";
-    return std::nullopt;
-  }
-  return document;
-}
-
 std::optional<json>
 ParseObject(const std::string& aBody, caller_error& aError)
 {
-  std::string error;
-  auto document = ParseJson(aBody, error);
+  last_reason reason;
+  auto document = ParseJson(aBody, reason);
   if (!document) {
-    aError = BadRequest(std::move(error));
+    aError = BadRequest("the body: " + reason.text);
     return std::nullopt;
   }
   if (!document->is_object()) {
@@ -433,11 +407,12 @@
 std::optional<std::int64_t>
 ReadUsage(const std::string& aBody)
 {
-  const json document = json::parse(aBody, nullptr, false);
-  if (!document.is_object()) {
+  last_reason ignored; // an answer need not be JSON
+  const auto document = ParseJson(aBody, ignored);
+  if (!document || !document->is_object()) {
     return std::nullopt;
   }
-  const json usage = document.value("usage", json::object());
+  const json usage = document->value("usage", json::object());
   if (!usage.is_object() || !usage.contains("total_tokens") ||
       !usage["total_tokens"].is_number_unsigned()) {
     return std::nullopt;
@@ -474,10 +449,9 @@
                     last_reason& aReason)
 {
   const std::string step = "read endpoint report";
-  std::string error;
-  const auto document = ParseJson(aBody, error);
+  const auto document = ParseJson(aBody, aReason);
   if (!document) {
-    return Fail(aReason, step, "", error);
+    return Fail(aReason, step, "", aReason.text);
   }
   try {
     endpoint_row row = ParseReportObject(*document);
--- a/src/fleet/manifest.cpp
+++ b/src/fleet/manifest.cpp
@@ -1,6 +1,5 @@
 #include "fleet/fleet.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <limits>
 #include <set>
@@ -523,15 +522,14 @@
 ParseManifest(std::string_view aText, std::vector<manifest_fault>& aFaults)
 {
   const std::size_t faultsBefore = aFaults.size();
-  json document;
-  try {
-    document = json::parse(aText);
-  } catch (const json::exception& error) {
-    aFaults.push_back({ "", error.what() });
+  last_reason reason;
+  const auto document = ParseJson(aText, reason);
+  if (!document) {
+    aFaults.push_back({ "", reason.text });
     return std::nullopt;
   }
   manifest result;
-  object_reader root(document, "", aFaults);
+  object_reader root(*document, "", aFaults);
   ReadAll(root, result, aFaults);
   RefuseSharedKeys(result, aFaults);
   RefuseUnknownServices(result, aFaults);
--- a/src/fleet/patch.cpp
+++ b/src/fleet/patch.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet.hpp"
+#include "json/json.hpp"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
 
 namespace bulrush {
 namespace {
@@ -87,18 +88,39 @@
   return aDocument;
 }
 
+// Throws on texts that ParseManifest refuses.
+json
+ParseSound(const std::string& aText)
+{
+  last_reason ignored;
+  return ParseJson(aText, ignored).value();
+}
+
+// A patch could nest a value deeper than any text that ParseJson accepts: by
+// copying it into itself, or level by level. DiffManifests writes these
+// operations only, with short paths.
+bool
+IsBounded(const json& aOperation)
+{
+  const auto name = aOperation.at("op").get<std::string>();
+  const auto path = aOperation.at("path").get<std::string>();
+  const auto levels = std::count(path.begin(), path.end(), '/');
+  return (name == "add" || name == "remove" || name == "replace") &&
+         static_cast<std::size_t>(levels) <= kMaxJsonDepth;
+}
+
 } // namespace
 
 std::string
 CanonicalManifest(const std::string& aText)
 {
-  return ListByName(KeyByName(json::parse(aText))).dump();
+  return ListByName(KeyByName(ParseSound(aText))).dump();
 }
 
 std::string
 DiffManifests(const std::string& aFrom, const std::string& aTo)
 {
-  return json::diff(KeyByName(json::parse(aFrom)), KeyByName(json::parse(aTo)))
+  return json::diff(KeyByName(ParseSound(aFrom)), KeyByName(ParseSound(aTo)))
     .dump();
 }
 
@@ -107,11 +129,21 @@
               const std::string& aPatch,
               last_reason& aReason)
 {
+  const std::string step = "patch manifest";
+  auto from = ParseJson(aFrom, aReason);
+  const auto patch = from ? ParseJson(aPatch, aReason) : std::nullopt;
+  if (!patch) {
+    return Fail(aReason, step, "", aReason.text);
+  }
   try {
-    const json keyed = KeyByName(json::parse(aFrom));
-    return ListByName(keyed.patch(json::parse(aPatch))).dump();
+    if (!std::all_of(patch->begin(), patch->end(), IsBounded)) {
+      return Fail(
+        aReason, step, "", "expected add, remove or replace with a short path");
+    }
+    const json keyed = KeyByName(std::move(*from));
+    return ListByName(keyed.patch(*patch)).dump();
   } catch (const json::exception& error) {
-    return Fail(aReason, "patch manifest", "", error.what());
+    return Fail(aReason, step, "", error.what());
   }
 }
 
--- a/src/load/answer.cpp
+++ b/src/load/answer.cpp
@@ -1,6 +1,5 @@
 #include "load/load.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 namespace bulrush::load {
 namespace {
@@ -126,17 +125,19 @@
     mIsDone = true;
     return;
   }
-  const json event = json::parse(aData, nullptr, false);
-  if (event.is_discarded() || !event.is_object()) {
+  last_reason ignored; // the outcome says that the answer is wrong
+  const auto event = ParseJson(aData, ignored);
+  if (!event || !event->is_object()) {
     mIsWrong = true;
     return;
   }
-  if (event.contains("error") && event["error"].is_object()) {
+  const auto error = event->find("error");
+  if (error != event->end() && error->is_object()) {
     mHasError = true;
-    mCode = StringMember(event["error"], "code");
+    mCode = StringMember(*error, "code");
     return;
   }
-  if (const auto text = FindText(event)) {
+  if (const auto text = FindText(*event)) {
     HandleToken(*text);
   }
 }
@@ -174,7 +175,8 @@
 load_outcome
 answer_reader::FinishError()
 {
-  const json body = json::parse(mBytes, nullptr, false);
+  last_reason ignored;
+  const json body = ParseJson(mBytes, ignored).value_or(json());
   const bool isError =
     body.is_object() && body.contains("error") && body["error"].is_object();
   if (!isError) {
@@ -203,13 +205,15 @@
 load_outcome
 answer_reader::FinishJson()
 {
-  const json body = json::parse(mBytes, nullptr, false);
+  last_reason ignored;
+  const auto parsed = ParseJson(mBytes, ignored);
   if (mExpectation.isRoute) {
-    return body.is_discarded() ? load_outcome::eWrong : load_outcome::eAnswered;
+    return parsed ? load_outcome::eAnswered : load_outcome::eWrong;
   }
-  if (!body.is_object()) {
+  if (!parsed || !parsed->is_object()) {
     return load_outcome::eWrong;
   }
+  const json& body = *parsed;
   const auto text = FindText(body);
   const json usage = body.value("usage", json::object());
   mTokens = usage.is_object()
--- a/src/load/plan_file.cpp
+++ b/src/load/plan_file.cpp
@@ -1,6 +1,5 @@
 #include "load/load.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <cmath>
 
@@ -306,14 +305,15 @@
               std::vector<manifest_fault>& aFaults)
 {
   const std::size_t faultsBefore = aFaults.size();
-  const json document = json::parse(aText, nullptr, false);
-  if (document.is_discarded()) {
+  last_reason ignored;
+  const auto document = ParseJson(aText, ignored);
+  if (!document) {
     aFaults.push_back({ "", "expected JSON" });
     return std::nullopt;
   }
   load_plan plan;
   plan.declared = aManifest;
-  object_reader reader(document, "", aFaults);
+  object_reader reader(*document, "", aFaults);
   ReadScalars(reader, plan);
   ReadWorkspaces(reader, plan);
   ReadTargets(reader, plan);
--- a/src/observe/span.cpp
+++ b/src/observe/span.cpp
@@ -1,6 +1,5 @@
 #include "observe/observe.hpp"
-
-#include <nlohmann/json.hpp>
+#include "json/json.hpp"
 
 #include <charconv>
 
@@ -271,9 +270,12 @@
 std::optional<parsed_span>
 ParseSpan(std::string_view aLine, last_reason& aReason)
 {
+  const auto line = ParseJson(aLine, aReason);
+  if (!line) {
+    return Fail(aReason, "read span", {}, aReason.text);
+  }
   try {
-    const json line = json::parse(aLine);
-    const json& document = line.at("resourceSpans").at(0);
+    const json& document = line->at("resourceSpans").at(0);
     const json& resource = document.at("resource").at("attributes");
     parsed_span parsed;
     parsed.source.service = FindAttribute(resource, "service.name");
