Keep a connection until an answer says that it closes

A stream whose head was sent before a stop began said nothing of closing; its connection was closed after it nevertheless, and what arrived was read and discarded for a second. Idle connections were closed when the last answer was under way, with the same effect.

Only an answer with "Connection: close" closes its connection now; the next request is answered (503 while the host stops) and told so. What is still idle is closed when the process ends: a request that crosses that moment can still be cut, as with any HTTP/1.1 server.

Before: Drain_BegunAfterTheHead_KeepsTheConnectionForOneMoreRequest: "CHECK_FALSE( isClosed )" failed; Stop_WithAnIdleConnection: "requests.size() == 2: 1 == 2". After: test_net, 30 cases, passed.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -516,12 +516,14 @@
   }
 }
 
+// A caller that was not told that the connection closes may have sent its next
+// request already, so only an answer that says so closes it.
 void
 http_connection::OnAnswerSent()
 {
   --mState->unsentAnswers;
   mIsAnswered = false;
-  if (!mKeepsAlive || mState->isDraining) {
+  if (!mKeepsAlive) {
     BeginLinger();
   } else {
     mPhase = phase::eHead;
@@ -546,14 +548,6 @@
   Read();
 }
 
-void
-http_connection::CloseIfIdle()
-{
-  if (mPhase == phase::eHead && mInput.empty()) {
-    Close();
-  }
-}
-
 void
 http_connection::Close()
 {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -18,7 +18,7 @@
   http_server_settings settings;
   http_server::request_hook onRequest;
   std::size_t unsentAnswers = 0;
-  bool isDraining = false; ///< answers close their connections
+  bool isDraining = false; ///< answers that begin close their connections
   std::function<void()> onFlushed;
 };
 
@@ -32,8 +32,6 @@
   /// Closes the connection, or answers 408, if its deadline has passed; returns
   /// the next deadline.
   steady_time CheckTimeout(steady_time aNow);
-  /// Closes the connection if no request is being read or answered.
-  void CloseIfIdle();
   void Close();
   bool IsClosed() const { return mPhase == phase::eClosed; }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -68,9 +68,6 @@
     mState->isDraining = true;
     std::error_code ignored; // no connection is accepted in any case
     mAcceptor.close(ignored);
-    for (const auto& connection : mConnections) {
-      connection->CloseIfIdle();
-    }
     if (mState->unsentAnswers == 0) {
       aOnFlushed();
     } else {
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -114,7 +114,7 @@
   /// Applies to requests that begin from now on.
   virtual void SetLimits(const http_server_limits& aLimits) = 0;
 
-  /// From now on each answer closes its connection.
+  /// From now on each answer that begins closes its connection.
   virtual void BeginDrain() = 0;
 
   /// Stops accepting connections. aOnFlushed is called once, when each open
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using asio::ip::tcp;
+using std::chrono::milliseconds;
 
 /// A server that records its requests and replies, and one caller.
 struct server_fixture
@@ -210,5 +211,33 @@
   CHECK(isClosed);
 }
 
+TEST_CASE_METHOD(server_fixture,
+                 "Drain_BegunAfterTheHead_KeepsTheConnectionForOneMoreRequest",
+                 "[net]")
+{
+  isAnswering = false;
+  Exchange(kGet);
+  REQUIRE(replies.size() == 1);
+  replies[0]->Start(200, {});
+  replies[0]->Write("data: 1\n\n");
+  server->BeginDrain();
+  replies[0]->Finish();
+  CHECK(ReadFor(milliseconds(50)).ends_with("0\r\n\r\n"));
+  CHECK_FALSE(isClosed);
+  isAnswering = true;
+  CHECK(Exchange(kGet).find("Connection: close") != std::string::npos);
+  CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(server_fixture,
+                 "Stop_WithAnIdleConnection_AnswersARequestThatCrossesIt",
+                 "[net]")
+{
+  Exchange(kGet);
+  server->StopWhenFlushed([] {});
+  CHECK(Exchange(kGet).find("Connection: close") != std::string::npos);
+  CHECK(requests.size() == 2);
+}
+
 } // namespace
 } // namespace bulrush::net
