Answer open calls before a control process stops

Cause: on SIGTERM a process that did not lead stopped its io_context at once, and a leader after its hand-over. HTTP calls of operators and servers that were read and not answered, calls of hosts and orders to engines were cut. Change: a stop is a row in the tables (control/stop.hpp). From the signal on new HTTP calls are answered as undecided (503 on the platform) with Connection: close, new calls of hosts with "no leader", which they send again. Hand-over comes first, as before; no new order is sent. Open calls keep their decision; those without one at nine tenths of the new option stop-grace are answered as undecided. The process ends once nothing has been open for 100 ms and all answers are sent, or at 95 % of stop-grace.

--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -212,6 +212,10 @@
 {
   const auto inbox = std::exchange(aTables.httpInbox, {});
   for (const received_call& input : inbox) {
+    if (aTables.stop) {
+      Answer(aOutbox, input.id, answer_kind::eUnknown, kStopsText);
+      continue;
+    }
     std::visit(
       [&](const auto& aCall) {
         Handle(aTables, input.id, aCall, aNow, aOutbox);
--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -304,7 +304,8 @@
              "");
       return true;
     }
-    if (aRow.deadline <= aNow) {
+    // A process that stops leads no longer, so it would not see the end.
+    if (aRow.deadline <= aNow || aTables.stop) {
       Answer(aOutbox,
              aRow.peer,
              aRow.call,
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -116,6 +116,14 @@
     "1h",
     "With conditional orders: how long a new leader waits after the end of the "
     "previous leader's lease before its first order" },
+  { "stop-grace",
+    option_type::eDuration,
+    "",
+    "30s",
+    "1s",
+    "1h",
+    "Time after the stop signal at which the process is killed; nine tenths of "
+    "it are used to answer open calls" },
   { "log-level",
     option_type::eText,
     "",
--- a/src/control/orders.cpp
+++ b/src/control/orders.cpp
@@ -410,7 +410,7 @@
 void
 RunOrders(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
-  if (aTables.residency.isEnabled) {
+  if (aTables.residency.isEnabled || aTables.stop) {
     return;
   }
   SyncManifest(aTables);
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,6 +1,7 @@
 #include "control/control.hpp"
 #include "control/metrics.hpp"
 #include "control/options.hpp"
+#include "control/stop.hpp"
 #include "control/tables.hpp"
 #include "net/net.hpp"
 #include "observe/observe.hpp"
@@ -60,6 +61,7 @@
 public:
   control_process(asio::io_context& aContext, const option_values& aOptions)
     : mContext(aContext)
+    , mStopGrace(aOptions.Duration("stop-grace"))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.IsSet("seeds")
@@ -115,24 +117,22 @@
     return true;
   }
 
-  // Transfers leadership before the stop, so that the fleet need not wait for
-  // an election timeout.
   void BeginStop()
   {
-    const steady_time now = net::Now();
-    if (!BeginHandOver(mTables, now)) {
-      mContext.stop();
-      return;
+    LogInfo(kLog,
+            "Stopping: waits at most {} for {}",
+            FormatDuration(mStopGrace),
+            Describe(OpenWork(mTables, mClient->Running())));
+    control::BeginStop(mTables, mStopGrace, net::Now());
+    if (mHttp) {
+      mHttp->BeginDrain();
     }
-    mStopBy = now + kHandOverTimeout;
     mTimer.RunSoon();
   }
 
   int ExitCode() const { return mExitCode; }
 
 private:
-  static constexpr std::chrono::milliseconds kHandOverTimeout{ 2'000 };
-
   bool OpenReplicatedLog(const option_values& aOptions, last_reason& aReason)
   {
     if (!ReadPeers(aOptions, aReason)) {
@@ -382,15 +382,37 @@
     }
     const steady_time end = net::Now();
     RecordLoad(mLoad, inbox, end - aNow, end);
-    if (mStopBy) {
-      if (aNow >= *mStopBy || IsHandedOver(mTables)) {
-        mContext.stop();
-      }
-      outbox.wake.NoLaterThan(*mStopBy);
+    if (mTables.stop) {
+      ContinueStop(*mTables.stop, aNow, outbox.wake);
     }
     return outbox.wake;
   }
 
+  void ContinueStop(stop_row& aStop, steady_time aNow, wake_time& aWake)
+  {
+    aWake.NoLaterThan(aStop.endBy);
+    if (aNow >= aStop.endBy) {
+      LogWarning(kLog, "Stopping: answers could not be sent in time");
+      EndStop();
+    } else if (!aStop.isEnding &&
+               MayEnd(mTables, mClient->Running(), aNow, aWake)) {
+      aStop.isEnding = true;
+      if (mHttp) {
+        mHttp->StopWhenFlushed([this] { EndStop(); });
+      } else {
+        EndStop();
+      }
+    }
+  }
+
+  void EndStop()
+  {
+    LogInfo(kLog,
+            "Stops, leaving {}",
+            Describe(OpenWork(mTables, mClient->Running())));
+    mContext.stop();
+  }
+
   void Send(outgoing_message& aOut, steady_time aNow)
   {
     const std::string bytes = wire::Encode(
@@ -494,6 +516,7 @@
   };
 
   asio::io_context& mContext;
+  const std::chrono::milliseconds mStopGrace;
   control_tables mTables;
   front_end mFrontEnd;
   std::vector<domain_row> mDomains;
@@ -510,7 +533,6 @@
   std::unique_ptr<net::link_server> mServer;
   std::unique_ptr<net::http_client> mClient;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
-  std::optional<steady_time> mStopBy;
   int mExitCode = 0;
 };
 
@@ -565,10 +587,7 @@
   }
   net::OnStopSignal(
     context,
-    [&process] {
-      LogInfo(kLog, "Stops");
-      process.BeginStop();
-    },
+    [&process] { process.BeginStop(); },
     [] { LogInfo(kLog, "Stop signal ignored: already stopping"); });
   net::OnReloadSignal(context, [] {
     LogInfo(kLog, "SIGHUP ignored: settings are read at startup only");
--- a/src/control/residents.cpp
+++ b/src/control/residents.cpp
@@ -367,7 +367,8 @@
 RunResidents(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   residency_tables& residency = aTables.residency;
-  if (!residency.isEnabled || aTables.fleet.manifestRevision == 0) {
+  if (!residency.isEnabled || aTables.fleet.manifestRevision == 0 ||
+      aTables.stop) {
     return;
   }
   SyncManifest(aTables);
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -222,6 +222,11 @@
         std::get_if<withdraw_key>(&aCall.command.change)) {
     AddTombstones(aTables, { withdrawal->key });
   }
+  if (aTables.stop) {
+    Answer(
+      aInput, aCall.call, wire::call_outcome::eNoLeader, kStopsText, aOutbox);
+    return;
+  }
   if (aTables.log.isLeader(aNow)) {
     ProposeCall(aTables, aInput, aCall, aNow, aOutbox);
   } else {
@@ -408,10 +413,11 @@
 {
   std::vector<pending_call> expired;
   for (const pending_call& call : aTables.calls) {
-    if (call.deadline <= aNow) {
+    const steady_time deadline = AnswerBy(aTables, call.deadline);
+    if (deadline <= aNow) {
       expired.push_back(call);
     } else {
-      aOutbox.wake.NoLaterThan(call.deadline);
+      aOutbox.wake.NoLaterThan(deadline);
     }
   }
   for (const pending_call& call : expired) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -7,6 +7,7 @@
 #include "control/control.hpp"
 #include "control/log.hpp"
 #include "control/orders.hpp"
+#include "control/stop.hpp"
 #include "fleet/fleet.hpp"
 #include "rates/rates.hpp"
 #include "wire/wire.hpp"
@@ -297,6 +298,7 @@
   std::uint64_t gossipedConfirmed = 0; ///< newest confirmed revision gossiped
   steady_time nextGossip{};
   std::uint64_t lastCall = 0;
+  std::optional<stop_row> stop; ///< set once a planned stop has begun
   std::function<wall_time()> wallClock;
 };
 
