Answer a request before its caller leaves at its deadline

Cause: the deadline of a route's request was the caller's own time left, counted from when the host had read the request, so the answer that time was up always came after the caller had left. And a stream of which part of an answer had arrived, but no whole event, was waited for for 30 s from then, whatever the deadline of its first byte; in the platform's front end it ended as a lost answer at the moment its caller left.

Change: of the time that a caller states, 100 ms, at most a twentieth, is kept for the answer; the route's own deadline is not shortened. While no event was forwarded a stream ends at the deadline of its first byte, as past its deadline: 504, may have run.

Callers saw no byte and left.

before: Deadline_OfACallerThatLeavesFirst_IsBeforeItLeaves failed for all 5 times; Stream_WithoutAnEventAtItsDeadline_EndsAsPastItsDeadline "11 == 8" (lost) and no end at all without a deadline of the last byte; test_process Stream_WithoutAnEventAtItsDeadline_IsAnsweredAsFailed "0 Timeout was reached" after 30 s. now: test_routing 98 cases, test_entry 21, test_platform 11 and that process test passed.

A head without any byte of a body is not reported by the client; such a request counts as unanswered, as before.

--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -23,6 +23,10 @@
 /// A request that has used up less of its deadline than this is taken as the
 /// caller's first attempt; a larger difference means that it was retried.
 constexpr std::chrono::milliseconds kFirstAttemptMargin{ 100 };
+/// A caller that states when it gives up is answered this much earlier, and not
+/// more than this part of its time, so that the answer reaches it.
+constexpr std::chrono::milliseconds kAnswerMargin{ 100 };
+constexpr int kAnswerMarginPart = 20;
 /// Time for a caller to come back to another host, or for this one to catch up.
 constexpr std::chrono::milliseconds kOutdatedRetryTime{ 250 };
 constexpr int kRankStep = 1'000; // a workspace's rank outweighs a route's
@@ -155,6 +159,19 @@
   return aNow + (isFirstAttempt ? aRoute.target : abandonedAfter);
 }
 
+// The time that a caller leaves this host for its answer. The time of a route
+// is this system's own, and the caller waits for longer.
+std::chrono::milliseconds
+TimeToAnswer(const caller_call& aCall, const route_row& aRoute)
+{
+  if (!aCall.timeLeft) {
+    return aRoute.deadline;
+  }
+  const auto left = std::max(*aCall.timeLeft, std::chrono::milliseconds{ 0 });
+  const auto margin = std::min(kAnswerMargin, left / kAnswerMarginPart);
+  return std::min(aRoute.deadline, left - margin);
+}
+
 // A resumable stream may also be started again; other streams run once.
 void
 SetRoute(const resolve_context& aContext,
@@ -171,7 +188,7 @@
   facts.maxAttempts = aRoute.maxAttempts;
   const auto timeLeft = std::min(
     aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
-  facts.deadline = net::Now() + timeLeft;
+  facts.deadline = net::Now() + TimeToAnswer(aCall, aRoute);
   facts.lastByteDeadline = facts.deadline;
   facts.placementDeadline = PlacementDeadline(aRoute, timeLeft, net::Now());
   facts.targetFirstByte = aRoute.target;
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -91,7 +91,7 @@
     aAttempt.timeoutAt = steady_time::max();
   } else if (IsForwardedOnArrival(aRequest, aAttempt)) {
     aAttempt.timeoutAt = std::min(aNow + IdleTimeout(aOptions, aRequest),
-                                  aRequest.facts.lastByteDeadline);
+                                  LastWait(aOptions, aAttempt, aRequest));
   } else {
     aAttempt.timeoutAt = aRequest.facts.deadline;
   }
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -92,12 +92,13 @@
     ExtendTimeout(aTables.settings, aAttempt, last, aNow);
     return;
   }
+  const bool isLate = aNow >= last && !aRequest.hasForwarded;
   if (aRequest.facts.isIdempotent || isStream) {
     FailAttempt(aTables,
                 aAttempt,
                 aRequest,
-                isStream ? attempt_failure::eTruncated
-                         : attempt_failure::eTimeout,
+                isStream && !isLate ? attempt_failure::eTruncated
+                                    : attempt_failure::eTimeout,
                 false,
                 aNow,
                 aOutbox);
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -154,6 +154,9 @@
          const request_row& aRequest)
 {
   const steady_time deadline = aRequest.facts.lastByteDeadline;
+  if (!aRequest.hasForwarded) {
+    return std::min(aRequest.facts.deadline, deadline);
+  }
   return deadline == steady_time::max()
            ? aAttempt.lastProgressAt + aOptions.streamIdleTimeout
            : deadline;
--- /dev/null
+++ b/tests/entry/deadline_test.cpp
@@ -0,0 +1,93 @@
+#include "entry/outcomes.hpp"
+#include "entry/resolve.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace bulrush::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRouteDeadline{ 10'000 };
+
+/// A host with one open route, and one with a target, both with deadlines.
+struct deadline_fixture
+{
+  traffic_view view;
+  front_end front;
+  random_engine random{ 1 };
+  steady_time before;
+  steady_time after;
+
+  deadline_fixture()
+  {
+    auto fleet = std::make_shared<fleet_state>();
+    apply_manifest change;
+    change.text = R"({"name":"test","version":"1","number":1,
+      "failure_domains":[{"name":"north"}],
+      "services":[{"name":"desk"}],
+      "routes":[{"path":"/a","host":"h","service":"desk","open":true,
+                 "deadline_ms":10000}]})";
+    fleet_command command;
+    command.change = change;
+    Apply(*fleet, command);
+    view.fleet = fleet;
+  }
+
+  /// The deadline of a request whose caller has this time left.
+  steady_time DeadlineFor(std::optional<milliseconds> aTimeLeft)
+  {
+    net::http_request request;
+    request.method = "POST";
+    request.path = "/a";
+    caller_call call;
+    call.host = "h";
+    call.timeLeft = aTimeLeft;
+    resolved_call resolved;
+    caller_error error;
+    const resolve_context context{ view, front, true, random };
+    before = net::Now();
+    REQUIRE(Resolve(context, request, call, resolved, error));
+    after = net::Now();
+    CHECK(resolved.facts.lastByteDeadline == resolved.facts.deadline);
+    return resolved.facts.deadline;
+  }
+};
+
+TEST_CASE_METHOD(deadline_fixture,
+                 "Deadline_OfACallerThatLeavesFirst_IsBeforeItLeaves",
+                 "[entry]")
+{
+  const auto timeLeft = GENERATE(milliseconds{ 40 },
+                                 milliseconds{ 400 },
+                                 milliseconds{ 2'000 },
+                                 milliseconds{ 9'990 },
+                                 kRouteDeadline);
+  const steady_time deadline = DeadlineFor(timeLeft);
+  const milliseconds margin = std::min(milliseconds{ 100 }, timeLeft / 20);
+  CHECK(deadline <= after + timeLeft - margin);
+  CHECK(deadline >= before + timeLeft - margin);
+}
+
+TEST_CASE_METHOD(deadline_fixture,
+                 "Deadline_OfTheRoute_IsNotShortened",
+                 "[entry]")
+{
+  const auto timeLeft = GENERATE(std::optional<milliseconds>{},
+                                 std::optional(milliseconds{ 60'000 }));
+  const steady_time deadline = DeadlineFor(timeLeft);
+  CHECK(deadline >= before + kRouteDeadline);
+  CHECK(deadline <= after + kRouteDeadline);
+}
+
+TEST_CASE_METHOD(deadline_fixture,
+                 "Deadline_OfACallerWithoutTimeLeft_HasPassed",
+                 "[entry]")
+{
+  const auto timeLeft =
+    GENERATE(milliseconds{ 0 }, milliseconds{ -5 }, milliseconds::min());
+  CHECK(DeadlineFor(timeLeft) <= after);
+}
+
+} // namespace
+} // namespace bulrush::entry
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -186,6 +186,14 @@
   }
 }
 
+TEST_CASE_METHOD(endless_fixture,
+                 "Stream_WithoutAnEventAtItsDeadline_IsAnsweredAsFailed",
+                 "[process][endless]")
+{
+  RequireEnded(
+    { kStreamHead + "data: x", "" }, [this] { return Stream(); }, kReserve);
+}
+
 // The order may be executed later, so the control process does not take the
 // bytes for an answer; it neither keeps them nor reads on.
 TEST_CASE_METHOD(endless_fixture,
--- a/tests/routing/silence_test.cpp
+++ b/tests/routing/silence_test.cpp
@@ -77,7 +77,7 @@
   }
 
   /// Runs the ticks that are due within aFor.
-  void RunFor(std::chrono::milliseconds aFor)
+  void RunFor(steady_time::duration aFor)
   {
     const steady_time until = now + aFor;
     while (out.ends.empty() && out.wake.at < until) {
@@ -170,6 +170,23 @@
   CheckEnd(request_outcome::eBrokenStream, ran_state::eMayHaveRun);
 }
 
+// The caller has got no byte, so it can be told that its time is up.
+TEST_CASE_METHOD(silence_fixture,
+                 "Stream_WithoutAnEventAtItsDeadline_EndsAsPastItsDeadline",
+                 "[routing][silence]")
+{
+  const request_facts facts =
+    GENERATE_COPY(Stream(false), Stream(true), StreamWithoutEnd());
+  if (facts.isIdempotent) {
+    RemoveEndpoint(engine, endpoint_id{ 2 });
+  }
+  SendWithHead(facts);
+  RunFor(facts.deadline - now - milliseconds{ 1 });
+  RunOnce();
+  CheckEnd(request_outcome::eDeadline, ran_state::eMayHaveRun);
+  CHECK_FALSE(out.ends.front().hasForwarded);
+}
+
 // Past its placement deadline it could not wait for a slot there.
 TEST_CASE_METHOD(silence_fixture,
                  "Stream_WhenTheOtherEndpointIsFull_IsWaitedFor",
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -206,6 +206,10 @@
       mark, kAttemptMark.size(), HeaderField(request, "Bulrush-Attempt"));
   }
   SendAll(aSocket, start);
+  if (aAnswer.block.empty()) {
+    WaitForClose(aSocket);
+    return;
+  }
   std::string block;
   while (block.size() < kEndlessBlockBytes) {
     block += aAnswer.block;
@@ -229,6 +233,21 @@
   close(aSocket);
 }
 
+void
+raw_endpoint::WaitForClose(int aSocket)
+{
+  char byte = 0;
+  while (!mIsStopping) {
+    pollfd socket{ aSocket, POLLIN, 0 };
+    if (poll(&socket, 1, kReportIntervalMs) > 0 &&
+        recv(aSocket, &byte, 1, 0) <= 0) {
+      ++mEndlessClosed;
+      break;
+    }
+  }
+  close(aSocket);
+}
+
 void
 raw_endpoint::Serve()
 {
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -26,8 +26,8 @@
 };
 
 /// Bytes sent for a request: a start, then a block that is repeated until the
-/// caller closes the connection. "{attempt}" in the start becomes the id of the
-/// request's attempt.
+/// caller closes the connection; an empty block for nothing until then.
+/// "{attempt}" in the start becomes the id of the request's attempt.
 struct endless_answer
 {
   std::string start;
@@ -71,6 +71,7 @@
   void Answer(int aSocket);
   response_mode NextResponseMode();
   std::optional<endless_answer> EndlessAnswer();
+  void WaitForClose(int aSocket);
   void SendEndless(int aSocket, const endless_answer& aAnswer);
 
   std::string mName;
