Refuse heartbeats whose numbers are out of range

Cause: numbers of a heartbeat were converted instead of checked. 1e300, -1 and 2^64 became a start time of 2^64-1,  slots became 1, -3 slots. The address could have port 0, the id any length.

Callers saw: 200 for each. After a start time of 2^64-1 each sound heartbeat of that server counted as older, so its state, its models and its leaving were ignored; the row is published to every process.

Change: field_reader in the json library reads whole numbers, numbers and texts in a stated range and names the field at fault. Heartbeats and engine states use it. IsInRange in fleet holds the bounds of an endpoint's row: id of 1 to 128 visible ASCII characters, start time and sequence below 2^63, slots from 1 to 65536, port from 1 to 65535. A heartbeat out of range gets a 400, and the log names the field.

After: test_json, test_platform, test_fleet and both process tests of odd heartbeats pass.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -240,6 +240,17 @@
   steady_time lastSeen{};
 };
 
+/// Bounds of the fields that a report of an endpoint sets.
+inline constexpr std::size_t kMaxEndpointNameBytes = 128;
+inline constexpr std::uint64_t kMaxIncarnation = (1ULL << 63U) - 1;
+inline constexpr std::uint64_t kMaxSequence = (1ULL << 63U) - 1;
+inline constexpr std::uint32_t kMaxSlots = 65'536;
+
+/// Checks a row from outside the process: its name has visible ASCII characters
+/// only, its address a port, and each number is within its bounds. Otherwise
+/// the reason names the field.
+bool IsInRange(const endpoint_row& aRow, last_reason& aReason);
+
 /// True if aNew has a later incarnation, or the same and a later sequence.
 bool IsNewer(const endpoint_row& aNew, const endpoint_row& aOld);
 
--- a/src/json/json.hpp
+++ b/src/json/json.hpp
@@ -20,6 +20,43 @@
 std::optional<nlohmann::json> ParseJson(std::string_view aText,
                                         last_reason& aReason);
 
+/// Reads the fields of a JSON object within bounds. Keeps the first fault,
+/// which names its field; a field at fault reads as zero or empty. A missing
+/// field without default is a fault. The object has to outlive the reader.
+class field_reader
+{
+public:
+  explicit field_reader(const nlohmann::json& aObject);
+
+  /// A whole number; 5.0 is one.
+  std::uint64_t Whole(const char* aName,
+                      std::uint64_t aMin,
+                      std::uint64_t aMax,
+                      std::optional<std::uint64_t> aDefault = std::nullopt);
+  double Number(const char* aName,
+                double aMin,
+                double aMax,
+                std::optional<double> aDefault = std::nullopt);
+  /// A text of 1 to aMaxBytes bytes without control characters.
+  std::string Text(const char* aName, std::size_t aMaxBytes);
+  /// An array; empty if the field is missing.
+  const nlohmann::json& List(const char* aName);
+
+  /// nullopt while all fields are in range.
+  const std::optional<std::string>& Fault() const { return mFault; }
+
+private:
+  const nlohmann::json* Find(const char* aName, bool aIsRequired);
+  void AddFault(const char* aName, const std::string& aExpected);
+
+  const nlohmann::json& mObject;
+  std::optional<std::string> mFault;
+};
+
+/// aValue as a whole number, if it is one from 0 to 2^64 - 1. Numbers written
+/// with a fraction or an exponent count up to 2^53, where they are exact.
+std::optional<std::uint64_t> ToWhole(const nlohmann::json& aValue);
+
 } // namespace bulrush
 
 #endif
--- a/tests/process/odd_heartbeat_test.cpp
+++ b/tests/process/odd_heartbeat_test.cpp
@@ -75,5 +75,36 @@
   CHECK(Heartbeat("i-9", sound + "}") == 200);
 }
 
+TEST_CASE_METHOD(odd_heartbeat_fixture,
+                 "Control_WhenAHeartbeatIsOutOfRange_RefusesItAndTakesTheNext",
+                 "[process]")
+{
+  const std::string start = R"({"service":"desk","zone":"a","state":"ready",)";
+  for (const char* rest :
+       { R"("address":"127.0.0.1:9","slots":4,"sequence":4,"born":1e300})",
+         R"("address":"127.0.0.1:9","slots":4,"sequence":4,"born":-1})",
+         R"("address":"127.0.0.1:9","slots":4,"sequence":4,"born":1e20})",
+         R"("address":"127.0.0.1:9","slots":4,"sequence":1e30,"born":1})",
+         R"("address":"127.0.0.1:9","slots":4,"sequence":-4,"born":1})",
+         R"("address":"127.0.0.1:9","slots":4294967297,"sequence":4,"born":1})",
+         R"("address":"127.0.0.1:9","slots":-3,"sequence":4,"born":1})",
+         R"("address":"127.0.0.1:9","slots":1.5,"sequence":4,"born":1})",
+         R"("address":"127.0.0.1:0","slots":4,"sequence":4,"born":1})" }) {
+    INFO(rest);
+    CHECK(Heartbeat("i-9", start + rest) == 400);
+  }
+  CHECK(Heartbeat("", sound + "}") == 400);
+  CHECK(Heartbeat(std::string(3'000, 'i'), sound + "}") == 400);
+  REQUIRE(control->IsRunning());
+  CHECK(Heartbeat("i-9", sound + "}") == 200);
+  for (const char* text : { "born: expected a whole number",
+                            "endpoint=i-9 address=127.0.0.1:9 "
+                            "incarnation=1700000000000" }) {
+    INFO(text);
+    CHECK(WaitUntil(
+      [&] { return control->Log().find(text) != std::string::npos; }));
+  }
+}
+
 } // namespace
 } // namespace bulrush::test
