Send the last replies of a control process that stops

Found by reading. Replies that became due at the end of the time for answers were handed to the links in the tick that ended the process, so they were dropped; hosts kept sending commands to a process that refused them while it stopped; and the answer to a withdrawal of a key, which takes effect before the log has it, stated that nothing had run.

The process now stays for the time that queues of links need, updates tell hosts to report to another process, and the text states only the stop. No test of its own: how often replies were lost was not measured.

--- a/src/control/stop.cpp
+++ b/src/control/stop.cpp
@@ -82,10 +82,11 @@
        wake_time& aWake)
 {
   stop_row& stop = *aTables.stop;
-  if (aNow >= stop.answerBy) {
+  const steady_time last = stop.answerBy + kIdleTime;
+  if (aNow >= last) {
     return true;
   }
-  aWake.NoLaterThan(stop.answerBy);
+  aWake.NoLaterThan(last);
   if (!IsHandOverDone(aTables, aNow)) {
     aWake.NoLaterThan(stop.handOverBy);
     return false;
--- a/src/control/stop.hpp
+++ b/src/control/stop.hpp
@@ -24,8 +24,7 @@
 };
 
 /// Text of the answer to a call that a stopping process does not run.
-inline constexpr const char* kStopsText =
-  "this process is stopping and has not run the call";
+inline constexpr const char* kStopsText = "this process is stopping";
 
 /// Calls and orders without an answer.
 struct open_work
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -160,7 +160,8 @@
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
   const std::string leader = aTables.log.leaderName();
-  const bool isCaughtUp = aTables.log.isCaughtUp(aNow);
+  // Hosts leave a process that is not caught up, as they should one that stops.
+  const bool isCaughtUp = !aTables.stop && aTables.log.isCaughtUp(aNow);
   std::string snapshot;
   for (host_row& host : aTables.hosts) {
     const bool needsConfiguration =
