Place what was sent again during a stop, within the time of the host

Found by reading. Once the time for placement of a stopping host was over, a request that was taken from a silent or failed endpoint ended in the same tick, before another endpoint was chosen: callers got 502, or a stream broke off, up to four seconds before the end of the grace. And an attempt of a request that may be repeated was sent with the caller's whole time, since only the row of routing was shortened, and not at all when its retry was decided after the stop's system had run.

Only what was not sent is bound by the placement time of the stop, each attempt is cut to the end of the stop as it starts, and the endpoint is handed that time.

Before: SilentAttempt_PastThePlacementTimeOfAStop_IsMoved: out.ends.empty() false, 0 == 1 starts.

--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -439,7 +439,11 @@
 
   void StartCall(const routing::start_attempt& aStart)
   {
-    const waiting_row& waiting = *mWaiting.Find(aStart.request);
+    waiting_row& waiting = *mWaiting.Find(aStart.request);
+    // A stop shortens them.
+    const auto& facts = mEngine.requests.Find(aStart.request)->facts;
+    waiting.request.facts.deadline = facts.deadline;
+    waiting.request.facts.lastByteDeadline = facts.lastByteDeadline;
     call_row row;
     row.metadata = AttemptOf(aStart, waiting);
     net::http_call call = waiting.request.call;
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -204,6 +204,10 @@
   attempt.incarnation = aEndpoint.facts.incarnation;
   attempt.coldEpoch = aEndpoint.coldStart.epoch;
   attempt.startedAt = aNow;
+  request_facts& facts = aRequest.facts;
+  facts.deadline = std::min(facts.deadline, aTables.settings.finishBy);
+  facts.lastByteDeadline =
+    std::min(facts.lastByteDeadline, aTables.settings.finishBy);
   const auto timeout =
     AttemptTimeout(aTables.settings, aRequest, TimeLeft(aRequest, aNow));
   attempt.timeoutAt = aNow + timeout;
@@ -534,6 +538,26 @@
   return freeSlots;
 }
 
+// A stopping host refuses what was not sent, so that another host serves it.
+// For what may have run a refusal comes too late.
+static steady_time
+LastStart(const options& aOptions, const request_row& aRequest)
+{
+  const bool wasSent = aRequest.mayHaveRun || aRequest.hasForwarded;
+  return wasSent
+           ? aRequest.facts.deadline
+           : std::min(aRequest.facts.deadline, aOptions.placementDeadline);
+}
+
+steady_time
+LastPlacement(const options& aOptions, const request_row& aRequest)
+{
+  const steady_time start = LastStart(aOptions, aRequest);
+  return aRequest.hasForwarded
+           ? start
+           : std::min(start, aRequest.facts.placementDeadline);
+}
+
 // Waiting requests are tried again when the backoff of an endpoint ends.
 static void
 WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
@@ -557,16 +581,14 @@
   CollectWaiting(aTables);
   for (const waiting_request& each : aTables.waiting) {
     request_row& request = *aTables.requests.Find(each.id);
-    if (aNow >=
-        std::min(request.facts.deadline, aTables.settings.placementDeadline)) {
+    const steady_time lastStart = LastStart(aTables.settings, request);
+    if (aNow >= lastStart) {
       EndUnplaced(aTables, request, aNow, aOutbox);
       continue;
     }
     const choice chosen = ChooseOrShareResult(aTables, request, aNow);
     request.wasNotResident = chosen.failure == choice_failure::eNotResident;
-    const steady_time last = std::min({ request.facts.deadline,
-                                        request.facts.placementDeadline,
-                                        aTables.settings.placementDeadline });
+    const steady_time last = LastPlacement(aTables.settings, request);
     if (chosen.failure && (aNow >= last || chosen.availableAt >= last)) {
       EndUnplaced(aTables, request, aNow, aOutbox);
       continue;
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -93,6 +93,9 @@
                       const request_row& aRequest,
                       steady_time aNow);
 
+/// Until when a request may wait for an endpoint.
+steady_time LastPlacement(const options& aOptions, const request_row& aRequest);
+
 /// Why the request's attempt cannot be replaced by one at another endpoint;
 /// eNone if it can.
 stay_reason WhyAttemptStays(tables& aTables,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -106,9 +106,7 @@
 {
   switch (aRequest.state) {
     case request_state::eReady:
-      aWake.NoLaterThan(std::min({ aRequest.facts.deadline,
-                                   aRequest.facts.placementDeadline,
-                                   aOptions.placementDeadline }));
+      aWake.NoLaterThan(LastPlacement(aOptions, aRequest));
       break;
     case request_state::eAwaitingClaim:
       aWake.NoLaterThan(
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -239,7 +239,7 @@
   bool isPending = false; ///< listed in tables::attention
   bool wasNotResident = false;
   bool holdsClaim = false;
-  bool mayHaveRun = false; ///< a finished attempt may have run
+  bool mayHaveRun = false;   ///< a finished attempt may have run
   bool hasForwarded = false;
   attempt_id attempt; ///< current attempt
   std::uint32_t attemptsMade = 0;
--- a/tests/routing/stop_test.cpp
+++ b/tests/routing/stop_test.cpp
@@ -275,5 +275,21 @@
   CheckEnd(request_outcome::eHostStopped, ran_state::eNotRun);
 }
 
+TEST_CASE_METHOD(stop_fixture,
+                 "SilentAttempt_PastThePlacementTimeOfAStop_IsMoved",
+                 "[routing]")
+{
+  request_facts facts = LongRequest();
+  facts.targetFirstByte = milliseconds{ 100 };
+  const start_attempt sent = Send(facts);
+  Stop();
+  engine.settings.placementDeadline = now;
+  RunOnce(milliseconds{ 200 });
+  CHECK(out.ends.empty());
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint != sent.endpoint);
+  CHECK(out.starts.front().timeout <= engine.settings.finishBy - now);
+}
+
 } // namespace
 } // namespace bulrush::routing
