Take the retry budget with the decision to move an attempt

Found by reading. Attempts whose timeouts passed in one tick each found the same retry in the budget: all were cancelled, the first was sent again and the others ended, with 504 long before their deadline or a stream that broke off. Kept attempts are extended together, so they also moved together. And an attempt after one that had not been sent was taken for a free retry.

The decision takes its retry from the budget, and a new attempt forgets how the one before it failed.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -208,6 +208,7 @@
   facts.deadline = std::min(facts.deadline, aTables.settings.finishBy);
   facts.lastByteDeadline =
     std::min(facts.lastByteDeadline, aTables.settings.finishBy);
+  aRequest.lastFailure = attempt_failure::eNone;
   const auto timeout =
     AttemptTimeout(aTables.settings, aRequest, TimeLeft(aRequest, aNow));
   attempt.timeoutAt = aNow + timeout;
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -102,6 +102,9 @@
                             const request_row& aRequest,
                             steady_time aNow);
 
+/// Takes a retry of the request from its budget, before it is decided.
+void PayForRetry(tables& aTables, request_row& aRequest);
+
 /// Longest gap in a stream before the request moves to another endpoint.
 std::chrono::milliseconds IdleTimeout(const options& aOptions,
                                       const request_row& aRequest);
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -82,6 +82,9 @@
     return;
   }
   const bool isLate = aNow >= last && !aRequest.hasForwarded;
+  if (stays == stay_reason::eNone && aNow < last) {
+    PayForRetry(aTables, aRequest);
+  }
   if (aRequest.facts.isIdempotent || isStream) {
     FailAttempt(aTables,
                 aAttempt,
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -86,11 +86,12 @@
     }
     ExtendDeadlineToResume(aTables.settings, aRequest, aNow);
   }
-  return aTables.policy.retry(
-    { aRequest,
-      FindOrAddRetryBudget(aTables, aRequest.facts.service).budget,
-      TimeLeft(aRequest, aNow),
-      maxAttempts });
+  return aRequest.hasPaidRetry ||
+         aTables.policy.retry(
+           { aRequest,
+             FindOrAddRetryBudget(aTables, aRequest.facts.service).budget,
+             TimeLeft(aRequest, aNow),
+             maxAttempts });
 }
 
 } // namespace
@@ -135,6 +136,15 @@
   return mayRetry ? stay_reason::eNone : stay_reason::eNoRetryBudget;
 }
 
+// All attempts whose timeouts pass in one tick are decided before any of their
+// retries starts, so each takes its part of the budget with the decision.
+void
+PayForRetry(tables& aTables, request_row& aRequest)
+{
+  FindOrAddRetryBudget(aTables, aRequest.facts.service).budget -= 1.0;
+  aRequest.hasPaidRetry = true;
+}
+
 std::chrono::milliseconds
 IdleTimeout(const options& aOptions, const request_row& aRequest)
 {
@@ -209,8 +219,10 @@
     }
     if (ShouldRetry(aTables, request, aNow)) {
       const bool isFree = request.lastFailure == attempt_failure::eNotSent;
-      FindOrAddRetryBudget(aTables, request.facts.service).budget -=
-        isFree ? 0.0 : 1.0;
+      if (!isFree && !request.hasPaidRetry) {
+        PayForRetry(aTables, request);
+      }
+      request.hasPaidRetry = false;
       request.state = request_state::eReady;
     } else {
       EndRequest(aTables.settings,
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -239,6 +239,7 @@
   bool isPending = false; ///< listed in tables::attention
   bool wasNotResident = false;
   bool holdsClaim = false;
+  bool hasPaidRetry = false; ///< the next retry was taken from the budget
   bool mayHaveRun = false;   ///< a finished attempt may have run
   bool hasForwarded = false;
   attempt_id attempt; ///< current attempt
--- a/tests/routing/retry_test.cpp
+++ b/tests/routing/retry_test.cpp
@@ -470,5 +470,44 @@
   CHECK(engine.endpoints.Find(first.endpoint)->avoidUntil > now);
 }
 
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempts_PastTheirTargetInOneTick_MoveWithinTheBudgetOnly",
+                 "[routing]")
+{
+  engine.settings.retryShare = 0;
+  engine.settings.retryBurst = 1;
+  request_facts facts = Request();
+  facts.targetFirstByte = milliseconds{ 100 };
+  facts.deadline = now + std::chrono::seconds{ 10 };
+  std::vector<start_attempt> sent;
+  for (int i = 0; i < 3; ++i) {
+    sent.push_back(Send(facts));
+    facts.id.value += 1;
+  }
+  RunOnce(milliseconds{ 250 });
+  CHECK(out.starts.size() == 1);
+  CHECK(out.cancels.size() == 1);
+  CHECK(out.kept.size() == 2);
+  CHECK(out.ends.empty());
+}
+
+TEST_CASE_METHOD(retry_fixture,
+                 "Attempt_PastItsTargetAfterOneThatWasNotSent_NeedsTheBudget",
+                 "[routing]")
+{
+  engine.settings.retryShare = 0;
+  engine.settings.retryBurst = 0;
+  request_facts facts = Request();
+  facts.targetFirstByte = milliseconds{ 100 };
+  facts.deadline = now + std::chrono::seconds{ 10 };
+  const start_attempt unsent = Send(facts);
+  End(unsent.attempt, attempt_end::eNotSent);
+  RunOnce();
+  REQUIRE(out.starts.size() == 1);
+  RunOnce(milliseconds{ 200 });
+  CHECK(out.cancels.empty());
+  CHECK(out.ends.empty());
+}
+
 } // namespace
 } // namespace bulrush::routing
