Ignore published endpoints that are out of range

Cause: control processes and entry hosts took each row and each removal that another process published, with no check of its own. A process of an earlier version, or one with a faulty writer, could spread a row whose incarnation is 2^64-1; each later report of that endpoint was then older, also after a removal, on every process.

Callers saw: the state, models and leaving of that server stayed as in the odd row.

Change: UpdateEndpoint of control processes and of entry hosts ignores a row that fails IsInRange, HandleRemoval a removal whose incarnation or sequence is out of range; both log it.

Before: 14 of 34 checks of Endpoint_AfterARowOutOfRange_CountsStill, Endpoint_AfterARemovalOutOfRange_CountsStill and Endpoint_WithAnOddName_IsIgnored failed. After: test_control and test_entry pass. The entry host's check has no test of its own.

--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -88,6 +88,11 @@
 void
 UpdateEndpoint(control_tables& aTables, const endpoint_row& aRow, bool aIsOwn)
 {
+  last_reason reason;
+  if (!IsInRange(aRow, reason)) {
+    LogWarning(kLog, "Ignored an endpoint: {}", Describe(reason));
+    return;
+  }
   known_endpoint* known = aTables.endpoints.Find(aRow.id);
   if (known == nullptr) {
     if (!MayReturn(aTables, aRow) || IsSupersededAtAddress(aTables, aRow)) {
@@ -137,6 +142,11 @@
 void
 HandleRemoval(control_tables& aTables, const wire::removed_endpoint& aRemoved)
 {
+  if (aRemoved.incarnation > kMaxIncarnation ||
+      aRemoved.sequence > kMaxSequence) {
+    LogWarning(kLog, "Ignored a removed endpoint: number out of range");
+    return;
+  }
   const known_endpoint* known = aTables.endpoints.Find(aRemoved.id);
   if (known == nullptr) {
     const removed_row* before = aTables.removedEndpoints.Find(aRemoved.id);
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -71,6 +71,11 @@
 bool
 UpdateEndpoint(entry_tables& aTables, const endpoint_row& aRow)
 {
+  last_reason reason;
+  if (!IsInRange(aRow, reason)) {
+    LogWarning(kLog, "Ignored an endpoint: {}", Describe(reason));
+    return false;
+  }
   const endpoint_row* known = aTables.endpoints.Find(aRow.id);
   if (known != nullptr && !IsNewer(aRow, *known)) {
     return false;
