Refuse endpoint reports and usages that are out of range

Cause: reports to the OpenAI front end were checked for whole numbers only, not for a range, and not for the port or the length of the name. A usage of 2^64-1 tokens in an endpoint's answer was converted to -1.

Callers saw: an endpoint got 200 for a report with port 0 or incarnation 2^64-1; after the latter each sound report of it was older.

Change: reports are checked by IsInRange as the platform's heartbeats are, and get a 400 otherwise. A usage out of range counts as unknown.

Before: 8 of 11 checks of Report_WithAFieldOutOfRange_IsRefused and Usage_OutOfRange_IsUnknown failed. After: test_entry passes, 1553 checks.

--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t kDefaultMaxTokens = 256;
 constexpr std::uint64_t kMaxTokensLimit = 131'072;
+constexpr std::uint64_t kMaxUsedTokens = 1'000'000'000'000;
 constexpr int kUnauthorized = 401;
 
 caller_error
@@ -413,11 +414,10 @@
     return std::nullopt;
   }
   const json usage = document->value("usage", json::object());
-  if (!usage.is_object() || !usage.contains("total_tokens") ||
-      !usage["total_tokens"].is_number_unsigned()) {
-    return std::nullopt;
-  }
-  return usage["total_tokens"].get<std::int64_t>();
+  field_reader reader(usage);
+  const auto tokens =
+    static_cast<std::int64_t>(reader.Whole("total_tokens", 0, kMaxUsedTokens));
+  return reader.Fault() ? std::nullopt : std::optional(tokens);
 }
 
 std::optional<std::string>
@@ -465,7 +465,8 @@
     if (!ParseAddress(row.address, aReason)) {
       return Fail(aReason, step, row.name, "address: expected " + aReason.text);
     }
-    return row;
+    return IsInRange(row, aReason) ? std::optional(std::move(row))
+                                   : std::nullopt;
   } catch (const std::exception& error) {
     return Fail(aReason, "read endpoint report", "", error.what());
   }
