--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -75,13 +75,16 @@
   bool Start(last_reason& aReason)
   {
     mAdmission.tolerance = mSettings.tolerance;
-    mSettings.http.onReadError = [this](net::http_reply& aReply,
-                                        int aStatus,
-                                        const std::string& aText) {
-      SendError(aReply,
-                { aStatus, ReadErrorCode(aStatus), aText, false, std::nullopt },
-                request_id{ ++mLastRequest });
-    };
+    mSettings.http.onReadError =
+      [this](net::http_reply& aReply, int aStatus, const std::string& aText) {
+        const caller_error error =
+          aStatus == Stopping().status
+            ? Stopping()
+            : caller_error{
+                aStatus, ReadErrorCode(aStatus), aText, false, std::nullopt
+              };
+        SendError(aReply, error, request_id{ ++mLastRequest });
+      };
     auto server = net::Listen(
       mContext,
       mSettings.http,
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "net/http_connection.hpp"
 
 #include "net/http_head.hpp"
+#include "net/http_status.hpp"
 
 #include <asio/write.hpp>
 #include <fmt/format.h>
@@ -15,45 +16,7 @@
 /// Closing at once with unread input would reset the connection and could
 /// destroy the answer.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
-
-const char*
-ReasonPhrase(int aStatus)
-{
-  static const std::unordered_map<int, const char*> kReasonPhrases = {
-    { 200, "OK" },
-    { 202, "Accepted" },
-    { 204, "No Content" },
-    { 304, "Not Modified" },
-    { 307, "Temporary Redirect" },
-    { 400, "Bad Request" },
-    { 401, "Unauthorized" },
-    { 403, "Forbidden" },
-    { 404, "Not Found" },
-    { 405, "Method Not Allowed" },
-    { 408, "Request Timeout" },
-    { 409, "Conflict" },
-    { 413, "Content Too Large" },
-    { 415, "Unsupported Media Type" },
-    { 421, "Misdirected Request" },
-    { 422, "Unprocessable Content" },
-    { 429, "Too Many Requests" },
-    { 431, "Request Header Fields Too Large" },
-    { 500, "Internal Server Error" },
-    { 502, "Bad Gateway" },
-    { 503, "Service Unavailable" },
-    { 504, "Gateway Timeout" },
-  };
-  const auto found = kReasonPhrases.find(aStatus);
-  return found == kReasonPhrases.end() ? "Status" : found->second;
-}
-
-bool
-HasNoBody(int aStatus)
-{
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return aStatus == kNoContent || aStatus == kNotModified;
-}
+constexpr int kStoppingStatus = 503;
 
 class connection_reply : public http_reply
 {
@@ -206,6 +169,9 @@
   }
   mInput.append(mBuffer.data(), aCount);
   Process();
+  if (mState->isStopping) {
+    RefuseIfPartial();
+  }
   Read();
 }
 
@@ -339,6 +305,23 @@
   }
 }
 
+// The flush waits until the caller closes, since exiting with unread input
+// would reset the connection and could destroy the answer.
+void
+http_connection::RefuseIfPartial()
+{
+  if (IsPartial()) {
+    mHoldsFlush = true;
+    Refuse(kStoppingStatus, "this host is being stopped");
+  }
+}
+
+bool
+http_connection::IsPartial() const
+{
+  return mPhase == phase::eBody || (mPhase == phase::eHead && !mInput.empty());
+}
+
 void
 http_connection::NotifyDisconnected()
 {
@@ -521,8 +504,10 @@
 void
 http_connection::OnAnswerSent()
 {
-  --mState->unsentAnswers;
   mIsAnswered = false;
+  if (!mHoldsFlush) {
+    --mState->unsentAnswers;
+  }
   if (!mKeepsAlive) {
     BeginLinger();
   } else {
@@ -554,7 +539,7 @@
   if (IsClosed()) {
     return;
   }
-  const bool hasUnsent = mPhase == phase::eAnswering;
+  const bool hasUnsent = mPhase == phase::eAnswering || mHoldsFlush;
   mPhase = phase::eClosed;
   std::error_code ignored; // the socket is released in any case
   mSocket.close(ignored);
@@ -572,9 +557,7 @@
   if (aNow < mPhaseDeadline) {
     return mPhaseDeadline;
   }
-  const bool isPartial =
-    mPhase == phase::eBody || (mPhase == phase::eHead && !mInput.empty());
-  if (isPartial) {
+  if (IsPartial()) {
     Refuse(408, "the request took too long to arrive");
     return steady_time::max();
   }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -19,6 +19,7 @@
   http_server::request_hook onRequest;
   std::size_t unsentAnswers = 0;
   bool isDraining = false; ///< answers that begin close their connections
+  bool isStopping = false; ///< requests that are not read in full are refused
   std::function<void()> onFlushed;
 };
 
@@ -32,6 +33,8 @@
   /// Closes the connection, or answers 408, if its deadline has passed; returns
   /// the next deadline.
   steady_time CheckTimeout(steady_time aNow);
+  /// Refuses a request that has not arrived in full: the server stops.
+  void RefuseIfPartial();
   void Close();
   bool IsClosed() const { return mPhase == phase::eClosed; }
 
@@ -67,6 +70,7 @@
   void Dispatch();
   void Refuse(int aStatus, const std::string& aText);
   void NotifyDisconnected();
+  bool IsPartial() const;
 
   bool MayAnswer(std::uint64_t aRequest) const;
   void Queue(std::string aBytes);
@@ -104,6 +108,7 @@
   bool mIsWriting = false;
   bool mIsStarted = false;  ///< the head of a chunked answer is queued
   bool mIsAnswered = false; ///< the complete answer is queued
+  bool mHoldsFlush = false; ///< counted as unsent until it is closed
 };
 
 } // namespace bulrush::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -68,6 +68,10 @@
     mState->isDraining = true;
     std::error_code ignored; // no connection is accepted in any case
     mAcceptor.close(ignored);
+    mState->isStopping = true;
+    for (const auto& connection : std::vector(mConnections)) {
+      connection->RefuseIfPartial();
+    }
     if (mState->unsentAnswers == 0) {
       aOnFlushed();
     } else {
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -93,8 +93,9 @@
   std::uint16_t port = 0; ///< zero: any free port
   std::size_t maxConnections = 3'500;
   std::chrono::milliseconds readTimeout{ 20'000 }; ///< of a body
-  /// Answers a request that is malformed, too large or too slow; its connection
-  /// is closed afterwards. Not set: a plain text answer.
+  /// Answers a request that is malformed, too large, too slow, or incomplete
+  /// when the server stops; its connection is closed afterwards. Not set: a
+  /// plain text answer.
   std::function<void(http_reply&, int aStatus, const std::string& aText)>
     onReadError;
 };
@@ -117,8 +118,9 @@
   /// From now on each answer that begins closes its connection.
   virtual void BeginDrain() = 0;
 
-  /// Stops accepting connections. aOnFlushed is called once, when each open
-  /// request is answered in full or has lost its connection.
+  /// Stops accepting connections, and refuses requests that have not arrived in
+  /// full with 503. aOnFlushed is called once, when each open request is
+  /// answered in full or has lost its connection.
   virtual void StopWhenFlushed(std::function<void()> aOnFlushed) = 0;
 };
 
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -239,5 +239,40 @@
   CHECK(requests.size() == 2);
 }
 
+TEST_CASE_METHOD(server_fixture,
+                 "Stop_WithAHalfReadRequest_AnswersItBeforeItIsFlushed",
+                 "[net]")
+{
+  const std::string whole =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n" +
+    std::string(50, 'x');
+  const std::size_t half = GENERATE(10U, 60U);
+  Exchange(whole.substr(0, half));
+  bool isFlushed = false;
+  server->StopWhenFlushed([&isFlushed] { isFlushed = true; });
+  CHECK_FALSE(isFlushed);
+  const std::string answer = Exchange(whole.substr(half));
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(answer.find("Connection: close") != std::string::npos);
+  CHECK(isClosed); // not reset by the unread rest
+  CHECK_FALSE(isFlushed);
+  caller.close();
+  context.restart();
+  context.run_for(milliseconds(50));
+  CHECK(isFlushed);
+  CHECK(requests.empty());
+}
+
+TEST_CASE_METHOD(server_fixture,
+                 "Stop_WhenACallerSendsNoFurther_IsFlushedInBoundedTime",
+                 "[net]")
+{
+  Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n");
+  bool isFlushed = false;
+  server->StopWhenFlushed([&isFlushed] { isFlushed = true; });
+  CHECK(ReadFor(milliseconds(2'500)).starts_with("HTTP/1.1 503"));
+  CHECK(isFlushed);
+}
+
 } // namespace
 } // namespace bulrush::net
