Refuse waiting requests whose model or service goes

Cause: a request that waited for an endpoint when its model, adapter or service went from the configuration waited on to its deadline, though nothing would be loaded for it any more.

Change: the host notes what a newer manifest no longer declares. A request whose target is gone and is held by no endpoint is refused at once, as not run if no attempt was sent. One that an endpoint still holds is served, and attempts under way go on when their endpoint is removed (tested, was so before). A model that this host never knew is not gone: its manifest may lag behind.

Callers saw 503 only when their time was up.

--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/answer.hpp"
 #include "entry/endpoint_facts.hpp"
+#include "entry/gone_targets.hpp"
 #include "entry/outcomes.hpp"
 #include "entry/request_log.hpp"
 
@@ -75,6 +76,9 @@
     , mClient(std::move(aClient))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
+    mEngine.policy.isTargetGone = [this](const routing::request_facts& aFacts) {
+      return mGoneTargets.IsGone(aFacts);
+    };
   }
 
   std::size_t OpenRequests() const { return mWaiting.Size(); }
@@ -96,6 +100,7 @@
   {
     const bool hasNewFleet = mView.fleet != aView.fleet;
     const bool hasNewKeys = hasNewFleet || mView.tombstones != aView.tombstones;
+    UpdateGoneTargets(*aView.fleet);
     mView = aView;
     DivideRetryBudget();
     UpdateEndpoints(hasNewFleet);
@@ -212,6 +217,17 @@
     }
   }
 
+  void UpdateGoneTargets(const fleet_state& aNew)
+  {
+    if (mView.fleet->manifestRevision == aNew.manifestRevision) {
+      return;
+    }
+    if (mWaiting.Empty()) {
+      mGoneTargets.Clear();
+    }
+    mGoneTargets.Update(mView.fleet->declared, aNew.declared);
+  }
+
   // Only withdrawal cancels requests. A key that is just removed from the
   // manifest admits no new requests, and those admitted are finished.
   void CancelWithdrawnKeys()
@@ -689,6 +705,7 @@
   demand_reporter mDemand;
   random_engine mClaimTokens;
   traffic_view mView;
+  gone_targets mGoneTargets;
   routing::tables mEngine;
   routing::outbox mOutbox;
   table<endpoint_id, report_key> mReports;
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -534,6 +534,12 @@
   return freeSlots;
 }
 
+static bool
+IsTargetGone(const tables& aTables, const request_facts& aFacts)
+{
+  return aTables.policy.isTargetGone && aTables.policy.isTargetGone(aFacts);
+}
+
 // Waiting requests are tried again when the backoff of an endpoint ends.
 static void
 WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
@@ -550,7 +556,8 @@
 
 // The deadline is checked right before sending, so that a thread that was
 // suspended sends no expired request. A request that no endpoint accepts before
-// its deadline is refused at once.
+// its deadline is refused at once, as is one whose model neither is held nor
+// will be loaded.
 void
 RunChoose(tables& aTables, steady_time aNow, outbox& aOutbox)
 {
@@ -567,7 +574,9 @@
     const steady_time last = std::min({ request.facts.deadline,
                                         request.facts.placementDeadline,
                                         aTables.settings.placementDeadline });
-    if (chosen.failure && (aNow >= last || chosen.availableAt >= last)) {
+    if (chosen.failure &&
+        (aNow >= last || chosen.availableAt >= last ||
+         (request.wasNotResident && IsTargetGone(aTables, request.facts)))) {
       EndUnplaced(aTables, request, aNow, aOutbox);
       continue;
     }
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -382,6 +382,9 @@
   cold_start_hook detectColdStart;
   retry_hook retry;
   cold_gate coldGate; ///< empty: only this thread sends
+  /// Whether the model of a request is no longer declared, so that it will not
+  /// be loaded; not set: never.
+  std::function<bool(const request_facts&)> isTargetGone;
 };
 
 double ScoreByLoadAndPrefix(const score_input& aInput);
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -36,7 +36,8 @@
            PickTwoRandom,
            DetectByRefusalOrJump,
            RetryWithinBudget,
-           {} };
+           {},
+           nullptr };
 }
 
 void
