--- /dev/null
+++ b/src/routing/start.cpp
@@ -0,0 +1,235 @@
+#include "routing/parts.hpp"
+
+#include <algorithm>
+
+namespace bulrush::routing {
+
+namespace {
+
+attempt_id
+NewAttemptId(tables& aTables)
+{
+  attempt_id id;
+  do {
+    id.value = aTables.random();
+  } while (!id || aTables.attempts.Find(id) != nullptr);
+  return id;
+}
+
+// The retry budget is a share of the traffic: each first attempt adds to it.
+void
+RecordAttempt(tables& aTables, request_row& aRequest, endpoint_id aEndpoint)
+{
+  if (aRequest.attemptsMade == 0) {
+    retry_row& retries = FindOrAddRetryBudget(aTables, aRequest.facts.service);
+    retries.budget = std::min(aTables.settings.retryBurst,
+                              retries.budget + aTables.settings.retryShare);
+  }
+  aRequest.tried[aRequest.attemptsMade % kTriedEndpoints] = aEndpoint;
+  ++aRequest.attemptsMade;
+}
+
+void
+StartAttempt(tables& aTables,
+             request_row& aRequest,
+             endpoint_row& aEndpoint,
+             steady_time aNow,
+             outbox& aOutbox)
+{
+  attempt_row attempt;
+  attempt.id = NewAttemptId(aTables);
+  attempt.request = aRequest.id;
+  attempt.endpoint = aEndpoint.id;
+  attempt.incarnation = aEndpoint.facts.incarnation;
+  attempt.coldEpoch = aEndpoint.coldStart.epoch;
+  attempt.startedAt = aNow;
+  request_facts& facts = aRequest.facts;
+  facts.deadline = std::min(facts.deadline, aTables.settings.finishBy);
+  facts.lastByteDeadline =
+    std::min(facts.lastByteDeadline, aTables.settings.finishBy);
+  aRequest.lastFailure = attempt_failure::eNone;
+  const auto timeout =
+    AttemptTimeout(aTables.settings, aRequest, TimeLeft(aRequest, aNow));
+  attempt.timeoutAt = aNow + timeout;
+  attempt.startOffset = aRequest.forwarded;
+  attempt.received = aRequest.forwarded;
+
+  if (aEndpoint.unansweredAttempts > 0) {
+    MarkSuspect(aTables.settings, aEndpoint, aNow); // this attempt is the probe
+  }
+  // After a refusal a kept connection may bring the same refusal once more,
+  // with the same id.
+  const bool isRepeated = HasTried(aRequest, aEndpoint.id);
+  RecordAttempt(aTables, aRequest, aEndpoint.id);
+  RecordPrefix(aTables, aRequest.facts.prefix, aEndpoint.id);
+  aRequest.attempt = attempt.id;
+  aRequest.state = request_state::eRunning;
+  ++aEndpoint.inFlight;
+  if (IsColdGated(aTables, aEndpoint)) {
+    attempt.gateIncarnation = aEndpoint.facts.incarnation;
+    const steady_time ends =
+      std::max(attempt.timeoutAt, aRequest.facts.deadline);
+    aTables.policy.coldGate.acquire(aEndpoint.facts, ends, aNow);
+  }
+  aEndpoint.coldBudget -= aEndpoint.coldStart.isCold ? 1.0 : 0.0;
+  attempt.wasBusy = 2 * aEndpoint.inFlight >= ConcurrencyLimit(aEndpoint);
+  aOutbox.starts.push_back({ attempt.id,
+                             aRequest.id,
+                             aEndpoint.id,
+                             aEndpoint.facts.address,
+                             !aRequest.facts.isIdempotent ||
+                               !aEndpoint.facts.echoesAttempt || isRepeated,
+                             attempt.startOffset,
+                             timeout });
+  aTables.attempts.Insert(attempt);
+}
+
+// Ends a request that timed out while it waited, without a live attempt.
+void
+EndUnplaced(tables& aTables,
+            request_row& aRequest,
+            steady_time aNow,
+            outbox& aOutbox)
+{
+  request_outcome outcome = aRequest.wasNotResident
+                              ? request_outcome::eNotResident
+                              : request_outcome::eNoSlot;
+  if (aRequest.hasForwarded) {
+    outcome = request_outcome::eBrokenStream;
+  }
+  EndRequest(aTables.settings,
+             aRequest,
+             outcome,
+             CurrentRanState(aRequest),
+             aNow,
+             aOutbox);
+  aOutbox.ends.back().retryAfter = TimeUntilAccepted(aTables, aRequest, aNow);
+}
+
+// Higher priority first, then the order in which the fair queue of admission
+// released the requests.
+bool
+HasPrecedence(const waiting_request& aLeft, const waiting_request& aRight)
+{
+  if (aLeft.priority != aRight.priority) {
+    return aLeft.priority > aRight.priority;
+  }
+  return aLeft.arrival < aRight.arrival;
+}
+
+void
+CollectWaiting(tables& aTables)
+{
+  aTables.modelsWithoutSlot.clear();
+  aTables.waiting.clear();
+  for (const request_id id : aTables.pendingRequests) {
+    const request_row& request = *aTables.requests.Find(id);
+    if (request.state == request_state::eReady) {
+      aTables.waiting.push_back(
+        { request.facts.priority, request.arrival, id });
+    }
+  }
+  std::sort(aTables.waiting.begin(), aTables.waiting.end(), HasPrecedence);
+}
+
+// Requests that wait for the same model share one "no slot" result per tick. A
+// request with earlier attempts has other candidates, so it is checked alone.
+choice
+ChooseOrShareResult(tables& aTables,
+                    const request_row& aRequest,
+                    steady_time aNow)
+{
+  const request_facts& facts = aRequest.facts;
+  const requested_model needed{ { facts.model, facts.adapter }, facts.version };
+  const bool isFirst = aRequest.attemptsMade == 0;
+  const auto known = std::find_if(
+    aTables.modelsWithoutSlot.begin(),
+    aTables.modelsWithoutSlot.end(),
+    [&](const model_without_slot& aRow) { return aRow.needed == needed; });
+  if (isFirst && known != aTables.modelsWithoutSlot.end()) {
+    return { 0, choice_failure::eNoSlot, known->availableAt };
+  }
+  const choice chosen = ChooseEndpoint(aTables, aRequest, aNow);
+  if (isFirst && chosen.failure == choice_failure::eNoSlot) {
+    aTables.modelsWithoutSlot.push_back({ needed, chosen.availableAt });
+  }
+  return chosen;
+}
+
+// A stopping host refuses what was not sent, so that another host serves it.
+// For what may have run a refusal comes too late.
+steady_time
+LastStart(const options& aOptions, const request_row& aRequest)
+{
+  const bool wasSent = aRequest.mayHaveRun || aRequest.hasForwarded;
+  return wasSent
+           ? aRequest.facts.deadline
+           : std::min(aRequest.facts.deadline, aOptions.placementDeadline);
+}
+
+bool
+IsTargetGone(const tables& aTables, const request_facts& aFacts)
+{
+  return aTables.policy.isTargetGone && aTables.policy.isTargetGone(aFacts);
+}
+
+// Waiting requests are tried again when the backoff of an endpoint ends.
+void
+WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
+{
+  for (const endpoint_row& endpoint : aTables.endpoints) {
+    for (const steady_time until :
+         { endpoint.avoidUntil, endpoint.suspectUntil }) {
+      if (aNow < until) {
+        aWake.NoLaterThan(until);
+      }
+    }
+  }
+}
+
+} // namespace
+
+steady_time
+LastPlacement(const options& aOptions, const request_row& aRequest)
+{
+  const steady_time start = LastStart(aOptions, aRequest);
+  return aRequest.hasForwarded
+           ? start
+           : std::min(start, aRequest.facts.placementDeadline);
+}
+
+// The deadline is checked right before sending, so that a thread that was
+// suspended sends no expired request. A request that no endpoint accepts before
+// its deadline is refused at once, as is one whose model neither is held nor
+// will be loaded.
+void
+RunChoose(tables& aTables, steady_time aNow, outbox& aOutbox)
+{
+  CollectWaiting(aTables);
+  for (const waiting_request& each : aTables.waiting) {
+    request_row& request = *aTables.requests.Find(each.id);
+    const steady_time lastStart = LastStart(aTables.settings, request);
+    if (aNow >= lastStart) {
+      EndUnplaced(aTables, request, aNow, aOutbox);
+      continue;
+    }
+    const choice chosen = ChooseOrShareResult(aTables, request, aNow);
+    request.wasNotResident = chosen.failure == choice_failure::eNotResident;
+    const steady_time last = LastPlacement(aTables.settings, request);
+    if (chosen.failure &&
+        (aNow >= last || chosen.availableAt >= last ||
+         (request.wasNotResident && IsTargetGone(aTables, request.facts)))) {
+      EndUnplaced(aTables, request, aNow, aOutbox);
+      continue;
+    }
+    if (chosen.failure) {
+      WakeForAvoided(aTables, aNow, aOutbox.wake);
+    }
+    if (!chosen.failure) {
+      endpoint_row& endpoint = aTables.endpoints.Rows()[chosen.position];
+      StartAttempt(aTables, request, endpoint, aNow, aOutbox);
+    }
+  }
+}
+
+} // namespace bulrush::routing
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -37,7 +37,8 @@
            PickTwoRandom,
            DetectByRefusalOrJump,
            RetryWithinBudget,
-           {} };
+           {},
+           nullptr };
 }
 
 void
