Forward calls of a control process that is no member to the leader

With an even number of control processes, one of them is no voter, and a member whose disk was full for longer than 1.5 s becomes that one when another takes its place. It does not follow the log, so it knew no leader, and refused every change ("no leader is known") for as long as it stayed so: long after all disks had room, while all processes ran.

Members now name the leader in their answer to the hello of a process that is none, and that process forwards calls to it. A name older than two hello intervals is dropped; voters get none, so that a call during an election is still refused at once.

The histories fill the disks of 3 to 7 processes in turn, with fixed members and with members that join.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -11,7 +11,6 @@
 
 constexpr log_component kLog{ "log" };
 
-constexpr std::chrono::milliseconds kHelloInterval{ 200 };
 constexpr std::chrono::milliseconds kReplaceTimeout{ 5'000 };
 constexpr std::uint32_t kMaxReplaceHops = 2;
 constexpr unsigned kTermBits = 24;
@@ -34,26 +33,6 @@
   return replica_id{ (high << 32U) | low | 1U };
 }
 
-// Empty for no identity, which processes without a hello have as well.
-std::string
-NameOf(const log_tables& aLog, replica_id aIdentity)
-{
-  if (!aIdentity) {
-    return "";
-  }
-  for (const log_member& member : aLog.replica.members) {
-    if (member.id == aIdentity) {
-      return member.name;
-    }
-  }
-  for (const known_replica& known : aLog.known) {
-    if (known.identity == aIdentity) {
-      return known.name;
-    }
-  }
-  return "";
-}
-
 const log_member*
 MemberNamed(const log_tables& aLog, const std::string& aName)
 {
@@ -76,69 +55,6 @@
                      });
 }
 
-wire::replica_hello
-HelloOf(const control_tables& aTables)
-{
-  const log_tables& log = *aTables.replicated;
-  wire::replica_hello hello;
-  hello.log = log.replica.settings.log;
-  hello.identity = log.replica.self;
-  hello.isEmpty = IsEmpty(log.replica) && log.replica.vote.term == 0;
-  hello.nonce = aTables.self.incarnation;
-  hello.address = aTables.self.linkAddress;
-  for (const control_row& control : aTables.controls) {
-    hello.controls.push_back({ control.name, control.address });
-  }
-  return hello;
-}
-
-void
-AddPeers(control_tables& aTables,
-         const wire::replica_hello& aHello,
-         control_outbox& aOutbox)
-{
-  for (const wire::control_address& other : aHello.controls) {
-    if (other.name != aTables.self.name) {
-      AddPeer(aTables, other.name, other.address, aOutbox);
-    }
-  }
-}
-
-// Records which process runs on which data folder. For bootstrap only an answer
-// to a hello of this incarnation counts, as delayed ones may be outdated.
-void
-HandleHello(control_tables& aTables,
-            const received_message& aInput,
-            const wire::replica_hello& aHello,
-            steady_time aNow,
-            control_outbox& aOutbox)
-{
-  log_tables& log = *aTables.replicated;
-  const std::string& name = aInput.message.sender;
-  if (aHello.log != log.replica.settings.log || name == aTables.self.name) {
-    return;
-  }
-  if (log.hasDynamicMembers) {
-    AddPeer(aTables, name, aHello.address, aOutbox);
-    AddPeers(aTables, aHello, aOutbox);
-  }
-  known_replica* known = log.known.Find(IdOf<replica_id>(name));
-  if (known == nullptr) {
-    return; // not configured as a peer
-  }
-  known->identity = aHello.identity;
-  known->isEmpty = aHello.isEmpty;
-  known->lastSeen = aNow;
-  if (aHello.isAnswer) {
-    known->hasAnsweredHello = aHello.nonce == aTables.self.incarnation;
-    return;
-  }
-  wire::replica_hello answer = HelloOf(aTables);
-  answer.isAnswer = true;
-  answer.nonce = aHello.nonce;
-  aOutbox.messages.push_back({ "", name, std::move(answer) });
-}
-
 void
 Answer(control_outbox& aOutbox,
        const std::string& aPeer,
@@ -346,24 +262,6 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
-// A member that was removed while it was cut off is still listed in its own
-// log. It has no leader, and asks to join like a new process.
-void
-SendHellos(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
-{
-  log_tables& log = *aTables.replicated;
-  if (IsMember(log, log.replica.self) && log.replica.leader) {
-    return;
-  }
-  if (aNow >= log.nextHello) {
-    log.nextHello = aNow + kHelloInterval;
-    for (const known_replica& known : log.known) {
-      aOutbox.messages.push_back({ "", known.name, HelloOf(aTables) });
-    }
-  }
-  aOutbox.wake.NoLaterThan(log.nextHello);
-}
-
 void
 InstallSnapshot(control_tables& aTables,
                 const log_snapshot& aSnapshot,
@@ -390,14 +288,15 @@
         replica_settings aSettings,
         const std::vector<std::string>& aPeers,
         steady_time aNow,
-        last_reason& aReason)
+        last_reason& aReason,
+        disk_hooks aDisk)
 {
   auto log = std::make_unique<log_tables>();
   recovered_log recovered;
   log->disk = disk_log::Open(aFolder / aSettings.log,
                              aSettings.log,
                              NewIdentity(),
-                             PosixDisk(),
+                             std::move(aDisk),
                              recovered,
                              aReason);
   if (!log->disk) {
@@ -445,7 +344,10 @@
     return IsCaughtUp(aLog.replica, aNow);
   };
   hooks.term = [&aLog] { return aLog.replica.vote.term; };
-  hooks.leaderName = [&aLog] { return NameOf(aLog, aLog.replica.leader); };
+  hooks.leaderName = [&aLog] {
+    return aLog.replica.leader ? NameOf(aLog, aLog.replica.leader)
+                               : aLog.toldLeader;
+  };
   hooks.replicas = [&aLog] {
     std::vector<wire::replica_status> rows;
     for (const log_member& member : aLog.replica.members) {
@@ -503,7 +405,7 @@
   LogEvent(kLog,
            log_level::eInfo,
            "leader",
-           { { "control", aTables.log.leaderName() },
+           { { "control", NameOf(log, log.replica.leader) },
              { "term", std::to_string(log.replica.vote.term) },
              { "member", IsMember(log, log.replica.self) ? "yes" : "no" },
              { "applied", std::to_string(log.replica.released) },
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -47,6 +47,10 @@
   std::uint64_t lastReplacement = 0;
   replica_id loggedLeader; ///< in the latest "leader" line
   steady_time nextHello{};
+  /// Of which members told this process while it was none. It does not follow
+  /// the log then, but can forward calls.
+  std::string toldLeader;
+  steady_time toldLeaderAt{};
   bool mayBootstrap = true; ///< this process may bootstrap a new log
   /// Processes are named by their link addresses, join without an operator's
   /// call, and replace lost members.
@@ -60,7 +64,8 @@
   replica_settings aSettings,
   const std::vector<std::string>& aPeers,
   steady_time aNow,
-  last_reason& aReason);
+  last_reason& aReason,
+  disk_hooks aDisk = PosixDisk());
 
 /// Hooks through which the other systems use the log.
 log_hooks MakeReplicatedLog(log_tables& aLog);
@@ -82,6 +87,20 @@
 
 bool IsMember(const log_tables& aLog, replica_id aIdentity);
 
+/// Empty if the identity is not known.
+std::string NameOf(const log_tables& aLog, replica_id aIdentity);
+
+/// Hellos, by which processes learn who runs on which data folder. Sent while
+/// this process is no member or has no leader.
+void HandleHello(control_tables& aTables,
+                 const received_message& aInput,
+                 const wire::replica_hello& aHello,
+                 steady_time aNow,
+                 control_outbox& aOutbox);
+void SendHellos(control_tables& aTables,
+                steady_time aNow,
+                control_outbox& aOutbox);
+
 /// With dynamic members: connects to all members, and on the leader, replaces
 /// members that are lost.
 void ConnectMembers(control_tables& aTables, control_outbox& aOutbox);
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -11,6 +11,9 @@
 
 constexpr log_component kLog{ "log" };
 
+constexpr std::chrono::milliseconds kHelloInterval{ 200 };
+constexpr std::chrono::milliseconds kToldLeaderMaxAge{ 2 * kHelloInterval };
+
 /// A member that was not seen for this long may be replaced by a process that
 /// waits to join. Allows for several heartbeats and reconnects of its link.
 constexpr std::chrono::milliseconds kMemberTimeout{ 1'500 };
@@ -70,8 +73,56 @@
   return members < kMaxVoters && (isEven || waiting >= 2);
 }
 
+wire::replica_hello
+HelloOf(const control_tables& aTables)
+{
+  const log_tables& log = *aTables.replicated;
+  wire::replica_hello hello;
+  hello.log = log.replica.settings.log;
+  hello.identity = log.replica.self;
+  hello.isEmpty = IsEmpty(log.replica) && log.replica.vote.term == 0;
+  hello.nonce = aTables.self.incarnation;
+  hello.address = aTables.self.linkAddress;
+  for (const control_row& control : aTables.controls) {
+    hello.controls.push_back({ control.name, control.address });
+  }
+  return hello;
+}
+
+void
+AddPeers(control_tables& aTables,
+         const wire::replica_hello& aHello,
+         control_outbox& aOutbox)
+{
+  for (const wire::control_address& other : aHello.controls) {
+    if (other.name != aTables.self.name) {
+      AddPeer(aTables, other.name, other.address, aOutbox);
+    }
+  }
+}
+
 } // namespace
 
+// Empty for no identity, which processes without a hello have as well.
+std::string
+NameOf(const log_tables& aLog, replica_id aIdentity)
+{
+  if (!aIdentity) {
+    return "";
+  }
+  for (const log_member& member : aLog.replica.members) {
+    if (member.id == aIdentity) {
+      return member.name;
+    }
+  }
+  for (const known_replica& known : aLog.known) {
+    if (known.identity == aIdentity) {
+      return known.name;
+    }
+  }
+  return "";
+}
+
 known_replica&
 AddPeer(control_tables& aTables,
         const std::string& aName,
@@ -107,6 +158,70 @@
     [&](const log_member& aMember) { return aMember.id == aIdentity; });
 }
 
+// Records which process runs on which data folder. For bootstrap only an answer
+// to a hello of this incarnation counts, as delayed ones may be outdated.
+void
+HandleHello(control_tables& aTables,
+            const received_message& aInput,
+            const wire::replica_hello& aHello,
+            steady_time aNow,
+            control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  const std::string& name = aInput.message.sender;
+  if (aHello.log != log.replica.settings.log || name == aTables.self.name) {
+    return;
+  }
+  if (log.hasDynamicMembers) {
+    AddPeer(aTables, name, aHello.address, aOutbox);
+    AddPeers(aTables, aHello, aOutbox);
+  }
+  known_replica* known = log.known.Find(IdOf<replica_id>(name));
+  if (known == nullptr) {
+    return; // not configured as a peer
+  }
+  known->identity = aHello.identity;
+  known->isEmpty = aHello.isEmpty;
+  known->lastSeen = aNow;
+  if (aHello.isAnswer) {
+    known->hasAnsweredHello = aHello.nonce == aTables.self.incarnation;
+    if (!aHello.leader.empty()) {
+      log.toldLeader = aHello.leader;
+      log.toldLeaderAt = aNow;
+    }
+    return;
+  }
+  wire::replica_hello answer = HelloOf(aTables);
+  answer.isAnswer = true;
+  answer.nonce = aHello.nonce;
+  if (!IsMember(log, aHello.identity)) {
+    answer.leader = NameOf(log, log.replica.leader);
+  }
+  aOutbox.messages.push_back({ "", name, std::move(answer) });
+}
+
+// A member that was removed while it was cut off is still listed in its own
+// log. It has no leader, and asks to join like a new process.
+void
+SendHellos(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  if (IsMember(log, log.replica.self) && log.replica.leader) {
+    log.toldLeader.clear();
+    return;
+  }
+  if (aNow >= log.toldLeaderAt + kToldLeaderMaxAge) {
+    log.toldLeader.clear();
+  }
+  if (aNow >= log.nextHello) {
+    log.nextHello = aNow + kHelloInterval;
+    for (const known_replica& known : log.known) {
+      aOutbox.messages.push_back({ "", known.name, HelloOf(aTables) });
+    }
+  }
+  aOutbox.wake.NoLaterThan(log.nextHello);
+}
+
 // Connects to every member recorded in the log, also to those that the settings
 // do not list.
 void
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -240,6 +240,7 @@
   to->set_is_answer(aFrom.isAnswer);
   to->set_address(aFrom.address);
   PutControls(aFrom.controls, *to->mutable_controls());
+  to->set_leader(aFrom.leader);
 }
 
 void
@@ -489,7 +490,8 @@
                         aFrom.nonce(),
                         aFrom.is_answer(),
                         aFrom.address(),
-                        GetControls(aFrom.controls()) };
+                        GetControls(aFrom.controls()),
+                        aFrom.leader() };
 }
 
 std::optional<message_body>
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -244,6 +244,8 @@
   bool isAnswer = false;
   std::string address;                   ///< link address of the sender
   std::vector<control_address> controls; ///< others that the sender knows
+  /// In an answer to a process that is no member; empty if none is known.
+  std::string leader;
 };
 
 /// Asks the leader to replace one member of the log by another process. Equal
