End the tick of a follower whose write failed before it commits

When the append of received entries failed, as on a full disk, the follower still advanced its commit index to the leader's, over entries that its log did not get, and the rest of the tick released them: it read beyond the end of the log and could crash instead of ending with exit code 3 and the reason. The commit index now stays, and a replica that stops releases nothing more.

--- a/src/replication/append.cpp
+++ b/src/replication/append.cpp
@@ -230,6 +230,9 @@
     reply.accepted = true;
     reply.match = previous + aRequest.entries.size();
     MergeEntries(aTables, std::move(aRequest.entries));
+    if (aTables.fatal) {
+      return; // the log may lack the entries
+    }
     SetCommit(aTables, std::min(aRequest.commit, reply.match));
   }
   aTables.unsentMessages.emplace_back(std::move(reply));
--- a/src/replication/commit.cpp
+++ b/src/replication/commit.cpp
@@ -72,6 +72,9 @@
            steady_time /*aNow*/,
            replica_outbox& aOutbox)
 {
+  if (aTables.fatal) {
+    return;
+  }
   if (aTables.pendingInstall) {
     aOutbox.install = std::move(aTables.pendingInstall);
     aTables.pendingInstall.reset();
--- a/tests/replication/reopen_test.cpp
+++ b/tests/replication/reopen_test.cpp
@@ -126,5 +126,26 @@
   CHECK(disk.folderSyncs == 1);
 }
 
+TEST_CASE_METHOD(reopen_fixture,
+                 "Follower_WhoseWriteFails_CommitsNothingBeyondItsLog",
+                 "[replication][disk]")
+{
+  auto log = Open();
+  REQUIRE(log);
+  replica_tables tables =
+    StartReplica({}, recovered, log->Hooks(), steady_time{});
+  append_request request;
+  request.header = { tables.settings.log, { 7 }, tables.self, 1 };
+  request.commit = 1;
+  request.entries.push_back({ 1, 1, entry_kind::ePayload, "change", {} });
+  Deliver(tables, request, steady_time{});
+  disk.isFull = true;
+  replica_outbox outbox;
+  RunReplica(tables, steady_time{}, outbox);
+  CHECK(outbox.fatal);
+  CHECK(tables.commit == 0);
+  CHECK(tables.released == 0);
+}
+
 } // namespace
 } // namespace bulrush
