Keep open connections to the limits that their callers know

Cause: deadlines of a connection were set from the limits in force when its phase began, and sizes were checked against those in force now. A raised idle limit did not reach connections that were idle; a lowered size limit refused a head or body that was half read; an answer did not say for how long it keeps its connection, and a limit that was lowered during an answer closed the connection earlier than the caller expects. Change: the limits at the start of the idle time or of the first byte are kept, and the larger of them and those in force now applies. An answer that keeps its connection says so in Keep-Alive: timeout=N, whole seconds below the idle limit, and the connection stays for it. Bytes that wait in the socket are read before an idle connection is closed. Both front ends use this server; only bulrush-entry changes its limits.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -47,6 +47,14 @@
   return found == kReasonPhrases.end() ? "Status" : found->second;
 }
 
+// Whole seconds below the time after which an idle connection is closed.
+std::chrono::seconds
+KeepAliveTime(std::chrono::milliseconds aIdleTimeout)
+{
+  return std::chrono::duration_cast<std::chrono::seconds>(
+    aIdleTimeout - std::chrono::milliseconds{ 1 });
+}
+
 bool
 HasNoBody(int aStatus)
 {
@@ -140,7 +148,7 @@
                         const char* aAt,
                         std::size_t aCount) {
     auto& connection = *static_cast<http_connection*>(aParser->data);
-    const std::size_t limit = connection.mState->settings.maxBodyBytes;
+    const std::size_t limit = connection.Limits().maxBodyBytes;
     connection.mIsTooLarge |= connection.mRequest.body.size() + aCount > limit;
     if (connection.mIsTooLarge) {
       return 1;
@@ -170,10 +178,46 @@
 void
 http_connection::Start()
 {
-  mPhaseDeadline = Now() + mState->settings.idleTimeout;
+  BeginHead();
   Read();
 }
 
+// Also for the first byte of a head.
+void
+http_connection::BeginHead()
+{
+  mPhase = phase::eHead;
+  mHeadStart = Now();
+  mLimits = mState->settings;
+}
+
+// Callers keep to the newest limits that they know, so neither lower nor higher
+// ones reach all callers at once.
+http_server_limits
+http_connection::Limits() const
+{
+  const http_server_limits& now = mState->settings;
+  http_server_limits limits = mLimits;
+  limits.maxHeaderBytes = std::max(limits.maxHeaderBytes, now.maxHeaderBytes);
+  limits.maxBodyBytes = std::max(limits.maxBodyBytes, now.maxBodyBytes);
+  limits.headerTimeout = std::max(limits.headerTimeout, now.headerTimeout);
+  limits.idleTimeout = std::max({ limits.idleTimeout,
+                                  now.idleTimeout,
+                                  std::chrono::milliseconds(mKeepAliveTime) });
+  return limits;
+}
+
+steady_time
+http_connection::Deadline() const
+{
+  if (mPhase != phase::eHead) {
+    return mPhaseDeadline;
+  }
+  const http_server_limits limits = Limits();
+  return mHeadStart +
+         (mInput.empty() ? limits.idleTimeout : limits.headerTimeout);
+}
+
 void
 http_connection::Read()
 {
@@ -202,7 +246,7 @@
     return;
   }
   if (mPhase == phase::eHead && mInput.empty()) {
-    mPhaseDeadline = Now() + mState->settings.headerTimeout;
+    BeginHead();
   }
   mInput.append(mBuffer.data(), aCount);
   Process();
@@ -235,7 +279,7 @@
     mInput.erase(0, 2); // RFC 9112 allows empty lines before a request
   }
   const std::size_t end = mInput.find(kHeadEnd);
-  const std::size_t limit = mState->settings.maxHeaderBytes;
+  const std::size_t limit = Limits().maxHeaderBytes;
   if (std::min(end, mInput.size()) > limit) {
     Refuse(431, "the head is larger than " + std::to_string(limit) + " bytes");
     return false;
@@ -275,8 +319,8 @@
     http_parser_execute(&mParser, &kSettings, mInput.data(), mInput.size());
   if (mIsTooLarge) {
     Refuse(413,
-           "the body is larger than " +
-             std::to_string(mState->settings.maxBodyBytes) + " bytes");
+           "the body is larger than " + std::to_string(Limits().maxBodyBytes) +
+             " bytes");
     return false;
   }
   const http_errno error = HTTP_PARSER_ERRNO(&mParser);
@@ -372,6 +416,11 @@
   head += aFraming;
   if (!mKeepsAlive) {
     head += "Connection: close\r\n";
+  } else {
+    mKeepAliveTime = KeepAliveTime(mState->settings.idleTimeout);
+    if (mKeepAliveTime > std::chrono::seconds{ 0 }) {
+      head += fmt::format("Keep-Alive: timeout={}\r\n", mKeepAliveTime.count());
+    }
   }
   head += "\r\n";
   return head;
@@ -524,9 +573,7 @@
   if (!mKeepsAlive || mState->isDraining) {
     BeginLinger();
   } else {
-    mPhase = phase::eHead;
-    mPhaseDeadline = Now() + (mInput.empty() ? mState->settings.idleTimeout
-                                             : mState->settings.headerTimeout);
+    BeginHead();
     Process();
     Read();
   }
@@ -575,8 +622,14 @@
   if (IsClosed()) {
     return steady_time::max();
   }
-  if (aNow < mPhaseDeadline) {
-    return mPhaseDeadline;
+  const steady_time deadline = Deadline();
+  if (aNow < deadline) {
+    return deadline;
+  }
+  const bool isIdle = mPhase == phase::eHead && mInput.empty();
+  std::error_code ignored; // a lost connection fails at its read
+  if (isIdle && mSocket.available(ignored) > 0) {
+    return aNow; // a request has begun to arrive and is read first
   }
   const bool isPartial =
     mPhase == phase::eBody || (mPhase == phase::eHead && !mInput.empty());
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -61,6 +61,9 @@
     eClosed
   };
 
+  void BeginHead();
+  http_server_limits Limits() const;
+  steady_time Deadline() const;
   void Read();
   void OnRead(std::size_t aCount);
   void Process();
@@ -86,7 +89,11 @@
   std::shared_ptr<server_state> mState;
   std::string mPeer;
   phase mPhase = phase::eHead;
-  steady_time mPhaseDeadline;
+  steady_time mPhaseDeadline; ///< other than of eHead
+  steady_time mHeadStart;     ///< idle, or reading a head, since then
+  http_server_limits mLimits; ///< those in force at mHeadStart
+  /// For which an answer said that the connection stays open.
+  std::chrono::seconds mKeepAliveTime{ 0 };
   std::array<char, 16'384> mBuffer{};
   std::string mInput; ///< read and not yet parsed
   bool mIsReading = false;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -111,7 +111,8 @@
   /// The port it listens on.
   virtual std::uint16_t Port() const = 0;
 
-  /// Applies to requests that begin from now on.
+  /// Applies to requests and idle times that begin from now on. For those that
+  /// have begun the higher of the old and the new limits apply.
   virtual void SetLimits(const http_server_limits& aLimits) = 0;
 
   /// From now on each answer closes its connection.
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -210,5 +210,119 @@
   CHECK(isClosed);
 }
 
+/// A server whose limits change while the caller's connection is open.
+struct limits_fixture : server_fixture
+{
+  http_server_limits limits;
+
+  limits_fixture()
+  {
+    limits.maxBodyBytes = 64;
+    limits.maxHeaderBytes = 512;
+    limits.headerTimeout = std::chrono::milliseconds(300);
+    limits.idleTimeout = std::chrono::milliseconds(600);
+  }
+
+  void SetIdleTimeout(std::chrono::milliseconds aTime)
+  {
+    limits.idleTimeout = aTime;
+    server->SetLimits(limits);
+  }
+};
+
+const std::string kPostHead =
+  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\n\r\n";
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Connection_IdleWhenTheLimitIsRaised_StaysOpen",
+                 "[net]")
+{
+  Exchange(kGet);
+  SetIdleTimeout(std::chrono::milliseconds(5'000));
+  ReadFor(std::chrono::milliseconds(1'500));
+  CHECK_FALSE(isClosed);
+  CHECK(Exchange(kGet).ends_with("\r\n\r\nok"));
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Connection_IdleWhenTheLimitIsLowered_StaysForTheOldOne",
+                 "[net]")
+{
+  SetIdleTimeout(std::chrono::milliseconds(1'500));
+  Exchange(kGet);
+  SetIdleTimeout(std::chrono::milliseconds(50));
+  ReadFor(std::chrono::milliseconds(800));
+  CHECK_FALSE(isClosed);
+  ReadFor(std::chrono::milliseconds(2'500));
+  CHECK(isClosed);
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Head_HalfReadWhenLimitsAreLowered_IsReadByTheOldOnes",
+                 "[net]")
+{
+  Exchange("GET /a HTTP/1.1\r\nHost: h\r\nA: " + std::string(100, 'x'),
+           std::chrono::milliseconds(20));
+  limits.maxHeaderBytes = 16;
+  limits.headerTimeout = std::chrono::milliseconds(1);
+  server->SetLimits(limits);
+  ReadFor(std::chrono::milliseconds(150));
+  CHECK(Exchange("\r\n\r\n").ends_with("\r\n\r\nok"));
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Head_HalfReadWhenItsTimeIsRaised_MayTakeLonger",
+                 "[net]")
+{
+  Exchange("GET /a HTTP/1.1\r\n", std::chrono::milliseconds(20));
+  limits.headerTimeout = std::chrono::milliseconds(5'000);
+  server->SetLimits(limits);
+  CHECK(ReadFor(std::chrono::milliseconds(1'500)).empty());
+  CHECK(Exchange("Host: h\r\n\r\n").ends_with("\r\n\r\nok"));
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Body_HalfReadWhenTheLimitIsLowered_IsReadByTheOldOne",
+                 "[net]")
+{
+  Exchange(kPostHead + std::string(30, 'x'), std::chrono::milliseconds(20));
+  limits.maxBodyBytes = 8;
+  server->SetLimits(limits);
+  CHECK(Exchange(std::string(30, 'x')).ends_with("\r\n\r\nok"));
+  CHECK(Exchange(kPostHead + std::string(60, 'x')).starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Answer_ThatKeepsItsConnection_SaysForHowLong",
+                 "[net]")
+{
+  CHECK(Exchange(kGet).find("Keep-Alive") == std::string::npos);
+  SetIdleTimeout(std::chrono::milliseconds(5'000));
+  CHECK(Exchange(kGet).find("\r\nKeep-Alive: timeout=4\r\n") !=
+        std::string::npos);
+  SetIdleTimeout(std::chrono::milliseconds(1'000));
+  CHECK(Exchange(kGet).find("Keep-Alive") == std::string::npos);
+  SetIdleTimeout(std::chrono::milliseconds(1'001));
+  CHECK(Exchange(kGet).find("\r\nKeep-Alive: timeout=1\r\n") !=
+        std::string::npos);
+  server->BeginDrain();
+  CHECK(Exchange(kGet).find("Keep-Alive") == std::string::npos);
+}
+
+TEST_CASE_METHOD(limits_fixture,
+                 "Connection_KeptByAnAnswerBeforeTheLimitIsLowered_StaysOpen",
+                 "[net]")
+{
+  SetIdleTimeout(std::chrono::milliseconds(3'000));
+  isAnswering = false;
+  Exchange(kGet);
+  REQUIRE(replies.size() == 1);
+  replies[0]->Start(200, {});
+  SetIdleTimeout(std::chrono::milliseconds(50));
+  replies[0]->Finish();
+  ReadFor(std::chrono::milliseconds(1'500));
+  CHECK_FALSE(isClosed);
+}
+
 } // namespace
 } // namespace bulrush::net
