--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -18,6 +18,14 @@
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 constexpr int kStoppingStatus = 503;
 
+// Whole seconds below the time after which an idle connection is closed.
+std::chrono::seconds
+KeepAliveTime(std::chrono::milliseconds aIdleTimeout)
+{
+  return std::chrono::duration_cast<std::chrono::seconds>(
+    aIdleTimeout - std::chrono::milliseconds{ 1 });
+}
+
 class connection_reply : public http_reply
 {
 public:
@@ -103,7 +111,7 @@
                         const char* aAt,
                         std::size_t aCount) {
     auto& connection = *static_cast<http_connection*>(aParser->data);
-    const std::size_t limit = connection.mState->settings.maxBodyBytes;
+    const std::size_t limit = connection.Limits().maxBodyBytes;
     connection.mIsTooLarge |= connection.mRequest.body.size() + aCount > limit;
     if (connection.mIsTooLarge) {
       return 1;
@@ -133,7 +141,7 @@
 void
 http_connection::Start()
 {
-  mPhaseDeadline = Now() + mState->settings.idleTimeout;
+  BeginHead();
   Read();
 }
 
@@ -165,7 +173,7 @@
     return;
   }
   if (mPhase == phase::eHead && mInput.empty()) {
-    mPhaseDeadline = Now() + mState->settings.headerTimeout;
+    BeginHead();
   }
   mInput.append(mBuffer.data(), aCount);
   Process();
@@ -201,7 +209,7 @@
     mInput.erase(0, 2); // RFC 9112 allows empty lines before a request
   }
   const std::size_t end = mInput.find(kHeadEnd);
-  const std::size_t limit = mState->settings.maxHeaderBytes;
+  const std::size_t limit = Limits().maxHeaderBytes;
   if (std::min(end, mInput.size()) > limit) {
     Refuse(431, "the head is larger than " + std::to_string(limit) + " bytes");
     return false;
@@ -241,8 +249,8 @@
     http_parser_execute(&mParser, &kSettings, mInput.data(), mInput.size());
   if (mIsTooLarge) {
     Refuse(413,
-           "the body is larger than " +
-             std::to_string(mState->settings.maxBodyBytes) + " bytes");
+           "the body is larger than " + std::to_string(Limits().maxBodyBytes) +
+             " bytes");
     return false;
   }
   const http_errno error = HTTP_PARSER_ERRNO(&mParser);
@@ -355,6 +363,11 @@
   head += aFraming;
   if (!mKeepsAlive) {
     head += "Connection: close\r\n";
+  } else {
+    mKeepAliveTime = KeepAliveTime(mState->settings.idleTimeout);
+    if (mKeepAliveTime > std::chrono::seconds{ 0 }) {
+      head += fmt::format("Keep-Alive: timeout={}\r\n", mKeepAliveTime.count());
+    }
   }
   head += "\r\n";
   return head;
@@ -511,9 +524,7 @@
   if (!mKeepsAlive) {
     BeginLinger();
   } else {
-    mPhase = phase::eHead;
-    mPhaseDeadline = Now() + (mInput.empty() ? mState->settings.idleTimeout
-                                             : mState->settings.headerTimeout);
+    BeginHead();
     Process();
     Read();
   }
@@ -547,22 +558,4 @@
     std::exchange(mState->onFlushed, nullptr)();
   }
 }
-
-steady_time
-http_connection::CheckTimeout(steady_time aNow)
-{
-  if (IsClosed()) {
-    return steady_time::max();
-  }
-  if (aNow < mPhaseDeadline) {
-    return mPhaseDeadline;
-  }
-  if (IsPartial()) {
-    Refuse(408, "the request took too long to arrive");
-    return steady_time::max();
-  }
-  Close();
-  return steady_time::max();
-}
-
 } // namespace bulrush::net
