Settle a learner whose replacement ended with its leader

A replacement is in the memory of the leader only. When the leader changed after the learner was added, no leader made it a voter or removed it, and as a member it did not wait to join: one vote was missing for good.

The next leader goes on with the replacement while a member is silent or the voters are even in number; otherwise the learner leaves and waits to join.

Before: Learner_WhoseReplacementEndedWithItsLeader_IsSettled: 1 == 0 learners 5 s later.

--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -59,6 +59,45 @@
          aNow < aKnown.lastSeen + kHelloMaxAge;
 }
 
+// A replacement ends with its leader, also after its learner was added. The
+// next leader goes on with it while a member is silent or the voters are even
+// in number. Otherwise the learner leaves and waits to join like any other
+// process.
+bool
+SettleLearner(control_tables& aTables, steady_time aNow)
+{
+  replica_tables& replica = aTables.replicated->replica;
+  const membership& members = replica.members;
+  const auto isLearner = [](const log_member& aMember) {
+    return aMember.kind == member_kind::eLearner;
+  };
+  const auto found = std::ranges::find_if(members, isLearner);
+  if (found == members.end()) {
+    return false;
+  }
+  const log_member learner = *found;
+  const auto silent =
+    std::ranges::find_if(members, [&](const log_member& aMember) {
+      return aMember.id != learner.id && aMember.id != replica.self &&
+             IsSilent(aTables, aMember, aNow);
+    });
+  const bool isEven =
+    (members.size() - std::ranges::count_if(members, isLearner)) % 2 == 0;
+  last_reason reason;
+  const bool isSettled =
+    silent != members.end() || isEven
+      ? ReplaceMember(replica,
+                      silent != members.end() ? silent->id : replica_id{},
+                      learner,
+                      reason)
+          .has_value()
+      : RemoveMember(replica, learner.id, aNow, reason).has_value();
+  if (!isSettled) {
+    LogWarning(kLog, "{} stays a learner: {}", learner.name, Describe(reason));
+  }
+  return true;
+}
+
 // Voters are added in pairs: with an odd number of them, one part of any split
 // in two has a quorum.
 bool
@@ -248,6 +287,9 @@
   if (isBusy || !IsLeaseHeld(replica, aNow)) {
     return;
   }
+  if (SettleLearner(aTables, aNow)) {
+    return;
+  }
   for (const known_replica& known : log.known) {
     const bool isWaiting = IsWaiting(log, known, aNow);
     const log_member* old =
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -182,5 +182,34 @@
         5);
 }
 
+TEST_CASE_METHOD(voters_fixture,
+                 "Learner_WhoseReplacementEndedWithItsLeader_IsSettled",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  REQUIRE(Leader());
+  replica_tables& replica = processes[*Leader()].tables->replicated->replica;
+  const auto spare = std::ranges::find_if(processes, [&](const auto& aEach) {
+    return std::ranges::find(replica.members, aEach.name, &log_member::name) ==
+           replica.members.end();
+  });
+  REQUIRE(spare != processes.end());
+  last_reason reason;
+  REQUIRE(ChangeMember(replica,
+                       { spare->tables->replicated->replica.self,
+                         member_kind::eLearner,
+                         spare->name },
+                       now,
+                       reason));
+  Run(milliseconds{ 5'000 });
+  REQUIRE(Leader());
+  const membership& members =
+    processes[*Leader()].tables->replicated->replica.members;
+  CHECK(std::ranges::count(members, member_kind::eLearner, &log_member::kind) ==
+        0);
+  CHECK(std::ranges::count(members, member_kind::eVoter, &log_member::kind) ==
+        5);
+}
+
 } // namespace
 } // namespace bulrush::control
