--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -304,5 +304,25 @@
   CHECK_FALSE(ReadState({ "i-1", "", "llm" }, "{}", reason));
 }
 
+TEST_CASE_METHOD(codec_fixture,
+                 "TokenCount_OutOfRange_IsTakenAsMissing",
+                 "[platform]")
+{
+  const std::string count = GENERATE("-1000,0",
+                                     "0,-1000",
+                                     "9223372036854775807,2",
+                                     "4294967296,1",
+                                     "1.5,1",
+                                     "1e3,1",
+                                     "12");
+  INFO(count);
+  net::http_request request;
+  request.fields = { { "Host", "h.example" }, { "X-Token-Count", count } };
+  entry::caller_error error;
+  const auto call = front.readCall(request, error);
+  REQUIRE(call);
+  CHECK_FALSE(call->tokens);
+}
+
 } // namespace
 } // namespace bulrush::platform
