Wait for the last bytes of a stream until its caller leaves

The time that is kept for an answer before the caller leaves also cut streams that had begun: a play of stops beside changes of the configuration broke six streams off 100 ms before their callers' time (outcome=broken_stream, took_ms=10744 of 10843). A stream that has begun has no other answer to leave time for, so only the deadline of its first byte is shortened.

Before: the three tests of Deadline_* failed in five checks of the deadline of the last byte.

--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -3,6 +3,7 @@
 #include "entry/endpoint_facts.hpp"
 #include "entry/requests.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bulrush::entry {
@@ -27,6 +28,7 @@
 /// more than this part of its time, so that the answer reaches it.
 constexpr std::chrono::milliseconds kAnswerMargin{ 100 };
 constexpr int kAnswerMarginPart = 20;
+constexpr std::chrono::milliseconds kNoTime{ 0 };
 /// Time for a caller to come back to another host, or for this one to catch up.
 constexpr std::chrono::milliseconds kOutdatedRetryTime{ 250 };
 constexpr int kRankStep = 1'000; // a workspace's rank outweighs a route's
@@ -167,7 +169,7 @@
   if (!aCall.timeLeft) {
     return aRoute.deadline;
   }
-  const auto left = std::max(*aCall.timeLeft, std::chrono::milliseconds{ 0 });
+  const auto left = std::max(*aCall.timeLeft, kNoTime);
   const auto margin = std::min(kAnswerMargin, left / kAnswerMarginPart);
   return std::min(aRoute.deadline, left - margin);
 }
@@ -186,11 +188,13 @@
   facts.isIdempotent =
     aRoute.isStreamed ? aRoute.canResume : aRoute.isIdempotent;
   facts.maxAttempts = aRoute.maxAttempts;
-  const auto timeLeft = std::min(
-    aRoute.deadline, aCall.timeLeft.value_or(std::chrono::hours{ 24 }));
-  facts.deadline = net::Now() + TimeToAnswer(aCall, aRoute);
-  facts.lastByteDeadline = facts.deadline;
-  facts.placementDeadline = PlacementDeadline(aRoute, timeLeft, net::Now());
+  const auto timeLeft = std::clamp(
+    aCall.timeLeft.value_or(aRoute.deadline), kNoTime, aRoute.deadline);
+  const steady_time now = net::Now();
+  facts.deadline = now + TimeToAnswer(aCall, aRoute);
+  // A stream that has begun has no other answer to leave time for.
+  facts.lastByteDeadline = now + timeLeft;
+  facts.placementDeadline = PlacementDeadline(aRoute, timeLeft, now);
   facts.targetFirstByte = aRoute.target;
   facts.targetGap = aRoute.targetGap;
   facts.prefix = PrefixOf(aCall.prompt);
