--- a/src/entry/options.hpp
+++ b/src/entry/options.hpp
@@ -135,7 +135,7 @@
     "1s",
     "1h",
     "Time after the stop signal at which the process is killed; every request "
-    "is answered before" },
+    "is answered, or its stream broken off, before" },
   { "link-keys",
     option_type::eSecretFile,
     "",
