--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -75,7 +75,7 @@
   if (found == members.end()) {
     return false;
   }
-  const log_member learner = *found;
+  const log_member& learner = *found;
   const auto silent =
     std::ranges::find_if(members, [&](const log_member& aMember) {
       return aMember.id != learner.id && aMember.id != replica.self &&
