--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -95,10 +95,14 @@
 
 } // namespace
 
+// The socket stays bound without listening. Others may listen at its port, but
+// the kernel gives it to no outgoing connection and no second caller.
 std::uint16_t
 FreePort()
 {
-  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  constexpr int kOn = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof(kOn));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -108,7 +112,6 @@
   }
   socklen_t size = sizeof(address);
   ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
   return ntohs(address.sin_port);
 }
 
@@ -248,6 +251,7 @@
   const std::size_t domains = mOptions.domains.size();
   for (std::size_t i = 0; i < domains; ++i) {
     mControlPorts.push_back(FreePort());
+    mControlHttpPorts.push_back(FreePort());
   }
   for (std::size_t i = 0; i < domains * mOptions.entriesPerDomain; ++i) {
     mEntryPorts.push_back(FreePort());
@@ -266,7 +270,7 @@
 }
 
 void
-fleet::Start()
+fleet::StartProcesses()
 {
   for (std::size_t i = 0; i < controls.size(); ++i) {
     StartControl(i);
@@ -284,6 +288,12 @@
   if (applied.exitCode != 0) {
     throw std::runtime_error("apply: " + applied.errors);
   }
+}
+
+void
+fleet::Start()
+{
+  StartProcesses();
   for (std::size_t i = 0; i < entries.size(); ++i) {
     const std::string url = "http://" + EntryAddress(i) + "/readyz";
     if (!WaitUntil([&] { return SendHttpRequest("GET", url).status == 200; })) {
@@ -305,6 +315,12 @@
   return "127.0.0.1:" + std::to_string(mControlPorts[aIndex]);
 }
 
+std::string
+fleet::ControlHttpAddress(std::size_t aIndex) const
+{
+  return "127.0.0.1:" + std::to_string(mControlHttpPorts[aIndex]);
+}
+
 std::string
 fleet::EntryAddress(std::size_t aIndex) const
 {
@@ -346,6 +362,10 @@
   if (!peers.empty()) {
     arguments.insert(arguments.end(), { "--peers", peers });
   }
+  if (mOptions.hasControlHttp) {
+    arguments.insert(arguments.end(),
+                     { "--http-listen", ControlHttpAddress(aIndex) });
+  }
   arguments.insert(arguments.end(),
                    mOptions.controlArguments.begin(),
                    mOptions.controlArguments.end());
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -18,7 +18,8 @@
 /// time: it only ends a test that would hang.
 constexpr std::chrono::seconds kTestTimeout{ 30 };
 
-/// A TCP port that was free at the time of the call.
+/// A TCP port that no other socket gets while this process runs, and on which
+/// any process may listen that allows the reuse of addresses.
 std::uint16_t FreePort();
 
 /// Polls until aIsTrue returns true or aTimeout has passed; false on time-out.
@@ -83,7 +84,8 @@
   std::string manifest;                         ///< empty for DefaultManifest
   std::vector<std::string> entryArguments = {}; ///< in addition to the defaults
   std::vector<std::string>
-    controlArguments = {}; ///< in addition to the defaults
+    controlArguments = {};     ///< in addition to the defaults
+  bool hasControlHttp = false; ///< control processes listen for HTTP calls
 };
 
 /// A fleet on loopback: a control process and entry hosts in each failure
@@ -98,6 +100,8 @@
 
   /// Starts all processes, applies the manifest and waits for readiness.
   void Start();
+  /// The same without the wait, for front ends without the page /readyz.
+  void StartProcesses();
 
   program_result Ctl(std::vector<std::string> aArguments) const;
   nlohmann::json Status() const;
@@ -117,6 +121,7 @@
   /// "127.0.0.1:PORT".
   std::string EntryAddress(std::size_t aIndex) const;
   std::string ControlAddress(std::size_t aIndex) const;
+  std::string ControlHttpAddress(std::size_t aIndex) const;
   std::filesystem::path ControlData(std::size_t aIndex) const;
   std::string ControlName(std::size_t aIndex) const;
 
@@ -137,6 +142,7 @@
 
   fleet_options mOptions;
   std::vector<std::uint16_t> mControlPorts;
+  std::vector<std::uint16_t> mControlHttpPorts;
   std::vector<std::uint16_t> mEntryPorts;
 };
 
