Log the shared parts of a prompt with a failed attempt

Nothing in the lines related the end of a server to the prompts that it was reading, so crashes by one part of a prompt could not be told from others. The front end passes on the parts that other requests may share; attempt_failed lists them. No decision uses them yet.

--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -66,6 +66,7 @@
 using request_id = typed_id<struct request_tag>;
 using attempt_id = typed_id<struct attempt_tag>;
 using order_id = typed_id<struct order_tag>;
+using part_id = typed_id<struct part_tag>; ///< of a prompt
 using claim_id = typed_id<struct claim_tag>;
 using replica_id = typed_id<struct replica_tag>;
 
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -40,6 +40,8 @@
   std::optional<std::int64_t> tokens; ///< upper bound, prompt and answer
   std::int64_t answerTokens = 0;      ///< upper bound of the answer
   std::vector<prompt_part> prompt;
+  /// Parts of the prompt that other requests may share.
+  std::vector<part_id> sharedParts;
   std::optional<std::chrono::milliseconds> timeLeft; ///< until it gives up
   std::string resumeAfter; ///< id of the last event that the caller received
   std::vector<net::http_field> fields; ///< to be forwarded to the endpoint
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -29,6 +29,16 @@
   return texts;
 }
 
+std::string
+DescribeParts(const std::vector<part_id>& aParts)
+{
+  std::string text;
+  for (const part_id part : aParts) {
+    text += (text.empty() ? "" : ",") + FormatId(part.value);
+  }
+  return text;
+}
+
 } // namespace
 
 std::string
@@ -96,7 +106,8 @@
              { "echo", head.echo },
              { "connection", head.connection },
              { "retry_after_ms", head.retryAfter },
-             { "took_ms", Milliseconds(aAttempt.took) } });
+             { "took_ms", Milliseconds(aAttempt.took) },
+             { "parts", DescribeParts(aRequest.facts.sharedParts) } });
 }
 
 void
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -109,6 +109,7 @@
 void
 SetCaller(const caller_call& aCall, resolved_call& aResolved)
 {
+  aResolved.facts.sharedParts = aCall.sharedParts;
   if (aResolved.workspace != nullptr) {
     aResolved.facts.key = HashKey(aCall.key);
     aResolved.facts.workspace = aResolved.workspace->id;
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -210,6 +210,8 @@
   bool isStreamed = false;
   int priority = 0;           ///< higher first
   std::uint64_t prefix = 0;   ///< hash of the prompt's prefix; 0: none
+  /// Parts of the prompt that other requests may share.
+  std::vector<part_id> sharedParts;
   std::string idempotencyKey; ///< empty: none
   key_hash bodyDigest;
   steady_time deadline; ///< of the answer; of a stream: first byte
