Take a stream that ends inside an event as broken off

Callers saw 200 and a complete message whose body ended in the middle of an event, in three of three kinds: without length or chunks after part of a line, before the empty line, and in chunks with the last one. Cause: at the end of a message whatever was left became one more event. Now only line ends do; anything else means that the endpoint broke off, so the stream resumes elsewhere where its route allows it and otherwise ends without its last chunk. The OpenAI front end takes a stream without its end mark as truncated already; bytes after the mark are dropped, as before.

--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -182,12 +182,20 @@
   return completed;
 }
 
+// An endpoint that crashes closes its connections too. Where only that ends the
+// message, the rest of an event is all that shows it.
 std::uint64_t
 answer_buffer::EndMessage()
 {
   if (!mIsStream || mTail.Size() == 0 || mIsOutOfOrder) {
     return 0;
   }
+  const std::string last = mTail.Last(kLongestPart + 1);
+  if (mTail.Size() > kLongestPart ||
+      last.find_first_not_of("\r\n") != std::string::npos) {
+    mEndsInsideEvent = true;
+    return 0;
+  }
   return AddEvent(mTail.Take()) ? 1 : 0;
 }
 
--- a/src/entry/answer.hpp
+++ b/src/entry/answer.hpp
@@ -51,9 +51,12 @@
   /// True once an event did not follow the one before it. It is dropped, and so
   /// are all later ones.
   bool IsOutOfOrder() const { return mIsOutOfOrder; }
-  /// Called at the complete end of the message: the rest of a stream becomes
-  /// its last unit. Returns the number of units that this completed.
+  /// Called at the complete end of the message: line ends that are left of a
+  /// stream become its last unit. Returns the number of units that this
+  /// completed.
   std::uint64_t EndMessage();
+  /// True once the message of a stream ended inside an event.
+  bool EndsInsideEvent() const { return mEndsInsideEvent; }
 
   /// Value of the latest "id" field among events taken; empty if none.
   const std::string& LastEvent() const { return mLastEvent; }
@@ -78,6 +81,7 @@
   std::deque<stream_event> mEvents;
   bool mRequiresRisingIds = false;
   bool mIsOutOfOrder = false;
+  bool mEndsInsideEvent = false;
   std::optional<std::uint64_t> mNewestId; ///< among events added
 };
 
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -333,8 +333,11 @@
     }
     const bool isSuccess =
       row.status >= kFirstSuccess && row.status < kFirstRedirect;
+    const bool endsInsideEvent =
+      row.answer != nullptr && row.answer->EndsInsideEvent();
     if (how != routing::attempt_end::eComplete || !isSuccess) {
-      LogFailure(row, text, aEnd.error);
+      LogFailure(
+        row, text, endsInsideEvent ? "ended inside an event" : aEnd.error);
     }
     End(aAttempt, how);
   }
@@ -374,12 +377,15 @@
     }
   }
 
-  // A stream without its end mark is truncated even if the message is complete.
+  // A stream without its end mark, or that ends inside an event, is truncated
+  // even if the message is complete.
   bool IsWhole(const call_row& aRow) const
   {
-    return aRow.answer != nullptr &&
-           (!aRow.answer->IsStream() || !mFront.streamsHaveEndMark ||
-            aRow.answer->HasEndMark());
+    if (aRow.answer == nullptr || !aRow.answer->IsStream()) {
+      return aRow.answer != nullptr;
+    }
+    return mFront.streamsHaveEndMark ? aRow.answer->HasEndMark()
+                                     : !aRow.answer->EndsInsideEvent();
   }
 
   // The row is kept until routing no longer needs its bytes.
--- a/tests/entry/answer_test.cpp
+++ b/tests/entry/answer_test.cpp
@@ -115,6 +115,29 @@
   CHECK(stream.IsOutOfOrder());
 }
 
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_ThatEndsInsideAnEvent_IsNotWhole",
+                 "[entry]")
+{
+  const std::string rest =
+    GENERATE(as<std::string>(), "id: 3\nda", "id: 3\ndata: c\n", "i", ": c\r\n");
+  INFO(rest);
+  CHECK(Units({ "id: 2\ndata: b\n\n" + rest }).size() == 1);
+  CHECK(stream.EndMessage() == 0);
+  CHECK(stream.EndsInsideEvent());
+}
+
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_ThatEndsWithLineEnds_IsWholeWithThem",
+                 "[entry]")
+{
+  const std::string rest = GENERATE(as<std::string>(), "", "\n", "\r\n");
+  CHECK(Units({ "id: 2\ndata: b\n\n" + rest }).size() == 1);
+  CHECK(stream.EndMessage() == (rest.empty() ? 0 : 1));
+  CHECK_FALSE(stream.EndsInsideEvent());
+  CHECK(stream.Take(1) == rest);
+}
+
 TEST_CASE_METHOD(answer_fixture,
                  "Stream_WithoutRisingIdsRequired_MayRepeatThem",
                  "[entry]")
