--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -106,6 +106,10 @@
   if (!IsNewer(aRow, known->row)) {
     return;
   }
+  if (aIsOwn) {
+    quarantine::RecordCheckIn(
+      aTables.quarantined, aRow.id, aRow.incarnation, aRow.lastSeen);
+  }
   const bool isSame = IsSameExceptLoad(aRow, known->row);
   known->row = aRow;
   known->isOwn = aIsOwn;
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -121,6 +121,7 @@
   }
   reply.keys = aTables.fleet.keys.Size();
   reply.claims = aTables.fleet.claims.Size();
+  reply.evidence = quarantine::ChangesSince(aTables.quarantined, 0);
   aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
 }
 
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -2,8 +2,6 @@
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
-#include <unordered_set>
-
 namespace bulrush::control {
 namespace {
 
@@ -44,6 +42,7 @@
   host->lastSeen = aNow;
   host->leaseEnd = aNow + kHostLease;
   host->isUpdateDue = true;
+  quarantine::Merge(aTables.quarantined, aReport.evidence, aNow);
   for (const endpoint_row& row : aReport.endpoints) {
     UpdateEndpoint(aTables, row, true);
   }
@@ -71,8 +70,10 @@
 void
 Handle(control_tables& aTables,
        const received_message& aInput,
-       const wire::endpoint_gossip& aGossip)
+       const wire::endpoint_gossip& aGossip,
+       steady_time aNow)
 {
+  quarantine::Merge(aTables.quarantined, aGossip.evidence, aNow);
   AddTombstones(aTables, aGossip.tombstones);
   if (control_row* control =
         aTables.controls.Find(IdOf<replica_id>(aInput.message.sender))) {
@@ -280,7 +281,7 @@
     if (const auto* report = std::get_if<wire::host_report>(&body)) {
       Handle(aTables, input, *report, aNow);
     } else if (const auto* gossip = std::get_if<wire::endpoint_gossip>(&body)) {
-      Handle(aTables, input, *gossip);
+      Handle(aTables, input, *gossip, aNow);
     } else if (const auto* call = std::get_if<wire::command_call>(&body)) {
       Handle(aTables, input, *call, aNow, aOutbox);
     } else if (const auto* reply = std::get_if<wire::command_reply>(&body)) {
@@ -303,6 +304,8 @@
       HandleQuotaRequest(aTables, input, *request, aNow, aOutbox);
     } else if (const auto* demand = std::get_if<wire::demand_report>(&body)) {
       HandleDemand(aTables, input, *demand, aNow);
+    } else if (const auto* part = std::get_if<wire::quarantine_call>(&body)) {
+      HandleQuarantineCall(aTables, input, *part, aNow, aOutbox);
     } else {
       HandleLogMessage(aTables, input, aNow, aOutbox);
     }
@@ -429,22 +432,6 @@
   }
 }
 
-// Hosts that report to any control process. A host that moves to another one is
-// known to both for a while, and counts once. Those of a control process that
-// is cut off still use their parts of the limits, so they count too.
-std::uint32_t
-CountHosts(const control_tables& aTables)
-{
-  std::unordered_set<host_id, id_hash> hosts;
-  for (const host_row& host : aTables.hosts) {
-    hosts.insert(host.id);
-  }
-  for (const control_row& control : aTables.controls) {
-    hosts.insert(control.reporting.begin(), control.reporting.end());
-  }
-  return static_cast<std::uint32_t>(hosts.size());
-}
-
 // The count divides limits: too high a count makes each host's part smaller,
 // too low a count makes the sum exceed the limit. So the count rises at once
 // and falls only after a delay.
@@ -457,7 +444,7 @@
       !isDue) {
     return;
   }
-  const std::uint32_t count = CountHosts(aTables);
+  const auto count = static_cast<std::uint32_t>(ReportingHosts(aTables).size());
   const std::uint32_t recorded = aTables.fleet.hosts;
   if (count >= recorded) {
     hostCount.lowerSince.reset();
@@ -479,7 +466,7 @@
   aOutbox.wake.NoLaterThan(hostCount.nextChange);
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 14> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 15> kSystems{
   { { "ingest", RunIngest },
     { "http_calls", RunHttpCalls },
     { "log", RunLog },
@@ -492,12 +479,29 @@
     { "leases", RunLeases },
     { "pools", RunPools },
     { "host_count", RunHostCount },
+    { "quarantine", RunQuarantine },
     { "updates", RunUpdates },
     { "gossip", RunGossip } }
 };
 
 } // namespace
 
+// A host that moves to another control process is known to both for a while,
+// and counts once. Those of a control process that is cut off still use their
+// parts of the limits, so they count too.
+std::unordered_set<host_id, id_hash>
+ReportingHosts(const control_tables& aTables)
+{
+  std::unordered_set<host_id, id_hash> hosts;
+  for (const host_row& host : aTables.hosts) {
+    hosts.insert(host.id);
+  }
+  for (const control_row& control : aTables.controls) {
+    hosts.insert(control.reporting.begin(), control.reporting.end());
+  }
+  return hosts;
+}
+
 void
 RunControl(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -9,11 +9,13 @@
 #include "control/orders.hpp"
 #include "control/stop.hpp"
 #include "fleet/fleet.hpp"
+#include "quarantine/quarantine.hpp"
 #include "rates/rates.hpp"
 #include "wire/wire.hpp"
 
 #include <deque>
 #include <memory>
+#include <unordered_set>
 
 namespace bulrush::control {
 
@@ -65,6 +67,7 @@
   std::uint64_t sentRevision = 0;
   std::uint64_t sentWithUpdate = 0; ///< number of the update that carries it
   std::uint64_t sentEndpoints = 0;  ///< serial of the newest change sent
+  std::uint64_t sentEvidence = 0;   ///< serial of the newest change sent
   std::string sentLeader;           ///< name of the leader in the last update
   std::uint64_t sentUpdates = 0;    ///< since everything was sent
   steady_time lastSeen{};
@@ -293,6 +296,9 @@
   order_tables orders;
   residency_tables residency;
   host_count_row hostCount;
+  quarantine::tables quarantined;      ///< parts of prompts, of all hosts
+  std::uint64_t gossipedEvidence = 0;  ///< newest change gossiped
+  std::uint64_t loggedEvidence = 0;    ///< newest change logged
   std::uint64_t serial = 0;            ///< of the newest endpoint change
   std::uint64_t gossipedSerial = 0;    ///< newest endpoint change gossiped
   std::uint64_t gossipedConfirmed = 0; ///< newest confirmed revision gossiped
@@ -347,6 +353,23 @@
                   steady_time aNow,
                   control_outbox& aOutbox);
 
+/// System: ends suspicions, and gives trials of quarantined parts while this
+/// process leads.
+void RunQuarantine(control_tables& aTables,
+                   steady_time aNow,
+                   control_outbox& aOutbox);
+
+/// An operator quarantines a part of prompts, or ends its quarantine.
+void HandleQuarantineCall(control_tables& aTables,
+                          const received_message& aInput,
+                          const wire::quarantine_call& aCall,
+                          steady_time aNow,
+                          control_outbox& aOutbox);
+
+/// Hosts that report to any control process.
+std::unordered_set<host_id, id_hash> ReportingHosts(
+  const control_tables& aTables);
+
 /// Records the demand for models that a host reports.
 void HandleDemand(control_tables& aTables,
                   const received_message& aInput,
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -17,6 +17,7 @@
   aHost.sentRevision = 0;
   aHost.sentWithUpdate = 0;
   aHost.sentEndpoints = 0;
+  aHost.sentEvidence = 0;
   aHost.sentUpdates = 0;
 }
 
@@ -168,6 +169,7 @@
       host.sentRevision == 0 && host.revision < aTables.fleet.revision;
     const bool isBehind = needsConfiguration ||
                           host.sentEndpoints < aTables.serial ||
+                          host.sentEvidence < aTables.quarantined.serial ||
                           host.sentLeader != leader;
     // Without a lease the host reports elsewhere or is gone.
     const bool hasLease = aNow < host.leaseEnd;
@@ -195,6 +197,9 @@
         update.removedEndpoints.push_back(removed.id);
       }
     }
+    update.evidence =
+      quarantine::ChangesSince(aTables.quarantined, host.sentEvidence);
+    host.sentEvidence = aTables.quarantined.serial;
     update.tombstones = TombstoneKeys(aTables);
     AddControls(aTables, leader, update);
     host.sentEndpoints = aTables.serial;
@@ -212,6 +217,7 @@
   const bool isPeriodic = aNow >= aTables.nextGossip;
   const wire::domain_status own = OwnDomainStatus(aTables, aNow);
   if (!isPeriodic && aTables.gossipedSerial == aTables.serial &&
+      aTables.gossipedEvidence == aTables.quarantined.serial &&
       aTables.gossipedConfirmed == own.confirmedRevision) {
     aOutbox.wake.NoLaterThan(aTables.nextGossip);
     return;
@@ -225,6 +231,9 @@
       gossip.removedEndpoints.push_back(removed.removed);
     }
   }
+  gossip.evidence = quarantine::ChangesSince(
+    aTables.quarantined, isPeriodic ? 0 : aTables.gossipedEvidence);
+  aTables.gossipedEvidence = aTables.quarantined.serial;
   gossip.tombstones = TombstoneKeys(aTables);
   gossip.confirmedRevision = own.confirmedRevision;
   gossip.hosts = own.hosts;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -139,12 +139,32 @@
   }
 }
 
+// What comes from control is not reported to it again.
+void
+MergeFromControl(entry_tables& aTables,
+                 const quarantine::evidence& aEvidence,
+                 steady_time aNow,
+                 entry_outbox& aOutbox)
+{
+  if (aEvidence.Empty()) {
+    return;
+  }
+  const bool isReported = aTables.sentEvidence == aTables.quarantined.serial;
+  quarantine::Merge(aTables.quarantined, aEvidence, aNow);
+  if (isReported) {
+    aTables.sentEvidence = aTables.quarantined.serial;
+  }
+  aOutbox.evidence.push_back(aEvidence);
+}
+
 void
 HandleMessage(entry_tables& aTables,
               const std::string& aSender,
               const wire::host_update& aUpdate,
+              steady_time aNow,
               entry_outbox& aOutbox)
 {
+  MergeFromControl(aTables, aUpdate.evidence, aNow, aOutbox);
   aTables.latestUpdate = { aSender, aUpdate.revision, aUpdate.isCaughtUp };
   UpdateControls(aTables, aUpdate, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
@@ -231,6 +251,7 @@
   if (control->incarnation != aMessage.incarnation) {
     control->incarnation = aMessage.incarnation;
     control->updates = 0;
+    aTables.evidenceControl = {}; // it may know nothing
   }
   const bool hasGap = aUpdate.number > control->updates + 1;
   if (aUpdate.number == 1) {
@@ -258,7 +279,7 @@
     if (const auto* update = std::get_if<wire::host_update>(&message.body)) {
       RecordCaughtUp(aTables, message.sender, *update);
       CheckUpdateNumber(aTables, message, *update, aNow);
-      HandleMessage(aTables, message.sender, *update, aOutbox);
+      HandleMessage(aTables, message.sender, *update, aNow, aOutbox);
     } else if (const auto* held =
                  std::get_if<wire::held_update>(&message.body)) {
       HandleMessage(aTables, *held, aNow);
@@ -376,6 +397,7 @@
   }
   control->lastSeen = {};
   aTables.awaitedControl = {};
+  aTables.evidenceControl = {};
   aTables.nextReport = aNow;
 }
 
@@ -384,8 +406,11 @@
 void
 RunReport(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
+  quarantine::Expire(aTables.quarantined, aNow);
   const bool isDue = aNow >= aTables.nextReport;
-  if (!isDue && aTables.unreportedEndpoints.empty() && !aTables.hasNewFleet) {
+  const bool hasEvidence = aTables.quarantined.serial > aTables.sentEvidence;
+  if (!isDue && aTables.unreportedEndpoints.empty() && !aTables.hasNewFleet &&
+      !hasEvidence) {
     aOutbox.wake.NoLaterThan(aTables.nextReport);
     return;
   }
@@ -393,7 +418,14 @@
   if (control == nullptr) {
     return;
   }
+  if (control->id != aTables.evidenceControl) {
+    aTables.evidenceControl = control->id;
+    aTables.sentEvidence = 0;
+  }
   wire::host_report report;
+  report.evidence =
+    quarantine::ChangesSince(aTables.quarantined, aTables.sentEvidence);
+  aTables.sentEvidence = aTables.quarantined.serial;
   report.domain = aTables.self.domain;
   report.renewal = ++aTables.lastReport;
   aTables.lastReportAt = aNow;
@@ -514,6 +546,14 @@
 
 } // namespace
 
+void
+HandleEvidence(entry_tables& aTables,
+               const quarantine::evidence& aEvidence,
+               steady_time aNow)
+{
+  quarantine::Merge(aTables.quarantined, aEvidence, aNow);
+}
+
 namespace {
 
 // Lower is better. By name, each host has an order of its own, so that a
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -112,6 +112,8 @@
   bool eventIdsRise = false;      ///< numeric ids of a stream's events
   bool endpointsReportCold = false;
   bool trustsNotRun = false; ///< an endpoint's "not run" is relied upon
+  /// Endpoints refuse requests for another incarnation of theirs.
+  bool endpointsCheckIncarnation = false;
 };
 
 /// The completions interface of docs/API.md.
--- a/src/entry/outcomes.cpp
+++ b/src/entry/outcomes.cpp
@@ -5,6 +5,7 @@
 namespace bulrush::entry {
 namespace {
 
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
 /// A model that no endpoint holds takes seconds to load.
@@ -22,7 +23,7 @@
 
 using routing::request_outcome;
 
-constexpr std::array<outcome_text, 14> kOutcomes{ {
+constexpr std::array<outcome_text, 16> kOutcomes{ {
   { request_outcome::eInProgress,
     409,
     "in_progress",
@@ -88,6 +89,17 @@
     "stopping",
     "this host is being stopped",
     true },
+  { request_outcome::eQuarantined,
+    503,
+    "prompt_quarantined",
+    "a part of the prompt crashes endpoints; sending it again does not help",
+    false },
+  { request_outcome::eSuspected,
+    503,
+    "prompt_suspected",
+    "a part of the prompt may crash endpoints; whether it does is not known "
+    "yet",
+    true },
   { request_outcome::eCallerGone, 499, "caller_gone", "", false },
 } };
 
@@ -108,6 +120,11 @@
   if (!error.mayHaveRun && error.status > kUnavailable) {
     error.status = kUnavailable; // safe to retry
   }
+  const bool isOfPrompt = aEnd.outcome == request_outcome::eQuarantined ||
+                          aEnd.outcome == request_outcome::eSuspected;
+  if (isOfPrompt && error.mayHaveRun) {
+    error.status = kBadGateway;
+  }
   if (found->isWorthRetrying && error.status <= kUnavailable) {
     error.retryAfter = aEnd.outcome == request_outcome::eNotResident
                          ? kRetryAfterNotResident
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -24,11 +24,13 @@
                  const option_values& aOptions,
                  std::function<void(traffic_view)> aPublish,
                  std::function<void(admission::grant)> aOnGrant,
-                 std::function<void(rates::quota_grant)> aOnQuotaGrant)
+                 std::function<void(rates::quota_grant)> aOnQuotaGrant,
+                 evidence_hook aOnEvidence)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
     , mOnGrant(std::move(aOnGrant))
     , mOnQuotaGrant(std::move(aOnQuotaGrant))
+    , mOnEvidence(std::move(aOnEvidence))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.Text("name");
@@ -86,6 +88,12 @@
     mTimer.RunSoon();
   }
 
+  void HandleEvidence(const quarantine::evidence& aEvidence)
+  {
+    entry::HandleEvidence(mTables, aEvidence, net::Now());
+    mTimer.RunSoon();
+  }
+
   void BeginStop()
   {
     mTables.isStopping = true;
@@ -167,6 +175,9 @@
     for (rates::quota_grant& next : outbox.quotaGrants) {
       mOnQuotaGrant(std::move(next));
     }
+    for (quarantine::evidence& next : outbox.evidence) {
+      mOnEvidence(std::move(next));
+    }
     if (mOnSettled && mTables.commands.Empty()) {
       std::exchange(mOnSettled, nullptr)();
     }
@@ -179,6 +190,7 @@
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
+  evidence_hook mOnEvidence;
   std::function<void()> mOnSettled; ///< set while the process stops
   net::tick_timer mTimer;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
@@ -213,6 +225,11 @@
                      [this, grant = std::move(aGrant)]() mutable {
                        mTraffic.HandleQuotaGrant(std::move(grant));
                      });
+        },
+        [this](quarantine::evidence aEvidence) {
+          asio::post(mTrafficContext, [this, evidence = std::move(aEvidence)] {
+            mTraffic.HandleEvidence(evidence);
+          });
         })
     , mTraffic(mTrafficContext,
                TrafficSettings(aOptions,
@@ -394,6 +411,11 @@
                    mControl.SendQuotaRequest(std::move(request));
                  });
     };
+    hooks.onEvidence = [this](quarantine::evidence aEvidence) {
+      asio::post(mControlContext, [this, evidence = std::move(aEvidence)] {
+        mControl.HandleEvidence(evidence);
+      });
+    };
     hooks.onReport = [this](endpoint_row aRow) {
       asio::post(mControlContext, [this, row = std::move(aRow)]() mutable {
         mControl.HandleReport(std::move(row));
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -1,5 +1,7 @@
 #include "entry/recorder.hpp"
 
+#include "entry/requests.hpp"
+
 namespace bulrush::entry {
 namespace {
 
@@ -52,6 +54,22 @@
   "1 while this host may serve requests with a key"
 };
 
+constexpr metric_definition kQuarantinedParts{
+  "bulrush_entry_quarantined_parts",
+  metric_kind::eGauge,
+  "Parts of prompts that crash endpoints; requests with them are refused"
+};
+constexpr metric_definition kSuspectedParts{
+  "bulrush_entry_suspected_parts",
+  metric_kind::eGauge,
+  "Parts of prompts under which endpoints ended, not in quarantine"
+};
+constexpr metric_definition kRefusedParts{
+  "bulrush_entry_quarantine_refusals_total",
+  metric_kind::eCounter,
+  "Requests refused or ended for a part of their prompts, by part"
+};
+
 constexpr const char* kTraceparent = "traceparent";
 
 // Callers choose paths freely, but a label must take few values.
@@ -374,6 +392,12 @@
   return std::make_unique<recorded_client>(mState, std::move(aClient));
 }
 
+void
+recorder::CountRefusedPart(part_id aPart)
+{
+  mState->page.Add(kRefusedParts, { { "part", FormatId(aPart.value) } });
+}
+
 std::string
 recorder::Page(const host_gauges& aGauges)
 {
@@ -385,6 +409,9 @@
   page.Set(kEndpoints, static_cast<double>(aGauges.endpoints));
   page.Set(kOpenRequests, static_cast<double>(aGauges.openRequests));
   page.Set(kLease, aGauges.hasLease ? 1 : 0);
+  page.Set(kQuarantinedParts,
+           static_cast<double>(aGauges.quarantine.quarantined));
+  page.Set(kSuspectedParts, static_cast<double>(aGauges.quarantine.suspected));
   return PrometheusText(std::span(&page, 1));
 }
 
--- a/src/entry/recorder.hpp
+++ b/src/entry/recorder.hpp
@@ -19,6 +19,13 @@
   span_writer writer;     ///< not set: no spans
 };
 
+/// Parts of prompts at this host.
+struct quarantine_counts
+{
+  std::size_t quarantined = 0;
+  std::size_t suspected = 0; ///< endpoints ended under them
+};
+
 /// Gauges of the metrics page that the recorder does not measure itself.
 struct host_gauges
 {
@@ -28,6 +35,7 @@
   std::chrono::nanoseconds configurationAge{ 0 };
   std::size_t endpoints = 0;
   std::size_t openRequests = 0;
+  quarantine_counts quarantine;
   bool hasLease = false;
 };
 
@@ -51,6 +59,8 @@
   std::unique_ptr<net::http_client> Record(
     std::unique_ptr<net::http_client> aClient);
 
+  void CountRefusedPart(part_id aPart);
+
   /// The metrics in Prometheus text format.
   std::string Page(const host_gauges& aGauges);
 
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -176,6 +176,7 @@
              { "ran", routing::Name(aEnd.ran) },
              { "status", std::to_string(aStatus) },
              { "step", aEnd.reason.step },
+             { "part", aEnd.part ? FormatId(aEnd.part.value) : "" },
              { "took_ms", Milliseconds(aNow - aRequest.arrivedAt) } });
 }
 
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -5,6 +5,7 @@
 #include "entry/gone_targets.hpp"
 #include "entry/outcomes.hpp"
 #include "entry/request_log.hpp"
+#include "program/program.hpp"
 
 #include <algorithm>
 
@@ -15,6 +16,7 @@
 
 namespace {
 
+constexpr log_component kLog{ "request" };
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 constexpr std::chrono::seconds kRecordTimeout{ 30 };
@@ -66,16 +68,21 @@
                  const request_runner_settings& aSettings,
                  std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand,
-                 demand_hook aOnDemand)
+                 demand_hook aOnDemand,
+                 evidence_hook aOnEvidence,
+                 std::function<void(part_id)> aOnRefusedPart)
     : mFront(*aSettings.front)
     , mRetryBudget(aSettings.retries)
     , mOnCommand(std::move(aOnCommand))
     , mDemand(std::move(aOnDemand))
+    , mOnEvidence(std::move(aOnEvidence))
+    , mOnRefusedPart(std::move(aOnRefusedPart))
     , mClaimTokens(aSettings.seed)
     , mEngine(OptionsOf(aSettings), HooksOf(aSettings))
     , mClient(std::move(aClient))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
+    mEngine.quarantined.self = aSettings.host;
     mEngine.policy.isTargetGone = [this](const routing::request_facts& aFacts) {
       return mGoneTargets.IsGone(aFacts);
     };
@@ -111,6 +118,23 @@
     mTimer.RunSoon();
   }
 
+  void HandleEvidence(const quarantine::evidence& aEvidence)
+  {
+    quarantine::Merge(mEngine.quarantined, aEvidence, Now());
+    mTimer.RunSoon();
+  }
+
+  quarantine_counts Quarantine() const
+  {
+    quarantine_counts counts;
+    for (const auto& row : mEngine.quarantined.suspects) {
+      ++(quarantine::IsQuarantined(mEngine.quarantined, row)
+           ? counts.quarantined
+           : counts.suspected);
+    }
+    return counts;
+  }
+
   void Start(routed_request aRequest)
   {
     waiting_row row;
@@ -136,6 +160,8 @@
     options.localDomain = IdOf<domain_id>(aSettings.domain);
     options.seed = aSettings.seed;
     options.trustsNotRun = aSettings.front->trustsNotRun;
+    options.endpointsCheckIncarnation =
+      aSettings.front->endpointsCheckIncarnation;
     return options;
   }
 
@@ -339,6 +365,9 @@
       LogFailure(
         row, text, endsInsideEvent ? "ended inside an event" : aEnd.error);
     }
+    if (aEnd.isClosedByPeer || endsInsideEvent) {
+      routing::OnConnectionLost(mEngine, aAttempt);
+    }
     End(aAttempt, how);
   }
 
@@ -424,11 +453,23 @@
       LogKept(each, aNow);
     }
     EraseEnded();
+    PublishEvidence();
     NotifyIfIdle();
     mDemand.Report(mEngine, aNow, mOutbox.wake);
     return mOutbox.wake;
   }
 
+  void PublishEvidence()
+  {
+    auto changes =
+      quarantine::ChangesSince(mEngine.quarantined, mPublishedEvidence);
+    if (!changes.Empty()) {
+      LogEvidence(kLog, mEngine.quarantined, changes);
+      mOnEvidence(std::move(changes));
+    }
+    mPublishedEvidence = mEngine.quarantined.serial;
+  }
+
   void NotifyIfIdle()
   {
     if (mOnIdle && mWaiting.Empty()) {
@@ -568,6 +609,9 @@
     waiting_row& row = *mWaiting.Find(aEnd.request);
     mAnswered.push_back(aEnd.request);
     LogRequestEnd(row.request, aEnd, StatusOf(aEnd, row), Now());
+    if (aEnd.part) {
+      mOnRefusedPart(aEnd.part);
+    }
     net::http_reply& reply = *row.request.reply;
     reply.onDisconnected = nullptr;
     reply.onDrained = nullptr;
@@ -714,6 +758,9 @@
   retry_budget mRetryBudget;
   commit_hook mOnCommand;
   demand_reporter mDemand;
+  evidence_hook mOnEvidence;
+  std::function<void(part_id)> mOnRefusedPart;
+  std::uint64_t mPublishedEvidence = 0; ///< serial of the newest change
   random_engine mClaimTokens;
   traffic_view mView;
   gone_targets mGoneTargets;
@@ -734,12 +781,16 @@
                                const request_runner_settings& aSettings,
                                std::unique_ptr<net::http_client> aClient,
                                commit_hook aOnCommand,
-                               demand_hook aOnDemand)
+                               demand_hook aOnDemand,
+                               evidence_hook aOnEvidence,
+                               std::function<void(part_id)> aOnRefusedPart)
   : mImplementation(std::make_unique<implementation>(aContext,
                                                      aSettings,
                                                      std::move(aClient),
                                                      std::move(aOnCommand),
-                                                     std::move(aOnDemand)))
+                                                     std::move(aOnDemand),
+                                                     std::move(aOnEvidence),
+                                                     std::move(aOnRefusedPart)))
 {
 }
 
@@ -757,6 +808,18 @@
   mImplementation->Start(std::move(aRequest));
 }
 
+void
+request_runner::HandleEvidence(const quarantine::evidence& aEvidence)
+{
+  mImplementation->HandleEvidence(aEvidence);
+}
+
+quarantine_counts
+request_runner::Quarantine() const
+{
+  return mImplementation->Quarantine();
+}
+
 void
 request_runner::RunSoon()
 {
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -6,6 +6,7 @@
 
 #include "entry/demand.hpp"
 #include "entry/entry.hpp"
+#include "entry/recorder.hpp"
 #include "entry/stop.hpp"
 #include "entry/tables.hpp"
 #include "net/net.hpp"
@@ -46,6 +47,7 @@
   const front_end* front = nullptr; ///< outlives the runner
   retry_budget retries;
   routing::cold_gate coldGate;
+  host_id host;
 };
 
 /// Has the control thread commit a command; the reply is handled on this
@@ -53,6 +55,9 @@
 using commit_hook =
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>;
 
+/// What this thread observed about parts of prompts, for other hosts.
+using evidence_hook = std::function<void(quarantine::evidence)>;
+
 class request_runner
 {
 public:
@@ -60,7 +65,9 @@
                  const request_runner_settings& aSettings,
                  std::unique_ptr<net::http_client> aClient,
                  commit_hook aOnCommand,
-                 demand_hook aOnDemand);
+                 demand_hook aOnDemand,
+                 evidence_hook aOnEvidence,
+                 std::function<void(part_id)> aOnRefusedPart);
   ~request_runner();
   request_runner(const request_runner&) = delete;
   request_runner& operator=(const request_runner&) = delete;
@@ -68,6 +75,9 @@
   /// Applies endpoints, failure domains and withdrawn keys of the view.
   void SetView(const traffic_view& aView);
   void Start(routed_request aRequest);
+  /// Adds what other hosts observed about parts of prompts.
+  void HandleEvidence(const quarantine::evidence& aEvidence);
+  quarantine_counts Quarantine() const;
   /// Runs a tick soon, since a condition that requests wait for has changed.
   void RunSoon();
   /// Number of unanswered requests and of claimed ones that still run.
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -105,6 +105,10 @@
   table<endpoint_id, held_row> held;
   std::vector<wire::model_demand> demand;          ///< from the traffic thread
   std::vector<rates::quota_request> quotaRequests; ///< from the traffic thread
+  /// Of all hosts, from the traffic thread and from control.
+  quarantine::tables quarantined;
+  std::uint64_t sentEvidence = 0; ///< serial of its newest change reported
+  replica_id evidenceControl;     ///< that it was reported to
   std::uint64_t lastReport = 0;
   steady_time lastReportAt{};
   replica_id awaitedControl; ///< that has not answered the latest report
@@ -139,6 +143,7 @@
   std::optional<traffic_view> view;            ///< to be published
   std::vector<admission::grant> grants;        ///< for the traffic thread
   std::vector<rates::quota_grant> quotaGrants; ///< for the traffic thread
+  std::vector<quarantine::evidence> evidence;  ///< for the traffic thread
   wake_time wake;
 };
 
@@ -147,6 +152,11 @@
                      steady_time aNow,
                      entry_outbox& aOutbox);
 
+/// The traffic thread observed something about parts of prompts.
+void HandleEvidence(entry_tables& aTables,
+                    const quarantine::evidence& aEvidence,
+                    steady_time aNow);
+
 /// The control process that reports and commands go to; nullptr if none is
 /// declared.
 const control_row* CurrentControl(const entry_tables& aTables,
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -65,10 +65,13 @@
                 NewSeed(),
                 &mSettings.front,
                 mSettings.retries,
-                ColdGate() },
+                ColdGate(),
+                IdOf<host_id>(mSettings.hostName) },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand,
-              mHooks.onDemand)
+              mHooks.onDemand,
+              mHooks.onEvidence,
+              [this](part_id aPart) { mRecorder.CountRefusedPart(aPart); })
   {
   }
 
@@ -130,6 +133,10 @@
     mAdmission.quotas.grants.push_back(std::move(aGrant));
     mAdmissionTimer.RunSoon();
   }
+  void HandleEvidence(const quarantine::evidence& aEvidence)
+  {
+    mRunner.HandleEvidence(aEvidence);
+  }
   std::size_t OpenRequests() const
   {
     return std::max(mRunner.OpenRequests(), mAdmission.requests.Size());
@@ -187,6 +194,7 @@
                             Now() - mView.confirmedAt,
                             mView.endpoints->size(),
                             mRunner.OpenRequests(),
+                            mRunner.Quarantine(),
                             HasLease() });
   }
 
@@ -704,6 +712,12 @@
   mImplementation->HandleQuotaGrant(std::move(aGrant));
 }
 
+void
+traffic_thread::HandleEvidence(const quarantine::evidence& aEvidence)
+{
+  mImplementation->HandleEvidence(aEvidence);
+}
+
 void
 traffic_thread::BeginStop(const stop_plan& aPlan)
 {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -27,6 +27,7 @@
   std::function<void(std::vector<wire::model_demand>)> onDemand; ///< to the
                                                                  ///< leader
   std::function<void(rates::quota_request)> onQuotaRequest; ///< to the leader
+  evidence_hook onEvidence;
 };
 
 struct traffic_settings
@@ -65,6 +66,7 @@
   void SetView(traffic_view aView);
   void HandleShareGrant(admission::grant aGrant);
   void HandleQuotaGrant(rates::quota_grant aGrant);
+  void HandleEvidence(const quarantine::evidence& aEvidence);
   std::size_t OpenRequests() const;
   /// The stop signal came: open requests end as planned, and a new one starts
   /// only if it can end in time.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -172,6 +172,13 @@
          SetOption(aFd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
+bool
+IsClosedByPeer(CURLcode aResult)
+{
+  return aResult == CURLE_GOT_NOTHING || aResult == CURLE_RECV_ERROR ||
+         aResult == CURLE_SEND_ERROR || aResult == CURLE_PARTIAL_FILE;
+}
+
 // A cancelled request must not reach the endpoint later. Closing with a reset
 // discards unsent data; after a normal close the kernel would still deliver it
 // once the network recovers.
@@ -488,6 +495,12 @@
     const bool failedBeforeSend =
       aResult == CURLE_COULDNT_CONNECT || aResult == CURLE_OPERATION_TIMEDOUT;
     end.requestSent = !failedBeforeSend || requestBytes > 0;
+    // libcurl sends once more over a new connection when a kept one was closed
+    // after it took the request.
+    const bool isRefusedAfterSend =
+      aResult == CURLE_COULDNT_CONNECT && requestBytes > 0;
+    end.isClosedByPeer = IsClosedByPeer(aResult) || isRefusedAfterSend ||
+                         (aResult == CURLE_OK && !aCall.isHeadComplete);
     if (!end.isComplete) {
       end.error = aCall.failure.empty() ? curl_easy_strerror(aResult)
                                         : std::move(aCall.failure);
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -163,6 +163,8 @@
   bool requestSent = true; ///< false only if no byte of the request was sent
   int status = 0;          ///< zero when no status line arrived
   std::string error;       ///< reason if it is not complete
+  /// The server's side closed or reset the connection before the end.
+  bool isClosedByPeer = false;
 };
 
 /// Callbacks of a running call.
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -1,7 +1,47 @@
 #include "program/program.hpp"
 
+#include <fmt/format.h>
+
 namespace bulrush {
 
+namespace {
+
+// Endpoints appear with the ids that they have in other lines by name: the log
+// of their removal has both.
+std::string
+DescribeCrashes(const quarantine::suspect_row& aRow)
+{
+  std::string text;
+  for (const quarantine::crash& each : aRow.crashes) {
+    text += fmt::format("{}{:x}@{}",
+                        text.empty() ? "" : ",",
+                        each.endpoint.value,
+                        each.incarnation);
+  }
+  return text;
+}
+
+std::string
+DescribeParts(const std::vector<part_id>& aParts)
+{
+  std::string text;
+  for (const part_id part : aParts) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.value);
+  }
+  return text;
+}
+
+const char*
+StateOf(const quarantine::tables& aTables, const quarantine::suspect_row& aRow)
+{
+  if (aRow.isHeld) {
+    return "held";
+  }
+  return quarantine::IsQuarantined(aTables, aRow) ? "quarantined" : "suspected";
+}
+
+} // namespace
+
 std::optional<net::link_keys>
 ReadLinkKeys(const option_values& aOptions, last_reason& aReason)
 {
@@ -15,4 +55,36 @@
   return net::ParseLinkKeys(secret->Reveal(), aReason);
 }
 
+void
+LogEvidence(const log_component& aComponent,
+            const quarantine::tables& aTables,
+            const quarantine::evidence& aChanges)
+{
+  for (const quarantine::suspect_row& row : aChanges.suspects) {
+    LogEvent(aComponent,
+             log_level::eInfo,
+             "prompt_part",
+             { { "part", fmt::format("{:x}", row.id.value) },
+               { "state", StateOf(aTables, row) },
+               { "crashes", DescribeCrashes(row) },
+               { "together", DescribeParts(row.together) },
+               { "trial", std::to_string(row.lastTrial.number) } });
+  }
+  for (const quarantine::cleared_row& row : aChanges.cleared) {
+    LogEvent(aComponent,
+             log_level::eInfo,
+             "prompt_part",
+             { { "part", fmt::format("{:x}", row.id.value) },
+               { "state", "cleared" },
+               { "by", row.isByOperator ? "operator" : "answer" } });
+  }
+  for (const quarantine::running_row& row : aChanges.running) {
+    LogEvent(aComponent,
+             log_level::eInfo,
+             "endpoint_runs",
+             { { "endpoint", fmt::format("{:x}", row.id.value) },
+               { "incarnation", std::to_string(row.incarnation) } });
+  }
+}
+
 } // namespace bulrush
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -1,9 +1,11 @@
 #ifndef BULRUSH_PROGRAM_PROGRAM_HPP
 #define BULRUSH_PROGRAM_PROGRAM_HPP
 
-/// Settings that several programs share.
+/// Settings and log lines that several programs share.
 
 #include "net/net.hpp"
+#include "observe/observe.hpp"
+#include "quarantine/quarantine.hpp"
 #include "settings/settings.hpp"
 
 namespace bulrush {
@@ -13,6 +15,11 @@
 std::optional<net::link_keys> ReadLinkKeys(const option_values& aOptions,
                                            last_reason& aReason);
 
+/// Writes a line for each row of aChanges, as it is in aTables.
+void LogEvidence(const log_component& aComponent,
+                 const quarantine::tables& aTables,
+                 const quarantine::evidence& aChanges);
+
 } // namespace bulrush
 
 #endif
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -207,11 +207,12 @@
 // Forwards the bytes of a complete answer that were held back and ends it.
 void
 CompleteAnswer(tables& aTables,
-               const attempt_row& aAttempt,
+               attempt_row& aAttempt,
                request_row& aRequest,
                steady_time aNow,
                outbox& aOutbox)
 {
+  RecordPromptAnswer(aTables, aAttempt, aRequest, true, aNow);
   AddResult(
     aTables, aAttempt, aRequest, attempt_failure::eNone, aAttempt.firstByteAt);
   const int status = aAttempt.head->status;
@@ -277,6 +278,7 @@
     CompleteAnswer(aTables, aAttempt, aRequest, aNow, aOutbox);
     return;
   }
+  RecordPromptCrash(aTables, aAttempt, aRequest, aNow);
   FailAttempt(aTables,
               aAttempt,
               aRequest,
@@ -301,6 +303,7 @@
     HandleHead(aTables, aAttempt, request, aNow, aOutbox);
   }
   if (aAttempt.state == attempt_state::eAnswering) {
+    RecordPromptAnswer(aTables, aAttempt, request, false, aNow);
     ForwardReceived(aTables.settings, aAttempt, request, aNow, aOutbox);
   }
   if (aAttempt.state == attempt_state::eCancelling) {
@@ -417,6 +420,15 @@
   row->received += aCount;
 }
 
+void
+OnConnectionLost(tables& aTables, attempt_id aAttempt)
+{
+  attempt_row* row = aTables.attempts.Find(aAttempt);
+  if (row != nullptr) {
+    row->isConnectionLost = true;
+  }
+}
+
 void
 OnAttemptEnd(tables& aTables,
              attempt_id aAttempt,
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -12,6 +12,7 @@
 void RunAnswers(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunCancels(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunStop(tables& aTables, steady_time aNow, outbox& aOutbox);
+void RunQuarantine(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunTimeouts(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunColdStart(tables& aTables, steady_time aNow, outbox& aOutbox);
 void RunClaims(tables& aTables, steady_time aNow, outbox& aOutbox);
@@ -37,6 +38,27 @@
 /// True when the cold-start gate applies to the endpoint.
 bool IsColdGated(const tables& aTables, const endpoint_row& aEndpoint);
 
+/// Observations about the parts of prompts, see the quarantine library.
+void RecordPromptCrash(tables& aTables,
+                       const attempt_row& aAttempt,
+                       request_row& aRequest,
+                       steady_time aNow);
+/// Called when a part of the answer has arrived. aIsComplete: all of it.
+void RecordPromptAnswer(tables& aTables,
+                        attempt_row& aAttempt,
+                        const request_row& aRequest,
+                        bool aIsComplete,
+                        steady_time aNow);
+/// Called when the attempt is sent, though a part may be in quarantine.
+void MarkTrial(tables& aTables,
+               attempt_row& aAttempt,
+               const request_facts& aFacts);
+
+/// Whether the request may be sent as far as its prompt is concerned.
+quarantine::verdict JudgePrompt(const tables& aTables,
+                                const request_row& aRequest,
+                                steady_time aNow);
+
 /// Marks an endpoint that did not answer as suspect, for a time that doubles
 /// with further failures.
 void MarkSuspect(const options& aOptions,
@@ -61,6 +83,13 @@
 /// Cancels an attempt; later input is ignored, its slot is held until it ends.
 void CancelAttempt(attempt_row& aAttempt, outbox& aOutbox);
 
+/// Ends a request without a live attempt that JudgePrompt refused.
+void EndQuarantined(tables& aTables,
+                    request_row& aRequest,
+                    const quarantine::verdict& aVerdict,
+                    steady_time aNow,
+                    outbox& aOutbox);
+
 /// Ends a request that has no live attempt and records its claim's outcome.
 void EndRequest(const options& aOptions,
                 request_row& aRequest,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -142,6 +142,9 @@
       return "serve caller";
     case request_outcome::eHostStopped:
       return "stop host";
+    case request_outcome::eQuarantined:
+    case request_outcome::eSuspected:
+      return "check prompt";
     default:
       return "run attempt";
   }
@@ -170,6 +173,7 @@
 {
   aOutbox.ends.push_back({ aRequest.id,
                            aOutcome,
+                           part_id{},
                            aRan,
                            aRequest.hasForwarded,
                            ReasonOf(aRequest, aOutcome) });
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -77,7 +77,9 @@
     return false;
   }
   const std::uint32_t maxAttempts = MaxAttempts(aTables.settings, aRequest);
-  if (!HasAttemptLeft(aTables.settings, aRequest)) {
+  if (!HasAttemptLeft(aTables.settings, aRequest) ||
+      JudgePrompt(aTables, aRequest, aNow).kind ==
+        quarantine::verdict_kind::eRefuse) {
     return false;
   }
   if (MustResume(aRequest)) {
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -7,6 +7,7 @@
 /// the input functions, runs `Tick` and executes the intents in the `outbox`.
 
 #include "core/core.hpp"
+#include "quarantine/quarantine.hpp"
 
 #include <functional>
 #include <memory>
@@ -43,7 +44,9 @@
   eBrokenStream,   ///< part of a stream was forwarded, then an error event
   eCallerGone,
   eKeyWithdrawn,
-  eHostStopped ///< this host stops; see options::finishBy
+  eHostStopped, ///< this host stops; see options::finishBy
+  eQuarantined, ///< a part of the prompt crashes endpoints
+  eSuspected    ///< it may; whether it does was not known in time
 };
 
 /// Why an attempt that made no progress was not moved to another endpoint.
@@ -208,8 +211,8 @@
   std::uint64_t version = 0; ///< 0: any
   bool isIdempotent = true;
   bool isStreamed = false;
-  int priority = 0;           ///< higher first
-  std::uint64_t prefix = 0;   ///< hash of the prompt's prefix; 0: none
+  int priority = 0;         ///< higher first
+  std::uint64_t prefix = 0; ///< hash of the prompt's prefix; 0: none
   /// Parts of the prompt that other requests may share.
   std::vector<part_id> sharedParts;
   std::string idempotencyKey; ///< empty: none
@@ -244,7 +247,8 @@
   bool hasPaidRetry = false; ///< the next retry was taken from the budget
   bool mayHaveRun = false;   ///< a finished attempt may have run
   bool hasForwarded = false;
-  attempt_id attempt; ///< current attempt
+  bool hasCrashedEndpoint = false; ///< a process ended before it had an answer
+  attempt_id attempt;              ///< current attempt
   std::uint32_t attemptsMade = 0;
   std::uint32_t attemptsUnsent = 0; ///< of these, no byte was sent
   std::array<endpoint_id, kTriedEndpoints> tried{};
@@ -297,6 +301,9 @@
   std::uint64_t incarnation = 0;     ///< of the endpoint
   std::uint64_t gateIncarnation = 0; ///< at the cold-start gate; 0: not gated
   bool wasBusy = false; ///< its endpoint was at half of its limit or more
+  bool isConnectionLost = false; ///< the endpoint's side ended it early
+  bool isAnswered = false; ///< its answer went on, which clears the prompt
+  bool isTrial = false;    ///< sent though a part was in quarantine
   attempt_state state = attempt_state::eStarted;
   bool hasNewEvents = false; ///< transport events not handled yet
   steady_time startedAt;
@@ -445,6 +452,9 @@
   steady_time finishBy = steady_time::max();
   /// A request without a target starts only if it has this long until finishBy.
   std::chrono::milliseconds minTimeToFinish{ 500 };
+  /// Endpoints refuse requests for another incarnation, so any answer proves
+  /// that the incarnation runs.
+  bool endpointsCheckIncarnation = false;
 };
 
 // Tables -------------------------------------------------------------------
@@ -531,6 +541,8 @@
   std::vector<model_without_slot>
     modelsWithoutSlot; ///< scratch buffer of one tick
   table<service_id, retry_row> retries;
+  quarantine::tables quarantined; ///< parts of prompts that crash endpoints
+  std::uint64_t judgedSerial = 0; ///< of quarantined, as last applied
   std::uint64_t arrivals = 0;
 };
 
@@ -598,6 +610,7 @@
 {
   request_id request;
   request_outcome outcome = request_outcome::eAnswered;
+  part_id part; ///< for which the request was refused
   ran_state ran = ran_state::eNotRun;
   bool hasForwarded = false; ///< part of the answer was forwarded
   last_reason reason;
@@ -650,6 +663,9 @@
                     std::uint64_t aOffset,
                     std::uint64_t aCount,
                     steady_time aNow);
+/// The endpoint's side closed or reset the connection before the answer was
+/// complete; OnAttemptEnd follows.
+void OnConnectionLost(tables& aTables, attempt_id aAttempt);
 void OnAttemptEnd(tables& aTables,
                   attempt_id aAttempt,
                   attempt_end aEnd,
--- a/src/routing/start.cpp
+++ b/src/routing/start.cpp
@@ -62,6 +62,7 @@
   const bool isRepeated = HasTried(aRequest, aEndpoint.id);
   RecordAttempt(aTables, aRequest, aEndpoint.id);
   RecordPrefix(aTables, aRequest.facts.prefix, aEndpoint.id);
+  MarkTrial(aTables, attempt, facts);
   aRequest.attempt = attempt.id;
   aRequest.state = request_state::eRunning;
   ++aEndpoint.inFlight;
@@ -213,6 +214,17 @@
       EndUnplaced(aTables, request, aNow, aOutbox);
       continue;
     }
+    const quarantine::verdict judged = JudgePrompt(aTables, request, aNow);
+    if (judged.kind == quarantine::verdict_kind::eRefuse ||
+        (judged.kind == quarantine::verdict_kind::eWait &&
+         aNow >= LastPlacement(aTables.settings, request))) {
+      EndQuarantined(aTables, request, judged, aNow, aOutbox);
+      continue;
+    }
+    if (judged.kind == quarantine::verdict_kind::eWait) {
+      aOutbox.wake.NoLaterThan(judged.until);
+      continue;
+    }
     const choice chosen = ChooseOrShareResult(aTables, request, aNow);
     request.wasNotResident = chosen.failure == choice_failure::eNotResident;
     const steady_time last = LastPlacement(aTables.settings, request);
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -7,11 +7,12 @@
 // Order of a tick. Cancels precede answers, so that no byte is forwarded after
 // a key was withdrawn. Answers precede the choice of endpoints, which uses the
 // slots that they free.
-constexpr std::array<named_system<tables, outbox>, 10> kSystems{ {
+constexpr std::array<named_system<tables, outbox>, 11> kSystems{ {
   { "index_holders", RunIndexHolders },
   { "cancels", RunCancels },
   { "answers", RunAnswers },
   { "stop", RunStop },
+  { "quarantine", RunQuarantine },
   { "timeouts", RunTimeouts },
   { "cold_start", RunColdStart },
   { "claims", RunClaims },
@@ -107,6 +108,10 @@
       return "caller_gone";
     case request_outcome::eHostStopped:
       return "host_stopped";
+    case request_outcome::eQuarantined:
+      return "quarantined";
+    case request_outcome::eSuspected:
+      return "suspected";
     default:
       return "key_withdrawn";
   }
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -42,6 +42,11 @@
 std::optional<rates::quota_request> Get(const pb::TokenDraw& aFrom);
 void Put(const rates::quota_grant& aFrom, pb::TokenAnswer& aTo);
 std::optional<rates::quota_grant> Get(const pb::TokenAnswer& aFrom);
+void Put(const quarantine::evidence& aFrom,
+         steady_time aNow,
+         pb::PromptEvidence& aTo);
+/// Rows with numbers out of range are left out.
+quarantine::evidence Get(const pb::PromptEvidence& aFrom, steady_time aNow);
 std::string EncodeReplica(const replica_message& aMessage);
 std::optional<replica_message> DecodeReplica(const std::string& aBytes);
 
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -106,6 +106,9 @@
   to->set_is_leaving(aFrom.isLeaving);
   to->set_misses_updates(aFrom.missesUpdates);
   to->set_received_update(aFrom.receivedUpdate);
+  if (!aFrom.evidence.Empty()) {
+    Put(aFrom.evidence, aNow, *to->mutable_evidence());
+  }
 }
 
 void
@@ -132,6 +135,9 @@
   to->set_is_caught_up(aFrom.isCaughtUp);
   to->set_term(aFrom.term);
   to->set_number(aFrom.number);
+  if (!aFrom.evidence.Empty()) {
+    Put(aFrom.evidence, aNow, *to->mutable_evidence());
+  }
 }
 
 void
@@ -181,6 +187,9 @@
   for (const host_id& host : aFrom.reporting) {
     to->add_reporting_hosts(host.value);
   }
+  if (!aFrom.evidence.Empty()) {
+    Put(aFrom.evidence, aNow, *to->mutable_evidence());
+  }
 }
 
 void
@@ -283,12 +292,15 @@
 std::optional<message_body>
 GetBody(const pb::HostReport& aFrom, steady_time aNow)
 {
-  return host_report{
-    aFrom.domain(),         aFrom.renewal(),
-    aFrom.revision(),       GetEndpoints(aFrom.endpoints(), aNow),
-    aFrom.http_address(),   aFrom.is_leaving(),
-    aFrom.misses_updates(), aFrom.received_update()
-  };
+  return host_report{ aFrom.domain(),
+                      aFrom.renewal(),
+                      aFrom.revision(),
+                      GetEndpoints(aFrom.endpoints(), aNow),
+                      aFrom.http_address(),
+                      aFrom.is_leaving(),
+                      aFrom.misses_updates(),
+                      aFrom.received_update(),
+                      Get(aFrom.evidence(), aNow) };
 }
 
 std::optional<message_body>
@@ -317,6 +329,7 @@
   update.isCaughtUp = aFrom.is_caught_up();
   update.term = aFrom.term();
   update.number = aFrom.number();
+  update.evidence = Get(aFrom.evidence(), aNow);
   return update;
 }
 
@@ -369,6 +382,7 @@
   for (const auto host : aFrom.reporting_hosts()) {
     gossip.reporting.push_back({ host });
   }
+  gossip.evidence = Get(aFrom.evidence(), aNow);
   return gossip;
 }
 
@@ -406,6 +420,24 @@
                          aFrom.source() };
 }
 
+void
+PutBody(const quarantine_call& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_quarantine_call();
+  to->set_call(aFrom.call);
+  to->set_credential(aFrom.credential);
+  to->set_part(aFrom.part.value);
+  to->set_is_release(aFrom.isRelease);
+}
+
+std::optional<message_body>
+GetBody(const pb::QuarantineCall& aFrom, steady_time)
+{
+  return quarantine_call{
+    aFrom.call(), aFrom.credential(), { aFrom.part() }, aFrom.is_release()
+  };
+}
+
 void
 PutBody(const share_renewal& aFrom, steady_time, pb::Envelope& aTo)
 {
@@ -546,6 +578,8 @@
       return GetBody(aFrom.token_draw(), aNow);
     case pb::Envelope::kTokenAnswer:
       return GetBody(aFrom.token_answer(), aNow);
+    case pb::Envelope::kQuarantineCall:
+      return GetBody(aFrom.quarantine_call(), aNow);
     case pb::Envelope::BODY_NOT_SET:
       break;
   }
--- a/src/wire/status_codec.cpp
+++ b/src/wire/status_codec.cpp
@@ -77,6 +77,7 @@
   aTo.set_keys(aFrom.keys);
   aTo.set_claims(aFrom.claims);
   aTo.set_text(aFrom.text);
+  Put(aFrom.evidence, aNow, *aTo.mutable_evidence());
 }
 
 status_reply
@@ -107,6 +108,7 @@
   reply.keys = aFrom.keys();
   reply.claims = aFrom.claims();
   reply.text = aFrom.text();
+  reply.evidence = Get(aFrom.evidence(), aNow);
   return reply;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -8,6 +8,7 @@
 #include "core/core.hpp"
 #include "fleet/fleet.hpp"
 #include "placement/placement.hpp"
+#include "quarantine/quarantine.hpp"
 #include "rates/rates.hpp"
 #include "replication/replication.hpp"
 
@@ -51,6 +52,7 @@
   bool missesUpdates = false; ///< of the receiver, by their numbers
   /// Number of the newest update of the receiver that arrived.
   std::uint64_t receivedUpdate = 0;
+  quarantine::evidence evidence;
 };
 
 struct numbered_command
@@ -116,6 +118,7 @@
   /// Counts the updates to this host; the first holds all that the sender
   /// knows.
   std::uint64_t number = 0;
+  quarantine::evidence evidence;
 };
 
 /// An endpoint that left or became silent, with its newest report.
@@ -139,6 +142,16 @@
   std::uint32_t hosts = 0;             ///< number that hold a lease
   std::string httpAddress;             ///< address for HTTP calls; empty: none
   std::vector<host_id> reporting;      ///< hosts that report to the sender
+  quarantine::evidence evidence;
+};
+
+/// An operator quarantines a part of prompts, or ends its quarantine.
+struct quarantine_call
+{
+  std::uint64_t call = 0;
+  std::string credential;
+  part_id part;
+  bool isRelease = false;
 };
 
 /// Withdrawn keys, sent before the log has committed the withdrawals.
@@ -201,6 +214,7 @@
   std::uint64_t keys = 0;
   std::uint64_t claims = 0;
   std::string text;
+  quarantine::evidence evidence; ///< parts of prompts in quarantine, and others
 };
 
 struct manifest_call
@@ -277,7 +291,8 @@
                                   demand_report,
                                   held_update,
                                   rates::quota_request,
-                                  rates::quota_grant>;
+                                  rates::quota_grant,
+                                  quarantine_call>;
 
 struct message
 {
--- a/tests/control/simulated_fleet.hpp
+++ b/tests/control/simulated_fleet.hpp
@@ -31,6 +31,9 @@
   entry::entry_tables tables;
   /// Newest view of the traffic threads.
   entry::traffic_view view;
+  /// Of a traffic thread: parts of prompts that crash endpoints.
+  quarantine::tables prompts;
+  std::uint64_t publishedPrompts = 0; ///< serial of the newest change
 };
 
 /// A fleet with one log, led by the first control process. Time passes in steps
@@ -232,6 +235,12 @@
     }
     for (auto& [name, host] : hosts) {
       entry::entry_outbox out;
+      const auto changes =
+        quarantine::ChangesSince(host.prompts, host.publishedPrompts);
+      host.publishedPrompts = host.prompts.serial;
+      if (!changes.Empty()) {
+        entry::HandleEvidence(host.tables, changes, now);
+      }
       entry::RunEntryControl(host.tables, now, out);
       for (entry::outgoing& message : out.messages) {
         messages.push_back(
@@ -240,6 +249,9 @@
       if (out.view) {
         host.view = *out.view;
       }
+      for (const quarantine::evidence& each : out.evidence) {
+        quarantine::Merge(host.prompts, each, now);
+      }
     }
   }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -164,6 +164,7 @@
   CHECK(call->tokens == 1'540);
   CHECK(call->prompt.size() == 2);
   CHECK(call->prompt[1].id == 0x91);
+  CHECK(call->sharedParts == std::vector{ part_id{ 0x5c } });
   CHECK(call->timeLeft == std::chrono::milliseconds(12'000));
   CHECK(call->resumeAfter == "12");
   for (const char* name : { "Authorization",
