Let operators see, hold and release parts of prompts

status lists the parts with their ends and ages; quarantine hold and release take effect at the process that answers and spread with the evidence, without the log.

--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
+#include <charconv>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -289,6 +290,29 @@
   return HashKey(aName);
 }
 
+// Crashes of which a part is suspected, and the time since the newest one.
+json
+PromptPartsJson(const quarantine::evidence& aEvidence)
+{
+  json parts = json::array();
+  const quarantine::tables defaults;
+  const auto now = net::Now();
+  for (const quarantine::suspect_row& row : aEvidence.suspects) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - (row.isHeld ? row.heldAt : row.newestCrash));
+    parts.push_back(
+      { { "part", fmt::format("{:x}", row.id.value) },
+        { "state",
+          row.isHeld                                 ? "held"
+          : quarantine::IsQuarantined(defaults, row) ? "quarantined"
+                                                     : "suspected" },
+        { "crashes", row.crashes.size() },
+        { "trials", row.lastTrial.number },
+        { "age_ms", age.count() } });
+  }
+  return parts;
+}
+
 json
 StatusJson(const wire::status_reply& aStatus)
 {
@@ -334,7 +358,8 @@
            { "replicas", replicas },
            { "hosts", hosts },
            { "domains", domains },
-           { "endpoints", endpoints } };
+           { "endpoints", endpoints },
+           { "prompt_parts", PromptPartsJson(aStatus.evidence) } };
 }
 
 void
@@ -382,6 +407,15 @@
                       : row.isCold  ? "cold"
                                     : "warm"));
   }
+  Print("\nPROMPT PART       STATE        CRASHES  TRIALS  SINCE");
+  for (const json& row : PromptPartsJson(aStatus.evidence)) {
+    Print(fmt::format("{:<17} {:<12} {:<8} {:<7} {} ms ago",
+                      row.at("part").get<std::string>(),
+                      row.at("state").get<std::string>(),
+                      row.at("crashes").get<std::size_t>(),
+                      row.at("trials").get<std::uint64_t>(),
+                      row.at("age_ms").get<std::int64_t>()));
+  }
 }
 
 int
@@ -408,6 +442,44 @@
   return eExitDone;
 }
 
+// Control processes pass the change on to each other and to hosts without the
+// log, so there is no revision to wait for.
+int
+ChangeQuarantine(const call_settings& aSettings,
+                 const std::string& aPart,
+                 bool aIsRelease,
+                 last_reason& aReason)
+{
+  constexpr int kHexadecimal = 16;
+  wire::quarantine_call call;
+  call.call = 1;
+  call.credential = aSettings.credential;
+  call.isRelease = aIsRelease;
+  const char* end = aPart.data() + aPart.size();
+  const auto read =
+    std::from_chars(aPart.data(), end, call.part.value, kHexadecimal);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    Fail(aReason, "read part", aPart, "expected a hexadecimal id");
+    return eExitUsage;
+  }
+  const auto answer = Call(aSettings, call, aReason);
+  if (!answer) {
+    return eExitUnknown;
+  }
+  const auto* reply = std::get_if<wire::command_reply>(&*answer);
+  if (reply == nullptr || !reply->result.isDone) {
+    Fail(aReason,
+         "change quarantine",
+         aPart,
+         reply == nullptr ? "an answer of another kind"
+                          : reply->text + reply->result.text);
+    return eExitRefused;
+  }
+  Print(reply->result.text + "; the control process that answered publishes "
+                             "it to the others and to the hosts");
+  return eExitDone;
+}
+
 // A command: its one or two words, the number of operands and the handler.
 struct command_row
 {
@@ -482,6 +554,18 @@
         return SendCommand(
           aSettings, set_domain{ IdOf<domain_id>(aName), false }, aReason);
       } },
+    { "quarantine",
+      "hold",
+      1,
+      [](settings aSettings, word aPart, last_reason& aReason) {
+        return ChangeQuarantine(aSettings, aPart, false, aReason);
+      } },
+    { "quarantine",
+      "release",
+      1,
+      [](settings aSettings, word aPart, last_reason& aReason) {
+        return ChangeQuarantine(aSettings, aPart, true, aReason);
+      } },
   };
   return kCommands;
 }
--- a/src/apps/ctl_main.cpp
+++ b/src/apps/ctl_main.cpp
@@ -90,6 +90,7 @@
   "WORKSPACE | "
   "key withdraw HASH-OR-FILE | endpoint drain NAME | endpoint undrain NAME | "
   "domain take-out NAME | domain bring-back NAME | "
+  "quarantine hold PART | quarantine release PART | "
   "control replace OLD[=NEW] | trace ID"
 };
 
