Take messages and prompts of the completions interface as parts

The cause is the same in both front ends: a chat whose earlier message crashes engines, or a prompt that a caller sends again, met each engine in turn.

--- a/src/entry/openai.cpp
+++ b/src/entry/openai.cpp
@@ -225,6 +225,32 @@
   return aPath == "/v1/completions" || aPath == "/v1/chat/completions";
 }
 
+part_id
+PartOf(const json& aContent)
+{
+  return IdOf<part_id>(
+    aContent.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+// A chat repeats its earlier messages, and a caller that sends a request again
+// its whole prompt. Of a long chat the newest messages count.
+std::vector<part_id>
+PartsOf(const json& aDocument)
+{
+  const auto messages = aDocument.find("messages");
+  if (messages == aDocument.end() || !messages->is_array()) {
+    const auto prompt = aDocument.find("prompt");
+    return prompt == aDocument.end() ? std::vector<part_id>{}
+                                     : std::vector{ PartOf(*prompt) };
+  }
+  std::vector<part_id> parts;
+  const std::size_t count = std::min(messages->size(), quarantine::kMaxParts);
+  for (std::size_t i = messages->size() - count; i < messages->size(); ++i) {
+    parts.push_back(PartOf((*messages)[i]));
+  }
+  return parts;
+}
+
 std::optional<caller_call>
 ReadCall(const net::http_request& aRequest, caller_error& aError)
 {
@@ -241,6 +267,7 @@
     call.tokens =
       static_cast<std::int64_t>(completion->promptTokens) + call.answerTokens;
     call.body = std::move(completion->body);
+    call.sharedParts = std::move(completion->parts);
   } else {
     call.body = aRequest.body;
   }
@@ -364,6 +391,7 @@
   call.modelName = model->get<std::string>();
   call.isStream = stream != document->end() && stream->get<bool>();
   call.promptTokens = BoundPromptTokens(aRequest.body);
+  call.parts = PartsOf(*document);
   call.maxTokens = *maxTokens;
   (*document)["max_tokens"] = *maxTokens;
   document->erase("max_completion_tokens");
--- a/src/entry/openai.hpp
+++ b/src/entry/openai.hpp
@@ -23,6 +23,8 @@
   std::uint64_t promptTokens = 0; ///< upper bound
   std::uint64_t maxTokens = 0;
   std::string body; ///< for the endpoint, with max_tokens set
+  /// Hashes of the messages of a chat, or of the prompt.
+  std::vector<part_id> parts;
 };
 
 std::optional<completion_call> ParseCompletion(
