Answer requests in the listen backlog before a stopping server closes

Requests on connections that the kernel had accepted and the server had not taken over were reset when the listener closed at a planned stop, and a request that crossed the close of an idle connection met the end of the process. The backlog is accepted first, and the server answers what arrives for 100 ms more before it reports that it is flushed. net: Stop_WithARequestInTheBacklog_AnswersItBeforeItIsFlushed.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,6 +14,9 @@
 /// Delay before accepting again after an error, such as running out of file
 /// descriptors.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
+/// A server that stops still answers what arrives within this time: requests
+/// that callers sent before they could know of it. Several round trips.
+constexpr std::chrono::milliseconds kStopLinger{ 100 };
 
 class asio_server : public http_server
 {
@@ -24,6 +27,7 @@
     : mAcceptor(aContext)
     , mTimer(aContext)
     , mAcceptTimer(aContext)
+    , mStopTimer(aContext)
     , mState(std::make_shared<server_state>())
   {
     mState->settings = aSettings;
@@ -66,17 +70,26 @@
   void StopWhenFlushed(std::function<void()> aOnFlushed) override
   {
     mState->isDraining = true;
+    AcceptBacklog();
     std::error_code ignored; // no connection is accepted in any case
     mAcceptor.close(ignored);
     mState->isStopping = true;
     for (const auto& connection : std::vector(mConnections)) {
       connection->RefuseIfPartial();
     }
-    if (mState->unsentAnswers == 0) {
-      aOnFlushed();
-    } else {
-      mState->onFlushed = std::move(aOnFlushed);
-    }
+    mStopTimer.expires_after(kStopLinger);
+    mStopTimer.async_wait(
+      [this, alive = mIsAlive, hook = std::move(aOnFlushed)](
+        const std::error_code& aError) {
+        if (aError || !*alive) {
+          return;
+        }
+        if (mState->unsentAnswers == 0) {
+          hook();
+        } else {
+          mState->onFlushed = hook;
+        }
+      });
   }
 
 private:
@@ -97,6 +110,21 @@
       });
   }
 
+  // The kernel resets what it has accepted and nobody took over when the
+  // listener closes, with the requests that were sent on it.
+  void AcceptBacklog()
+  {
+    std::error_code error;
+    mAcceptor.non_blocking(true, error);
+    while (!error) {
+      tcp::socket accepted(mAcceptor.get_executor());
+      mAcceptor.accept(accepted, error);
+      if (!error) {
+        AddConnection(std::move(accepted));
+      }
+    }
+  }
+
   void AcceptLater()
   {
     mAcceptTimer.expires_after(kAcceptRetryDelay);
@@ -157,6 +185,7 @@
   tcp::acceptor mAcceptor;
   asio::steady_timer mTimer;
   asio::steady_timer mAcceptTimer;
+  asio::steady_timer mStopTimer;
   std::shared_ptr<server_state> mState;
   std::vector<std::shared_ptr<http_connection>> mConnections;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -239,6 +239,25 @@
   CHECK(requests.size() == 2);
 }
 
+TEST_CASE_METHOD(server_fixture,
+                 "Stop_WithARequestInTheBacklog_AnswersItBeforeItIsFlushed",
+                 "[net]")
+{
+  std::vector<tcp::socket> callers;
+  for (int i = 0; i < 3; ++i) {
+    Connect();
+    asio::write(caller, asio::buffer(std::string(kGet)));
+    callers.push_back(std::move(caller));
+  }
+  std::size_t answeredWhenFlushed = 0;
+  server->StopWhenFlushed([&] { answeredWhenFlushed = requests.size(); });
+  for (tcp::socket& each : callers) {
+    caller = std::move(each);
+    CHECK(ReadFor(milliseconds(150)).starts_with("HTTP/1.1 200"));
+  }
+  CHECK(answeredWhenFlushed == 3);
+}
+
 TEST_CASE_METHOD(server_fixture,
                  "Stop_WithAHalfReadRequest_AnswersItBeforeItIsFlushed",
                  "[net]")
