Keep an operator's hold and release of a part against later answers

An answer to a request under way wrote a clearing row after the hold, and processes that learned of both took the hold as ended. A release that an answer overwrote, or that was forgotten after a minute, let the hold come back from a process that had been cut off. Tests: Hold_OfAPartWithCrashesAndAnswers_ReachesOthers and Release_WhenAProcessThatWasCutOffReturns_Holds, which failed on the code before.

--- a/src/quarantine/evidence.cpp
+++ b/src/quarantine/evidence.cpp
@@ -11,6 +11,9 @@
 /// Times travel as ages, so each hop between processes shifts them by its
 /// latency. Rows that differ by less are the same.
 constexpr std::chrono::milliseconds kClockTolerance{ 200 };
+/// An operator's release is kept so long, against the hold that it ended: a
+/// process that was cut off may still have it.
+constexpr std::chrono::hours kReleaseLifetime{ 24 };
 
 bool
 IsSame(const crash& aLeft, const crash& aRight)
@@ -192,7 +195,10 @@
   if (known == nullptr) {
     EraseOldestCleared(aTables);
   }
-  aTables.cleared.Insert({ aPart, aAt, aIsByOperator, ++aTables.serial });
+  // A release stays one: an answer must not bring back the hold that it ended.
+  const bool isRelease =
+    aIsByOperator || (known != nullptr && known->isByOperator);
+  aTables.cleared.Insert({ aPart, aAt, isRelease, ++aTables.serial });
   if (clearsRow) {
     ClearRow(aTables, *row, aAt);
   }
@@ -261,7 +267,10 @@
 bool
 MergeHold(tables& aTables, const suspect_row& aFrom)
 {
-  if (!aFrom.isHeld || IsCleared(aTables, aFrom.id, aFrom.heldAt)) {
+  const cleared_row* cleared = aTables.cleared.Find(aFrom.id);
+  const bool isReleased = cleared != nullptr && cleared->isByOperator &&
+                          cleared->at + kClockTolerance >= aFrom.heldAt;
+  if (!aFrom.isHeld || isReleased) {
     return false;
   }
   suspect_row& row = FindOrAdd(aTables, aFrom.id);
@@ -296,7 +305,7 @@
   }
   bool isNews = MergeHold(aTables, aFrom);
   for (const crash& each : aFrom.crashes) {
-    if (WasAnswered(aTables, aFrom.id, each.at)) {
+    if (!aFrom.isHeld && WasAnswered(aTables, aFrom.id, each.at)) {
       isNews |= Clear(aTables, aFrom.id, std::min(each.at, aNow), false);
     } else {
       isNews |= AddCrash(aTables, aFrom.id, each, aFrom.together);
@@ -340,7 +349,7 @@
   for (const part_id part : aParts) {
     aTables.answers[part.value % kAnswerSlots] = { part, aNow };
     const suspect_row* row = aTables.suspects.Find(part);
-    if (row != nullptr && !row->crashes.empty()) {
+    if (row != nullptr && !row->isHeld) {
       Clear(aTables, part, aNow, false);
     }
   }
@@ -431,7 +440,10 @@
   const auto isOld = [&](const auto& aRow) {
     return aRow.at + settings.clearedLifetime <= aNow;
   };
-  aTables.cleared.EraseIf(isOld);
+  aTables.cleared.EraseIf([&](const cleared_row& aRow) {
+    return isOld(aRow) &&
+           (!aRow.isByOperator || aRow.at + kReleaseLifetime <= aNow);
+  });
   aTables.running.EraseIf(isOld);
   std::erase_if(aTables.usedTrials, [&aTables](const auto& aUsed) {
     return aTables.suspects.Find(aUsed.first) == nullptr;
--- a/tests/quarantine/merge_test.cpp
+++ b/tests/quarantine/merge_test.cpp
@@ -111,6 +111,39 @@
   CHECK(other.suspects.Empty());
 }
 
+TEST_CASE_METHOD(merge_fixture,
+                 "Hold_OfAPartWithCrashesAndAnswers_ReachesOthers",
+                 "[quarantine]")
+{
+  Crash(1, { kBad });
+  Hold(host, kBad, now);
+  RecordAnswer(other, Parts({ kBad }), now);
+  Answer({ kBad });
+  now += milliseconds{ 500 };
+  Answer({ kBad });
+  Exchange();
+  CHECK(Kind({ kBad }) == verdict_kind::eRefuse);
+  CHECK(OtherKind({ kBad }) == verdict_kind::eRefuse);
+}
+
+TEST_CASE_METHOD(merge_fixture,
+                 "Release_WhenAProcessThatWasCutOffReturns_Holds",
+                 "[quarantine]")
+{
+  Hold(host, kBad, now);
+  Exchange();
+  now += milliseconds{ 1'000 };
+  Release(host, kBad, now);
+  now += milliseconds{ 1'000 };
+  Crash(1, { kBad });
+  Answer({ kBad });
+  now += std::chrono::minutes{ 30 };
+  Expire(host, now);
+  Exchange();
+  CHECK(Kind({ kBad }) == verdict_kind::eFree);
+  CHECK(OtherKind({ kBad }) == verdict_kind::eFree);
+}
+
 // In any order, and with repeats, all processes come to the same.
 TEST_CASE_METHOD(merge_fixture,
                  "Evidence_InAnyOrder_LeadsToTheSameVerdicts",
