Leave cancelled attempts alone when a part goes into quarantine

An attempt that is being cancelled may outlive its request, whose row was looked up before that was checked. In the programs the end of a cancelled attempt is reported before the next tick; a program that embeds the library may report it later. Found by reading; the optimised build did not touch the missing row, so the new test passed before as well.

--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -58,11 +58,12 @@
                   steady_time aNow,
                   outbox& aOutbox)
 {
+  if (aAttempt.state == attempt_state::eCancelling || aAttempt.isTrial ||
+      aAttempt.received != aAttempt.startOffset) {
+    return;
+  }
   request_row& request = *aTables.requests.Find(aAttempt.request);
-  const bool isUnanswered = aAttempt.state != attempt_state::eCancelling &&
-                            aAttempt.received == aAttempt.startOffset;
-  if (request.state != request_state::eRunning || !isUnanswered ||
-      aAttempt.isTrial) {
+  if (request.state != request_state::eRunning) {
     return;
   }
   const quarantine::verdict judged = quarantine::Judge(
--- a/tests/routing/quarantine_test.cpp
+++ b/tests/routing/quarantine_test.cpp
@@ -90,6 +90,22 @@
   CheckEnd(request_outcome::eQuarantined, ran_state::eMayHaveRun);
 }
 
+// The transport may report the end of a cancelled attempt later.
+TEST_CASE_METHOD(quarantine_fixture,
+                 "Attempt_ThatOutlivesItsRequest_IsLeftAloneByTheQuarantine",
+                 "[routing][quarantine]")
+{
+  const auto sent = TrySend(Stream({ kBad }));
+  REQUIRE(sent);
+  OnCallerDisconnected(engine, sent->request);
+  RunOnce();
+  REQUIRE(engine.requests.Empty());
+  REQUIRE(engine.attempts.Size() == 1);
+  Condemn(kBad);
+  RunOnce();
+  CHECK(out.cancels.empty());
+}
+
 TEST_CASE_METHOD(quarantine_fixture,
                  "Requests_WithACrashingPart_EndAtMostThreeProcesses",
                  "[routing][quarantine]")
