--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Endpoints appear with the ids that they have in other lines by name: the log
-// of their removal has both.
+// Hosts that did not know an endpoint have its id only. Its incarnation is also
+// in the lines endpoint_joined, with its name.
 std::string
 DescribeCrashes(const quarantine::suspect_row& aRow)
 {
--- a/src/wire/evidence_codec.cpp
+++ b/src/wire/evidence_codec.cpp
@@ -67,8 +67,8 @@
   }
   row.isHeld = aFrom.is_held();
   row.heldAt = TimeOf(aFrom.held_age_ms(), aNow);
-  // The time left counts from the arrival here, so a late message would
-  // lengthen it: the end is checked against the newest crash too.
+  // The time left counts from the arrival here, so a late message lengthens it.
+  // Two hosts may then have a permission at once.
   row.lastTrial = { aFrom.trial(),
                     host_id{ aFrom.trial_host() },
                     aNow + (aNow - TimeOf(aFrom.trial_left_ms(), aNow)) };
