--- a/tests/support/model_servers.cpp
+++ b/tests/support/model_servers.cpp
@@ -57,7 +57,6 @@
   std::unique_ptr<net::http_client> client;
   std::string crashingPart;
   stream_end end = stream_end::eWhole;
-  std::optional<int> resetAfter;
   std::vector<steady_time> crashes;
   std::vector<server_arrival> arrivals;
   std::uint64_t lastBoot = 0;
@@ -226,7 +225,6 @@
     const std::string prompt = FieldOf(mHead, "X-Prompt-Prefix");
     state.arrivals.push_back(
       { FieldOf(mHead, "X-Attempt-Id"), prompt, net::Now() });
-    mResetAfter = std::exchange(state.resetAfter, std::nullopt);
     mEnd = state.end;
     const std::string resumed = FieldOf(mHead, "Last-Event-Id");
     mNext = resumed.empty() ? 1 : std::stoi(resumed) + 1;
@@ -265,10 +263,6 @@
   void SendEvent()
   {
     const model_server_options& options = mServer->state.options;
-    if (mResetAfter && mNext > *mResetAfter) {
-      Close(true);
-      return;
-    }
     const bool isWhole =
       mEnd == stream_end::eWhole || mEnd == stream_end::eUnframed;
     if (mNext > options.events || (!isWhole && mNext > options.events / 2)) {
@@ -334,7 +328,6 @@
   asio::streambuf mInput;
   std::string mHead;
   std::string mOutput;
-  std::optional<int> mResetAfter;
   stream_end mEnd = stream_end::eWhole;
   int mNext = 1;
 };
@@ -386,7 +379,6 @@
              stream_end::eWhole,
              {},
              {},
-             {},
              static_cast<std::uint64_t>(net::Now().time_since_epoch() /
                                         std::chrono::milliseconds{ 1 }) }
   {
@@ -431,12 +423,6 @@
   mImplementation->state.end = aHow;
 }
 
-void
-model_servers::ResetAfter(int aEvents)
-{
-  mImplementation->state.resetAfter = aEvents;
-}
-
 const std::vector<steady_time>&
 model_servers::Crashes() const
 {
--- a/tests/support/model_servers.hpp
+++ b/tests/support/model_servers.hpp
@@ -8,7 +8,6 @@
 #include "net/net.hpp"
 
 #include <memory>
-#include <set>
 
 namespace bulrush::test {
 
@@ -60,9 +59,6 @@
   /// server when its answer begins; an empty text for none.
   void CrashOn(std::string aPart);
   void EndStreams(stream_end aHow);
-  /// The next attempt is answered to so many events, then its connection is
-  /// reset; the process goes on.
-  void ResetAfter(int aEvents);
 
   /// Ends of processes, in order.
   const std::vector<steady_time>& Crashes() const;
