End streams that send nothing but comments

Callers of a stream without a deadline of its last byte (the completions interface) were kept waiting for as long as the endpoint sent a comment or an empty event within each 30 s; one with a deadline was not moved to another endpoint until then.

Cause: each event that was forwarded extended the timeout, whether or not it had data.

Change: answer_buffer says whether new events have data, and only these extend the timeout. Comments are still counted and forwarded. Until the first event with data the deadline of the first byte applies, so an endpoint that sends comments while a request is queued is waited for as long as a silent one.

Before, with every event extending the timeout: Stream_ThatSendsOnlyComments_IsBrokenOffAfterTheIdleTimeout and Stream_ThatSendsOnlyComments_IsResumedElsewhere fail.

--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -30,28 +30,29 @@
   return std::string_view::npos;
 }
 
-// Value of the "id" field, which must start a line.
-std::string
-EventId(std::string_view aEvent)
+// Value of the first line of aEvent that holds aField, without the one space
+// that may come before it.
+std::optional<std::string>
+FieldOf(std::string_view aEvent, std::string_view aField)
 {
-  constexpr std::string_view kField = "id:";
   std::size_t line = 0;
   while (line < aEvent.size()) {
     const std::size_t end = std::min(aEvent.find('\n', line), aEvent.size());
     std::string_view text = aEvent.substr(line, end - line);
-    if (text.starts_with(kField)) {
-      text.remove_prefix(kField.size());
+    if (text.ends_with('\r')) {
+      text.remove_suffix(1);
+    }
+    const std::string_view name = text.substr(0, text.find(':'));
+    if (!name.empty() && name == aField) {
+      text.remove_prefix(std::min(name.size() + 1, text.size()));
       if (text.starts_with(' ')) {
         text.remove_prefix(1);
       }
-      if (text.ends_with('\r')) {
-        text.remove_suffix(1);
-      }
       return std::string(text);
     }
     line = end + 1;
   }
-  return "";
+  return std::nullopt;
 }
 
 std::optional<std::uint64_t>
@@ -129,6 +130,7 @@
 answer_buffer::Add(std::string_view aBytes)
 {
   mBufferedBytes += aBytes.size();
+  mHasNewContent = !mIsStream && !aBytes.empty();
   if (mIsStream) {
     return AddEvents(aBytes);
   }
@@ -142,7 +144,7 @@
 bool
 answer_buffer::AddEvent(std::string aText)
 {
-  std::string idText = EventId(aText);
+  std::string idText = FieldOf(aText, "id").value_or("");
   if (mRequiresRisingIds) {
     const auto id = ParseId(idText);
     if (id && mNewestId && *id <= *mNewestId) {
@@ -152,6 +154,7 @@
     mNewestId = id ? id : mNewestId;
   }
   mHasEndMark |= aText.starts_with(kEndMark);
+  mHasNewContent |= FieldOf(aText, "data").has_value();
   mEvents.push_back({ std::move(aText), std::move(idText) });
   ++mNextUnit;
   return true;
@@ -187,6 +190,7 @@
 std::uint64_t
 answer_buffer::EndMessage()
 {
+  mHasNewContent = false;
   if (!mIsStream || mTail.Size() == 0 || mIsOutOfOrder) {
     return 0;
   }
--- a/src/entry/answer.hpp
+++ b/src/entry/answer.hpp
@@ -43,6 +43,9 @@
   /// Removes and returns the next aCount units of a stream, else all bytes.
   std::string Take(std::uint64_t aCount);
 
+  /// True if the last Add or EndMessage completed a unit that is more than a
+  /// comment: bytes, or an event with data.
+  bool HasNewContent() const { return mHasNewContent; }
   /// Number of the unit that the next Add may complete.
   std::uint64_t NextUnit() const { return mNextUnit; }
   bool IsStream() const { return mIsStream; }
@@ -74,6 +77,7 @@
 
   bool mIsStream;
   bool mHasEndMark = false;
+  bool mHasNewContent = false;
   std::uint64_t mNextUnit;
   std::size_t mBufferedBytes = 0;
   byte_blocks mTail; ///< incomplete event of a stream, else the body
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -327,7 +327,8 @@
       End(aAttempt, routing::attempt_end::eTruncated);
       return;
     }
-    routing::OnAttemptBytes(mEngine, aAttempt, first, count, Now());
+    routing::OnAttemptBytes(
+      mEngine, aAttempt, first, count, row->answer->HasNewContent(), Now());
     if (row->answer->IsOutOfOrder()) {
       mClient->Cancel(row->call);
       LogFailure(*row, "out_of_order", "an event id does not follow");
@@ -342,8 +343,9 @@
     if (aEnd.isComplete && row.answer != nullptr &&
         !mFront.streamsHaveEndMark) {
       const std::uint64_t first = row.answer->NextUnit();
+      const std::uint64_t count = row.answer->EndMessage();
       routing::OnAttemptBytes(
-        mEngine, aAttempt, first, row.answer->EndMessage(), Now());
+        mEngine, aAttempt, first, count, row.answer->HasNewContent(), Now());
     }
     auto how = routing::attempt_end::eLost;
     const char* text = "lost";
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -1,5 +1,7 @@
 #include "routing/parts.hpp"
 
+#include <utility>
+
 namespace bulrush::routing {
 
 namespace {
@@ -200,7 +202,10 @@
   if (IsLive(aRequest) && IsForwardedOnArrival(aRequest, aAttempt) &&
       aAttempt.received > aRequest.forwarded) {
     ForwardUpTo(aAttempt.received, aAttempt, aRequest, aOutbox);
-    SetTimeout(aOptions, aAttempt, aRequest, aNow);
+    if (std::exchange(aAttempt.hasNewContent, false)) {
+      aRequest.hasContent = true;
+      SetTimeout(aOptions, aAttempt, aRequest, aNow);
+    }
   }
 }
 
@@ -406,6 +411,7 @@
                attempt_id aAttempt,
                std::uint64_t aOffset,
                std::uint64_t aCount,
+               bool aHasContent,
                steady_time /*aNow*/)
 {
   attempt_row* row = aTables.attempts.Find(aAttempt);
@@ -418,6 +424,7 @@
     return;
   }
   row->received += aCount;
+  row->hasNewContent |= aHasContent;
 }
 
 void
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -139,8 +139,8 @@
                                       const request_row& aRequest);
 
 /// Until when a stream that cannot move to another endpoint is waited for: the
-/// deadline of its first byte while none was forwarded, then that of its last
-/// byte, or options::streamIdleTimeout if it has none.
+/// deadline of its first byte while no content was forwarded, then that of its
+/// last byte, or options::streamIdleTimeout if it has none.
 steady_time LastWait(const options& aOptions,
                      const attempt_row& aAttempt,
                      const request_row& aRequest);
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -166,7 +166,7 @@
          const request_row& aRequest)
 {
   const steady_time deadline = aRequest.facts.lastByteDeadline;
-  if (!aRequest.hasForwarded) {
+  if (!aRequest.hasContent) {
     return std::min(aRequest.facts.deadline, deadline);
   }
   return deadline == steady_time::max()
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -247,6 +247,7 @@
   bool hasPaidRetry = false; ///< the next retry was taken from the budget
   bool mayHaveRun = false;   ///< a finished attempt may have run
   bool hasForwarded = false;
+  bool hasContent = false;         ///< some of what was forwarded is content
   bool hasCrashedEndpoint = false; ///< a process ended before it had an answer
   attempt_id attempt;              ///< current attempt
   std::uint32_t attemptsMade = 0;
@@ -306,9 +307,10 @@
   bool isTrial = false;    ///< sent though a part was in quarantine
   attempt_state state = attempt_state::eStarted;
   bool hasNewEvents = false; ///< transport events not handled yet
+  bool hasNewContent = false; ///< content not forwarded yet
   steady_time startedAt;
   steady_time timeoutAt;      ///< fails then without progress
-  steady_time lastProgressAt; ///< last accepted head or forwarded bytes
+  steady_time lastProgressAt; ///< last accepted head or forwarded content
   std::uint64_t startOffset = 0;
   std::optional<answer_head> head;
   steady_time firstByteAt;
@@ -657,11 +659,13 @@
                       const answer_head& aHead,
                       steady_time aNow);
 /// aCount units of the body arrived, starting at aOffset. Units are bytes, or
-/// events for engines that number stream events.
+/// events for engines that number stream events. Units without content are
+/// forwarded, but extend no timeout.
 void OnAttemptBytes(tables& aTables,
                     attempt_id aAttempt,
                     std::uint64_t aOffset,
                     std::uint64_t aCount,
+                    bool aHasContent,
                     steady_time aNow);
 /// The endpoint's side closed or reset the connection before the answer was
 /// complete; OnAttemptEnd follows.
--- a/tests/entry/answer_test.cpp
+++ b/tests/entry/answer_test.cpp
@@ -138,6 +138,22 @@
   CHECK(stream.Take(1) == rest);
 }
 
+TEST_CASE_METHOD(answer_fixture,
+                 "Stream_OfEventsWithoutData_HasNoNewContent",
+                 "[entry]")
+{
+  const std::string comment = GENERATE(
+    as<std::string>(), ": ping\n\n", "\n\n", "id: 3\r\n\r\n", "database\n\n");
+  CHECK(stream.Add(comment) == 1);
+  CHECK_FALSE(stream.HasNewContent());
+  CHECK(stream.Add(comment + "id: 4\ndata: a\n\n") == 2);
+  CHECK(stream.HasNewContent());
+  CHECK(stream.Add("data: an event") == 0);
+  CHECK_FALSE(stream.HasNewContent());
+  CHECK(stream.Add("\n\n" + comment) == 2);
+  CHECK(stream.HasNewContent());
+}
+
 TEST_CASE_METHOD(answer_fixture,
                  "Stream_WithoutRisingIdsRequired_MayRepeatThem",
                  "[entry]")
--- a/tests/routing/routing_fixture.hpp
+++ b/tests/routing/routing_fixture.hpp
@@ -103,7 +103,13 @@
 
   void Bytes(attempt_id aAttempt, std::uint64_t aOffset, std::uint64_t aCount)
   {
-    OnAttemptBytes(engine, aAttempt, aOffset, aCount, now);
+    OnAttemptBytes(engine, aAttempt, aOffset, aCount, true, now);
+  }
+
+  /// One unit without content.
+  void Comment(attempt_id aAttempt, std::uint64_t aOffset)
+  {
+    OnAttemptBytes(engine, aAttempt, aOffset, 1, false, now);
   }
 
   void End(attempt_id aAttempt, attempt_end aEnd)
--- a/tests/routing/routing_simulation.cpp
+++ b/tests/routing/routing_simulation.cpp
@@ -179,7 +179,7 @@
 {
   const std::uint64_t count = std::min(aCount, kAnswerLength - aCall.offset);
   OnAttemptBytes(
-    mEngines[aCall.host], aCall.attempt, aCall.offset, count, mNow);
+    mEngines[aCall.host], aCall.attempt, aCall.offset, count, true, mNow);
   aCall.offset += count;
 }
 
--- a/tests/routing/silence_test.cpp
+++ b/tests/routing/silence_test.cpp
@@ -89,6 +89,18 @@
     now = std::max(now, until);
   }
 
+  /// Sends a comment each second for aFor, or until the request ends or moves.
+  void SendComments(const start_attempt& aSent,
+                    std::uint64_t aReceived,
+                    steady_time::duration aFor)
+  {
+    const steady_time until = now + aFor;
+    while (now < until && out.ends.empty() && out.starts.empty()) {
+      Comment(aSent.attempt, aReceived++);
+      RunOnce(seconds{ 1 });
+    }
+  }
+
   void CheckAnsweredAfterSilence(const start_attempt& aSent,
                                  std::uint64_t aReceived)
   {
@@ -187,6 +199,54 @@
   CHECK_FALSE(out.ends.front().hasForwarded);
 }
 
+TEST_CASE_METHOD(silence_fixture,
+                 "Stream_ThatSendsOnlyComments_IsBrokenOffAfterTheIdleTimeout",
+                 "[routing][silence]")
+{
+  const start_attempt sent = SendWithEvents(StreamWithoutEnd());
+  SendComments(
+    sent, 4, engine.settings.streamIdleTimeout - milliseconds{ 500 });
+  CheckEnd(request_outcome::eBrokenStream, ran_state::eMayHaveRun);
+}
+
+TEST_CASE_METHOD(silence_fixture,
+                 "Stream_ThatSendsOnlyComments_IsResumedElsewhere",
+                 "[routing][silence]")
+{
+  const start_attempt sent = SendWithEvents(Stream(true));
+  SendComments(sent, 4, engine.settings.streamIdleTimeout);
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint == endpoint_id{ 2 });
+}
+
+TEST_CASE_METHOD(silence_fixture,
+                 "Stream_WithContentBetweenComments_IsWaitedFor",
+                 "[routing][silence]")
+{
+  const start_attempt sent = SendWithEvents(StreamWithoutEnd());
+  SendComments(sent, 4, seconds{ 20 });
+  Bytes(sent.attempt, 24, 1);
+  SendComments(sent, 25, seconds{ 20 });
+  REQUIRE(out.ends.empty());
+  End(sent.attempt, attempt_end::eComplete);
+  RunOnce();
+  CheckEnd(request_outcome::eAnswered, ran_state::eRan);
+}
+
+// An engine may send comments while the request waits in its queue.
+TEST_CASE_METHOD(silence_fixture,
+                 "Stream_WithCommentsBeforeItsFirstEvent_IsWaitedFor",
+                 "[routing][silence]")
+{
+  const start_attempt sent = SendWithHead(StreamWithoutEnd());
+  SendComments(sent, 0, kSilence);
+  REQUIRE(out.ends.empty());
+  Bytes(sent.attempt, std::uint64_t{ kSilence.count() }, 4);
+  End(sent.attempt, attempt_end::eComplete);
+  RunOnce();
+  CheckEnd(request_outcome::eAnswered, ran_state::eRan);
+}
+
 // Past its placement deadline it could not wait for a slot there.
 TEST_CASE_METHOD(silence_fixture,
                  "Stream_WhenTheOtherEndpointIsFull_IsWaitedFor",
