--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test format lint fuzz bench demo capacity first-token settings
+.PHONY: deps build test format lint fuzz soak bench demo capacity first-token \
+  settings
 
 deps:
 	tools/install_packages
@@ -41,6 +42,14 @@
 fuzz: build
 	tools/fuzz $(BUILD) $(SEED)
 
+# A fleet of real processes under overlapping troubles, seed after seed; about
+# 20 s each. The logs of a seed with a problem are kept.
+SOAK_FIRST ?= 1
+SOAK_SEEDS ?= 50
+soak: build
+	BULRUSH_SOAK_FIRST=$(SOAK_FIRST) BULRUSH_SOAK_SEEDS=$(SOAK_SEEDS) \
+	  $(BUILD)/test_process "[soak]"
+
 # Measures sweeps of hosts, endpoints, models and configuration changes; prints
 # the slopes for CAPACITY.md.
 capacity: build
--- a/src/apps/fake_requests.cpp
+++ b/src/apps/fake_requests.cpp
@@ -215,8 +215,9 @@
   if (UseFault(aTables, "cross")) {
     row.attempt += "0";
   }
+  row.tag = TagOf(aRequest, aBody);
   ++aTables.counters.runs;
-  ++aTables.counters.runsByTag[TagOf(aRequest, aBody)];
+  ++aTables.counters.runsByTag[row.tag];
   run_row& stored = aTables.runs.Insert(std::move(row));
   aTables.counters.concurrencyPeak = std::max<std::uint64_t>(
     aTables.counters.concurrencyPeak, aTables.runs.Size());
--- a/src/apps/fake_systems.cpp
+++ b/src/apps/fake_systems.cpp
@@ -212,11 +212,14 @@
     aRun.reply->Abort();
     return true;
   }
-  aRun.reply->Send(200,
-                   fields,
-                   aRun.isService
-                     ? json{ { "ok", true }, { "run", aRun.id.value } }.dump()
-                     : FormatAnswer(aRun));
+  if (!aRun.isService) {
+    aRun.reply->Send(200, fields, FormatAnswer(aRun));
+    return true;
+  }
+  const json answer = { { "ok", true },
+                        { "run", aRun.id.value },
+                        { "tag", aRun.tag } };
+  aRun.reply->Send(200, fields, answer.dump());
   return true;
 }
 
--- a/src/apps/fake_tables.hpp
+++ b/src/apps/fake_tables.hpp
@@ -38,6 +38,7 @@
   std::shared_ptr<net::http_reply> reply;
   std::string attempt;
   std::string model;
+  std::string tag;
   bool isStream = false;
   bool isService = false;
   std::uint64_t tokens = 0; ///< to be generated
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -306,7 +306,7 @@
   bool isAnswered = false; ///< its answer went on, which clears the prompt
   bool isTrial = false;    ///< sent though a part was in quarantine
   attempt_state state = attempt_state::eStarted;
-  bool hasNewEvents = false; ///< transport events not handled yet
+  bool hasNewEvents = false;  ///< transport events not handled yet
   bool hasNewContent = false; ///< content not forwarded yet
   steady_time startedAt;
   steady_time timeoutAt;      ///< fails then without progress
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -16,7 +16,7 @@
 {
 public:
   explicit raw_connection(const std::string& aAddress)
-    : mSocket(::socket(AF_INET, SOCK_STREAM, 0))
+    : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     const std::size_t colon = aAddress.find(':');
     sockaddr_in address{};
@@ -79,6 +79,32 @@
     return bytes;
   }
 
+  /// The next aCount bytes; fewer if the peer closes before.
+  std::string Read(std::size_t aCount) const
+  {
+    std::string bytes(aCount, '\0');
+    std::size_t received = 0;
+    while (received < aCount) {
+      const ssize_t count =
+        ::recv(mSocket, bytes.data() + received, aCount - received, 0);
+      if (count <= 0) {
+        break;
+      }
+      received += static_cast<std::size_t>(count);
+    }
+    bytes.resize(received);
+    return bytes;
+  }
+
+  /// Whether the peer has closed or reset the connection, with nothing left to
+  /// read.
+  bool IsClosedByPeer() const
+  {
+    char next = 0;
+    const ssize_t count = ::recv(mSocket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
 private:
   int mSocket;
   bool mIsConnected = false;
