Check what a soak's callers saw in a part of its own

The checks were members of the soak, so only a fault of the programs could show that they find anything.

--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -1,4 +1,4 @@
-#include "support/soak_callers.hpp"
+#include "support/soak_checks.hpp"
 #include "support/soak_troubles.hpp"
 
 #include "net/net.hpp"
@@ -192,18 +192,19 @@
     }
   }
 
-  // Checks --------------------------------------------------------------------
-
   void Check(const soak_troubles& aTroubles)
   {
-    std::vector<std::string> problems = aTroubles.Faults();
-    for (const call_row& call : mCalls) {
-      const std::string problem = ProblemOf(call, aTroubles);
-      if (!problem.empty()) {
-        problems.push_back(problem + ": " + Describe(call));
-      }
-    }
-    CheckRuns(problems);
+    const soak_facts facts{ [&aTroubles](const call_row& aCall) {
+                             return aTroubles.WasKilled(
+                               aCall.host, aCall.connectedAt, aCall.endedAt);
+                           },
+                            [this](const std::string& aKey, steady_time aAt) {
+                              return mKeys.IsWithdrawn(aKey, aAt);
+                            },
+                            Runs() };
+    std::vector<std::string> problems = FindProblems(mCalls, facts);
+    problems.insert(
+      problems.end(), aTroubles.Faults().begin(), aTroubles.Faults().end());
     if (!ServesAtEachHost("after")) {
       problems.push_back("no service at each host after the troubles");
     }
@@ -218,109 +219,6 @@
     CHECK(problems.empty());
   }
 
-  std::string ProblemOf(const call_row& aCall,
-                        const soak_troubles& aTroubles) const
-  {
-    const caller_answer& answer = aCall.answer;
-    const bool isKilled =
-      aTroubles.WasKilled(aCall.host, aCall.connectedAt, aCall.endedAt);
-    if (answer.status == 0) {
-      return isKilled ? "" : "no answer";
-    }
-    if (answer.status != 200) {
-      return answer.isComplete || isKilled ? ProblemOfError(answer)
-                                           : "an error was cut";
-    }
-    if (mKeys.IsWithdrawn(aCall.key, aCall.sentAt)) {
-      return "served with a withdrawn key";
-    }
-    return aCall.kind == call_kind::eStream ? ProblemOfStream(aCall, isKilled)
-                                            : ProblemOfCall(aCall, isKilled);
-  }
-
-  static std::string ProblemOfError(const caller_answer& aAnswer)
-  {
-    const json error = json::parse(aAnswer.body, nullptr, false);
-    const std::string ran = RanOf(error);
-    return !aAnswer.isComplete || ran == "not_run" || ran == "may_have_run"
-             ? ""
-             : "an error does not say whether the request ran";
-  }
-
-  static std::string RanOf(const json& aError)
-  {
-    return aError.is_object() && aError.contains("error")
-             ? aError["error"].value("ran", "")
-             : "";
-  }
-
-  static std::string ProblemOfCall(const call_row& aCall, bool aIsKilled)
-  {
-    if (!aCall.answer.isComplete) {
-      return aIsKilled ? "" : "an answer was cut";
-    }
-    const json body = json::parse(aCall.answer.body, nullptr, false);
-    return body.is_object() && body.value("tag", "") == aCall.tag
-             ? ""
-             : "an answer to another request";
-  }
-
-  // Events come in order and once; a complete stream has all of them.
-  static std::string ProblemOfStream(const call_row& aCall, bool aIsKilled)
-  {
-    const std::string& body = aCall.answer.body;
-    constexpr std::string_view kToken = R"("text":"t)";
-    int tokens = 0;
-    for (std::size_t at = body.find(kToken); at != std::string::npos;
-         at = body.find(kToken, at + 1)) {
-      if (std::atoi(body.c_str() + at + kToken.size()) != tokens++) {
-        return "a stream whose events do not follow";
-      }
-    }
-    if (aCall.answer.isComplete) {
-      return tokens == aCall.tokens && body.ends_with("data: [DONE]\n\n")
-               ? ""
-               : "a broken stream that ends as complete";
-    }
-    return aIsKilled || body.find("event: error") != std::string::npos
-             ? ""
-             : "a stream was cut without an error";
-  }
-
-  /// What is known of the runs of one release.
-  struct release_row
-  {
-    bool isAnswered = false;
-    bool mayHaveRun = false;
-  };
-
-  void CheckRuns(std::vector<std::string>& aProblems) const
-  {
-    std::map<std::string, release_row> releases;
-    for (const call_row& call : mCalls) {
-      if (call.kind == call_kind::eRelease ||
-          call.kind == call_kind::eKeyedRelease) {
-        release_row& row = releases[call.tag];
-        row.isAnswered |= call.answer.status == 200;
-        row.mayHaveRun |=
-          call.answer.status == 0 ||
-          RanOf(json::parse(call.answer.body, nullptr, false)) != "not_run";
-      }
-    }
-    const std::map<std::string, int> runs = Runs();
-    for (const auto& [tag, row] : releases) {
-      const auto found = runs.find(tag);
-      const int count = found == runs.end() ? 0 : found->second;
-      const int least = row.isAnswered ? 1 : 0;
-      const int most = row.mayHaveRun ? 1 : 0;
-      if (count < least || count > most) {
-        aProblems.push_back("a release ran " + std::to_string(count) +
-                            " times, expected " + std::to_string(least) +
-                            " to " + std::to_string(most) + ": " + tag);
-      }
-    }
-  }
-
   std::map<std::string, int> Runs() const
   {
     std::map<std::string, int> runs;
