--- a/tests/process/silence_test.cpp
+++ b/tests/process/silence_test.cpp
@@ -76,6 +76,7 @@
         std::async(std::launch::async, [this] { return Status(); }));
     }
     std::vector<http_answer> answers;
+    answers.reserve(calls.size());
     for (auto& call : calls) {
       answers.push_back(call.get());
     }
--- a/tests/process/soak_test.cpp
+++ b/tests/process/soak_test.cpp
@@ -84,7 +84,7 @@
     , mRunning(Options())
   {
     mRunning.Start();
-    for (const std::string& domain : kDomains) {
+    for (const std::string& domain : mDomains) {
       mDesks.push_back(mRunning.AddEndpoint(
         "desk-" + domain,
         domain,
@@ -121,13 +121,11 @@
   }
 
 private:
-  const std::vector<std::string> kDomains{ "north", "south", "west" };
-
   fleet_options Options() const
   {
     constexpr std::uint64_t kMaxHostsPerDomain = 3;
     fleet_options options;
-    options.domains = kDomains;
+    options.domains = mDomains;
     options.entriesPerDomain = 1 + mSeed % kMaxHostsPerDomain;
     options.manifest = Manifest(1);
     options.entryArguments = { "--stop-delay", "300ms", "--stop-grace", "8s" };
@@ -137,7 +135,7 @@
   std::string Manifest(int aVersion) const
   {
     json manifest =
-      json::parse(DefaultManifest(kDomains, std::to_string(aVersion)));
+      json::parse(DefaultManifest(mDomains, std::to_string(aVersion)));
     manifest["models"][0]["version"] = "1";
     manifest["routes"][0]["deadline_ms"] = kReleaseDeadlineMs + aVersion;
     return manifest.dump();
@@ -292,6 +290,7 @@
   }
 
   const std::uint64_t mSeed;
+  const std::vector<std::string> mDomains{ "north", "south", "west" };
   fleet mRunning;
   std::vector<std::string> mDesks; ///< addresses
   soak_keys mKeys;
