Show the delegate of a failure domain, and wait for it in a test

process.Domain_WhenPartitionedFromTheOthers_KeepsServing (KNOWN-RED.txt) failed once beside other work: in 30 s the host of a domain whose control process was stopped was not refused a lease.

Cause: a control process that does not report for a while is replaced as the delegate of its domain by the leader, and named again later. When the test stopped control-1 while control-0 was the delegate of its domain, the host rightly went on with leases of control-0.

Change: the field delegate of the status, which was on the wire and always empty, is filled, and bulrushctl status shows it. The test waits until the domain has its own delegate before it stops the others; its checks are unchanged.

--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -347,7 +347,9 @@
   }
   json domains = json::array();
   for (const wire::domain_status& row : aStatus.domains) {
-    domains.push_back({ { "name", row.name }, { "out", row.isOut } });
+    domains.push_back({ { "name", row.name },
+                        { "out", row.isOut },
+                        { "delegate", row.delegate } });
   }
   return { { "leader", aStatus.leader },
            { "revision", aStatus.revision },
@@ -391,9 +393,12 @@
                       row.hasLease ? "yes" : "no",
                       row.age.count()));
   }
-  Print("\nDOMAIN            STATE");
+  Print("\nDOMAIN            STATE       DELEGATE");
   for (const wire::domain_status& row : aStatus.domains) {
-    Print(fmt::format("{:<17} {}", row.name, row.isOut ? "out" : "in service"));
+    Print(fmt::format("{:<17} {:<11} {}",
+                      row.name,
+                      row.isOut ? "out" : "in service",
+                      row.delegate.empty() ? "-" : row.delegate));
   }
   Print("\nENDPOINT          ADDRESS           RUNNING  SLOTS  MODELS  STATE");
   for (const endpoint_row& row : aStatus.endpoints) {
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -29,6 +29,22 @@
 
 namespace {
 
+// Name of the control process that grants leases to the hosts of a failure
+// domain; empty if there is none yet or its name is not known here.
+std::string
+DelegateName(const control_tables& aTables, domain_id aDomain)
+{
+  const domain_state_row* state = aTables.fleet.domains.Find(aDomain);
+  if (state == nullptr || !state->delegate) {
+    return "";
+  }
+  if (state->delegate == IdOf<replica_id>(aTables.self.name)) {
+    return aTables.self.name;
+  }
+  const control_row* control = aTables.controls.Find(state->delegate);
+  return control == nullptr ? "" : control->name;
+}
+
 // Status of a failure domain: from local state for this process's own, else as
 // last gossiped by a control process of that domain.
 wire::domain_status
@@ -52,6 +68,7 @@
   }
   status.name = aDomain.name;
   status.isOut = IsOut(aTables.fleet, aDomain.id);
+  status.delegate = DelegateName(aTables, aDomain.id);
   return status;
 }
 
--- a/tests/process/domains_test.cpp
+++ b/tests/process/domains_test.cpp
@@ -64,6 +64,18 @@
     return Stats(aDomain)["runs"].get<std::uint64_t>();
   }
 
+  /// Control process that grants leases to the hosts of a domain.
+  std::string Delegate(const std::string& aDomain) const
+  {
+    const json status = running.Status();
+    for (const json& row : status["domains"]) {
+      if (row["name"] == aDomain) {
+        return row["delegate"];
+      }
+    }
+    return "";
+  }
+
   // Sends ten requests to each host; returns the number that succeeded.
   int CompleteTenPerEntry() const
   {
@@ -171,6 +183,8 @@
     return running.Post(1, "/desk/status", "", {}).status;
   };
   REQUIRE(WaitUntil([&] { return lookupStatus() == 200; }));
+  // A delegate elsewhere would go on granting leases to the host.
+  REQUIRE(WaitUntil([this] { return Delegate("middle") == "control-1"; }));
   running.controls[1]->Signal(SIGSTOP);
   running.controls[2]->Signal(SIGSTOP);
   // A host without its control host has no lease and refuses keyed requests.
