Wait for the claim in the test of a host that dies before sending

process.Release_WhenItsHostDiesBeforeSending_NeverRuns raced a resend against the first request, with a new key when the resend won, and failed once after 30 s of this without a log.

Change: the test waits until the status counts the claim, sends the resend once and must get in_progress; a failure prints the logs of the host and the control process.

--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -209,17 +209,14 @@
                  "Release_WhenItsHostDiesBeforeSending_NeverRuns",
                  "[process][requests]")
 {
-  // Without an endpoint the first request keeps its claim and waits. If the
-  // resend claims the key first, both are sent again under another key.
-  std::string idempotencyKey;
-  std::future<http_answer> first;
-  int number = 0;
-  REQUIRE(WaitUntil([&] {
-    idempotencyKey = "release-" + std::to_string(++number);
-    first = ReleaseLater(0, idempotencyKey);
-    SendHttpRequest("GET", "http://" + running.EntryAddress(0) + "/healthz");
-    return Error(Release(1, idempotencyKey))["code"] == "in_progress";
-  }));
+  // Without an endpoint the first request keeps its claim and waits.
+  const std::string idempotencyKey = "release-1";
+  auto first = ReleaseLater(0, idempotencyKey);
+  const bool isClaimed =
+    WaitUntil([this] { return running.Status()["claims"] == 1; });
+  INFO(running.entries[0]->Log() << running.controls[0]->Log());
+  REQUIRE(isClaimed);
+  CheckError(Release(1, idempotencyKey), "in_progress", "may_have_run");
   KillEntry(0);
   first.wait();
   const std::string desk = AddDesk("desk");
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -286,7 +286,11 @@
   std::ofstream(file) << text;
   const program_result applied = Ctl({ "apply", file.string() });
   if (applied.exitCode != 0) {
-    throw std::runtime_error("apply: " + applied.errors);
+    std::string logs;
+    for (const auto& control : controls) {
+      logs += control->Log();
+    }
+    throw std::runtime_error("apply: " + applied.errors + logs);
   }
 }
 
