--- a/tests/support/soak_callers.cpp
+++ b/tests/support/soak_callers.cpp
@@ -11,7 +11,7 @@
 constexpr int kMaxTokens = 60;
 constexpr int kMaxRepeats = 20;
 constexpr std::chrono::milliseconds kRepeatPause{ 100 };
-constexpr std::uint64_t kMaxThinkTimeMs = 30;
+constexpr std::chrono::milliseconds kMaxThinkTime{ 30 };
 constexpr std::size_t kShownBytes = 300;
 
 std::string
@@ -140,8 +140,8 @@
       aCaller.repeats = 0;
       Send(aCaller, Draw(aCaller));
     }
-    std::this_thread::sleep_for(
-      std::chrono::milliseconds{ aCaller.random() % kMaxThinkTimeMs });
+    std::this_thread::sleep_for(std::chrono::milliseconds{
+      aCaller.random() % static_cast<std::uint64_t>(kMaxThinkTime.count()) });
   }
 }
 
--- a/tests/support/soak_troubles.cpp
+++ b/tests/support/soak_troubles.cpp
@@ -7,8 +7,16 @@
 namespace bulrush::test {
 namespace {
 
+using std::chrono::milliseconds;
+
 /// A kill is seen by callers a moment later.
-constexpr std::chrono::milliseconds kKillMargin{ 500 };
+constexpr milliseconds kKillMargin{ 500 };
+constexpr time_range kBeforeTheFirst{ milliseconds{ 500 },
+                                      milliseconds{ 1'500 } };
+constexpr time_range kBetweenTroubles{ milliseconds{ 100 },
+                                       milliseconds{ 1'200 } };
+constexpr time_range kPause{ milliseconds{ 200 }, milliseconds{ 4'000 } };
+constexpr time_range kDownTime{ milliseconds{ 100 }, milliseconds{ 1'500 } };
 
 const char*
 NameOf(trouble_kind aKind)
@@ -33,7 +41,7 @@
   : mRandom(aSeed)
   , mStart(net::Now())
   , mUntil(aUntil)
-  , mNext(mStart + DrawTime(500, 1'500))
+  , mNext(mStart + Draw(kBeforeTheFirst))
 {
   for (std::size_t i = 0; i < aFleet.entries.size(); ++i) {
     Add("entry-" + std::to_string(i), aFleet.entries[i], [&aFleet, i] {
@@ -87,7 +95,7 @@
   if (aNow < mNext || aNow >= mUntil) {
     return;
   }
-  mNext = aNow + DrawTime(100, 1'200);
+  mNext = aNow + Draw(kBetweenTroubles);
   soaked_process_row& row = mProcesses[mRandom() % mProcesses.size()];
   constexpr std::array kKinds{ trouble_kind::eStop,
                                trouble_kind::eKill,
@@ -125,7 +133,7 @@
       break;
     case trouble_kind::ePause:
       running.Signal(SIGSTOP);
-      aRow.goesOnAt = aNow + DrawTime(200, 4'000);
+      aRow.goesOnAt = aNow + Draw(kPause);
       break;
     case trouble_kind::eReload:
       running.Signal(SIGHUP);
@@ -160,7 +168,7 @@
     }
     row.isEnding = false;
     row.goesOnAt.reset();
-    row.startsAt = aNow + DrawTime(100, 1'500);
+    row.startsAt = aNow + Draw(kDownTime);
   }
 }
 
@@ -188,10 +196,11 @@
 }
 
 std::chrono::milliseconds
-soak_troubles::DrawTime(std::uint64_t aLeastMs, std::uint64_t aMostMs)
+soak_troubles::Draw(const time_range& aRange)
 {
-  return std::chrono::milliseconds{ aLeastMs +
-                                    mRandom() % (aMostMs - aLeastMs) };
+  const auto width =
+    static_cast<std::uint64_t>((aRange.most - aRange.least).count());
+  return aRange.least + std::chrono::milliseconds{ mRandom() % width };
 }
 
 void
--- a/tests/support/soak_troubles.hpp
+++ b/tests/support/soak_troubles.hpp
@@ -16,6 +16,13 @@
   eReload ///< SIGHUP
 };
 
+/// From least up to, and without, most.
+struct time_range
+{
+  std::chrono::milliseconds least;
+  std::chrono::milliseconds most;
+};
+
 /// A process of the fleet that troubles happen to.
 struct soaked_process_row
 {
@@ -57,8 +64,7 @@
   void EndPauses(steady_time aNow);
   void HandleExits(steady_time aNow);
   void StartProcesses(steady_time aNow);
-  std::chrono::milliseconds DrawTime(std::uint64_t aLeastMs,
-                                     std::uint64_t aMostMs);
+  std::chrono::milliseconds Draw(const time_range& aRange);
   void Note(const std::string& aText, steady_time aNow);
 
   random_engine mRandom;
