Split the codec of messages by sender

It has the envelope now; host_codec.cpp, peer_codec.cpp, call_codec.cpp and share_codec.cpp have the bodies, declared in bodies.hpp. The three places that put evidence into a message call one function. Moves only otherwise; test_control and test_platform pass.

--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -47,6 +47,23 @@
          pb::PromptEvidence& aTo);
 /// Rows with numbers out of range are left out.
 quarantine::evidence Get(const pb::PromptEvidence& aFrom, steady_time aNow);
+template<class protobuf_message>
+void
+PutEvidence(const quarantine::evidence& aFrom,
+            steady_time aNow,
+            protobuf_message& aTo)
+{
+  if (!aFrom.Empty()) {
+    Put(aFrom, aNow, *aTo.mutable_evidence());
+  }
+}
+
+void PutKeys(const std::vector<key_hash>& aFrom, repeated<std::string>& aTo);
+std::vector<key_hash> GetKeys(const repeated<std::string>& aFrom);
+void PutControls(const std::vector<control_address>& aFrom,
+                 repeated<pb::ControlAddress>& aTo);
+std::vector<control_address> GetControls(
+  const repeated<pb::ControlAddress>& aFrom);
 std::string EncodeReplica(const replica_message& aMessage);
 std::optional<replica_message> DecodeReplica(const std::string& aBytes);
 
--- /dev/null
+++ b/src/wire/host_codec.cpp
@@ -0,0 +1,143 @@
+/// Messages between hosts and control processes.
+
+#include "wire/bodies.hpp"
+
+namespace bulrush::wire {
+
+void
+PutBody(const host_report& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_host_report();
+  to->set_domain(aFrom.domain);
+  to->set_renewal(aFrom.renewal);
+  to->set_revision(aFrom.revision);
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  to->set_http_address(aFrom.httpAddress);
+  to->set_is_leaving(aFrom.isLeaving);
+  to->set_misses_updates(aFrom.missesUpdates);
+  to->set_received_update(aFrom.receivedUpdate);
+  PutEvidence(aFrom.evidence, aNow, *to);
+}
+
+void
+PutBody(const host_update& aFrom, steady_time aNow, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_host_update();
+  to->set_renewal(aFrom.renewal);
+  to->set_lease_ms(aFrom.lease.count());
+  to->set_epoch(aFrom.epoch);
+  to->set_revision(aFrom.revision);
+  for (const numbered_command& from : aFrom.commands) {
+    auto* numbered = to->add_commands();
+    numbered->set_revision(from.revision);
+    Put(from.command, *numbered->mutable_command());
+  }
+  to->set_snapshot(aFrom.snapshot);
+  PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
+  for (const endpoint_id& removed : aFrom.removedEndpoints) {
+    to->add_gone_endpoints(removed.value);
+  }
+  PutKeys(aFrom.tombstones, *to->mutable_tombstones());
+  PutControls(aFrom.controls, *to->mutable_controls());
+  to->set_leader(aFrom.leader);
+  to->set_is_caught_up(aFrom.isCaughtUp);
+  to->set_term(aFrom.term);
+  to->set_number(aFrom.number);
+  PutEvidence(aFrom.evidence, aNow, *to);
+}
+
+void
+PutBody(const held_update& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_held_update();
+  for (const held_models& from : aFrom.engines) {
+    auto* engine = to->add_engines();
+    engine->set_endpoint(from.endpoint.value);
+    engine->set_incarnation(from.incarnation);
+    PutResidents(from.residents, *engine->mutable_residents());
+  }
+}
+
+void
+PutBody(const demand_report& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_wanted_models();
+  for (const model_demand& from : aFrom.models) {
+    auto* demand = to->add_models();
+    demand->set_model(from.model.value);
+    demand->set_adapter(from.adapter.value);
+    demand->set_requests(from.requests);
+    demand->set_waiting(from.waiting);
+  }
+}
+
+std::optional<message_body>
+GetBody(const pb::HostReport& aFrom, steady_time aNow)
+{
+  return host_report{ aFrom.domain(),
+                      aFrom.renewal(),
+                      aFrom.revision(),
+                      GetEndpoints(aFrom.endpoints(), aNow),
+                      aFrom.http_address(),
+                      aFrom.is_leaving(),
+                      aFrom.misses_updates(),
+                      aFrom.received_update(),
+                      Get(aFrom.evidence(), aNow) };
+}
+
+std::optional<message_body>
+GetBody(const pb::HostUpdate& aFrom, steady_time aNow)
+{
+  host_update update;
+  update.renewal = aFrom.renewal();
+  update.lease = std::chrono::milliseconds(aFrom.lease_ms());
+  update.epoch = aFrom.epoch();
+  update.revision = aFrom.revision();
+  for (const auto& from : aFrom.commands()) {
+    auto command = Get(from.command());
+    if (!command) {
+      return std::nullopt;
+    }
+    update.commands.push_back({ from.revision(), std::move(*command) });
+  }
+  update.snapshot = aFrom.snapshot();
+  update.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
+  for (const auto removed : aFrom.gone_endpoints()) {
+    update.removedEndpoints.push_back({ removed });
+  }
+  update.tombstones = GetKeys(aFrom.tombstones());
+  update.controls = GetControls(aFrom.controls());
+  update.leader = aFrom.leader();
+  update.isCaughtUp = aFrom.is_caught_up();
+  update.term = aFrom.term();
+  update.number = aFrom.number();
+  update.evidence = Get(aFrom.evidence(), aNow);
+  return update;
+}
+
+std::optional<message_body>
+GetBody(const pb::HeldUpdate& aFrom, steady_time)
+{
+  held_update update;
+  for (const auto& from : aFrom.engines()) {
+    update.engines.push_back({ { from.endpoint() },
+                               from.incarnation(),
+                               GetResidents(from.residents()) });
+  }
+  return update;
+}
+
+std::optional<message_body>
+GetBody(const pb::WantedModels& aFrom, steady_time)
+{
+  demand_report demand;
+  for (const auto& from : aFrom.models()) {
+    demand.models.push_back({ { from.model() },
+                              { from.adapter() },
+                              from.requests(),
+                              from.waiting() });
+  }
+  return demand;
+}
+
+} // namespace bulrush::wire
--- a/src/wire/share_codec.cpp
+++ b/src/wire/share_codec.cpp
@@ -1,4 +1,4 @@
-#include "wire/convert.hpp"
+#include "wire/bodies.hpp"
 
 #include <algorithm>
 
@@ -205,4 +205,69 @@
   return answer;
 }
 
+void
+PutBody(const share_renewal& aFrom, steady_time, pb::Envelope& aTo)
+{
+  auto* to = aTo.mutable_share_renewal();
+  Put(aFrom.renewal, *to);
+  to->set_domain(aFrom.domain);
+  to->set_is_to_root(aFrom.isToRoot);
+}
+
+void
+PutBody(const share_grant& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom.grant, *aTo.mutable_share_grant());
+}
+
+void
+PutBody(const rates::quota_request& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom, *aTo.mutable_token_draw());
+}
+
+void
+PutBody(const rates::quota_grant& aFrom, steady_time, pb::Envelope& aTo)
+{
+  Put(aFrom, *aTo.mutable_token_answer());
+}
+
+std::optional<message_body>
+GetBody(const pb::ShareRenewal& aFrom, steady_time)
+{
+  auto renewal = Get(aFrom);
+  if (!renewal) {
+    return std::nullopt;
+  }
+  return share_renewal{ std::move(*renewal),
+                        aFrom.domain(),
+                        aFrom.is_to_root() };
+}
+
+std::optional<message_body>
+GetBody(const pb::ShareGrant& aFrom, steady_time)
+{
+  auto grant = Get(aFrom);
+  if (!grant) {
+    return std::nullopt;
+  }
+  return share_grant{ std::move(*grant) };
+}
+
+std::optional<message_body>
+GetBody(const pb::TokenDraw& aFrom, steady_time)
+{
+  auto request = Get(aFrom);
+  return request ? std::optional<message_body>(std::move(*request))
+                 : std::nullopt;
+}
+
+std::optional<message_body>
+GetBody(const pb::TokenAnswer& aFrom, steady_time)
+{
+  auto answer = Get(aFrom);
+  return answer ? std::optional<message_body>(std::move(*answer))
+                : std::nullopt;
+}
+
 } // namespace bulrush::wire
