Run admission of a traffic thread in a class of its own

The lease and the key are still checked by traffic.cpp when a request is admitted. No behaviour changes; test_entry and test_control pass.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -1,6 +1,6 @@
 #include "entry/traffic.hpp"
 
-#include "entry/admission.hpp"
+#include "entry/admission_runner.hpp"
 #include "entry/openai.hpp"
 #include "entry/outcomes.hpp"
 #include "entry/request_log.hpp"
@@ -19,21 +19,6 @@
 
 constexpr log_component kLog{ "entry" };
 
-/// A request waits for tokens at most this fraction of its target latency;
-/// after a later refusal the caller would have too little time left to retry.
-constexpr int kMaxWaitDivisor = 8;
-/// The same while the leader is unreachable: another is elected within a
-/// second.
-constexpr int kLeaderlessMaxWaitDivisor = 2;
-/// Shortest wait limit. The leader's answer takes a few milliseconds.
-constexpr std::chrono::milliseconds kMinWaitLimit{ 40 };
-/// Interval between the lines about the use of quotas.
-constexpr std::chrono::seconds kQuotaLogInterval{ 5 };
-
-// Admitted even while no endpoint is known, so that routing can answer with the
-// proper error.
-constexpr std::size_t kMinCapacity = 16;
-
 // New at each start, so that ids of an earlier process are not repeated.
 std::uint64_t
 NewSeed()
@@ -54,10 +39,13 @@
     : mContext(aContext)
     , mSettings(std::move(aSettings))
     , mHooks(std::move(aHooks))
-    , mAdmission(
-        MakeAdmission(IdOf<host_id>(mSettings.hostName), mSettings.incarnation))
-    , mAdmissionTimer(aContext,
-                      [this](steady_time aNow) { return TickAdmission(aNow); })
+    , mAdmission(aContext,
+                 { mSettings.hostName,
+                   mSettings.incarnation,
+                   mSettings.domain,
+                   mSettings.tolerance,
+                   &mSettings.front },
+                 AdmissionHooks())
     , mRecorder(Seeded(mSettings.recording))
     , mRandom(NewSeed())
     , mRunner(aContext,
@@ -65,7 +53,7 @@
                 NewSeed(),
                 &mSettings.front,
                 mSettings.retries,
-                ColdGate(),
+                mAdmission.ColdGate(),
                 IdOf<host_id>(mSettings.hostName) },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand,
@@ -77,7 +65,6 @@
 
   bool Start(last_reason& aReason)
   {
-    mAdmission.tolerance = mSettings.tolerance;
     mSettings.http.onReadError =
       [this](net::http_reply& aReply, int aStatus, const std::string& aText) {
         const caller_error error =
@@ -109,9 +96,7 @@
   {
     mView = std::move(aView);
     mRunner.SetView(mView);
-    SetFleet(
-      mAdmission, *mView.fleet, IdOf<domain_id>(mSettings.domain), Now());
-    mAdmission.capacity = Capacity();
+    mAdmission.SetView(mView);
     const caller_limits& limits = mView.fleet->declared.callers;
     mServer->SetLimits({ limits.maxHeaderBytes,
                          limits.maxBodyBytes,
@@ -120,18 +105,15 @@
     if (mView.isStopping) {
       mServer->BeginDrain();
     }
-    mAdmissionTimer.RunSoon();
   }
   void HandleShareGrant(admission::grant aGrant)
   {
-    mAdmission.escrow.grants.push_back(std::move(aGrant));
-    mAdmissionTimer.RunSoon();
+    mAdmission.HandleShareGrant(std::move(aGrant));
     mRunner.RunSoon();
   }
   void HandleQuotaGrant(rates::quota_grant aGrant)
   {
-    mAdmission.quotas.grants.push_back(std::move(aGrant));
-    mAdmissionTimer.RunSoon();
+    mAdmission.HandleQuotaGrant(std::move(aGrant));
   }
   void HandleEvidence(const quarantine::evidence& aEvidence)
   {
@@ -139,22 +121,24 @@
   }
   std::size_t OpenRequests() const
   {
-    return std::max(mRunner.OpenRequests(), mAdmission.requests.Size());
+    return std::max(mRunner.OpenRequests(), mAdmission.OpenRequests());
   }
 
   void BeginStop(const stop_plan& aPlan)
   {
     LogStop(aPlan, OpenRequests(), Now());
     mRunner.SetStop(aPlan);
-    mAdmission.admitBy = aPlan.placeBy;
-    mAdmissionTimer.RunSoon();
+    mAdmission.SetStop(aPlan);
   }
 
+  // Once admission has no requests left and has returned the shares, the server
+  // stops when the runner is idle and its answers are sent.
   void StopWhenIdle(std::function<void()> aOnStopped)
   {
     mIsRefusing = true;
-    mOnStopped = std::move(aOnStopped);
-    mAdmissionTimer.RunSoon();
+    mAdmission.ReturnSharesWhenIdle([this, hook = std::move(aOnStopped)] {
+      mRunner.WhenIdle([this, hook] { mServer->StopWhenFlushed(hook); });
+    });
   }
 
 private:
@@ -164,27 +148,16 @@
     return aSettings;
   }
 
-  // The gate is part of admission, whose tick requests missing quota or slots.
-  routing::cold_gate ColdGate()
+  admission_runner_hooks AdmissionHooks()
   {
-    routing::cold_gate gate;
-    gate.isOpen = [this](const routing::endpoint_facts& aEndpoint,
-                         steady_time aNow) {
-      const bool isOpen = IsColdGateOpen(mAdmission, aEndpoint, aNow);
-      if (!isOpen) {
-        mAdmissionTimer.RunSoon();
-      }
-      return isOpen;
-    };
-    gate.acquire = [this](const routing::endpoint_facts& aEndpoint,
-                          steady_time aEnds,
-                          steady_time aNow) {
-      EnterColdGate(mAdmission, aEndpoint, aEnds, aNow);
-    };
-    gate.release = [this](endpoint_id aEndpoint, std::uint64_t aIncarnation) {
-      LeaveColdGate(mAdmission, aEndpoint, aIncarnation);
+    admission_runner_hooks hooks;
+    hooks.onRenewal = mHooks.onRenewal;
+    hooks.onQuotaRequest = mHooks.onQuotaRequest;
+    hooks.onAdmitted = [this](routed_request aRequest, steady_time aNow) {
+      StartAdmitted(std::move(aRequest), aNow);
     };
-    return gate;
+    hooks.onNewQuota = [this] { mRunner.RunSoon(); };
+    return hooks;
   }
 
   std::string MetricsPage()
@@ -333,21 +306,7 @@
     Route(aRequest, std::move(*call), std::move(resolved), std::move(aReply));
   }
 
-  bool HasLease() const
-  {
-    return admission::MayServe(mAdmission.escrow.link, Now());
-  }
-
-  // Concurrent requests that the endpoints accept; more would queue up there.
-  std::size_t Capacity() const
-  {
-    std::size_t slots = 0;
-    for (const endpoint_row& row : *mView.endpoints) {
-      const bool isUsable = !row.isLeaving && !IsOut(*mView.fleet, row.domain);
-      slots += isUsable ? row.slots : 0;
-    }
-    return std::max(slots, kMinCapacity);
-  }
+  bool HasLease() const { return mAdmission.HasLease(Now()); }
 
   // Callers' requests are sent to reported endpoints, so reports need the
   // secret.
@@ -426,105 +385,12 @@
     const bool isLimited = aResolved.workspace != nullptr &&
                            aResolved.workspace->tokensPerSecond > 0;
     if (isLimited) {
-      Admit(std::move(routed), aResolved);
+      mAdmission.Admit(std::move(routed), aResolved);
     } else {
       mRunner.Start(std::move(routed)); // unlimited
     }
   }
 
-  // The pool grants whole requests, so one that is larger than the pool can
-  // never be granted.
-  std::int64_t LargestRequest(const workspace_row& aWorkspace) const
-  {
-    if (!ToleratesWindow(mAdmission)) {
-      return static_cast<std::int64_t>(aWorkspace.burstTokens);
-    }
-    const rates::split_rate split = rates::SplitRate(mSettings.tolerance,
-                                                     aWorkspace.tokensPerSecond,
-                                                     aWorkspace.burstTokens,
-                                                     mView.fleet->hosts);
-    return split.pool.size / admission::kUnitsPerToken;
-  }
-
-  // Queues the request for tokens and its turn; it is routed once admitted.
-  void Admit(routed_request aRouted, const resolved_call& aResolved)
-  {
-    const std::int64_t tokens = aResolved.tokens;
-    const auto* workspace =
-      mView.fleet->declared.workspaces.Find(aRouted.facts.workspace);
-    if (workspace != nullptr && tokens > LargestRequest(*workspace)) {
-      SendError(*aRouted.reply,
-                ErrorOf({ refusal_kind::eTooLarge, {} }),
-                aRouted.facts.id);
-      return;
-    }
-    const request_id id = aRouted.facts.id;
-    admitted_row row;
-    row.id = id;
-    row.workspace = aRouted.facts.workspace;
-    row.kind = aResolved.kind;
-    if (aResolved.target.count() > 0) {
-      row.maxWait = std::max<std::chrono::nanoseconds>(
-        kMinWaitLimit, aResolved.target / kMaxWaitDivisor);
-      row.maxWaitWithoutLeader = aResolved.target / kLeaderlessMaxWaitDivisor;
-    }
-    row.tokens = tokens;
-    row.arrivedAt = Now();
-    row.deadline = aRouted.facts.deadline;
-    row.onRefused = [this,
-                     reply = aRouted.reply,
-                     callerId = aRouted.callerId,
-                     name = aRouted.workspaceName,
-                     workspace = aRouted.facts.workspace,
-                     id,
-                     tokens](const refusal& aRefusal) {
-      LogRefusal(callerId, name, workspace, tokens, aRefusal);
-      SendError(*reply, ErrorOf(aRefusal), id);
-    };
-    aRouted.reply->onDisconnected = [this, id] { Release(id, 0); };
-    aRouted.onEnded = [this, id, tokens](std::optional<std::int64_t> aUsed) {
-      Release(id, aUsed.value_or(tokens));
-    };
-    auto routed = std::make_shared<routed_request>(std::move(aRouted));
-    row.onAdmitted = [this, routed](steady_time aNow) {
-      StartAdmitted(std::move(*routed), aNow);
-    };
-    entry::Admit(mAdmission, std::move(row));
-    mAdmissionTimer.RunSoon();
-  }
-
-  // Units of a rate that this thread holds in the escrow.
-  std::int64_t HeldUnits(const admission::resource& aWhat) const
-  {
-    const auto* holding =
-      mAdmission.escrow.holdings.Find(admission::IdOfResource(aWhat));
-    return holding == nullptr ? 0 : holding->undivided.level;
-  }
-
-  void LogRefusal(const std::string& aCallerId,
-                  const std::string& aName,
-                  workspace_id aWorkspace,
-                  std::int64_t aTokens,
-                  const refusal& aRefusal)
-  {
-    const admission::resource what = admission::RateOf(aWorkspace);
-    const std::int64_t units =
-      mSettings.tolerance.window.count() > 0
-        ? rates::Available(mAdmission.quotas, what, Now())
-        : HeldUnits(what);
-    LogEvent(
-      kLog,
-      log_level::eInfo,
-      "request_refused",
-      { { "request", aCallerId },
-        { "code", ErrorOf(aRefusal).code },
-        { "workspace", aName },
-        { "tokens", std::to_string(aTokens) },
-        { "tokens_here", std::to_string(units / admission::kUnitsPerToken) },
-        { "pool_answers", mAdmission.quotas.isReachable ? "yes" : "no" },
-        { "revision", std::to_string(mView.fleet->revision) } });
-  }
-
   // A denied request leaves no other line. Its cause is the configuration in
   // force here, which may lag behind the leader's.
   void LogDenial(const std::string& aCallerId,
@@ -567,98 +433,23 @@
     const key_hash& key = aRouted.facts.key;
     const bool isKeyGood =
       FindWorkspace(*mView.fleet, key) && !mView.tombstones->contains(key);
-    const bool hasLease = mSettings.servesWithoutLease ||
-                          admission::MayServe(mAdmission.escrow.link, aNow);
+    const bool hasLease =
+      mSettings.servesWithoutLease || mAdmission.HasLease(aNow);
     if (isKeyGood && hasLease) {
       mRunner.Start(std::move(aRouted));
       return;
     }
-    Release(aRouted.facts.id, 0);
+    mAdmission.Release(aRouted.facts.id, 0);
     const caller_error error = isKeyGood ? NoLease() : ErrorOfLostKey(key);
     LogDenial(aRouted.callerId, aRouted.path, error);
     SendError(*aRouted.reply, error, aRouted.facts.id);
   }
 
-  void Release(request_id aRequest, std::int64_t aUsedTokens)
-  {
-    Finish(mAdmission, aRequest, aUsedTokens, Now());
-    mAdmissionTimer.RunSoon();
-  }
-
-  wake_time TickAdmission(steady_time aNow)
-  {
-    admission_outbox out;
-    const bool wasReachable = mAdmission.quotas.isReachable;
-    RunAdmission(mAdmission, aNow, out);
-    if (mAdmission.quotas.isReachable != wasReachable) {
-      LogEvent(kLog,
-               log_level::eInfo,
-               wasReachable ? "pool_lost" : "pool_back",
-               { { "draw", std::to_string(mAdmission.quotas.sequence) } });
-    }
-    LogQuotaUse(aNow);
-    for (admission::renewal& report : out.renewals) {
-      mHooks.onRenewal(std::move(report));
-    }
-    if (out.quotaRequest) {
-      mHooks.onQuotaRequest(std::move(*out.quotaRequest));
-    }
-    if (out.hasNewQuota) {
-      mRunner.RunSoon();
-    }
-    for (const auto& [hook, refused] : out.refused) {
-      hook(refused);
-    }
-    for (const admit_hook& hook : out.admitted) {
-      hook(aNow);
-    }
-    if (mOnStopped && mAdmission.requests.Empty()) {
-      ReturnShares(aNow);
-    }
-    return out.wake;
-  }
-
-  // Totals of all workspaces since the start, so that a lost line loses
-  // nothing. Expired tokens were granted here and missed by other hosts.
-  void LogQuotaUse(steady_time aNow)
-  {
-    if (!ToleratesWindow(mAdmission) || aNow < mNextQuotaLog) {
-      return;
-    }
-    mNextQuotaLog = aNow + kQuotaLogInterval;
-    const auto tokens = [](std::int64_t aUnits) {
-      return std::to_string(aUnits / admission::kUnitsPerToken);
-    };
-    const rates::quota_totals& totals = mAdmission.quotas.totals;
-    LogEvent(kLog,
-             log_level::eInfo,
-             "quota_use",
-             { { "requested", tokens(totals.requested) },
-               { "granted", tokens(totals.granted) },
-               { "granted_used", tokens(totals.grantedUsed) },
-               { "expired", tokens(totals.expired) },
-               { "baseline_used", tokens(totals.baselineUsed) },
-               { "hosts", std::to_string(mView.fleet->hosts) } });
-  }
-
-  // Once admission has no requests left, returns the shares; the server stops
-  // when the runner is idle and its answers are sent.
-  void ReturnShares(steady_time aNow)
-  {
-    admission::escrow_outbox out;
-    admission::Leave(mAdmission.escrow, aNow, out);
-    mHooks.onRenewal(std::move(out.renewals.front()));
-    mRunner.WhenIdle([this, hook = std::exchange(mOnStopped, nullptr)] {
-      mServer->StopWhenFlushed(hook);
-    });
-  }
-
   asio::io_context& mContext;
   traffic_settings mSettings;
   control_hooks mHooks;
   traffic_view mView;
-  admission_tables mAdmission;
-  net::tick_timer mAdmissionTimer;
+  admission_runner mAdmission;
   recorder mRecorder;
   random_engine mRandom;
   request_runner mRunner;
@@ -666,9 +457,7 @@
   std::unique_ptr<net::http_server> mReadiness;
   std::unique_ptr<net::http_server> mMetrics;
   bool mIsRefusing = false;
-  std::function<void()> mOnStopped; ///< set while open requests finish
   std::uint64_t mLastRequest = 0;
-  steady_time mNextQuotaLog;
 };
 
 traffic_thread::traffic_thread(asio::io_context& aContext,
