Call one rule for a successful status and one end without an attempt

Three sources had the bounds of a successful status, and the end of a request for its prompt repeated the end for lack of an endpoint. routing::IsSuccess and EndUnplaced serve both. test_routing, test_entry and test_control pass.

--- a/src/entry/endpoint_calls.cpp
+++ b/src/entry/endpoint_calls.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 /// Round trips within a region take a few milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
 constexpr std::size_t kMaxBufferedBytes = 33'554'432;
@@ -33,10 +31,8 @@
   head.isFirstOnConnection = aHead.isFirstOnConnection;
   row->head = head;
   LogLeaving(*row, head);
-  const bool isSuccess =
-    aHead.status >= kFirstSuccess && aHead.status < kFirstRedirect;
-  row->answer = std::make_unique<answer_buffer>(row->isStreamed && isSuccess,
-                                                head.startOffset);
+  row->answer = std::make_unique<answer_buffer>(
+    row->isStreamed && routing::IsSuccess(aHead.status), head.startOffset);
   if (mFront.eventIdsRise) {
     const waiting_row* waiting = mWaiting.Find(row->request);
     row->answer->RequireRisingIds(waiting == nullptr ? "" : waiting->lastEvent);
@@ -107,11 +103,10 @@
     how = routing::attempt_end::eTruncated;
     text = "truncated";
   }
-  const bool isSuccess =
-    row.status >= kFirstSuccess && row.status < kFirstRedirect;
   const bool endsInsideEvent =
     row.answer != nullptr && row.answer->EndsInsideEvent();
-  if (how != routing::attempt_end::eComplete || !isSuccess) {
+  if (how != routing::attempt_end::eComplete ||
+      !routing::IsSuccess(row.status)) {
     LogFailure(
       row, text, endsInsideEvent ? "ended inside an event" : aEnd.error);
   }
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -9,8 +9,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kMisdirected = 421;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
 
@@ -50,9 +48,7 @@
   if (!isEchoed && (head.echoed || !mayLackEcho)) {
     return false;
   }
-  const bool isSuccess =
-    head.status >= kFirstSuccess && head.status < kFirstRedirect;
-  return !aRequest.facts.isStreamed || !isSuccess ||
+  return !aRequest.facts.isStreamed || !IsSuccess(head.status) ||
          head.startOffset == aAttempt.startOffset;
 }
 
@@ -333,8 +329,7 @@
 IsForwardedOnArrival(const request_row& aRequest, const attempt_row& aAttempt)
 {
   return aRequest.facts.isStreamed && aAttempt.head &&
-         aAttempt.head->status >= kFirstSuccess &&
-         aAttempt.head->status < kFirstRedirect;
+         IsSuccess(aAttempt.head->status);
 }
 
 void
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -90,6 +90,14 @@
                     steady_time aNow,
                     outbox& aOutbox);
 
+/// Ends a request that waits for an endpoint: with aOutcome, or as a broken
+/// stream if a part of its answer was forwarded.
+void EndUnplaced(const options& aOptions,
+                 request_row& aRequest,
+                 request_outcome aOutcome,
+                 steady_time aNow,
+                 outbox& aOutbox);
+
 /// Ends a request that has no live attempt and records its claim's outcome.
 void EndRequest(const options& aOptions,
                 request_row& aRequest,
--- a/src/routing/quarantine.cpp
+++ b/src/routing/quarantine.cpp
@@ -12,8 +12,6 @@
 constexpr std::uint64_t kEventsOfACrash = 1;
 /// Bytes of a process that has ended are handled within this time.
 constexpr std::chrono::milliseconds kLateBytes{ 500 };
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
 
 bool
 WaitsForAnswer(const tables& aTables,
@@ -46,7 +44,7 @@
     aFacts.sharedParts.begin(), aFacts.sharedParts.end(), [&](part_id aPart) {
       const auto* row = aTables.quarantined.suspects.Find(aPart);
       return row != nullptr &&
-             quarantine::IsQuarantined(aTables.quarantined, *row);
+             quarantine::IsQuarantined(aTables.quarantined.settings, *row);
     });
 }
 
@@ -108,18 +106,11 @@
                steady_time aNow,
                outbox& aOutbox)
 {
-  request_outcome outcome = aVerdict.kind == quarantine::verdict_kind::eRefuse
-                              ? request_outcome::eQuarantined
-                              : request_outcome::eSuspected;
-  if (aRequest.hasForwarded) {
-    outcome = request_outcome::eBrokenStream;
-  }
-  EndRequest(aTables.settings,
-             aRequest,
-             outcome,
-             CurrentRanState(aRequest),
-             aNow,
-             aOutbox);
+  const request_outcome outcome =
+    aVerdict.kind == quarantine::verdict_kind::eRefuse
+      ? request_outcome::eQuarantined
+      : request_outcome::eSuspected;
+  EndUnplaced(aTables.settings, aRequest, outcome, aNow, aOutbox);
   aOutbox.ends.back().part = aVerdict.part;
 }
 
@@ -146,12 +137,11 @@
                    bool aIsComplete,
                    steady_time aNow)
 {
-  const int status = aAttempt.head->status;
-  const bool isSuccess = status >= kFirstSuccess && status < kFirstRedirect;
   const bool hasGoneOn =
     IsForwardedOnArrival(aRequest, aAttempt) &&
     aAttempt.received > aAttempt.startOffset + kEventsOfACrash;
-  if (!aAttempt.isAnswered && isSuccess && (hasGoneOn || aIsComplete)) {
+  if (!aAttempt.isAnswered && IsSuccess(aAttempt.head->status) &&
+      (hasGoneOn || aIsComplete)) {
     aAttempt.isAnswered = true;
     quarantine::RecordAnswer(
       aTables.quarantined, aRequest.facts.sharedParts, aNow);
--- a/src/routing/rows.hpp
+++ b/src/routing/rows.hpp
@@ -264,6 +264,14 @@
   std::optional<std::chrono::milliseconds> retryAfter{};
 };
 
+constexpr bool
+IsSuccess(int aStatus)
+{
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
 /// How an attempt ended at the transport.
 enum class attempt_end : std::uint8_t
 {
--- a/src/routing/start.cpp
+++ b/src/routing/start.cpp
@@ -85,25 +85,17 @@
   aTables.attempts.Insert(attempt);
 }
 
-// Ends a request that timed out while it waited, without a live attempt.
+// Ends a request that found no endpoint in time.
 void
-EndUnplaced(tables& aTables,
-            request_row& aRequest,
-            steady_time aNow,
-            outbox& aOutbox)
+EndWithoutChoice(tables& aTables,
+                 request_row& aRequest,
+                 steady_time aNow,
+                 outbox& aOutbox)
 {
-  request_outcome outcome = aRequest.wasNotResident
-                              ? request_outcome::eNotResident
-                              : request_outcome::eNoSlot;
-  if (aRequest.hasForwarded) {
-    outcome = request_outcome::eBrokenStream;
-  }
-  EndRequest(aTables.settings,
-             aRequest,
-             outcome,
-             CurrentRanState(aRequest),
-             aNow,
-             aOutbox);
+  const request_outcome outcome = aRequest.wasNotResident
+                                    ? request_outcome::eNotResident
+                                    : request_outcome::eNoSlot;
+  EndUnplaced(aTables.settings, aRequest, outcome, aNow, aOutbox);
   aOutbox.ends.back().retryAfter = TimeUntilAccepted(aTables, aRequest, aNow);
 }
 
@@ -190,6 +182,21 @@
 
 } // namespace
 
+void
+EndUnplaced(const options& aOptions,
+            request_row& aRequest,
+            request_outcome aOutcome,
+            steady_time aNow,
+            outbox& aOutbox)
+{
+  EndRequest(aOptions,
+             aRequest,
+             aRequest.hasForwarded ? request_outcome::eBrokenStream : aOutcome,
+             CurrentRanState(aRequest),
+             aNow,
+             aOutbox);
+}
+
 steady_time
 LastPlacement(const options& aOptions, const request_row& aRequest)
 {
@@ -218,7 +225,7 @@
     }
     const steady_time lastStart = LastStart(aTables.settings, request);
     if (aNow >= lastStart) {
-      EndUnplaced(aTables, request, aNow, aOutbox);
+      EndWithoutChoice(aTables, request, aNow, aOutbox);
       continue;
     }
     if (judged.kind == quarantine::verdict_kind::eWait) {
@@ -231,7 +238,7 @@
     if (chosen.failure &&
         (aNow >= last || chosen.availableAt >= last ||
          (request.wasNotResident && IsTargetGone(aTables, request.facts)))) {
-      EndUnplaced(aTables, request, aNow, aOutbox);
+      EndWithoutChoice(aTables, request, aNow, aOutbox);
       continue;
     }
     if (chosen.failure) {
