Name the state of a part of prompts in one place

bulrushctl and the log lines each had the names, and each of two logs its own list of parts. IsQuarantined takes the options that it needs, so bulrushctl builds no tables for it.

--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -295,17 +295,13 @@
 PromptPartsJson(const quarantine::evidence& aEvidence)
 {
   json parts = json::array();
-  const quarantine::tables defaults;
   const auto now = net::Now();
   for (const quarantine::suspect_row& row : aEvidence.suspects) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       now - (row.isHeld ? row.heldAt : row.newestCrash));
     parts.push_back(
       { { "part", fmt::format("{:x}", row.id.value) },
-        { "state",
-          row.isHeld                                 ? "held"
-          : quarantine::IsQuarantined(defaults, row) ? "quarantined"
-                                                     : "suspected" },
+        { "state", quarantine::StateName(quarantine::options{}, row) },
         { "crashes", row.crashes.size() },
         { "trials", row.lastTrial.number },
         { "age_ms", age.count() } });
--- a/src/control/quarantine.cpp
+++ b/src/control/quarantine.cpp
@@ -27,7 +27,7 @@
       quarantined, std::vector(hosts.begin(), hosts.end()), aNow, aOutbox.wake);
   }
   LogEvidence(kLog,
-              quarantined,
+              quarantined.settings,
               quarantine::ChangesSince(quarantined, aTables.loggedEvidence));
   aTables.loggedEvidence = quarantined.serial;
 }
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -1,6 +1,7 @@
 #include "entry/request_log.hpp"
 
 #include "observe/observe.hpp"
+#include "program/program.hpp"
 
 namespace bulrush::entry {
 namespace {
@@ -29,16 +30,6 @@
   return texts;
 }
 
-std::string
-DescribeParts(const std::vector<part_id>& aParts)
-{
-  std::string text;
-  for (const part_id part : aParts) {
-    text += (text.empty() ? "" : ",") + FormatId(part.value);
-  }
-  return text;
-}
-
 } // namespace
 
 std::string
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -81,8 +81,9 @@
 {
   quarantine_counts counts;
   for (const auto& row : mEngine.quarantined.suspects) {
-    ++(quarantine::IsQuarantined(mEngine.quarantined, row) ? counts.quarantined
-                                                           : counts.suspected);
+    ++(quarantine::IsQuarantined(mEngine.quarantined.settings, row)
+         ? counts.quarantined
+         : counts.suspected);
   }
   return counts;
 }
@@ -176,7 +177,7 @@
   auto changes =
     quarantine::ChangesSince(mEngine.quarantined, mPublishedEvidence);
   if (!changes.Empty()) {
-    LogEvidence(kLog, mEngine.quarantined, changes);
+    LogEvidence(kLog, mEngine.quarantined.settings, changes);
     mOnEvidence(std::move(changes));
   }
   mPublishedEvidence = mEngine.quarantined.serial;
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -21,25 +21,6 @@
   return text;
 }
 
-std::string
-DescribeParts(const std::vector<part_id>& aParts)
-{
-  std::string text;
-  for (const part_id part : aParts) {
-    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.value);
-  }
-  return text;
-}
-
-const char*
-StateOf(const quarantine::tables& aTables, const quarantine::suspect_row& aRow)
-{
-  if (aRow.isHeld) {
-    return "held";
-  }
-  return quarantine::IsQuarantined(aTables, aRow) ? "quarantined" : "suspected";
-}
-
 } // namespace
 
 std::optional<net::link_keys>
@@ -55,9 +36,19 @@
   return net::ParseLinkKeys(secret->Reveal(), aReason);
 }
 
+std::string
+DescribeParts(const std::vector<part_id>& aParts)
+{
+  std::string text;
+  for (const part_id part : aParts) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",", part.value);
+  }
+  return text;
+}
+
 void
 LogEvidence(const log_component& aComponent,
-            const quarantine::tables& aTables,
+            const quarantine::options& aOptions,
             const quarantine::evidence& aChanges)
 {
   for (const quarantine::suspect_row& row : aChanges.suspects) {
@@ -65,7 +56,7 @@
              log_level::eInfo,
              "prompt_part",
              { { "part", fmt::format("{:x}", row.id.value) },
-               { "state", StateOf(aTables, row) },
+               { "state", quarantine::StateName(aOptions, row) },
                { "crashes", DescribeCrashes(row) },
                { "together", DescribeParts(row.together) },
                { "trial", std::to_string(row.lastTrial.number) } });
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -15,9 +15,12 @@
 std::optional<net::link_keys> ReadLinkKeys(const option_values& aOptions,
                                            last_reason& aReason);
 
-/// Writes a line for each row of aChanges, as it is in aTables.
+/// Ids of parts of prompts for a log line, in hexadecimal.
+std::string DescribeParts(const std::vector<part_id>& aParts);
+
+/// Writes a line for each row of aChanges.
 void LogEvidence(const log_component& aComponent,
-                 const quarantine::tables& aTables,
+                 const quarantine::options& aOptions,
                  const quarantine::evidence& aChanges);
 
 } // namespace bulrush
--- a/src/quarantine/evidence.cpp
+++ b/src/quarantine/evidence.cpp
@@ -434,7 +434,7 @@
 {
   const options& settings = aTables.settings;
   aTables.suspects.EraseIf([&](const suspect_row& aRow) {
-    return !IsQuarantined(aTables, aRow) &&
+    return !IsQuarantined(settings, aRow) &&
            aRow.newestCrash + settings.suspicionLifetime <= aNow;
   });
   const auto isOld = [&](const auto& aRow) {
--- a/src/quarantine/quarantine.hpp
+++ b/src/quarantine/quarantine.hpp
@@ -185,7 +185,9 @@
               steady_time aNow);
 
 /// Whether requests with the part alone are refused, but for trials.
-bool IsQuarantined(const tables& aTables, const suspect_row& aRow);
+bool IsQuarantined(const options& aOptions, const suspect_row& aRow);
+/// Short name for logs and displays: held, quarantined or suspected.
+const char* StateName(const options& aOptions, const suspect_row& aRow);
 
 /// Notes that a request with these parts is sent: it uses up their trials.
 void UseTrials(tables& aTables, std::span<const part_id> aParts);
--- a/src/quarantine/verdict.cpp
+++ b/src/quarantine/verdict.cpp
@@ -49,7 +49,7 @@
   if (aRow.isHeld) {
     return refused;
   }
-  const bool isQuarantined = IsQuarantined(aTables, aRow);
+  const bool isQuarantined = IsQuarantined(aTables.settings, aRow);
   if (isQuarantined && HasAllInCommon(aRow, aParts)) {
     return HasTrial(aTables, aRow, aNow) && !aIsUnderWay ? verdict{} : refused;
   }
@@ -88,10 +88,18 @@
 } // namespace
 
 bool
-IsQuarantined(const tables& aTables, const suspect_row& aRow)
+IsQuarantined(const options& aOptions, const suspect_row& aRow)
 {
-  return aRow.isHeld ||
-         aRow.crashes.size() >= aTables.settings.crashesToQuarantine;
+  return aRow.isHeld || aRow.crashes.size() >= aOptions.crashesToQuarantine;
+}
+
+const char*
+StateName(const options& aOptions, const suspect_row& aRow)
+{
+  if (aRow.isHeld) {
+    return "held";
+  }
+  return IsQuarantined(aOptions, aRow) ? "quarantined" : "suspected";
 }
 
 verdict
@@ -139,7 +147,7 @@
 {
   const options& settings = aTables.settings;
   for (suspect_row& row : aTables.suspects) {
-    if (row.isHeld || !IsQuarantined(aTables, row) || aHosts.empty()) {
+    if (row.isHeld || !IsQuarantined(settings, row) || aHosts.empty()) {
       continue;
     }
     const steady_time due =
