--- a/src/entry/answer.cpp
+++ b/src/entry/answer.cpp
@@ -32,7 +32,7 @@
 
 // Value of the first line of aEvent that holds aField, without the one space
 // that may come before it.
-std::optional<std::string>
+std::optional<std::string_view>
 FieldOf(std::string_view aEvent, std::string_view aField)
 {
   std::size_t line = 0;
@@ -48,7 +48,7 @@
       if (text.starts_with(' ')) {
         text.remove_prefix(1);
       }
-      return std::string(text);
+      return text;
     }
     line = end + 1;
   }
@@ -144,7 +144,7 @@
 bool
 answer_buffer::AddEvent(std::string aText)
 {
-  std::string idText = FieldOf(aText, "id").value_or("");
+  std::string idText(FieldOf(aText, "id").value_or(""));
   if (mRequiresRisingIds) {
     const auto id = ParseId(idText);
     if (id && mNewestId && *id <= *mNewestId) {
