--- a/tests/support/model_servers.cpp
+++ b/tests/support/model_servers.cpp
@@ -1,5 +1,7 @@
 #include "support/model_servers.hpp"
 
+#include "support/processes.hpp"
+
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
@@ -15,17 +17,6 @@
 
 using asio::ip::tcp;
 
-std::string
-FieldOf(const std::string& aHead, const std::string& aName)
-{
-  const std::size_t found = aHead.find("\r\n" + aName + ": ");
-  if (found == std::string::npos) {
-    return "";
-  }
-  const std::size_t from = found + aName.size() + 4;
-  return aHead.substr(from, aHead.find("\r\n", from) - from);
-}
-
 std::string
 EventText(int aNumber)
 {
@@ -197,7 +188,7 @@
                  asio::buffers_begin(mInput.data()) +
                    static_cast<std::ptrdiff_t>(aHeadBytes));
     mInput.consume(aHeadBytes);
-    const std::string length = FieldOf(mHead, "Content-Length");
+    const std::string length = HeaderField(mHead, "Content-Length");
     const std::size_t body = length.empty() ? 0 : std::stoul(length);
     const std::size_t missing = body - std::min(body, mInput.size());
     asio::async_read(mSocket,
@@ -215,18 +206,18 @@
   void Begin()
   {
     shared_state& state = mServer->state;
-    const std::string instance = FieldOf(mHead, "X-Expect-Instance");
+    const std::string instance = HeaderField(mHead, "X-Expect-Instance");
     if (!instance.empty() && instance != mServer->name) {
       Write("HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\n"
             "Content-Length: 0\r\n\r\n",
             [this] { ReadRequest(); });
       return;
     }
-    const std::string prompt = FieldOf(mHead, "X-Prompt-Prefix");
+    const std::string prompt = HeaderField(mHead, "X-Prompt-Prefix");
     state.arrivals.push_back(
-      { FieldOf(mHead, "X-Attempt-Id"), prompt, net::Now() });
+      { HeaderField(mHead, "X-Attempt-Id"), prompt, net::Now() });
     mEnd = state.end;
-    const std::string resumed = FieldOf(mHead, "Last-Event-Id");
+    const std::string resumed = HeaderField(mHead, "Last-Event-Id");
     mNext = resumed.empty() ? 1 : std::stoi(resumed) + 1;
     Wait(state.options.firstEvent, [this] { BeginAnswer(); });
   }
@@ -235,14 +226,14 @@
   {
     shared_state& state = mServer->state;
     const bool crashes =
-      HasPart(FieldOf(mHead, "X-Prompt-Prefix"), state.crashingPart);
+      HasPart(HeaderField(mHead, "X-Prompt-Prefix"), state.crashingPart);
     if (crashes && !state.options.sendsHead) {
       mServer->Crash();
       return;
     }
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                        "X-Server-Seal: seal\r\nX-Attempt-Id: " +
-                       FieldOf(mHead, "X-Attempt-Id") + "\r\n";
+                       HeaderField(mHead, "X-Attempt-Id") + "\r\n";
     head += IsChunked() ? "Transfer-Encoding: chunked\r\n\r\n"
                         : "Connection: close\r\n\r\n";
     Write(std::move(head), [this, crashes] {
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -204,6 +204,17 @@
   return result;
 }
 
+std::string
+HeaderField(const std::string& aHead, const std::string& aName)
+{
+  const std::size_t found = aHead.find("\r\n" + aName + ": ");
+  if (found == std::string::npos) {
+    return "";
+  }
+  const std::size_t from = found + aName.size() + 4;
+  return aHead.substr(from, aHead.find("\r\n", from) - from);
+}
+
 http_answer
 SendHttpRequest(const std::string& aMethod,
                 const std::string& aUrl,
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -71,6 +71,9 @@
   std::string error;
 };
 
+/// Value of a field of an HTTP head, with its name as sent; empty if none.
+std::string HeaderField(const std::string& aHead, const std::string& aName);
+
 /// Sends an HTTP request on a new connection and waits for the answer.
 http_answer SendHttpRequest(const std::string& aMethod,
                             const std::string& aUrl,
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -19,17 +19,6 @@
 constexpr std::size_t kEndlessBlockBytes = 65'536;
 constexpr std::string_view kAttemptMark = "{attempt}";
 
-std::string
-HeaderField(const std::string& aHead, const std::string& aName)
-{
-  const std::size_t found = aHead.find("\r\n" + aName + ": ");
-  if (found == std::string::npos) {
-    return "";
-  }
-  const std::size_t from = found + aName.size() + 4;
-  return aHead.substr(from, aHead.find("\r\n", from) - from);
-}
-
 // Head and body of one request; empty when the peer closed too early.
 std::string
 ReadRequest(int aSocket)
