Test streams that end inside an event in the completions interface

That it was free of this fault was known by reading only. Stream_WhenNoEndpointCompletesIt_IsVisiblyIncomplete plays three ends now: chunks without the last one, a part of an event before the connection's end, and one before the last chunk. Each is broken off for its caller and passes nothing of the partial event on.

--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -415,7 +415,10 @@
   const auto engine = AddRaw("engine");
   const auto other = AddRaw("other");
   WaitForEngines();
-  const std::deque<response_mode> broken(4, response_mode::eTruncateChunks);
+  const auto how = GENERATE(response_mode::eTruncateChunks,
+                            response_mode::eEndInsideEvent,
+                            response_mode::eEndChunksInsideEvent);
+  const std::deque<response_mode> broken(4, how);
   engine->SetResponseModes(broken);
   other->SetResponseModes(broken);
   const http_answer answer = Complete(0, raw_endpoint::kTokens, true);
@@ -424,6 +427,7 @@
   CHECK(answer.body.find("\"content\":\"t0 \"") != std::string::npos);
   CHECK(answer.body.find("HTTP/1.1") == std::string::npos);
   CHECK(answer.body.find("[DONE]") == std::string::npos);
+  CHECK(answer.body.ends_with("\n\n"));
 }
 
 TEST_CASE_METHOD(requests_fixture,
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -73,22 +73,34 @@
 }
 
 std::string
-StreamAnswer(const std::string& aHead, bool aIsTruncated)
+StreamAnswer(const std::string& aHead, response_mode aMode)
 {
+  const bool isHalf = aMode == response_mode::eTruncateChunks ||
+                      aMode == response_mode::eEndInsideEvent ||
+                      aMode == response_mode::eEndChunksInsideEvent;
+  const bool isChunked = aMode != response_mode::eEndInsideEvent;
+  const auto frame = [isChunked](const std::string& aText) {
+    return isChunked ? Chunk(aText) : aText;
+  };
   const std::string resume = HeaderField(aHead, "Bulrush-Resume");
   const int from = resume.empty() ? 0 : std::stoi(resume);
-  const int to =
-    aIsTruncated ? raw_endpoint::kTokens / 2 : raw_endpoint::kTokens;
-  std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                       "Transfer-Encoding: chunked\r\nConnection: close\r\n"
-                       "Bulrush-Resume: " +
-                       std::to_string(from) + "\r\nBulrush-Attempt: " +
-                       HeaderField(aHead, "Bulrush-Attempt") + "\r\n\r\n";
+  const int to = isHalf ? raw_endpoint::kTokens / 2 : raw_endpoint::kTokens;
+  std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+  answer += isChunked ? "Transfer-Encoding: chunked\r\n" : "";
+  answer += "Connection: close\r\nBulrush-Resume: " + std::to_string(from) +
+            "\r\nBulrush-Attempt: " + HeaderField(aHead, "Bulrush-Attempt") +
+            "\r\n\r\n";
   for (int token = from; token < to; ++token) {
-    answer += Chunk(TokenEvent(token));
+    answer += frame(TokenEvent(token));
   }
-  if (!aIsTruncated) {
-    answer += Chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+  if (!isHalf) {
+    answer += frame("data: [DONE]\n\n");
+  } else if (aMode != response_mode::eTruncateChunks) {
+    const std::string event = TokenEvent(std::max(from, to));
+    answer += frame(event.substr(0, event.size() / 2));
+  }
+  if (isChunked && aMode != response_mode::eTruncateChunks) {
+    answer += "0\r\n\r\n";
   }
   return answer;
 }
@@ -298,7 +310,7 @@
   }
   const bool isStream = request.find("\"stream\":true") != std::string::npos;
   std::string answer =
-    isStream ? StreamAnswer(request, mode == response_mode::eTruncateChunks)
+    isStream ? StreamAnswer(request, mode)
              : JsonAnswer(request, mode == response_mode::eTruncateBody);
   if (mIsLeaving) {
     const std::size_t statusEnd = answer.find("\r\n") + 2;
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -19,10 +19,14 @@
 enum class response_mode
 {
   eComplete,
-  eClose,         ///< closes the connection after the request
-  eTruncateHead,  ///< closes the connection within the header fields
-  eTruncateBody,  ///< sends fewer bytes than Content-Length
-  eTruncateChunks ///< sends only the first half of a stream
+  eClose,          ///< closes the connection after the request
+  eTruncateHead,   ///< closes the connection within the header fields
+  eTruncateBody,   ///< sends fewer bytes than Content-Length
+  eTruncateChunks, ///< sends only the first half of a stream
+  /// The same and a part of an event, then the connection's end or the last
+  /// chunk ends the message.
+  eEndInsideEvent,
+  eEndChunksInsideEvent
 };
 
 /// Bytes sent for a request: a start, then a block that is repeated until the
