--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -46,6 +46,14 @@
     "",
     "Instead of peers: addresses of some control processes to join; their IP "
     "addresses are used with the port of listen" },
+  { "memory-limit",
+    option_type::eInteger,
+    "MB",
+    "256",
+    "64",
+    "",
+    "Memory that the process may use; two fifths of it may hold requests and "
+    "answers" },
   { "first-start",
     option_type::eBool,
     "",
--- a/src/entry/caller_answers.cpp
+++ b/src/entry/caller_answers.cpp
@@ -34,8 +34,11 @@
   std::string bytes = row.answer->Take(aForward.count);
   if (!row.answer->IsStream()) {
     waiting.body = std::move(bytes);
+    row.held.Detach();
+    waiting.held = std::move(row.held);
     return;
   }
+  row.held.Set(row.answer->BufferedBytes());
   net::http_reply& reply = *waiting.request.reply;
   if (!waiting.isStarted) {
     waiting.isStarted = true;
@@ -45,9 +48,9 @@
     waiting.lastEvent = row.answer->LastEvent();
   }
   reply.Write(std::move(bytes));
-  if (reply.UnsentBytes() > kPauseAtBytes && !row.isPaused) {
-    row.isPaused = true;
-    mClient->Pause(row.call);
+  if (reply.UnsentBytes() > kPauseAtBytes) {
+    row.awaitsCaller = true;
+    UpdatePause(row.id);
   }
 }
 
@@ -56,9 +59,9 @@
 request_runner::implementation::OnDrained(request_id aRequest)
 {
   for (call_row& row : mCalls) {
-    if (row.request == aRequest && row.isPaused) {
-      row.isPaused = false;
-      mClient->Resume(row.call);
+    if (row.request == aRequest && row.awaitsCaller) {
+      row.awaitsCaller = false;
+      UpdatePause(row.id);
     }
   }
 }
--- a/src/entry/endpoint_calls.cpp
+++ b/src/entry/endpoint_calls.cpp
@@ -4,6 +4,8 @@
 
 #include "entry/request_log.hpp"
 
+#include <limits>
+
 namespace bulrush::entry {
 
 using net::Now;
@@ -12,7 +14,8 @@
 
 /// Round trips within a region take a few milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-constexpr std::size_t kMaxBufferedBytes = 33'554'432;
+/// Of one event; tokens take a few hundred bytes.
+constexpr std::size_t kMaxEventBytes = 1'048'576;
 
 } // namespace
 
@@ -61,13 +64,12 @@
   }
   const std::uint64_t first = row->answer->NextUnit();
   const std::uint64_t count = row->answer->Add(aBytes);
-  if (row->answer->BufferedBytes() > kMaxBufferedBytes) {
-    mClient->Cancel(row->call);
-    LogFailure(*row,
-               "truncated",
-               "buffered more than " + std::to_string(kMaxBufferedBytes) +
-                 " bytes");
-    End(aAttempt, routing::attempt_end::eTruncated);
+  const std::size_t held = row->answer->BufferedBytes();
+  row->held.Set(held);
+  const std::size_t limit = MaxHeldBytes(*row);
+  if (held > limit) {
+    EndForMemory(aAttempt,
+                 "buffered more than " + std::to_string(limit) + " bytes");
     return;
   }
   routing::OnAttemptBytes(
@@ -169,11 +171,59 @@
                                    : !aRow.answer->EndsInsideEvent();
 }
 
+// Of a stream, only the events that are not forwarded yet are held.
+std::size_t
+request_runner::implementation::MaxHeldBytes(const call_row& aRow) const
+{
+  const std::size_t limit = mAccount ? mAccount->Limits().oneHolder
+                                     : std::numeric_limits<std::size_t>::max();
+  return aRow.answer->IsStream() ? std::min(limit, kMaxEventBytes) : limit;
+}
+
+memory::holder
+request_runner::implementation::HoldAnswer(attempt_id aAttempt,
+                                           endpoint_id aEndpoint)
+{
+  memory::holder_hooks hooks;
+  hooks.onPause = [this, aAttempt](bool) { UpdatePause(aAttempt); };
+  hooks.onEnd = [this, aAttempt](const std::string& aReason) {
+    EndForMemory(aAttempt, aReason);
+  };
+  return { mAccount,
+           memory::holder_kind::eAnswer,
+           memory::owner_id{ aEndpoint.value },
+           std::move(hooks) };
+}
+
+// An answer is not read while the account, or the caller's connection, has no
+// room for it.
+void
+request_runner::implementation::UpdatePause(attempt_id aAttempt)
+{
+  call_row& row = *mCalls.Find(aAttempt);
+  const bool isPaused = row.awaitsCaller || row.held.IsPaused();
+  if (isPaused != row.isPaused) {
+    row.isPaused = isPaused;
+    isPaused ? mClient->Pause(row.call) : mClient->Resume(row.call);
+  }
+}
+
+void
+request_runner::implementation::EndForMemory(attempt_id aAttempt,
+                                             const std::string& aReason)
+{
+  call_row& row = *mCalls.Find(aAttempt);
+  mClient->Cancel(row.call);
+  LogFailure(row, "truncated", aReason);
+  End(aAttempt, routing::attempt_end::eTruncated);
+}
+
 // The row is kept until routing no longer needs its bytes.
 void
 request_runner::implementation::End(attempt_id aAttempt,
                                     routing::attempt_end aHow)
 {
+  mCalls.Find(aAttempt)->held.Detach();
   routing::OnAttemptEnd(mEngine, aAttempt, aHow, Now());
   mEnded.push_back(aAttempt);
   mTimer.RunSoon();
@@ -222,6 +272,10 @@
   row.startedAt = Now();
   row.request = aStart.request;
   row.isStreamed = waiting.request.facts.isStreamed;
+  row.held = HoldAnswer(attempt, aStart.endpoint);
+  if (mAccount && !row.isStreamed) {
+    call.maxBodyBytes = mAccount->Limits().oneHolder;
+  }
   row.call = mClient->Start(
     std::move(call),
     { [this, attempt](const net::http_answer_head& aHead) {
--- a/src/entry/options.hpp
+++ b/src/entry/options.hpp
@@ -121,6 +121,14 @@
     "1",
     "Share by which a window may exceed what a rate and its burst allow; as in "
     "bulrush-control" },
+  { "memory-limit",
+    option_type::eInteger,
+    "MB",
+    "256",
+    "64",
+    "",
+    "Memory that the process may use; two fifths of it may hold requests and "
+    "answers" },
   { "stop-delay",
     option_type::eDuration,
     "",
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -387,6 +387,7 @@
     settings.recording.thread = "traffic";
     settings.recording.writer = std::move(aSpans);
     settings.recording.traceShare = aOptions.Decimal("trace-share");
+    settings.account = MakeAccount(aOptions);
     return settings;
   }
 
@@ -513,6 +514,7 @@
     return 1;
   }
   SetLogLevel(*level);
+  ReturnFreedMemory();
   LogToStandardOutput();
   entry_process process(*options, *spans, *secret, std::move(*front));
   if (!process.Start(*options, reason)) {
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -1,6 +1,7 @@
 #include "entry/recorder.hpp"
 
 #include "entry/requests.hpp"
+#include "program/program.hpp"
 
 namespace bulrush::entry {
 namespace {
@@ -412,6 +413,7 @@
   page.Set(kQuarantinedParts,
            static_cast<double>(aGauges.quarantine.quarantined));
   page.Set(kSuspectedParts, static_cast<double>(aGauges.quarantine.suspected));
+  SetMemoryMetrics(page, aGauges.memory);
   return PrometheusText(std::span(&page, 1));
 }
 
--- a/src/entry/recorder.hpp
+++ b/src/entry/recorder.hpp
@@ -37,6 +37,7 @@
   std::size_t openRequests = 0;
   quarantine_counts quarantine;
   bool hasLease = false;
+  memory::usage memory;
 };
 
 class recorder
--- a/src/entry/request_claims.cpp
+++ b/src/entry/request_claims.cpp
@@ -81,9 +81,19 @@
   outcome.status = aRecord.status;
   outcome.contentType = ContentTypeOf(call.answerFields);
   outcome.body = row.body.empty() ? call.answer->Take(0) : row.body;
-  if (outcome.body.size() <= kMaxStoredBytes) {
-    Commit(outcome, aNow + kRecordTimeout, {});
+  const std::size_t size = outcome.body.size();
+  if (size > kMaxStoredBytes || (mAccount && !mAccount->Admit(size))) {
+    return; // a resend is answered "may have run"
   }
+  const std::uint64_t number = ++mLastOutcome;
+  memory::holder& held = mHeldOutcomes[number];
+  held = { mAccount, memory::holder_kind::eOutcome, memory::owner_id{}, {} };
+  held.Set(size);
+  Commit(outcome,
+         aNow + kRecordTimeout,
+         [this, number](const wire::command_reply&) {
+           mHeldOutcomes.erase(number);
+         });
 }
 
 void
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -21,6 +21,7 @@
   std::uint64_t token = 0;
   std::vector<net::http_field> answerFields; ///< for the caller
   std::string body;                          ///< of a non-streamed answer
+  memory::holder held;                       ///< of the body
   int status = 0;
   bool isStarted = false; ///< the head of a stream was sent to the caller
   std::string lastEvent;  ///< id of the last event sent to the caller
@@ -38,7 +39,9 @@
   std::optional<routing::answer_head> head;
   std::vector<net::http_field> answerFields;
   bool isStreamed = false;
-  bool isPaused = false;
+  bool isPaused = false;      ///< its answer is not read
+  bool awaitsCaller = false;  ///< the caller has not read what was sent
+  memory::holder held;        ///< of the answer
   std::unique_ptr<answer_buffer> answer;
 };
 
@@ -89,7 +92,11 @@
                   const std::string& aError) const;
   void LogKept(const routing::kept_attempt& aKept, steady_time aNow) const;
   bool IsWhole(const call_row& aRow) const;
+  std::size_t MaxHeldBytes(const call_row& aRow) const;
   void End(attempt_id aAttempt, routing::attempt_end aHow);
+  memory::holder HoldAnswer(attempt_id aAttempt, endpoint_id aEndpoint);
+  void UpdatePause(attempt_id aAttempt);
+  void EndForMemory(attempt_id aAttempt, const std::string& aReason);
   void EraseEnded();
   void StartCall(const routing::start_attempt& aStart);
   attempt_metadata AttemptOf(const routing::start_attempt& aStart,
@@ -145,6 +152,10 @@
   table<attempt_id, call_row> mCalls;
   std::vector<attempt_id> mEnded;
   std::vector<request_id> mAnswered;
+  std::shared_ptr<memory::account> mAccount;
+  /// Outcomes that are being committed, by number.
+  std::unordered_map<std::uint64_t, memory::holder> mHeldOutcomes;
+  std::uint64_t mLastOutcome = 0;
   std::unique_ptr<net::http_client> mClient;
   std::function<void()> mOnIdle;
   net::tick_timer mTimer;
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -32,6 +32,7 @@
   , mOnRefusedPart(std::move(aOnRefusedPart))
   , mClaimTokens(aSettings.seed)
   , mEngine(OptionsOf(aSettings), HooksOf(aSettings))
+  , mAccount(aSettings.account)
   , mClient(std::move(aClient))
   , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
 {
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -28,6 +28,7 @@
   std::string workspaceName;
   std::string resumeAfter; ///< id of the last event that the caller received
   std::shared_ptr<net::http_reply> reply;
+  std::shared_ptr<memory::holder> held; ///< what it holds of the account
   /// Called once at the end with the tokens used, if known.
   std::function<void(std::optional<std::int64_t> aUsedTokens)> onEnded;
 };
@@ -48,6 +49,7 @@
   retry_budget retries;
   routing::cold_gate coldGate;
   host_id host;
+  std::shared_ptr<memory::account> account; ///< not set: unbounded
 };
 
 /// Has the control thread commit a command; the reply is handled on this
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -9,6 +9,8 @@
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
+#include <asio/post.hpp>
+
 #include <random>
 
 namespace bulrush::entry {
@@ -18,6 +20,8 @@
 namespace {
 
 constexpr log_component kLog{ "entry" };
+/// Answers of usual size are passed on within this time.
+constexpr std::chrono::milliseconds kRetryAfterNoMemory{ 1'000 };
 
 // New at each start, so that ids of an earlier process are not repeated.
 std::uint64_t
@@ -54,7 +58,8 @@
                 &mSettings.front,
                 mSettings.retries,
                 mAdmission.ColdGate(),
-                IdOf<host_id>(mSettings.hostName) },
+                IdOf<host_id>(mSettings.hostName),
+                mSettings.account },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand,
               mHooks.onDemand,
@@ -65,16 +70,18 @@
 
   bool Start(last_reason& aReason)
   {
-    mSettings.http.onReadError =
-      [this](net::http_reply& aReply, int aStatus, const std::string& aText) {
-        const caller_error error =
-          aStatus == Stopping().status
-            ? Stopping()
-            : caller_error{
-                aStatus, ReadErrorCode(aStatus), aText, false, std::nullopt
-              };
-        SendError(aReply, error, request_id{ ++mLastRequest });
-      };
+    mSettings.http.onReadError = [this](net::http_reply& aReply,
+                                        const net::refused_read& aRead) {
+      RefuseRead(aReply, aRead);
+    };
+    mSettings.http.onUnreadEnded = [](const std::string& aPeer,
+                                      const std::string& aReason) {
+      LogEvent(kLog,
+               log_level::eWarning,
+               "unread_answer_ended",
+               { { "caller", aPeer }, { "reason", aReason } });
+    };
+    ShareAccount();
     auto server = net::Listen(
       mContext,
       mSettings.http,
@@ -168,7 +175,8 @@
                             mView.endpoints->size(),
                             mRunner.OpenRequests(),
                             mRunner.Quarantine(),
-                            HasLease() });
+                            HasLease(),
+                            mSettings.account->Usage() });
   }
 
   static void SendMetrics(net::http_reply& aReply, std::string aPage)
@@ -279,6 +287,42 @@
     return true;
   }
 
+  // All servers of this thread hold on the one account, which acts between two
+  // reads.
+  void ShareAccount()
+  {
+    for (net::http_server_settings* each :
+         { &mSettings.http,
+           mSettings.ready ? &*mSettings.ready : nullptr,
+           mSettings.metrics ? &*mSettings.metrics : nullptr }) {
+      if (each != nullptr) {
+        each->account = mSettings.account;
+      }
+    }
+    mSettings.account->onPressure = [this] {
+      asio::post(mContext, [account = mSettings.account] {
+        account->Balance();
+      });
+    };
+  }
+
+  void RefuseRead(net::http_reply& aReply, const net::refused_read& aRead)
+  {
+    caller_error error{
+      aRead.status, ReadErrorCode(aRead.status), aRead.text, false, std::nullopt
+    };
+    if (aRead.reason == net::read_refusal::eStopping) {
+      error = Stopping();
+    } else if (aRead.reason == net::read_refusal::eNoMemory) {
+      error.code = "no_memory";
+      error.retryAfter = kRetryAfterNoMemory;
+      caller_error ignored; // only the id is of use
+      const auto call = mSettings.front.readCall(*aRead.head, ignored);
+      LogDenial(call ? call->id : "", aRead.head->path, error);
+    }
+    SendError(aReply, error, request_id{ ++mLastRequest });
+  }
+
   static caller_error Stopping()
   {
     return { 503,
@@ -376,6 +420,7 @@
     routed.arrivedAt = Now();
     routed.resumeAfter = std::move(aCall.resumeAfter);
     routed.reply = std::move(aReply);
+    routed.held = aRequest.held;
     routed.call.method = aRequest.method;
     routed.call.fields = std::move(aCall.fields);
     routed.call.body = std::move(aCall.body);
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -47,6 +47,7 @@
   bool servesWithoutLease = false;
   retry_budget retries;
   rates::rate_tolerance tolerance;
+  std::shared_ptr<memory::account> account; ///< of the process
 };
 
 class traffic_thread
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -304,12 +304,17 @@
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aCall.fieldList);
-    if (!call.body.empty() || call.method == "POST") {
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    const std::string& body = call.body.Get();
+    if (!body.empty() || call.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body.data());
       curl_easy_setopt(easy,
                        CURLOPT_POSTFIELDSIZE_LARGE,
-                       static_cast<curl_off_t>(call.body.size()));
+                       static_cast<curl_off_t>(body.size()));
     }
+    // Ends the call at the head of an answer that states a larger length.
+    curl_easy_setopt(easy,
+                     CURLOPT_MAXFILESIZE_LARGE,
+                     static_cast<curl_off_t>(call.maxBodyBytes));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -17,6 +17,8 @@
 /// destroy the answer.
 constexpr std::chrono::seconds kLingerTimeout{ 1 };
 constexpr int kStoppingStatus = 503;
+/// A larger body is written by itself and not copied behind its head.
+constexpr std::size_t kMaxCopiedBytes = 65'536;
 
 // Whole seconds below the time after which an idle connection is closed.
 std::chrono::seconds
@@ -41,7 +43,7 @@
             std::string aBody) override
   {
     if (const auto connection = mConnection.lock()) {
-      connection->SendAnswer(mRequest, aStatus, aFields, aBody);
+      connection->SendAnswer(mRequest, aStatus, aFields, std::move(aBody));
     }
   }
   void Start(int aStatus, const std::vector<http_field>& aFields) override
@@ -148,7 +150,8 @@
 void
 http_connection::Read()
 {
-  if (mIsReading || IsClosed() || mInput.size() > kMaxPipelinedBytes) {
+  if (mIsReading || mIsReadPaused || IsClosed() ||
+      mInput.size() > kMaxPipelinedBytes) {
     return;
   }
   mIsReading = true;
@@ -180,6 +183,7 @@
   if (mState->isStopping) {
     RefuseIfPartial();
   }
+  CountInput();
   Read();
 }
 
@@ -235,6 +239,10 @@
   mPhaseDeadline = Now() + mState->settings.readTimeout;
   const bool canContinue = ProcessBody();
   const bool isPartial = mPhase == phase::eBody;
+  if (isPartial && !HasRoom(RemainingBody())) {
+    RefuseForMemory();
+    return false;
+  }
   if (isPartial && FindField(mRequest.fields, "Expect") != nullptr) {
     Queue("HTTP/1.1 100 Continue\r\n\r\n");
   }
@@ -270,6 +278,10 @@
 void
 http_connection::Dispatch()
 {
+  if (!HasRoom(0)) {
+    RefuseForMemory();
+    return;
+  }
   mPhase = phase::eAnswering;
   mPhaseDeadline = steady_time::max();
   mKeepsAlive = http_should_keep_alive(&mParser) != 0;
@@ -284,6 +296,7 @@
                      ? mRequest.target.substr(queryStart + 1)
                      : std::string();
   mRequest.peer = mPeer;
+  mRequest.held = HoldRequest();
   ++mState->unsentAnswers;
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
@@ -295,6 +308,14 @@
 // connection is closed after the answer.
 void
 http_connection::Refuse(int aStatus, const std::string& aText)
+{
+  Refuse(read_refusal::eInvalid, aStatus, aText);
+}
+
+void
+http_connection::Refuse(read_refusal aReason,
+                        int aStatus,
+                        const std::string& aText)
 {
   mPhase = phase::eAnswering;
   mPhaseDeadline = steady_time::max();
@@ -306,8 +327,9 @@
   ++mState->unsentAnswers;
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
+  const http_request head = std::exchange(mRequest, {});
   if (mState->settings.onReadError) {
-    mState->settings.onReadError(*reply, aStatus, aText);
+    mState->settings.onReadError(*reply, { aReason, aStatus, aText, &head });
   } else {
     reply->Send(aStatus, { { "Content-Type", "text/plain" } }, aText + "\n");
   }
@@ -320,7 +342,8 @@
 {
   if (IsPartial()) {
     mHoldsFlush = true;
-    Refuse(kStoppingStatus, "this host is being stopped");
+    Refuse(
+      read_refusal::eStopping, kStoppingStatus, "this host is being stopped");
   }
 }
 
@@ -386,7 +409,7 @@
 http_connection::SendAnswer(std::uint64_t aRequest,
                             int aStatus,
                             const std::vector<http_field>& aFields,
-                            const std::string& aBody)
+                            std::string aBody)
 {
   if (!MayAnswer(aRequest) || mIsStarted) {
     return;
@@ -397,10 +420,14 @@
     aStatus,
     aFields,
     hasBody ? fmt::format("Content-Length: {}\r\n", aBody.size()) : "");
-  if (hasBody && !mIsHeadRequest) {
-    bytes += aBody;
+  if (!hasBody || mIsHeadRequest) {
+    Queue(std::move(bytes));
+  } else if (aBody.size() <= kMaxCopiedBytes) {
+    Queue(std::move(bytes += aBody));
+  } else {
+    Queue(std::move(bytes));
+    Queue(std::move(aBody));
   }
-  Queue(std::move(bytes));
 }
 
 void
@@ -468,6 +495,7 @@
   } else {
     mOutput += aBytes;
   }
+  CountOutput();
   Write();
 }
 
@@ -485,7 +513,8 @@
                     [self = shared_from_this()](const std::error_code& aError,
                                                 std::size_t aCount) {
                       self->mIsWriting = false;
-                      self->mWriting.clear();
+                      self->mWriting = {};
+                      self->CountOutput();
                       if (aError) {
                         self->NotifyDisconnected();
                         self->Close();
@@ -552,6 +581,8 @@
   }
   const bool hasUnsent = mPhase == phase::eAnswering || mHoldsFlush;
   mPhase = phase::eClosed;
+  mHeldInput.reset();
+  mHeldOutput = {};
   std::error_code ignored; // the socket is released in any case
   mSocket.close(ignored);
   if (hasUnsent && --mState->unsentAnswers == 0 && mState->onFlushed) {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -43,7 +43,7 @@
   void SendAnswer(std::uint64_t aRequest,
                   int aStatus,
                   const std::vector<http_field>& aFields,
-                  const std::string& aBody);
+                  std::string aBody);
   void SendHead(std::uint64_t aRequest,
                 int aStatus,
                 const std::vector<http_field>& aFields);
@@ -72,9 +72,22 @@
   bool ProcessBody();
   void Dispatch();
   void Refuse(int aStatus, const std::string& aText);
+  void Refuse(read_refusal aReason, int aStatus, const std::string& aText);
   void NotifyDisconnected();
   bool IsPartial() const;
 
+  // http_memory.cpp
+  memory::owner_id Owner() const;
+  std::size_t InputBytes() const;
+  std::size_t RemainingBody() const;
+  std::shared_ptr<memory::holder> HoldRequest();
+  bool HasRoom(std::size_t aBytes);
+  void CountInput();
+  void SetReadPause(bool aIsPaused);
+  void RefuseForMemory();
+  void CountOutput();
+  void EndUnread(const std::string& aReason);
+
   bool MayAnswer(std::uint64_t aRequest) const;
   void Queue(std::string aBytes);
   void Write();
@@ -99,6 +112,9 @@
   std::array<char, 16'384> mBuffer{};
   std::string mInput; ///< read and not yet parsed
   bool mIsReading = false;
+  bool mIsReadPaused = false;
+  std::shared_ptr<memory::holder> mHeldInput; ///< of a request that arrives
+  memory::holder mHeldOutput;
 
   http_parser mParser{};
   http_request mRequest;
--- a/src/net/http_limits.cpp
+++ b/src/net/http_limits.cpp
@@ -47,6 +47,9 @@
     return steady_time::max();
   }
   const steady_time deadline = Deadline();
+  if (mIsReadPaused) {
+    return steady_time::max();
+  }
   if (aNow < deadline) {
     return deadline;
   }
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -6,6 +6,7 @@
 /// asio::io_context it was made with and is used on that thread only.
 
 #include "core/core.hpp"
+#include "memory/memory.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -35,6 +36,8 @@
   std::vector<http_field> fields;
   std::string body;
   std::string peer; ///< remote address and port
+  /// Its part of the server's account; released with the last copy.
+  std::shared_ptr<memory::holder> held;
 };
 
 /// The value of a header field, names compared without case; nullptr if none.
@@ -87,17 +90,36 @@
   std::chrono::milliseconds idleTimeout{ 60'000 };   ///< between requests
 };
 
+/// Why a server answers a request that it has not passed on.
+enum class read_refusal
+{
+  eInvalid, ///< malformed, too large or too slow
+  eStopping,
+  eNoMemory ///< the account has no room for it
+};
+
+struct refused_read
+{
+  read_refusal reason = read_refusal::eInvalid;
+  int status = 400;
+  std::string text;
+  const http_request* head = nullptr; ///< what was read; nullptr if none
+};
+
 struct http_server_settings : http_server_limits
 {
   std::string address = "127.0.0.1";
   std::uint16_t port = 0; ///< zero: any free port
   std::size_t maxConnections = 3'500;
   std::chrono::milliseconds readTimeout{ 20'000 }; ///< of a body
-  /// Answers a request that is malformed, too large, too slow, or incomplete
-  /// when the server stops; its connection is closed afterwards. Not set: a
-  /// plain text answer.
-  std::function<void(http_reply&, int aStatus, const std::string& aText)>
-    onReadError;
+  /// Answers a request that is not passed on; its connection is closed
+  /// afterwards. Not set: a plain text answer.
+  std::function<void(http_reply&, const refused_read&)> onReadError;
+  /// Bounds what requests and unread answers hold; not set: unbounded.
+  std::shared_ptr<memory::account> account;
+  /// The account ended a connection whose caller does not read its answer.
+  std::function<void(const std::string& aPeer, const std::string& aReason)>
+    onUnreadEnded;
 };
 
 /// Serves HTTP/1.1. Source: Asio and http_parser.
@@ -132,13 +154,32 @@
   http_server::request_hook aOnRequest,
   last_reason& aReason);
 
+/// Text that copies share.
+class shared_text
+{
+public:
+  shared_text() = default;
+  shared_text(std::string aText)
+    : mText(std::make_shared<const std::string>(std::move(aText)))
+  {
+  }
+  const std::string& Get() const
+  {
+    static const std::string kEmpty;
+    return mText ? *mText : kEmpty;
+  }
+
+private:
+  std::shared_ptr<const std::string> mText;
+};
+
 /// A request that this host sends.
 struct http_call
 {
   std::string method = "POST";
   std::string url;
   std::vector<http_field> fields;
-  std::string body;
+  shared_text body;
   std::chrono::milliseconds timeout{ 0 }; ///< zero for none
   std::chrono::milliseconds connectTimeout{ 1'000 };
   bool freshConnection = false; ///< so libcurl never resends the request
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -1,7 +1,7 @@
 #ifndef BULRUSH_PROGRAM_PROGRAM_HPP
 #define BULRUSH_PROGRAM_PROGRAM_HPP
 
-/// Settings and log lines that several programs share.
+/// Settings, memory bounds and log lines that several programs share.
 
 #include "net/net.hpp"
 #include "observe/observe.hpp"
@@ -15,6 +15,16 @@
 std::optional<net::link_keys> ReadLinkKeys(const option_values& aOptions,
                                            last_reason& aReason);
 
+/// Has the allocator return large freed blocks to the system at once. Called
+/// before other threads start.
+void ReturnFreedMemory();
+
+/// The account of a process that may use option "memory-limit".
+std::shared_ptr<memory::account> MakeAccount(const option_values& aOptions);
+
+/// Sets the gauges and counters of aUsage.
+void SetMemoryMetrics(metrics& aMetrics, const memory::usage& aUsage);
+
 /// Ids of parts of prompts for a log line, in hexadecimal.
 std::string DescribeParts(const std::vector<part_id>& aParts);
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -278,7 +278,7 @@
   order.holder = "node-7";
   order.fencingNumber = 41;
   const net::http_call call = WriteOrder(order);
-  CHECK(json::parse(call.body) == json{ { "operation", "model_load" },
+  CHECK(json::parse(call.body.Get()) == json{ { "operation", "model_load" },
                                         { "model", "daka" },
                                         { "adapter", "a3" },
                                         { "expected", 2 },
