--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,9 @@
 /// Of the status lines, header fields and trailer fields of one answer. Four
 /// times the head that the server accepts by default.
 constexpr std::size_t kMaxHeadBytes = 65'536;
+/// A call that has received as much lets the other work of its thread run
+/// before it reads on. libcurl reads all that has arrived otherwise.
+constexpr std::size_t kTurnBytes = 131'072;
 /// Of connections that no call uses: the interval of their keep-alive probes.
 /// One that falls silent is closed after this idle time and the probes below.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -53,7 +56,10 @@
   bool isHeadComplete = false;
   bool isHeadReported = false;
   bool isCancelled = false;
-  bool isPaused = false;
+  bool isPaused = false; ///< by its owner
+  std::size_t turnBytes = 0;
+  bool isTurnOver = false;
+  std::function<void()> onTurnOver;
 };
 
 // nullopt for a line that is no field.
@@ -128,7 +134,13 @@
   if (call.isCancelled) {
     return 0;
   }
+  if (call.isPaused || call.turnBytes >= kTurnBytes) {
+    call.isTurnOver = true;
+    call.onTurnOver();
+    return CURL_WRITEFUNC_PAUSE; // libcurl passes these bytes again
+  }
   const std::string_view bytes(aData, aSize * aCount);
+  call.turnBytes += bytes.size();
   ReportHeadOnce(call);
   call.bodyBytes += bytes.size();
   const std::size_t limit = call.call.maxBodyBytes;
@@ -232,6 +244,9 @@
     Configure(*call);
     curl_multi_add_handle(mMulti, call->easy);
     const call_number number = call->number;
+    call->onTurnOver = [this, number] {
+      Post([this, number] { BeginTurn(number); });
+    };
     mCalls.emplace(number, std::move(call));
     return number;
   }
@@ -248,8 +263,8 @@
     Post([this, aCall] { Remove(aCall); });
   }
 
-  void Pause(call_number aCall) override { SetPause(aCall, CURLPAUSE_RECV); }
-  void Resume(call_number aCall) override { SetPause(aCall, CURLPAUSE_CONT); }
+  void Pause(call_number aCall) override { SetPause(aCall, true); }
+  void Resume(call_number aCall) override { SetPause(aCall, false); }
   std::size_t Running() const override { return mCalls.size(); }
 
 private:
@@ -262,16 +277,29 @@
     });
   }
 
-  void SetPause(call_number aCall, int aMask)
+  // A pause holds from the next bytes on, also within a callback of libcurl.
+  void SetPause(call_number aCall, bool aIsPaused)
   {
-    Post([this, aCall, aMask] {
-      const auto found = mCalls.find(aCall);
-      if (found != mCalls.end() && !found->second->isCancelled) {
-        found->second->isPaused = aMask != CURLPAUSE_CONT;
-        curl_easy_pause(found->second->easy, aMask);
-        HandleEndedCalls();
-      }
-    });
+    const auto found = mCalls.find(aCall);
+    if (found == mCalls.end() || found->second->isCancelled) {
+      return;
+    }
+    found->second->isPaused = aIsPaused;
+    Post([this, aCall] { BeginTurn(aCall); });
+  }
+
+  void BeginTurn(call_number aCall)
+  {
+    const auto found = mCalls.find(aCall);
+    if (found == mCalls.end() || found->second->isCancelled) {
+      return;
+    }
+    running_call& call = *found->second;
+    call.turnBytes = 0;
+    call.isTurnOver = false;
+    curl_easy_pause(call.easy, call.isPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    // libcurl would read on by its timer, after a millisecond.
+    RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
   }
 
   // Sends only the fields of the call: for libcurl, a line "Name:" suppresses
@@ -398,7 +426,7 @@
   {
     const running_call* call = nullptr;
     return curl_easy_getinfo(aEasy, CURLINFO_PRIVATE, &call) == CURLE_OK &&
-           call != nullptr && call->isPaused;
+           call != nullptr && (call->isPaused || call->isTurnOver);
   }
 
   // libcurl has a descriptor watched exactly while a call that is not paused
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -163,6 +163,10 @@
     : mText(std::make_shared<const std::string>(std::move(aText)))
   {
   }
+  shared_text(const char* aText)
+    : shared_text(std::string(aText))
+  {
+  }
   const std::string& Get() const
   {
     static const std::string kEmpty;
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -1,9 +1,9 @@
+#include "support/process_memory.hpp"
 #include "support/processes.hpp"
 #include "support/raw_endpoint.hpp"
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
 #include <future>
 
 namespace bulrush::test {
@@ -11,7 +11,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMegabyte = 1U << 20U;
 /// kMaxBufferedBytes of an entry host, for each answer.
 constexpr std::size_t kMaxBufferedBytes = 32 * kMegabyte;
 /// For the buffers of the sockets, the logs and the other requests.
@@ -29,19 +28,6 @@
   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
   "Bulrush-Resume: 0\r\nBulrush-Attempt: {attempt}\r\n\r\n";
 
-// Resident memory of one process: "VmRSS" now, "VmHWM" at its peak.
-std::size_t
-MemoryBytes(int aPid, const std::string& aName)
-{
-  std::ifstream status("/proc/" + std::to_string(aPid) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.starts_with(aName + ":")) {
-      return std::stoul(line.substr(line.find(':') + 1)) * 1024;
-    }
-  }
-  return 0;
-}
-
 // One host, a raw endpoint for the route /desk/releases and the model "draft",
 // and a healthy endpoint for the route /files/status.
 struct endless_fixture
@@ -104,7 +90,7 @@
                     std::size_t aBound)
   {
     INFO(aAnswer.start << '|' << aAnswer.block);
-    std::ofstream("/proc/" + std::to_string(EntryPid()) + "/clear_refs") << "5";
+    ResetPeak(EntryPid());
     const std::size_t before = MemoryBytes(EntryPid(), "VmRSS");
     const int begun = desk->EndlessBegun();
     desk->SetEndlessAnswer(aAnswer);
@@ -201,7 +187,7 @@
                  "[process][endless]")
 {
   const int control = running.controls[0]->Pid();
-  std::ofstream("/proc/" + std::to_string(control) + "/clear_refs") << "5";
+  ResetPeak(control);
   const std::size_t before = MemoryBytes(control, "VmRSS");
   desk->SetEndlessAnswer(
     GENERATE(endless_answer{ "HTTP/1.1 200 OK\r\n\r\n", "{" },
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -282,8 +282,8 @@
                         { "sequence", ++mSequence },
                         { "address", "127.0.0.1:" + std::to_string(mPort) },
                         { "failure_domain", mDomain },
-                        { "slots", 8 },
-                        { "cold_slots", 8 },
+                        { "slots", mSlots.load() },
+                        { "cold_slots", mSlots.load() },
                         { "resume", true },
                         { "residents", residents },
                         { "services", json::array({ "desk" }) } };
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -65,6 +65,9 @@
   int EndlessBegun() const { return mEndlessBegun; }
   int EndlessClosed() const { return mEndlessClosed; }
 
+  /// Requests that it reports to take at once; from its next report on.
+  void SetSlots(int aSlots) { mSlots = aSlots; }
+
   /// From now on it reports as an engine with this memory and no model, so that
   /// it receives orders.
   void ReportEmptyEngine(std::uint64_t aMemoryBytes);
@@ -93,6 +96,7 @@
   std::atomic<int> mEndlessBegun{ 0 };
   std::atomic<int> mEndlessClosed{ 0 };
   std::atomic<std::uint64_t> mMemoryBytes{ 0 };
+  std::atomic<int> mSlots{ 8 };
   std::vector<std::thread> mEndlessThreads;
   std::thread mThread;
 };
