--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -9,8 +9,6 @@
 #include "observe/observe.hpp"
 #include "settings/settings.hpp"
 
-#include <asio/post.hpp>
-
 #include <random>
 
 namespace bulrush::entry {
@@ -299,11 +297,7 @@
         each->account = mSettings.account;
       }
     }
-    mSettings.account->onPressure = [this] {
-      asio::post(mContext, [account = mSettings.account] {
-        account->Balance();
-      });
-    };
+    net::BalanceOn(mContext, mSettings.account);
   }
 
   void RefuseRead(net::http_reply& aReply, const net::refused_read& aRead)
--- a/src/memory/account.cpp
+++ b/src/memory/account.cpp
@@ -25,6 +25,14 @@
   return aBytes / kPercent * aPercent;
 }
 
+// The oldest that still grows; those that have stalled take turns.
+bool
+ReadsBefore(const holder_row& aOne, const holder_row& aOther)
+{
+  return std::pair(aOne.stalledAt, aOne.id) <
+         std::pair(aOther.stalledAt, aOther.id);
+}
+
 } // namespace
 
 const char*
@@ -96,6 +104,7 @@
   replace(mBytes);
   replace(owner.bytes);
   replace(mUsage.bytes[static_cast<std::size_t>(row.kind)]);
+  row.stalledAt = aBytes > row.bytes ? 0 : row.stalledAt;
   row.bytes = aBytes;
   mUsage.peak = std::max(mUsage.peak, mBytes);
   // Also when the pressure ends, so that paused holders go on.
@@ -111,13 +120,14 @@
 {
   holder_row& row = *mHolders.Find(aHolder);
   row.hooks = {};
-  row.isPaused = false;
+  SetPaused(row, false);
 }
 
 void
 account::Remove(holder_id aHolder)
 {
   SetBytes(aHolder, 0);
+  SetPaused(*mHolders.Find(aHolder), false);
   const owner_id owner = mHolders.Find(aHolder)->owner;
   mHolders.Erase(aHolder);
   if (--mOwners.Find(owner)->holders == 0) {
@@ -131,6 +141,15 @@
   return mHolders.Find(aHolder);
 }
 
+void
+account::SetPaused(holder_row& aRow, bool aIsPaused)
+{
+  if (aRow.isPaused != aIsPaused) {
+    aRow.isPaused = aIsPaused;
+    aIsPaused ? ++mPaused : --mPaused;
+  }
+}
+
 // Owner zero stands for many.
 bool
 account::IsUnderPressure(const owner_row& aOwner) const
@@ -146,25 +165,24 @@
          IsUnderPressure(*mOwners.Find(aRow.owner));
 }
 
-// One large holder goes on reading, the oldest of its owner, or of all when the
-// sum is too large: if all of them waited for each other, none would be
-// complete.
+// One large holder goes on reading, of its owner, or of all when the sum is too
+// large: if all of them waited for each other, none would be complete.
 void
 account::SetPauses()
 {
   const bool isSumTooLarge = mBytes > mLimits.pauseAt;
-  std::unordered_map<owner_id, holder_id, id_hash> oldest;
+  std::unordered_map<owner_id, const holder_row*, id_hash> readers;
   for (const holder_row& row : mHolders) {
     if (ShouldPause(row)) {
       const owner_id group = isSumTooLarge ? owner_id{} : row.owner;
-      const auto known = oldest.try_emplace(group, row.id).first;
-      known->second = std::min(known->second, row.id);
+      const auto known = readers.try_emplace(group, &row).first;
+      known->second = ReadsBefore(row, *known->second) ? &row : known->second;
     }
   }
   std::vector<std::pair<holder_id, bool>> changes;
   for (const holder_row& row : mHolders) {
     const owner_id group = isSumTooLarge ? owner_id{} : row.owner;
-    const bool isPaused = ShouldPause(row) && oldest.at(group) != row.id;
+    const bool isPaused = ShouldPause(row) && readers.at(group) != &row;
     if (isPaused != row.isPaused) {
       changes.emplace_back(row.id, isPaused);
     }
@@ -172,7 +190,7 @@
   for (const auto& [id, isPaused] : changes) {
     holder_row* row = mHolders.Find(id); // a hook may have removed it
     if (row != nullptr && row->hooks.onPause) {
-      row->isPaused = isPaused;
+      SetPaused(*row, isPaused);
       const auto hook = row->hooks.onPause;
       hook(isPaused);
     }
@@ -210,6 +228,21 @@
   }
 }
 
+// Those that are paused cannot grow and are not judged.
+void
+account::CheckProgress()
+{
+  ++mChecks;
+  for (holder_row& row : mHolders) {
+    const bool isRead = ShouldPause(row) && !row.isPaused;
+    if (isRead && row.bytes == row.bytesAtCheck) {
+      row.stalledAt = mChecks;
+    }
+    row.bytesAtCheck = isRead ? row.bytes : 0;
+  }
+  Balance();
+}
+
 void
 account::Balance()
 {
@@ -224,10 +257,7 @@
 account::Usage() const
 {
   usage now = mUsage;
-  now.paused = static_cast<std::size_t>(
-    std::count_if(mHolders.begin(), mHolders.end(), [](const auto& aRow) {
-      return aRow.isPaused;
-    }));
+  now.paused = mPaused;
   return now;
 }
 
--- a/src/memory/memory.hpp
+++ b/src/memory/memory.hpp
@@ -36,6 +36,10 @@
 
 limits LimitsFor(std::size_t aProcessBytes);
 
+/// Time without a new byte after which another holder is read in place of one
+/// that is. Sound servers may fall silent for a second.
+inline constexpr std::chrono::milliseconds kProgressInterval{ 1'500 };
+
 using holder_id = typed_id<struct holder_tag>;
 using owner_id = typed_id<struct owner_tag>; ///< endpoint or caller's address
 
@@ -55,6 +59,8 @@
   std::size_t bytes = 0;
   bool isPaused = false;
   bool isEnding = false;
+  std::size_t bytesAtCheck = 0; ///< at the last CheckProgress; 0: was paused
+  std::uint64_t stalledAt = 0;  ///< check at which it had not grown; 0: none
   holder_hooks hooks;
 };
 
@@ -92,6 +98,11 @@
   /// Stops reading, resumes it and ends holders, as the bounds ask for.
   void Balance();
 
+  /// To be called each kProgressInterval while NeedsChecks is true, so that a
+  /// holder that does not grow cannot keep others from being read.
+  void CheckProgress();
+  bool NeedsChecks() const { return mPaused > 0; }
+
   /// Called when Balance has something to do, once until it has run; the hook
   /// is to have it run soon and must not run it itself.
   std::function<void()> onPressure;
@@ -106,6 +117,7 @@
   void Remove(holder_id aHolder);
   const holder_row* Find(holder_id aHolder) const;
 
+  void SetPaused(holder_row& aRow, bool aIsPaused);
   bool IsUnderPressure(const owner_row& aOwner) const;
   bool ShouldPause(const holder_row& aRow) const;
   void SetPauses();
@@ -115,6 +127,8 @@
   table<holder_id, holder_row> mHolders;
   table<owner_id, owner_row> mOwners;
   std::size_t mBytes = 0;
+  std::size_t mPaused = 0; ///< holders
+  std::uint64_t mChecks = 0;
   usage mUsage;
   std::uint64_t mLastHolder = 0;
   bool mIsBalancePending = false;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -324,6 +324,11 @@
   std::shared_ptr<state> mState;
 };
 
+/// Has aAccount act on its holders between two handlers of aContext, and check
+/// their progress while some are not read.
+void BalanceOn(asio::io_context& aContext,
+               const std::shared_ptr<memory::account>& aAccount);
+
 /// Calls aOnSignal for the first SIGTERM or SIGINT, and aOnRepeat for each
 /// later one, so that a second signal does not end a process that is stopping.
 void OnStopSignal(asio::io_context& aContext,
--- a/tests/memory/account_test.cpp
+++ b/tests/memory/account_test.cpp
@@ -93,6 +93,27 @@
   CHECK_FALSE(second.isPaused);
 }
 
+TEST_CASE_METHOD(account_fixture,
+                 "Owner_WhenItsReadHolderStalls_HasTheNextOneRead",
+                 "[memory]")
+{
+  test_holder& stalled = Hold(kFaulty, 4 * kMegabyte);
+  test_holder& second = Hold(kFaulty, 2 * kMegabyte);
+  bytes->Balance();
+  REQUIRE(bytes->NeedsChecks());
+  bytes->CheckProgress();
+  CHECK(second.isPaused);
+  bytes->CheckProgress();
+  CHECK_FALSE(second.isPaused);
+  second.held.Set(3 * kMegabyte);
+  bytes->CheckProgress();
+  CHECK_FALSE(second.isPaused);
+  second.held = {};
+  bytes->Balance();
+  CHECK_FALSE(stalled.isPaused);
+  CHECK_FALSE(bytes->NeedsChecks());
+}
+
 TEST_CASE_METHOD(account_fixture,
                  "Sum_AboveThePauseMark_StopsAllLargeReadsButTheOldest",
                  "[memory]")
