--- a/src/entry/caller_answers.cpp
+++ b/src/entry/caller_answers.cpp
@@ -34,7 +34,7 @@
   std::string bytes = row.answer->Take(aForward.count);
   if (!row.answer->IsStream()) {
     waiting.body = std::move(bytes);
-    row.held.Detach();
+    row.held.Complete();
     waiting.held = std::move(row.held);
     return;
   }
--- a/src/entry/endpoint_calls.cpp
+++ b/src/entry/endpoint_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "entry/request_log.hpp"
 
+#include <charconv>
 #include <limits>
 
 namespace bulrush::entry {
@@ -14,8 +15,6 @@
 
 /// Round trips within a region take a few milliseconds.
 constexpr std::chrono::milliseconds kConnectTimeout{ 300 };
-/// Of one event; tokens take a few hundred bytes.
-constexpr std::size_t kMaxEventBytes = 1'048'576;
 
 } // namespace
 
@@ -41,6 +40,11 @@
     row->answer->RequireRisingIds(waiting == nullptr ? "" : waiting->lastEvent);
   }
   routing::OnAttemptHeaders(mEngine, aAttempt, head, Now());
+  if (!row->answer->IsStream() && StatesTooLargeLength(aHead.fields)) {
+    EndForMemory(aAttempt,
+                 "its length is above " + std::to_string(MaxHeldBytes()) +
+                   " bytes");
+  }
   mTimer.RunSoon();
 }
 
@@ -66,10 +70,13 @@
   const std::uint64_t count = row->answer->Add(aBytes);
   const std::size_t held = row->answer->BufferedBytes();
   row->held.Set(held);
-  const std::size_t limit = MaxHeldBytes(*row);
-  if (held > limit) {
-    EndForMemory(aAttempt,
-                 "buffered more than " + std::to_string(limit) + " bytes");
+  if (held > MaxHeldBytes()) {
+    mClient->Cancel(row->call);
+    LogFailure(*row,
+               "truncated",
+               "buffered more than " + std::to_string(MaxHeldBytes()) +
+                 " bytes");
+    End(aAttempt, routing::attempt_end::eTruncated);
     return;
   }
   routing::OnAttemptBytes(
@@ -173,11 +180,23 @@
 
 // Of a stream, only the events that are not forwarded yet are held.
 std::size_t
-request_runner::implementation::MaxHeldBytes(const call_row& aRow) const
+request_runner::implementation::MaxHeldBytes() const
 {
-  const std::size_t limit = mAccount ? mAccount->Limits().oneHolder
-                                     : std::numeric_limits<std::size_t>::max();
-  return aRow.answer->IsStream() ? std::min(limit, kMaxEventBytes) : limit;
+  return mAccount ? mAccount->Limits().maxAnswer
+                  : std::numeric_limits<std::size_t>::max();
+}
+
+// A length that is stated and too large is no fault of the endpoint.
+bool
+request_runner::implementation::StatesTooLargeLength(
+  const std::vector<net::http_field>& aFields) const
+{
+  const std::string* text = net::FindField(aFields, "Content-Length");
+  std::size_t length = 0;
+  return text != nullptr &&
+         std::from_chars(text->data(), text->data() + text->size(), length)
+             .ec == std::errc{} &&
+         length > MaxHeldBytes();
 }
 
 memory::holder
@@ -205,6 +224,7 @@
   if (isPaused != row.isPaused) {
     row.isPaused = isPaused;
     isPaused ? mClient->Pause(row.call) : mClient->Resume(row.call);
+    routing::OnAttemptPaused(mEngine, aAttempt, isPaused);
   }
 }
 
@@ -214,8 +234,8 @@
 {
   call_row& row = *mCalls.Find(aAttempt);
   mClient->Cancel(row.call);
-  LogFailure(row, "truncated", aReason);
-  End(aAttempt, routing::attempt_end::eTruncated);
+  LogFailure(row, "not_kept", aReason);
+  End(aAttempt, routing::attempt_end::eNotKept);
 }
 
 // The row is kept until routing no longer needs its bytes.
@@ -223,7 +243,7 @@
 request_runner::implementation::End(attempt_id aAttempt,
                                     routing::attempt_end aHow)
 {
-  mCalls.Find(aAttempt)->held.Detach();
+  mCalls.Find(aAttempt)->held.Complete();
   routing::OnAttemptEnd(mEngine, aAttempt, aHow, Now());
   mEnded.push_back(aAttempt);
   mTimer.RunSoon();
@@ -273,9 +293,6 @@
   row.request = aStart.request;
   row.isStreamed = waiting.request.facts.isStreamed;
   row.held = HoldAnswer(attempt, aStart.endpoint);
-  if (mAccount && !row.isStreamed) {
-    call.maxBodyBytes = mAccount->Limits().oneHolder;
-  }
   row.call = mClient->Start(
     std::move(call),
     { [this, attempt](const net::http_answer_head& aHead) {
--- a/src/entry/outcomes.cpp
+++ b/src/entry/outcomes.cpp
@@ -23,7 +23,7 @@
 
 using routing::request_outcome;
 
-constexpr std::array<outcome_text, 16> kOutcomes{ {
+constexpr std::array<outcome_text, 17> kOutcomes{ {
   { request_outcome::eInProgress,
     409,
     "in_progress",
@@ -74,6 +74,11 @@
     "endpoint_failed",
     "the answer was lost",
     false },
+  { request_outcome::eNotKept,
+    502,
+    "answer_too_large",
+    "this host has no memory for the answer",
+    false },
   { request_outcome::eBrokenStream,
     502,
     "endpoint_failed",
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr log_component kLog{ "entry" };
+/// A balancer and a few operators.
+constexpr std::size_t kMaxPageConnections = 256;
 
 // State and links of the control thread.
 class control_thread
@@ -348,6 +350,8 @@
     return controls;
   }
 
+  // Of pages that are read without a body. They have to be served while the
+  // account is full, so they are bounded by themselves.
   static std::optional<net::http_server_settings> ListenAt(
     const option_values& aOptions,
     const char* aOption)
@@ -359,6 +363,8 @@
     net::http_server_settings settings;
     settings.address = address->ip;
     settings.port = address->port;
+    settings.maxBodyBytes = 0;
+    settings.maxConnections = kMaxPageConnections;
     return settings;
   }
 
--- a/src/entry/request_claims.cpp
+++ b/src/entry/request_claims.cpp
@@ -82,18 +82,17 @@
   outcome.contentType = ContentTypeOf(call.answerFields);
   outcome.body = row.body.empty() ? call.answer->Take(0) : row.body;
   const std::size_t size = outcome.body.size();
-  if (size > kMaxStoredBytes || (mAccount && !mAccount->Admit(size))) {
+  if (size > kMaxStoredBytes || (mAccount && !mAccount->HasRoom(size, size))) {
     return; // a resend is answered "may have run"
   }
   const std::uint64_t number = ++mLastOutcome;
   memory::holder& held = mHeldOutcomes[number];
   held = { mAccount, memory::holder_kind::eOutcome, memory::owner_id{}, {} };
   held.Set(size);
-  Commit(outcome,
-         aNow + kRecordTimeout,
-         [this, number](const wire::command_reply&) {
-           mHeldOutcomes.erase(number);
-         });
+  Commit(
+    outcome, aNow + kRecordTimeout, [this, number](const wire::command_reply&) {
+      mHeldOutcomes.erase(number);
+    });
 }
 
 void
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -39,9 +39,9 @@
   std::optional<routing::answer_head> head;
   std::vector<net::http_field> answerFields;
   bool isStreamed = false;
-  bool isPaused = false;      ///< its answer is not read
-  bool awaitsCaller = false;  ///< the caller has not read what was sent
-  memory::holder held;        ///< of the answer
+  bool isPaused = false;     ///< its answer is not read
+  bool awaitsCaller = false; ///< the caller has not read what was sent
+  memory::holder held;       ///< of the answer
   std::unique_ptr<answer_buffer> answer;
 };
 
@@ -92,7 +92,8 @@
                   const std::string& aError) const;
   void LogKept(const routing::kept_attempt& aKept, steady_time aNow) const;
   bool IsWhole(const call_row& aRow) const;
-  std::size_t MaxHeldBytes(const call_row& aRow) const;
+  std::size_t MaxHeldBytes() const;
+  bool StatesTooLargeLength(const std::vector<net::http_field>& aFields) const;
   void End(attempt_id aAttempt, routing::attempt_end aHow);
   memory::holder HoldAnswer(attempt_id aAttempt, endpoint_id aEndpoint);
   void UpdatePause(attempt_id aAttempt);
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr log_component kLog{ "entry" };
-/// Answers of usual size are passed on within this time.
+/// What is held is passed on or ended within a few seconds.
 constexpr std::chrono::milliseconds kRetryAfterNoMemory{ 1'000 };
 
 // New at each start, so that ids of an earlier process are not repeated.
@@ -79,7 +79,8 @@
                "unread_answer_ended",
                { { "caller", aPeer }, { "reason", aReason } });
     };
-    ShareAccount();
+    mSettings.http.account = mSettings.account;
+    net::BalanceOn(mContext, mSettings.account);
     auto server = net::Listen(
       mContext,
       mSettings.http,
@@ -285,21 +286,6 @@
     return true;
   }
 
-  // All servers of this thread hold on the one account, which acts between two
-  // reads.
-  void ShareAccount()
-  {
-    for (net::http_server_settings* each :
-         { &mSettings.http,
-           mSettings.ready ? &*mSettings.ready : nullptr,
-           mSettings.metrics ? &*mSettings.metrics : nullptr }) {
-      if (each != nullptr) {
-        each->account = mSettings.account;
-      }
-    }
-    net::BalanceOn(mContext, mSettings.account);
-  }
-
   void RefuseRead(net::http_reply& aReply, const net::refused_read& aRead)
   {
     caller_error error{
--- a/src/memory/account.cpp
+++ b/src/memory/account.cpp
@@ -12,13 +12,15 @@
 constexpr std::size_t kBudgetPercent = 40;
 /// Of the budget.
 constexpr std::size_t kPausePercent = 75;
-/// Of the budget. A whole answer and the others of its endpoint together stay
-/// within a quarter, so that three faulty endpoints leave room for the rest.
-constexpr std::size_t kOwnerPausePercent = 12;
-constexpr std::size_t kOneHolderPercent = 13;
+/// Of the budget. An answer and the others of its endpoint together stay within
+/// a quarter, so that three faulty endpoints leave room for the rest.
+constexpr std::size_t kPauseOwnerPercent = 12;
+constexpr std::size_t kMaxAnswerPercent = 13;
 /// The usual request or answer is smaller and is never held up.
 constexpr std::size_t kLargeBytes = 65'536;
 
+constexpr owner_id kNoOwner{};
+
 std::size_t
 Share(std::size_t aBytes, std::size_t aPercent)
 {
@@ -57,8 +59,8 @@
   limits bounds;
   bounds.budget = Share(aProcessBytes, kBudgetPercent);
   bounds.pauseAt = Share(bounds.budget, kPausePercent);
-  bounds.ownerPause = Share(bounds.budget, kOwnerPausePercent);
-  bounds.oneHolder = Share(bounds.budget, kOneHolderPercent);
+  bounds.pauseOwnerAt = Share(bounds.budget, kPauseOwnerPercent);
+  bounds.maxAnswer = Share(bounds.budget, kMaxAnswerPercent);
   bounds.large = kLargeBytes;
   return bounds;
 }
@@ -70,13 +72,13 @@
 }
 
 bool
-account::Admit(std::size_t aBytes)
+account::HasRoom(std::size_t aSize, std::size_t aMissing)
 {
-  const bool isLarge = aBytes > mLimits.large;
+  const bool isLarge = aSize > mLimits.large;
   const std::size_t bound = isLarge ? mLimits.pauseAt : mLimits.budget;
-  const bool isAdmitted = mBytes + aBytes <= bound;
-  mUsage.refused += isAdmitted ? 0 : 1;
-  return isAdmitted;
+  const bool hasRoom = mBytes + aMissing <= bound;
+  mUsage.refused += hasRoom ? 0 : 1;
+  return hasRoom;
 }
 
 holder_id
@@ -104,23 +106,51 @@
   replace(mBytes);
   replace(owner.bytes);
   replace(mUsage.bytes[static_cast<std::size_t>(row.kind)]);
-  row.stalledAt = aBytes > row.bytes ? 0 : row.stalledAt;
   row.bytes = aBytes;
   mUsage.peak = std::max(mUsage.peak, mBytes);
   // Also when the pressure ends, so that paused holders go on.
-  const bool mustBalance = IsUnderPressure(owner) || wasUnderPressure;
-  if (mustBalance && !mIsBalancePending && onPressure) {
+  if (IsUnderPressure(owner) || wasUnderPressure) {
+    RequestBalance();
+  }
+}
+
+void
+account::RequestBalance()
+{
+  if (!mIsBalancePending && onPressure) {
     mIsBalancePending = true;
     onPressure();
   }
 }
 
+// The holders of its owner that are paused may go on without it.
 void
-account::Detach(holder_id aHolder)
+account::Complete(holder_id aHolder)
 {
   holder_row& row = *mHolders.Find(aHolder);
   row.hooks = {};
   SetPaused(row, false);
+  MoveToOwner(row, kNoOwner);
+  if (mPaused > 0) {
+    RequestBalance();
+  }
+}
+
+void
+account::MoveToOwner(holder_row& aRow, owner_id aOwner)
+{
+  owner_row& before = *mOwners.Find(aRow.owner);
+  before.bytes -= aRow.bytes;
+  if (--before.holders == 0) {
+    mOwners.Erase(before.id);
+  }
+  if (mOwners.Find(aOwner) == nullptr) {
+    mOwners.Insert({ aOwner, 0, 0 });
+  }
+  owner_row& after = *mOwners.Find(aOwner);
+  after.bytes += aRow.bytes;
+  ++after.holders;
+  aRow.owner = aOwner;
 }
 
 void
@@ -150,12 +180,11 @@
   }
 }
 
-// Owner zero stands for many.
 bool
 account::IsUnderPressure(const owner_row& aOwner) const
 {
   return mBytes > mLimits.pauseAt ||
-         (aOwner.id && aOwner.bytes > mLimits.ownerPause);
+         (aOwner.id != kNoOwner && aOwner.bytes > mLimits.pauseOwnerAt);
 }
 
 bool
@@ -165,24 +194,32 @@
          IsUnderPressure(*mOwners.Find(aRow.owner));
 }
 
-// One large holder goes on reading, of its owner, or of all when the sum is too
-// large: if all of them waited for each other, none would be complete.
+// Of those that share a reader, one goes on. The ids cannot be those of owners,
+// which are hashes.
+owner_id
+account::ReaderGroup(const holder_row& aRow) const
+{
+  return mBytes > mLimits.pauseAt
+           ? owner_id{ static_cast<std::uint64_t>(aRow.kind) }
+           : aRow.owner;
+}
+
+// One large holder of an owner goes on reading, or one of a kind when the sum
+// is too large: if all waited for each other, none would be complete.
 void
 account::SetPauses()
 {
-  const bool isSumTooLarge = mBytes > mLimits.pauseAt;
   std::unordered_map<owner_id, const holder_row*, id_hash> readers;
   for (const holder_row& row : mHolders) {
     if (ShouldPause(row)) {
-      const owner_id group = isSumTooLarge ? owner_id{} : row.owner;
-      const auto known = readers.try_emplace(group, &row).first;
+      const auto known = readers.try_emplace(ReaderGroup(row), &row).first;
       known->second = ReadsBefore(row, *known->second) ? &row : known->second;
     }
   }
   std::vector<std::pair<holder_id, bool>> changes;
   for (const holder_row& row : mHolders) {
-    const owner_id group = isSumTooLarge ? owner_id{} : row.owner;
-    const bool isPaused = ShouldPause(row) && readers.at(group) != &row;
+    const bool isPaused =
+      ShouldPause(row) && readers.at(ReaderGroup(row)) != &row;
     if (isPaused != row.isPaused) {
       changes.emplace_back(row.id, isPaused);
     }
@@ -206,7 +243,7 @@
   for (const holder_row& row : mHolders) {
     if (row.isEnding) {
       remaining -= row.bytes;
-    } else if (row.hooks.onEnd && row.bytes > 0) {
+    } else if (row.hooks.onEnd && row.bytes > mLimits.large) {
       candidates.emplace_back(row.bytes, row.id);
     }
   }
@@ -235,8 +272,11 @@
   ++mChecks;
   for (holder_row& row : mHolders) {
     const bool isRead = ShouldPause(row) && !row.isPaused;
-    if (isRead && row.bytes == row.bytesAtCheck) {
+    const bool wasRead = row.bytesAtCheck > 0;
+    if (isRead && wasRead && row.bytes < row.bytesAtCheck + mLimits.large) {
       row.stalledAt = mChecks;
+    } else if (isRead && wasRead) {
+      row.stalledAt = 0;
     }
     row.bytesAtCheck = isRead ? row.bytes : 0;
   }
--- a/src/memory/holder.cpp
+++ b/src/memory/holder.cpp
@@ -44,10 +44,10 @@
 }
 
 void
-holder::Detach()
+holder::Complete()
 {
   if (mAccount) {
-    mAccount->Detach(mId);
+    mAccount->Complete(mId);
   }
 }
 
--- a/src/memory/memory.hpp
+++ b/src/memory/memory.hpp
@@ -27,17 +27,17 @@
 /// Bounds in bytes, all derived from the memory that a process may use.
 struct limits
 {
-  std::size_t budget = 0;     ///< of all holders; above it, holders are ended
-  std::size_t pauseAt = 0;    ///< of all holders; large ones stop reading
-  std::size_t ownerPause = 0; ///< of one owner; its large holders stop reading
-  std::size_t oneHolder = 0;  ///< of a single answer
-  std::size_t large = 0;      ///< only holders above it stop reading
+  std::size_t budget = 0;       ///< of all holders; above it, they are ended
+  std::size_t pauseAt = 0;      ///< of all holders; large ones stop reading
+  std::size_t pauseOwnerAt = 0; ///< of one owner; its large holders likewise
+  std::size_t maxAnswer = 0;    ///< of a single answer
+  std::size_t large = 0;        ///< larger ones stop reading and are ended
 };
 
 limits LimitsFor(std::size_t aProcessBytes);
 
-/// Time without a new byte after which another holder is read in place of one
-/// that is. Sound servers may fall silent for a second.
+/// A holder that does not grow by limits::large in this time has another one
+/// read in its place. Sound servers may fall silent for a second.
 inline constexpr std::chrono::milliseconds kProgressInterval{ 1'500 };
 
 using holder_id = typed_id<struct holder_tag>;
@@ -92,8 +92,9 @@
   const limits& Limits() const { return mLimits; }
   std::size_t Bytes() const { return mBytes; }
 
-  /// Whether a new thing of aBytes may begin; false is counted as a refusal.
-  bool Admit(std::size_t aBytes);
+  /// Whether a request of aSize bytes may go on, of which aMissing are not
+  /// counted yet. False is counted as a refusal. Reserves nothing.
+  bool HasRoom(std::size_t aSize, std::size_t aMissing);
 
   /// Stops reading, resumes it and ends holders, as the bounds ask for.
   void Balance();
@@ -113,11 +114,14 @@
   friend class holder;
   holder_id Add(holder_kind aKind, owner_id aOwner, holder_hooks aHooks);
   void SetBytes(holder_id aHolder, std::size_t aBytes);
-  void Detach(holder_id aHolder);
+  void Complete(holder_id aHolder);
   void Remove(holder_id aHolder);
   const holder_row* Find(holder_id aHolder) const;
 
   void SetPaused(holder_row& aRow, bool aIsPaused);
+  void MoveToOwner(holder_row& aRow, owner_id aOwner);
+  void RequestBalance();
+  owner_id ReaderGroup(const holder_row& aRow) const;
   bool IsUnderPressure(const owner_row& aOwner) const;
   bool ShouldPause(const holder_row& aRow) const;
   void SetPauses();
@@ -151,8 +155,9 @@
   holder& operator=(const holder&) = delete;
 
   void Set(std::size_t aBytes);
-  /// From now on it neither stops reading nor is ended.
-  void Detach();
+  /// It is whole: from now on it neither stops reading nor is ended, and is not
+  /// counted for its owner.
+  void Complete();
   bool IsPaused() const;
   bool IsCounting() const { return mAccount != nullptr; }
 
--- a/src/net/account_timer.cpp
+++ b/src/net/account_timer.cpp
@@ -59,10 +59,8 @@
 BalanceOn(asio::io_context& aContext,
           const std::shared_ptr<memory::account>& aAccount)
 {
-  aAccount->onPressure =
-    [timer = std::make_shared<account_timer>(aContext, aAccount)] {
-      timer->RunSoon();
-    };
+  aAccount->onPressure = [timer = std::make_shared<account_timer>(
+                            aContext, aAccount)] { timer->RunSoon(); };
 }
 
 } // namespace bulrush::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,6 +19,11 @@
 /// A call that has received as much lets the other work of its thread run
 /// before it reads on. libcurl reads all that has arrived otherwise.
 constexpr std::size_t kTurnBytes = 131'072;
+/// libcurl passes each chunk of an answer by itself, and passing one on takes as
+/// long as copying this many bytes.
+constexpr std::size_t kBytesPerChunk = 512;
+/// Of a connection to an endpoint, for bytes that are not read yet.
+constexpr int kReceiveBufferBytes = 65'536;
 /// Of connections that no call uses: the interval of their keep-alive probes.
 /// One that falls silent is closed after this idle time and the probes below.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -134,14 +139,16 @@
   if (call.isCancelled) {
     return 0;
   }
+  ReportHeadOnce(call);
   if (call.isPaused || call.turnBytes >= kTurnBytes) {
     call.isTurnOver = true;
-    call.onTurnOver();
+    if (!call.isPaused) {
+      call.onTurnOver();
+    }
     return CURL_WRITEFUNC_PAUSE; // libcurl passes these bytes again
   }
   const std::string_view bytes(aData, aSize * aCount);
-  call.turnBytes += bytes.size();
-  ReportHeadOnce(call);
+  call.turnBytes += std::max(bytes.size(), kBytesPerChunk);
   call.bodyBytes += bytes.size();
   const std::size_t limit = call.call.maxBodyBytes;
   if (limit > 0 && call.bodyBytes > limit) {
@@ -191,7 +198,8 @@
          aResult == CURLE_SEND_ERROR || aResult == CURLE_PARTIAL_FILE;
 }
 
-// A cancelled request must not reach the endpoint later. Closing with a reset
+// The kernel would let a buffer grow to megabytes, outside of any account. A
+// cancelled request must not reach the endpoint later. Closing with a reset
 // discards unsent data; after a normal close the kernel would still deliver it
 // once the network recovers.
 int
@@ -201,8 +209,10 @@
   const bool resetsOnClose =
     ::setsockopt(
       aFd, SOL_SOCKET, SO_LINGER, &kResetOnClose, sizeof(kResetOnClose)) == 0;
-  return resetsOnClose && SetProbeIntervals(aFd) ? CURL_SOCKOPT_OK
-                                                 : CURL_SOCKOPT_ERROR;
+  const bool isSetUp =
+    resetsOnClose && SetProbeIntervals(aFd) &&
+    SetOption(aFd, SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
+  return isSetUp ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
 }
 
 class curl_client : public http_client
@@ -297,7 +307,13 @@
     running_call& call = *found->second;
     call.turnBytes = 0;
     call.isTurnOver = false;
-    curl_easy_pause(call.easy, call.isPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    // Passes the bytes that were kept, and fails if their callback does.
+    const CURLcode result = curl_easy_pause(
+      call.easy, call.isPaused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    if (result != CURLE_OK) {
+      End(call, result);
+      return;
+    }
     // libcurl would read on by its timer, after a millisecond.
     RunSocketAction(CURL_SOCKET_TIMEOUT, 0);
   }
@@ -339,10 +355,6 @@
                        CURLOPT_POSTFIELDSIZE_LARGE,
                        static_cast<curl_off_t>(body.size()));
     }
-    // Ends the call at the head of an answer that states a larger length.
-    curl_easy_setopt(easy,
-                     CURLOPT_MAXFILESIZE_LARGE,
-                     static_cast<curl_off_t>(call.maxBodyBytes));
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -138,6 +138,7 @@
   const auto remote = mSocket.remote_endpoint(ignored);
   mPeer = fmt::format("{}:{}", remote.address().to_string(), remote.port());
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  mSocket.non_blocking(true, ignored);
 }
 
 void
@@ -155,17 +156,32 @@
     return;
   }
   mIsReading = true;
-  mSocket.async_read_some(asio::buffer(mBuffer),
-                          [self = shared_from_this()](
-                            const std::error_code& aError, std::size_t aCount) {
-                            self->mIsReading = false;
-                            if (aError) {
-                              self->NotifyDisconnected();
-                              self->Close();
-                            } else {
-                              self->OnRead(aCount);
-                            }
-                          });
+  mSocket.async_wait(
+    asio::ip::tcp::socket::wait_read,
+    [self = shared_from_this()](const std::error_code& aError) {
+      self->mIsReading = false;
+      self->OnReadable(aError);
+    });
+}
+
+void
+http_connection::OnReadable(std::error_code aError)
+{
+  if (mIsReadPaused || IsClosed()) {
+    return;
+  }
+  std::size_t count = 0;
+  if (!aError) {
+    count = mSocket.read_some(asio::buffer(mState->readBuffer), aError);
+  }
+  if (aError == asio::error::would_block) {
+    Read();
+  } else if (aError) {
+    NotifyDisconnected();
+    Close();
+  } else {
+    OnRead(count);
+  }
 }
 
 void
@@ -178,7 +194,7 @@
   if (mPhase == phase::eHead && mInput.empty()) {
     BeginHead();
   }
-  mInput.append(mBuffer.data(), aCount);
+  mInput.append(mState->readBuffer.data(), aCount);
   Process();
   if (mState->isStopping) {
     RefuseIfPartial();
@@ -239,7 +255,7 @@
   mPhaseDeadline = Now() + mState->settings.readTimeout;
   const bool canContinue = ProcessBody();
   const bool isPartial = mPhase == phase::eBody;
-  if (isPartial && !HasRoom(RemainingBody())) {
+  if (isPartial && !HasRoom(RemainingBody(), RemainingBody())) {
     RefuseForMemory();
     return false;
   }
@@ -278,7 +294,7 @@
 void
 http_connection::Dispatch()
 {
-  if (!HasRoom(0)) {
+  if (!HasRoom(InputBytes(), mHeldInput ? 0 : InputBytes())) {
     RefuseForMemory();
     return;
   }
@@ -287,8 +303,20 @@
   mKeepsAlive = http_should_keep_alive(&mParser) != 0;
   mIsAnswered = false;
   mIsStarted = false;
-  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
   mIsHeadRequest = mParser.method == HTTP_HEAD;
+  SplitTarget();
+  mRequest.held = TakeRequestHolder();
+  ++mState->unsentAnswers;
+  const auto reply =
+    std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
+  mReply = reply;
+  mState->onRequest(std::move(mRequest), reply);
+}
+
+void
+http_connection::SplitTarget()
+{
+  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
   const std::size_t queryStart =
     std::min(mRequest.target.find('?'), mRequest.target.size());
   mRequest.path = mRequest.target.substr(0, queryStart);
@@ -296,12 +324,6 @@
                      ? mRequest.target.substr(queryStart + 1)
                      : std::string();
   mRequest.peer = mPeer;
-  mRequest.held = HoldRequest();
-  ++mState->unsentAnswers;
-  const auto reply =
-    std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
-  mReply = reply;
-  mState->onRequest(std::move(mRequest), reply);
 }
 
 // After an invalid request the start of the next one is unknown, so the
@@ -317,6 +339,8 @@
                         int aStatus,
                         const std::string& aText)
 {
+  mHeldInput.reset();
+  mIsReadPaused = false;
   mPhase = phase::eAnswering;
   mPhaseDeadline = steady_time::max();
   mKeepsAlive = false;
@@ -327,6 +351,8 @@
   ++mState->unsentAnswers;
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
+  SplitTarget();
+  mRequest.body = {};
   const http_request head = std::exchange(mRequest, {});
   if (mState->settings.onReadError) {
     mState->settings.onReadError(*reply, { aReason, aStatus, aText, &head });
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -21,6 +21,8 @@
   bool isDraining = false; ///< answers that begin close their connections
   bool isStopping = false; ///< requests that are not read in full are refused
   std::function<void()> onFlushed;
+  /// Of all connections, each for the time of one read.
+  std::array<char, 16'384> readBuffer{};
 };
 
 class http_connection : public std::enable_shared_from_this<http_connection>
@@ -66,11 +68,13 @@
   http_server_limits Limits() const;
   steady_time Deadline() const;
   void Read();
+  void OnReadable(std::error_code aError);
   void OnRead(std::size_t aCount);
   void Process();
   bool ProcessHead();
   bool ProcessBody();
   void Dispatch();
+  void SplitTarget();
   void Refuse(int aStatus, const std::string& aText);
   void Refuse(read_refusal aReason, int aStatus, const std::string& aText);
   void NotifyDisconnected();
@@ -80,8 +84,8 @@
   memory::owner_id Owner() const;
   std::size_t InputBytes() const;
   std::size_t RemainingBody() const;
-  std::shared_ptr<memory::holder> HoldRequest();
-  bool HasRoom(std::size_t aBytes);
+  std::shared_ptr<memory::holder> TakeRequestHolder();
+  bool HasRoom(std::size_t aSize, std::size_t aMissing);
   void CountInput();
   void SetReadPause(bool aIsPaused);
   void RefuseForMemory();
@@ -109,10 +113,10 @@
   http_server_limits mLimits; ///< those in force at mHeadStart
   /// For which an answer said that the connection stays open.
   std::chrono::seconds mKeepAliveTime{ 0 };
-  std::array<char, 16'384> mBuffer{};
   std::string mInput; ///< read and not yet parsed
   bool mIsReading = false;
   bool mIsReadPaused = false;
+  steady_time mReadPausedAt;
   std::shared_ptr<memory::holder> mHeldInput; ///< of a request that arrives
   memory::holder mHeldOutput;
 
--- a/src/net/http_memory.cpp
+++ b/src/net/http_memory.cpp
@@ -21,8 +21,8 @@
 std::size_t
 http_connection::InputBytes() const
 {
-  std::size_t bytes = mInput.size() + mRequest.body.size() +
-                      mRequest.target.size();
+  std::size_t bytes =
+    mInput.size() + mRequest.body.size() + mRequest.target.size();
   for (const http_field& field : mRequest.fields) {
     bytes += field.name.size() + field.value.size();
   }
@@ -38,9 +38,10 @@
 }
 
 bool
-http_connection::HasRoom(std::size_t aBytes)
+http_connection::HasRoom(std::size_t aSize, std::size_t aMissing)
 {
-  return !mState->settings.account || mState->settings.account->Admit(aBytes);
+  return !mState->settings.account ||
+         mState->settings.account->HasRoom(aSize, aMissing);
 }
 
 // A request that arrives in one piece is counted only once it is passed on.
@@ -52,6 +53,7 @@
   }
   if (!IsPartial()) {
     mHeldInput.reset();
+    mIsReadPaused = false;
     return;
   }
   if (!mHeldInput) {
@@ -67,11 +69,10 @@
         self->RefuseForMemory();
       }
     };
-    mHeldInput =
-      std::make_shared<memory::holder>(mState->settings.account,
-                                       memory::holder_kind::eRequest,
-                                       Owner(),
-                                       std::move(hooks));
+    mHeldInput = std::make_shared<memory::holder>(mState->settings.account,
+                                                  memory::holder_kind::eRequest,
+                                                  Owner(),
+                                                  std::move(hooks));
   }
   mHeldInput->Set(InputBytes());
 }
@@ -81,8 +82,12 @@
 http_connection::SetReadPause(bool aIsPaused)
 {
   mIsReadPaused = aIsPaused;
-  if (!aIsPaused && mPhase == phase::eBody) {
-    mPhaseDeadline = Now() + mState->settings.readTimeout;
+  const steady_time now = Now();
+  if (aIsPaused) {
+    mReadPausedAt = now;
+  } else {
+    (mPhase == phase::eBody ? mPhaseDeadline : mHeadStart) +=
+      now - mReadPausedAt;
   }
   Read();
 }
@@ -90,8 +95,6 @@
 void
 http_connection::RefuseForMemory()
 {
-  mHeldInput.reset();
-  mIsReadPaused = false;
   Refuse(read_refusal::eNoMemory,
          kNoMemoryStatus,
          "this host has no memory left for the request");
@@ -99,20 +102,19 @@
 
 // Kept until the request is no longer needed, which may be after its answer.
 std::shared_ptr<memory::holder>
-http_connection::HoldRequest()
+http_connection::TakeRequestHolder()
 {
   if (!mState->settings.account) {
     return nullptr;
   }
   if (!mHeldInput) {
-    mHeldInput =
-      std::make_shared<memory::holder>(mState->settings.account,
-                                       memory::holder_kind::eRequest,
-                                       Owner(),
-                                       memory::holder_hooks{});
+    mHeldInput = std::make_shared<memory::holder>(mState->settings.account,
+                                                  memory::holder_kind::eRequest,
+                                                  Owner(),
+                                                  memory::holder_hooks{});
   }
   mHeldInput->Set(InputBytes());
-  mHeldInput->Detach();
+  mHeldInput->Complete();
   mIsReadPaused = false;
   return std::exchange(mHeldInput, nullptr);
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,6 +17,8 @@
 /// A server that stops still answers what arrives within this time: requests
 /// that callers sent before they could know of it. Several round trips.
 constexpr std::chrono::milliseconds kStopLinger{ 100 };
+/// Of a connection in the kernel, each way.
+constexpr int kBufferBytes = 65'536;
 
 class asio_server : public http_server
 {
@@ -36,6 +38,10 @@
                                  aSettings.port);
     mAcceptor.open(endpoint.protocol());
     mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+    // Accepted connections inherit them. The kernel would let them grow to
+    // megabytes each.
+    mAcceptor.set_option(tcp::socket::receive_buffer_size(kBufferBytes));
+    mAcceptor.set_option(tcp::socket::send_buffer_size(kBufferBytes));
     mAcceptor.bind(endpoint);
     mAcceptor.listen();
     mPort = mAcceptor.local_endpoint().port();
--- a/src/program/held_memory.cpp
+++ b/src/program/held_memory.cpp
@@ -1,4 +1,5 @@
-/// The memory bounds of a program: its allocator, its account and their metrics.
+/// The memory bounds of a program: its allocator, its account and their
+/// metrics.
 
 #include "program/program.hpp"
 
@@ -34,15 +35,13 @@
   "Requests and answers that are not read on for want of memory"
 };
 constexpr metric_definition kEnded{
-  "bulrush_held_ended",
-  metric_kind::eGauge,
-  "Requests and answers ended for want of memory since the start"
-};
-constexpr metric_definition kRefused{
-  "bulrush_held_refused",
-  metric_kind::eGauge,
-  "Requests refused for want of memory since the start"
+  "bulrush_held_ended_total",
+  metric_kind::eCounter,
+  "Requests and answers ended for want of memory"
 };
+constexpr metric_definition kRefused{ "bulrush_held_refused_total",
+                                      metric_kind::eCounter,
+                                      "Requests refused for want of memory" };
 
 } // namespace
 
--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -65,8 +65,9 @@
   result.wasBusy = aAttempt.wasBusy;
   result.hasSucceeded = aFailure == attempt_failure::eNone;
   result.isRefused = aAttempt.head && IsOverload(aAttempt.head->status);
-  result.hasFailed =
-    aFailure != attempt_failure::eNone && aFailure != attempt_failure::eRefused;
+  result.hasFailed = aFailure != attempt_failure::eNone &&
+                     aFailure != attempt_failure::eRefused &&
+                     aFailure != attempt_failure::eNotKept;
   // Only a stream's time to the first byte reflects the state of the engine;
   // that of a buffered answer depends on its length.
   if (aRequest.facts.isStreamed) {
@@ -262,6 +263,8 @@
       }
       return IsUnusable(aAttempt, aRequest) ? attempt_failure::eServerError
                                             : attempt_failure::eNone;
+    case attempt_end::eNotKept:
+      return attempt_failure::eNotKept;
     default:
       return hasHead ? attempt_failure::eTruncated : attempt_failure::eLost;
   }
@@ -431,6 +434,15 @@
   }
 }
 
+void
+OnAttemptPaused(tables& aTables, attempt_id aAttempt, bool aIsPaused)
+{
+  attempt_row* row = aTables.attempts.Find(aAttempt);
+  if (row != nullptr) {
+    row->isPaused = aIsPaused;
+  }
+}
+
 void
 OnAttemptEnd(tables& aTables,
              attempt_id aAttempt,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -75,6 +75,10 @@
   const steady_time last = isStream
                              ? LastWait(aTables.settings, aAttempt, aRequest)
                              : aRequest.facts.deadline;
+  if (aNow < last && aAttempt.isPaused) {
+    ExtendTimeout(aTables.settings, aAttempt, last, aNow);
+    return;
+  }
   const stay_reason stays = WhyAttemptStays(aTables, aRequest, aNow);
   if (aNow < last && stays != stay_reason::eNone) {
     ReportKept(aAttempt, stays, aNow, aOutbox);
@@ -86,14 +90,11 @@
     PayForRetry(aTables, aRequest);
   }
   if (aRequest.facts.isIdempotent || isStream) {
-    FailAttempt(aTables,
-                aAttempt,
-                aRequest,
-                isStream && !isLate ? attempt_failure::eTruncated
-                                    : attempt_failure::eTimeout,
-                false,
-                aNow,
-                aOutbox);
+    const attempt_failure failure =
+      aAttempt.isPaused     ? attempt_failure::eNotKept
+      : isStream && !isLate ? attempt_failure::eTruncated
+                            : attempt_failure::eTimeout;
+    FailAttempt(aTables, aAttempt, aRequest, failure, false, aNow, aOutbox);
     return;
   }
   EndRunningRequest(
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -11,6 +11,9 @@
 bool
 CanRunAgain(const options& aOptions, const request_row& aRequest)
 {
+  if (aRequest.lastFailure == attempt_failure::eNotKept) {
+    return false; // another answer would be as large
+  }
   if (aRequest.facts.isIdempotent) {
     return true;
   }
@@ -53,6 +56,8 @@
       return request_outcome::eRefused;
     case attempt_failure::eTimeout:
       return request_outcome::eDeadline;
+    case attempt_failure::eNotKept:
+      return request_outcome::eNotKept;
     default:
       return request_outcome::eLost;
   }
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -137,6 +137,9 @@
 /// The endpoint's side closed or reset the connection before the answer was
 /// complete; OnAttemptEnd follows.
 void OnConnectionLost(tables& aTables, attempt_id aAttempt);
+/// This host stops or resumes reading the answer; meanwhile its endpoint is not
+/// taken to be silent.
+void OnAttemptPaused(tables& aTables, attempt_id aAttempt, bool aIsPaused);
 void OnAttemptEnd(tables& aTables,
                   attempt_id aAttempt,
                   attempt_end aEnd,
--- a/src/routing/rows.hpp
+++ b/src/routing/rows.hpp
@@ -30,6 +30,7 @@
   eRefused,        ///< the endpoint refused
   eUnreachable,    ///< no byte could be sent
   eLost,           ///< sent; the answer was lost, misdelivered or an error
+  eNotKept,        ///< sent; this host had no memory for the answer
   eBrokenStream,   ///< part of a stream was forwarded, then an error event
   eCallerGone,
   eKeyWithdrawn,
@@ -186,7 +187,8 @@
   eLost,
   eTruncated,
   eMisdelivered,
-  eTimeout
+  eTimeout,
+  eNotKept ///< this host had no memory for the answer
 };
 
 /// An admitted request, as parsed by the front end.
@@ -280,6 +282,7 @@
   eTruncated, ///< broken off after the head
   eLost,      ///< sent, no answer
   eNotSent,   ///< no byte of the request was sent
+  eNotKept,   ///< this host had no memory for the answer
   eCancelled  ///< after cancel_attempt
 };
 
@@ -313,6 +316,7 @@
   steady_time firstByteAt;
   std::uint64_t received = 0; ///< end offset of the bytes without a gap
   bool hasGap = false;
+  bool isPaused = false; ///< this host does not read its answer for now
   stay_reason stays = stay_reason::eNone; ///< as last reported
   attempt_end end = attempt_end::eNone;
 };
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -102,6 +102,8 @@
       return "unreachable";
     case request_outcome::eLost:
       return "lost";
+    case request_outcome::eNotKept:
+      return "not_kept";
     case request_outcome::eBrokenStream:
       return "broken_stream";
     case request_outcome::eCallerGone:
--- a/tests/memory/account_test.cpp
+++ b/tests/memory/account_test.cpp
@@ -103,8 +103,11 @@
   REQUIRE(bytes->NeedsChecks());
   bytes->CheckProgress();
   CHECK(second.isPaused);
+  stalled.held.Set(4 * kMegabyte + 1);
   bytes->CheckProgress();
+  CHECK(stalled.isPaused);
   CHECK_FALSE(second.isPaused);
+  bytes->CheckProgress();
   second.held.Set(3 * kMegabyte);
   bytes->CheckProgress();
   CHECK_FALSE(second.isPaused);
@@ -163,27 +166,50 @@
 }
 
 TEST_CASE_METHOD(account_fixture,
-                 "Holder_Detached_IsCountedAndNeitherPausedNorEnded",
+                 "Holder_Completed_IsCountedAndNeitherPausedNorEnded",
                  "[memory]")
 {
-  test_holder& detached = Hold(kFaulty, 45 * kMegabyte);
-  detached.held.Detach();
+  test_holder& whole = Hold(kFaulty, 45 * kMegabyte);
+  whole.held.Complete();
   bytes->Balance();
-  CHECK_FALSE(detached.isEnded);
-  CHECK_FALSE(detached.isPaused);
+  CHECK_FALSE(whole.isEnded);
+  CHECK_FALSE(whole.isPaused);
   CHECK(bytes->Bytes() == 45 * kMegabyte);
 }
 
+TEST_CASE_METHOD(account_fixture,
+                 "Owner_WhoseHolderCompletes_HasTheNextOneRead",
+                 "[memory]")
+{
+  test_holder& first = Hold(kFaulty, 4 * kMegabyte);
+  const test_holder& second = Hold(kFaulty, 2 * kMegabyte);
+  bytes->Balance();
+  REQUIRE(second.isPaused);
+  first.held.Complete();
+  bytes->Balance();
+  CHECK_FALSE(second.isPaused);
+}
+
+TEST_CASE_METHOD(account_fixture,
+                 "Sum_AboveTheBudgetByWholeHolders_EndsNoSmallOne",
+                 "[memory]")
+{
+  const test_holder& small = Hold(kSound, 1000);
+  Hold(kFaulty, 45 * kMegabyte).held.Complete();
+  bytes->Balance();
+  CHECK_FALSE(small.isEnded);
+}
+
 TEST_CASE_METHOD(account_fixture,
                  "Request_WithoutRoom_IsRefusedAndCounted",
                  "[memory]")
 {
-  CHECK(bytes->Admit(4 * kMegabyte));
+  CHECK(bytes->HasRoom(4 * kMegabyte, 4 * kMegabyte));
   Hold(kSound, 28 * kMegabyte);
-  CHECK_FALSE(bytes->Admit(4 * kMegabyte));
-  CHECK(bytes->Admit(1000));
+  CHECK_FALSE(bytes->HasRoom(4 * kMegabyte, 4 * kMegabyte));
+  CHECK(bytes->HasRoom(1000, 1000));
   Hold(kSound, 13 * kMegabyte);
-  CHECK_FALSE(bytes->Admit(0));
+  CHECK_FALSE(bytes->HasRoom(0, 0));
   CHECK(bytes->Usage().refused == 2);
 }
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -279,11 +279,11 @@
   order.fencingNumber = 41;
   const net::http_call call = WriteOrder(order);
   CHECK(json::parse(call.body.Get()) == json{ { "operation", "model_load" },
-                                        { "model", "daka" },
-                                        { "adapter", "a3" },
-                                        { "expected", 2 },
-                                        { "holder", "node-7" },
-                                        { "fencingToken", 41 } });
+                                              { "model", "daka" },
+                                              { "adapter", "a3" },
+                                              { "expected", 2 },
+                                              { "holder", "node-7" },
+                                              { "fencingToken", 41 } });
   CHECK(*net::FindField(call.fields, "X-Expect-Instance") == "i-1");
 }
 
--- a/tests/process/endless_answers_test.cpp
+++ b/tests/process/endless_answers_test.cpp
@@ -11,8 +11,8 @@
 
 using nlohmann::json;
 
-/// kMaxBufferedBytes of an entry host, for each answer.
-constexpr std::size_t kMaxBufferedBytes = 32 * kMegabyte;
+/// Of one answer, with the default memory-limit of 256 MB.
+constexpr std::size_t kMaxBufferedBytes = 14 * kMegabyte;
 /// For the buffers of the sockets, the logs and the other requests.
 constexpr std::size_t kReserve = 16 * kMegabyte;
 /// A growing buffer exists twice while it is copied.
@@ -93,6 +93,7 @@
     ResetPeak(EntryPid());
     const std::size_t before = MemoryBytes(EntryPid(), "VmRSS");
     const int begun = desk->EndlessBegun();
+    const std::size_t logged = running.entries[0]->Log().size();
     desk->SetEndlessAnswer(aAnswer);
     const auto start = std::chrono::steady_clock::now();
     auto answer = std::async(std::launch::async, aSend);
@@ -106,8 +107,9 @@
     desk->SetEndlessAnswer(std::nullopt);
     if (aBound > kReserve) {
       CHECK(WaitUntil([&] {
-        return running.entries[0]->Log().find("buffered more than") !=
-               std::string::npos;
+        const std::string log = running.entries[0]->Log().substr(logged);
+        return log.find("buffered more than") != std::string::npos ||
+               log.find("its length is above") != std::string::npos;
       }));
     }
     const std::size_t peak = MemoryBytes(EntryPid(), "VmHWM");
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <iostream>
 #include <sstream>
 
 namespace bulrush::test {
@@ -17,7 +18,8 @@
 
 /// Default of memory-limit.
 constexpr std::size_t kLimit = 256 * kMegabyte;
-/// At rest the budget and as much again have to be free.
+/// The budget, two fifths of the limit, has to fit in beside it, and as much
+/// again for copies and sockets nearly so.
 constexpr std::size_t kRestLimit = kLimit / 4;
 constexpr int kCallers = 24;
 constexpr milliseconds kSoundInterval{ 100 };
@@ -25,7 +27,8 @@
 constexpr std::size_t kSoundAnswerBytes = 8 * kMegabyte;
 
 const std::string kFields =
-  "Content-Type: application/json\r\nBulrush-Attempt: {attempt}\r\n";
+  "Content-Type: application/json\r\nBulrush-Attempt: {attempt}\r\n"
+  "Connection: close\r\n";
 const std::string kStreamHead =
   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
   "Bulrush-Resume: 0\r\nBulrush-Attempt: {attempt}\r\n\r\n";
@@ -45,8 +48,7 @@
     key = running.IssueKey("press");
     running.AddEndpoint("files", "domain-a", { "--services", "files" });
     desk = std::make_unique<raw_endpoint>(
-      "desk", "domain-a", std::vector{ running.EntryAddress(0) });
-    desk->SetSlots(2 * kCallers);
+      "desk", "domain-a", std::vector{ running.EntryAddress(0) }, 2 * kCallers);
     REQUIRE(WaitUntil([&] { return Files().status == 200; }));
     REQUIRE(WaitUntil([&] { return Release().status == 200; }));
   }
@@ -83,8 +85,8 @@
   /// The lines on held bytes of the host's metrics page.
   std::string Held() const
   {
-    const http_answer page = SendHttpRequest(
-      "GET", "http://" + running.EntryAddress(0) + "/metrics");
+    const http_answer page =
+      SendHttpRequest("GET", "http://" + running.EntryAddress(0) + "/metrics");
     std::string held = "\n";
     std::istringstream lines(page.body);
     for (std::string line; std::getline(lines, line);) {
@@ -98,9 +100,10 @@
   void RequireSoundRequests(const std::function<bool()>& aIsBusy) const
   {
     constexpr milliseconds kTarget{ 550 };
+    constexpr int kMinSound = 20;
     int sent = 0;
     int late = 0;
-    while (aIsBusy() || sent < 10) {
+    while (aIsBusy() || sent < kMinSound) {
       const auto start = steady_clock::now();
       const http_answer answer = Files();
       INFO(answer.status << ' ' << answer.error << answer.body << Held());
@@ -110,7 +113,7 @@
       WaitUntil([&] { return steady_clock::now() > start + kSoundInterval; });
     }
     INFO(late << " of " << sent << " sound requests were late");
-    CHECK(late * 20 <= sent);
+    CHECK(late * kMinSound <= sent); // 95 in 100
   }
 
   /// Many callers get aAnswer at once; sound requests run beside them.
@@ -118,6 +121,7 @@
     const endless_answer& aAnswer,
     const std::function<http_answer()>& aSend) const
   {
+    const int begun = desk->EndlessBegun();
     desk->SetEndlessAnswer(aAnswer);
     std::vector<std::future<http_answer>> calls;
     for (int i = 0; i < kCallers; ++i) {
@@ -129,6 +133,7 @@
       });
     });
     desk->SetEndlessAnswer(std::nullopt);
+    CHECK(desk->EndlessBegun() >= begun + kCallers / 2);
     std::vector<http_answer> answers;
     for (auto& call : calls) {
       answers.push_back(call.get());
@@ -138,13 +143,15 @@
 
   void RequireMemory() const
   {
+    INFO(Held());
     CHECK(running.entries[0]->IsRunning());
     CHECK(MemoryBytes(EntryPid(), "VmHWM") < kLimit);
-    CHECK(WaitUntil(
-      [&] { return MemoryBytes(EntryPid(), "VmRSS") < kRestLimit; },
-      milliseconds(2'000)));
-    WARN("peak " << MemoryBytes(EntryPid(), "VmHWM") / kMegabyte << " MB, rest "
-                 << MemoryBytes(EntryPid(), "VmRSS") / kMegabyte << " MB" << Held());
+    CHECK(
+      WaitUntil([&] { return MemoryBytes(EntryPid(), "VmRSS") < kRestLimit; },
+                milliseconds(2'000)));
+    std::cout << "memory: peak " << MemoryBytes(EntryPid(), "VmHWM") / kMegabyte
+              << " MB, rest " << MemoryBytes(EntryPid(), "VmRSS") / kMegabyte
+              << " MB\n";
   }
 };
 
@@ -219,12 +226,11 @@
                  "Answers_LargeAndManyAtOnce_AllArriveWhole",
                  "[process][memory]")
 {
-  const endless_answer large{
-    "HTTP/1.1 200 OK\r\n" + kFields +
-      "Content-Length: " + std::to_string(kSoundAnswerBytes) + "\r\n\r\n" +
-      std::string(kSoundAnswerBytes, '7'),
-    ""
-  };
+  const endless_answer large{ "HTTP/1.1 200 OK\r\n" + kFields +
+                                "Content-Length: " +
+                                std::to_string(kSoundAnswerBytes) + "\r\n\r\n" +
+                                std::string(kSoundAnswerBytes, '7'),
+                              "" };
   ResetPeak(EntryPid());
   for (const http_answer& each :
        CallAtOnce(large, [this] { return Release(); })) {
@@ -240,10 +246,10 @@
                  "[process][memory]")
 {
   constexpr int kBodies = 100;
-  const std::string head = "POST /desk/releases HTTP/1.1\r\nHost: h\r\n"
-                           "Authorization: Bearer " +
-                           key + "\r\nContent-Length: " +
-                           std::to_string(kMaxBodyBytes) + "\r\n\r\n";
+  const std::string head =
+    "POST /desk/releases HTTP/1.1\r\nHost: h\r\n"
+    "Authorization: Bearer " +
+    key + "\r\nContent-Length: " + std::to_string(kMaxBodyBytes) + "\r\n\r\n";
   const std::string body(kMaxBodyBytes - 1, ' ');
   ResetPeak(EntryPid());
   {
@@ -253,10 +259,10 @@
       callers.push_back(
         std::make_unique<raw_connection>(running.EntryAddress(0)));
       REQUIRE(callers.back()->IsConnected());
-      sends.push_back(std::async(
-        std::launch::async, [&head, &body, caller = callers.back().get()] {
-          caller->Send(head + body);
-        }));
+      sends.push_back(std::async(std::launch::async,
+                                 [&head, &body, caller = callers.back().get()] {
+                                   caller->Send(head + body);
+                                 }));
     }
     const auto start = steady_clock::now();
     RequireSoundRequests(
@@ -266,11 +272,11 @@
     }
   }
   RequireMemory();
-  const http_answer large = SendHttpRequest(
-    "POST",
-    "http://" + running.EntryAddress(0) + "/desk/releases",
-    { "Authorization: Bearer " + key },
-    std::string(kMaxBodyBytes, ' '));
+  const http_answer large =
+    SendHttpRequest("POST",
+                    "http://" + running.EntryAddress(0) + "/desk/releases",
+                    { "Authorization: Bearer " + key },
+                    std::string(kMaxBodyBytes, ' '));
   INFO(large.status << ' ' << large.error << large.body.substr(0, 300));
   CHECK(large.status == 200);
 }
--- a/tests/support/process_memory.hpp
+++ b/tests/support/process_memory.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <fstream>
+#include <stdexcept>
 #include <string>
 
 namespace bulrush::test {
@@ -19,7 +20,8 @@
       return std::stoul(line.substr(line.find(':') + 1)) * 1024;
     }
   }
-  return 0;
+  throw std::runtime_error("no " + aName + " of process " +
+                           std::to_string(aPid));
 }
 
 /// From now on "VmHWM" is the peak since this call.
--- a/tests/support/raw_endpoint.cpp
+++ b/tests/support/raw_endpoint.cpp
@@ -120,10 +120,12 @@
 
 raw_endpoint::raw_endpoint(std::string aName,
                            std::string aDomain,
-                           std::vector<std::string> aEntries)
+                           std::vector<std::string> aEntries,
+                           int aSlots)
   : mName(std::move(aName))
   , mDomain(std::move(aDomain))
   , mEntries(std::move(aEntries))
+  , mSlots(aSlots)
 {
   mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
@@ -282,8 +284,8 @@
                         { "sequence", ++mSequence },
                         { "address", "127.0.0.1:" + std::to_string(mPort) },
                         { "failure_domain", mDomain },
-                        { "slots", mSlots.load() },
-                        { "cold_slots", mSlots.load() },
+                        { "slots", mSlots },
+                        { "cold_slots", mSlots },
                         { "resume", true },
                         { "residents", residents },
                         { "services", json::array({ "desk" }) } };
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -43,10 +43,11 @@
 public:
   static constexpr int kTokens = 8; ///< of each stream
 
-  /// Reports the service "desk" and the resident model "draft".
+  /// Reports the service "desk", the resident model "draft" and aSlots.
   raw_endpoint(std::string aName,
                std::string aDomain,
-               std::vector<std::string> aEntries);
+               std::vector<std::string> aEntries,
+               int aSlots = 8);
   ~raw_endpoint();
   raw_endpoint(const raw_endpoint&) = delete;
   raw_endpoint& operator=(const raw_endpoint&) = delete;
@@ -65,9 +66,6 @@
   int EndlessBegun() const { return mEndlessBegun; }
   int EndlessClosed() const { return mEndlessClosed; }
 
-  /// Requests that it reports to take at once; from its next report on.
-  void SetSlots(int aSlots) { mSlots = aSlots; }
-
   /// From now on it reports as an engine with this memory and no model, so that
   /// it receives orders.
   void ReportEmptyEngine(std::uint64_t aMemoryBytes);
@@ -96,7 +94,7 @@
   std::atomic<int> mEndlessBegun{ 0 };
   std::atomic<int> mEndlessClosed{ 0 };
   std::atomic<std::uint64_t> mMemoryBytes{ 0 };
-  std::atomic<int> mSlots{ 8 };
+  const int mSlots;
   std::vector<std::thread> mEndlessThreads;
   std::thread mThread;
 };
