--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -1,4 +1,5 @@
 #include "control/control.hpp"
+#include "control/engine_calls.hpp"
 #include "control/metrics.hpp"
 #include "control/options.hpp"
 #include "control/stop.hpp"
@@ -63,6 +64,7 @@
     : mContext(aContext)
     , mStopGrace(aOptions.Duration("stop-grace"))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
+    , mCalls(aContext, mFrontEnd, CallHooks())
   {
     mTables.self.name = aOptions.IsSet("seeds")
                           ? FormatAddress(*aOptions.Address("listen"))
@@ -75,7 +77,6 @@
     mTables.log = MakeLocalLog(mTables);
     mTables.orders.placement.options.copyLifetime =
       aOptions.Duration("copy-lifetime");
-    mClient = net::MakeHttpClient(mContext);
   }
 
   bool Start(const option_values& aOptions,
@@ -122,7 +123,7 @@
     LogInfo(kLog,
             "Stopping: waits at most {} for {}",
             FormatDuration(mStopGrace),
-            Describe(OpenWork(mTables, mClient->Running())));
+            Describe(OpenWork(mTables, mCalls.Running())));
     control::BeginStop(mTables, mStopGrace, net::Now());
     if (mHttp) {
       mHttp->BeginDrain();
@@ -133,6 +134,20 @@
   int ExitCode() const { return mExitCode; }
 
 private:
+  engine_call_hooks CallHooks()
+  {
+    engine_call_hooks hooks;
+    hooks.onEngineAnswer = [this](engine_answer aAnswer) {
+      mTables.residency.answers.push_back(std::move(aAnswer));
+      mTimer.RunSoon();
+    };
+    hooks.onOrderAnswer = [this](order_answer aAnswer) {
+      mTables.orders.answers.push_back(std::move(aAnswer));
+      mTimer.RunSoon();
+    };
+    return hooks;
+  }
+
   bool OpenReplicatedLog(const option_values& aOptions, last_reason& aReason)
   {
     if (!ReadPeers(aOptions, aReason)) {
@@ -369,13 +384,13 @@
       AnswerHttp(answer);
     }
     for (const auto& [engine, order] : outbox.engineOrders) {
-      SendEngineOrder(engine, order);
+      mCalls.SendEngineOrder(engine, order);
     }
     for (const auto& [engine, query] : outbox.stateQueries) {
-      SendStateQuery(engine, query);
+      mCalls.SendStateQuery(engine, query);
     }
     for (order_call& call : outbox.orders) {
-      SendOrder(std::move(call));
+      mCalls.SendOrder(std::move(call));
     }
     if (!mTables.committed.empty()) {
       mTimer.RunSoon();
@@ -395,7 +410,7 @@
       LogWarning(kLog, "Stopping: answers could not be sent in time");
       EndStop();
     } else if (!aStop.isEnding &&
-               MayEnd(mTables, mClient->Running(), aNow, aWake)) {
+               MayEnd(mTables, mCalls.Running(), aNow, aWake)) {
       aStop.isEnding = true;
       if (mHttp) {
         mHttp->StopWhenFlushed([this] { EndStop(); });
@@ -407,9 +422,8 @@
 
   void EndStop()
   {
-    LogInfo(kLog,
-            "Stops, leaving {}",
-            Describe(OpenWork(mTables, mClient->Running())));
+    LogInfo(
+      kLog, "Stops, leaving {}", Describe(OpenWork(mTables, mCalls.Running())));
     mContext.stop();
   }
 
@@ -425,89 +439,6 @@
     mLoad.dropped += isSent ? 0 : 1;
   }
 
-  // Kept connections may resend a request; the order's condition makes that
-  // harmless.
-  void SendEngineOrder(endpoint_id aEngine, const engine_order& aOrder)
-  {
-    net::http_call call = mFrontEnd.writeOrder(aOrder);
-    call.timeout = kEngineTimeout;
-    call.maxBodyBytes = kMaxAnswerBytes;
-    net::http_call_hooks hooks;
-    hooks.onEnd = [this, aEngine](const net::http_call_end& aEnd) {
-      engine_answer answer;
-      answer.engine = aEngine;
-      answer.order = aEnd.isComplete ? mFrontEnd.readOrderAnswer(aEnd.status)
-                                     : residency::order_answer::eNoAnswer;
-      mTables.residency.answers.push_back(std::move(answer));
-      mTimer.RunSoon();
-    };
-    mClient->Start(std::move(call), std::move(hooks));
-  }
-
-  void SendStateQuery(endpoint_id aEngine, const engine_query& aQuery)
-  {
-    net::http_call call = mFrontEnd.writeStateQuery(aQuery);
-    call.timeout = kEngineTimeout;
-    call.maxBodyBytes = kMaxAnswerBytes;
-    auto body = std::make_shared<std::string>();
-    net::http_call_hooks hooks;
-    hooks.onBytes = [body](std::string_view aBytes) { *body += aBytes; };
-    hooks.onEnd =
-      [this, aEngine, aQuery, body](const net::http_call_end& aEnd) {
-        engine_answer answer;
-        answer.engine = aEngine;
-        last_reason reason;
-        if (aEnd.isComplete && aEnd.status == 200) {
-          answer.state = mFrontEnd.readState(aQuery, *body, reason);
-        }
-        if (!answer.state) {
-          LogWarning(kLog,
-                     "State query to engine {} failed: status {} {} {}",
-                     aQuery.endpoint,
-                     aEnd.status,
-                     aEnd.error,
-                     Describe(reason));
-        }
-        mTables.residency.answers.push_back(std::move(answer));
-        mTimer.RunSoon();
-      };
-    mClient->Start(std::move(call), std::move(hooks));
-  }
-
-  // A new connection for each order: the HTTP library then never resends it,
-  // and the answer comes from the process that was dialled for this order.
-  void SendOrder(order_call aCall)
-  {
-    net::http_call call;
-    call.url = "http://" + aCall.address + "/orders";
-    call.fields = { { "Content-Type", "application/json" } };
-    call.body = std::move(aCall.body);
-    call.timeout = kOrderTimeout;
-    call.maxBodyBytes = kMaxAnswerBytes;
-    call.freshConnection = true;
-    auto answer = std::make_shared<order_answer>();
-    answer->order = aCall.order;
-    net::http_call_hooks hooks;
-    hooks.onBytes = [answer](std::string_view aBytes) {
-      answer->body += aBytes;
-    };
-    hooks.onEnd = [this, answer](const net::http_call_end& aEnd) {
-      answer->isSent = aEnd.requestSent;
-      answer->status = aEnd.isComplete ? aEnd.status : 0;
-      mTables.orders.answers.push_back(std::move(*answer));
-      mTimer.RunSoon();
-    };
-    mClient->Start(std::move(call), std::move(hooks));
-  }
-
-  static constexpr std::chrono::milliseconds kOrderTimeout{ 2'000 };
-  /// Engines answer orders and state queries at once, without waiting for a
-  /// slot.
-  static constexpr std::chrono::milliseconds kEngineTimeout{ 1'000 };
-  /// Of one endpoint's answer to an order or a state query; far more than a
-  /// state with all models and adapters takes.
-  static constexpr std::size_t kMaxAnswerBytes = 1'048'576;
-
   /// An HTTP call that waits for its answer.
   struct waiting_reply
   {
@@ -531,7 +462,7 @@
   net::tick_timer mTimer;
   net::link_keys mLinkKeys;
   std::unique_ptr<net::link_server> mServer;
-  std::unique_ptr<net::http_client> mClient;
+  engine_calls mCalls;
   std::unordered_map<std::string, std::unique_ptr<net::link_client>> mLinks;
   int mExitCode = 0;
 };
