Describe a refused request with its caller and path

A request that is refused before it has arrived in full was passed to onReadError with an empty peer, path and method, as these were set only when it was passed on. The line on a request refused for memory thus had no path.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,6 +6,8 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <tuple>
+
 namespace bulrush::net {
 namespace {
 
@@ -275,6 +277,15 @@
   return false;
 }
 
+// Also of a request that is refused, whose fields may not have been parsed.
+void
+http_connection::DescribeRequest()
+{
+  mRequest.peer = mPeer;
+  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
+  std::tie(mRequest.path, mRequest.query) = SplitTarget(mRequest.target);
+}
+
 void
 http_connection::Dispatch()
 {
@@ -287,15 +298,8 @@
   mKeepsAlive = http_should_keep_alive(&mParser) != 0;
   mIsAnswered = false;
   mIsStarted = false;
-  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
   mIsHeadRequest = mParser.method == HTTP_HEAD;
-  const std::size_t queryStart =
-    std::min(mRequest.target.find('?'), mRequest.target.size());
-  mRequest.path = mRequest.target.substr(0, queryStart);
-  mRequest.query = queryStart < mRequest.target.size()
-                     ? mRequest.target.substr(queryStart + 1)
-                     : std::string();
-  mRequest.peer = mPeer;
+  DescribeRequest();
   mRequest.held = HoldRequest();
   ++mState->unsentAnswers;
   const auto reply =
@@ -327,6 +331,7 @@
   ++mState->unsentAnswers;
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
+  DescribeRequest();
   const http_request head = std::exchange(mRequest, {});
   if (mState->settings.onReadError) {
     mState->settings.onReadError(*reply, { aReason, aStatus, aText, &head });
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -70,6 +70,7 @@
   void Process();
   bool ProcessHead();
   bool ProcessBody();
+  void DescribeRequest();
   void Dispatch();
   void Refuse(int aStatus, const std::string& aText);
   void Refuse(read_refusal aReason, int aStatus, const std::string& aText);
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -170,4 +170,13 @@
   return CheckFraming(seen, needsHost);
 }
 
+std::pair<std::string, std::string>
+SplitTarget(std::string_view aTarget)
+{
+  const std::size_t mark = std::min(aTarget.find('?'), aTarget.size());
+  const std::size_t query = std::min(mark + 1, aTarget.size());
+  return { std::string(aTarget.substr(0, mark)),
+           std::string(aTarget.substr(query)) };
+}
+
 } // namespace bulrush::net
--- a/src/net/http_head.hpp
+++ b/src/net/http_head.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace bulrush::net {
 
@@ -19,6 +20,9 @@
 /// error.
 std::optional<std::string> CheckHead(std::string_view aHead);
 
+/// Path and query of a request target, without the question mark between them.
+std::pair<std::string, std::string> SplitTarget(std::string_view aTarget);
+
 } // namespace bulrush::net
 
 #endif
