Bound what a control process holds for its callers and engines

A control process bounded each body and each answer and not their sum. Its two HTTP servers and its calls to engines and endpoints now hold on one account of two fifths of memory-limit, whose figures are on its metrics page. A call that is refused for memory gets 503 with Retry-After, and a line with the caller and the path.

The code before refuses no call for memory.

--- a/src/control/engine_calls.cpp
+++ b/src/control/engine_calls.cpp
@@ -18,13 +18,59 @@
 
 engine_calls::engine_calls(asio::io_context& aContext,
                            const front_end& aFrontEnd,
+                           std::shared_ptr<memory::account> aAccount,
                            engine_call_hooks aHooks)
   : mFrontEnd(aFrontEnd)
+  , mAccount(std::move(aAccount))
   , mHooks(std::move(aHooks))
   , mClient(net::MakeHttpClient(aContext))
 {
 }
 
+// An answer that the account ends is reported as one that broke off.
+void
+engine_calls::Start(endpoint_id aEndpoint,
+                    net::http_call aCall,
+                    end_hook aOnEnd)
+{
+  aCall.maxBodyBytes = kMaxAnswerBytes;
+  const auto answer = std::make_shared<held_answer>();
+  const std::weak_ptr<held_answer> weak = answer;
+  memory::holder_hooks bounds;
+  bounds.onPause = [this, weak](bool aIsPaused) {
+    if (const auto held = weak.lock()) {
+      aIsPaused ? mClient->Pause(held->call) : mClient->Resume(held->call);
+    }
+  };
+  bounds.onEnd =
+    [this, weak, aOnEnd, url = aCall.url](const std::string& aReason) {
+      if (const auto held = weak.lock()) {
+        mClient->Cancel(held->call);
+        LogEvent(kLog,
+                 log_level::eWarning,
+                 "answer_ended",
+                 { { "url", url }, { "reason", aReason } });
+        net::http_call_end end;
+        end.error = aReason;
+        aOnEnd(end, "");
+      }
+    };
+  answer->held = memory::holder(mAccount,
+                                memory::holder_kind::eAnswer,
+                                memory::owner_id{ aEndpoint.value },
+                                std::move(bounds));
+  net::http_call_hooks hooks;
+  hooks.onBytes = [answer](std::string_view aBytes) {
+    answer->body += aBytes;
+    answer->held.Set(answer->body.size());
+  };
+  hooks.onEnd = [answer, aOnEnd](const net::http_call_end& aEnd) {
+    answer->held = {};
+    aOnEnd(aEnd, std::move(answer->body));
+  };
+  answer->call = mClient->Start(std::move(aCall), std::move(hooks));
+}
+
 // Kept connections may resend a request; the order's condition makes that
 // harmless.
 void
@@ -49,28 +95,26 @@
 {
   net::http_call call = mFrontEnd.writeStateQuery(aQuery);
   call.timeout = kEngineTimeout;
-  call.maxBodyBytes = kMaxAnswerBytes;
-  auto body = std::make_shared<std::string>();
-  net::http_call_hooks hooks;
-  hooks.onBytes = [body](std::string_view aBytes) { *body += aBytes; };
-  hooks.onEnd = [this, aEngine, aQuery, body](const net::http_call_end& aEnd) {
-    engine_answer answer;
-    answer.engine = aEngine;
-    last_reason reason;
-    if (aEnd.isComplete && aEnd.status == 200) {
-      answer.state = mFrontEnd.readState(aQuery, *body, reason);
-    }
-    if (!answer.state) {
-      LogWarning(kLog,
-                 "State query to engine {} failed: status {} {} {}",
-                 aQuery.endpoint,
-                 aEnd.status,
-                 aEnd.error,
-                 Describe(reason));
-    }
-    mHooks.onEngineAnswer(std::move(answer));
-  };
-  mClient->Start(std::move(call), std::move(hooks));
+  Start(aEngine,
+        std::move(call),
+        [this, aEngine, aQuery](const net::http_call_end& aEnd,
+                                const std::string& aBody) {
+          engine_answer answer;
+          answer.engine = aEngine;
+          last_reason reason;
+          if (aEnd.isComplete && aEnd.status == 200) {
+            answer.state = mFrontEnd.readState(aQuery, aBody, reason);
+          }
+          if (!answer.state) {
+            LogWarning(kLog,
+                       "State query to engine {} failed: status {} {} {}",
+                       aQuery.endpoint,
+                       aEnd.status,
+                       aEnd.error,
+                       Describe(reason));
+          }
+          mHooks.onEngineAnswer(std::move(answer));
+        });
 }
 
 // A new connection for each order: the HTTP library then never resends it,
@@ -83,18 +127,18 @@
   call.fields = { { "Content-Type", "application/json" } };
   call.body = std::move(aCall.body);
   call.timeout = kOrderTimeout;
-  call.maxBodyBytes = kMaxAnswerBytes;
   call.freshConnection = true;
-  auto answer = std::make_shared<order_answer>();
-  answer->order = aCall.order;
-  net::http_call_hooks hooks;
-  hooks.onBytes = [answer](std::string_view aBytes) { answer->body += aBytes; };
-  hooks.onEnd = [this, answer](const net::http_call_end& aEnd) {
-    answer->isSent = aEnd.requestSent;
-    answer->status = aEnd.isComplete ? aEnd.status : 0;
-    mHooks.onOrderAnswer(std::move(*answer));
-  };
-  mClient->Start(std::move(call), std::move(hooks));
+  Start(IdOf<endpoint_id>(aCall.address),
+        std::move(call),
+        [this, order = aCall.order](const net::http_call_end& aEnd,
+                                    std::string aBody) {
+          order_answer answer;
+          answer.order = order;
+          answer.isSent = aEnd.requestSent;
+          answer.status = aEnd.isComplete ? aEnd.status : 0;
+          answer.body = std::move(aBody);
+          mHooks.onOrderAnswer(std::move(answer));
+        });
 }
 
 } // namespace bulrush::control
--- a/src/control/engine_calls.hpp
+++ b/src/control/engine_calls.hpp
@@ -19,8 +19,10 @@
 {
 public:
   /// @param aFrontEnd is read with each call and outlives this object.
+  /// @param aAccount bounds what answers hold.
   engine_calls(asio::io_context& aContext,
                const front_end& aFrontEnd,
+               std::shared_ptr<memory::account> aAccount,
                engine_call_hooks aHooks);
 
   void SendEngineOrder(endpoint_id aEngine, const engine_order& aOrder);
@@ -29,7 +31,20 @@
   std::size_t Running() const { return mClient->Running(); }
 
 private:
+  /// An answer that arrives.
+  struct held_answer
+  {
+    std::string body;
+    memory::holder held;
+    net::http_client::call_number call = 0;
+  };
+  using end_hook =
+    std::function<void(const net::http_call_end&, std::string aBody)>;
+
+  void Start(endpoint_id aEndpoint, net::http_call aCall, end_hook aOnEnd);
+
   const front_end& mFrontEnd;
+  std::shared_ptr<memory::account> mAccount;
   engine_call_hooks mHooks;
   std::unique_ptr<net::http_client> mClient;
 };
--- a/src/control/metrics.cpp
+++ b/src/control/metrics.cpp
@@ -1,5 +1,7 @@
 #include "control/metrics.hpp"
 
+#include "program/program.hpp"
+
 namespace bulrush::control {
 namespace {
 
@@ -100,8 +102,12 @@
 }
 
 std::string
-MetricsPage(metrics& aMetrics, const control_tables& aTables, steady_time aNow)
+MetricsPage(metrics& aMetrics,
+            const control_tables& aTables,
+            const memory::usage& aMemory,
+            steady_time aNow)
 {
+  SetMemoryMetrics(aMetrics, aMemory);
   aMetrics.Set(kLeads, aTables.log.isLeader(aNow) ? 1 : 0);
   aMetrics.Set(kTerm, static_cast<double>(aTables.log.term()));
   aMetrics.Set(kRevision, static_cast<double>(aTables.fleet.revision));
--- a/src/control/metrics.hpp
+++ b/src/control/metrics.hpp
@@ -4,6 +4,7 @@
 /// Counters and gauges of a control process.
 
 #include "control/tables.hpp"
+#include "memory/memory.hpp"
 #include "observe/observe.hpp"
 
 namespace bulrush::control {
@@ -32,9 +33,10 @@
                const control_outbox& aOutbox,
                std::chrono::nanoseconds aDuration);
 
-/// Prometheus text, with gauges set from the tables.
+/// Prometheus text, with gauges set from the tables and from aMemory.
 std::string MetricsPage(metrics& aMetrics,
                         const control_tables& aTables,
+                        const memory::usage& aMemory,
                         steady_time aNow);
 
 } // namespace bulrush::control
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -21,6 +21,8 @@
 constexpr log_component kLog{ "control" };
 /// Exit code after a failed write of the log or an unreadable snapshot.
 constexpr int kExitBrokenLog = 3;
+/// Seconds, in which calls that were complete have been answered.
+constexpr const char* kRetryAfterNoMemory = "1";
 
 // Log of a single process without a data folder: proposals commit at once.
 log_hooks
@@ -55,6 +57,23 @@
   return hooks;
 }
 
+// Answers a call that did not arrive in full.
+void
+RefuseRead(net::http_reply& aReply, const net::refused_read& aRead)
+{
+  std::vector<net::http_field> fields{ { "Content-Type", "text/plain" } };
+  if (aRead.reason == net::read_refusal::eNoMemory) {
+    LogEvent(kLog,
+             log_level::eWarning,
+             "call_refused",
+             { { "caller", aRead.head->peer },
+               { "path", aRead.head->path },
+               { "reason", aRead.text } });
+    fields.push_back({ "Retry-After", kRetryAfterNoMemory });
+  }
+  aReply.Send(aRead.status, fields, aRead.text + "\n");
+}
+
 // Tables, connections and timers of the process. Members declared after mTables
 // refer to it.
 class control_process
@@ -63,9 +82,11 @@
   control_process(asio::io_context& aContext, const option_values& aOptions)
     : mContext(aContext)
     , mStopGrace(aOptions.Duration("stop-grace"))
+    , mAccount(MakeAccount(aOptions))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
-    , mCalls(aContext, mFrontEnd, CallHooks())
+    , mCalls(aContext, mFrontEnd, mAccount, CallHooks())
   {
+    net::BalanceOn(mContext, mAccount);
     mTables.self.name = aOptions.IsSet("seeds")
                           ? FormatAddress(*aOptions.Address("listen"))
                           : aOptions.Text("name");
@@ -234,18 +255,32 @@
     }
   }
 
+  net::http_server_settings HttpSettings(const host_address& aListen) const
+  {
+    net::http_server_settings settings;
+    settings.address = aListen.ip;
+    settings.port = aListen.port;
+    settings.account = mAccount;
+    settings.onReadError = RefuseRead;
+    settings.onUnreadEnded = [](const std::string& aPeer,
+                                const std::string& aReason) {
+      LogEvent(kLog,
+               log_level::eWarning,
+               "unread_answer_ended",
+               { { "caller", aPeer }, { "reason", aReason } });
+    };
+    return settings;
+  }
+
   bool ListenHttp(const option_values& aOptions, last_reason& aReason)
   {
     const auto listen = aOptions.Address("http-listen");
     if (!mFrontEnd.readCall || !listen) {
       return true;
     }
-    net::http_server_settings settings;
-    settings.address = listen->ip;
-    settings.port = listen->port;
     auto server = net::Listen(
       mContext,
-      settings,
+      HttpSettings(*listen),
       [this](net::http_request aRequest,
              std::shared_ptr<net::http_reply> aReply) {
         HandleHttpCall(std::move(aRequest), std::move(aReply));
@@ -265,17 +300,15 @@
     if (!listen) {
       return true;
     }
-    net::http_server_settings settings;
-    settings.address = listen->ip;
-    settings.port = listen->port;
     auto server = net::Listen(
       mContext,
-      settings,
+      HttpSettings(*listen),
       [this](const net::http_request&,
              const std::shared_ptr<net::http_reply>& aReply) {
-        aReply->Send(200,
-                     { { "Content-Type", "text/plain; version=0.0.4" } },
-                     MetricsPage(mMetrics, mTables, net::Now()));
+        aReply->Send(
+          200,
+          { { "Content-Type", "text/plain; version=0.0.4" } },
+          MetricsPage(mMetrics, mTables, mAccount->Usage(), net::Now()));
       },
       aReason);
     if (!server) {
@@ -448,6 +481,7 @@
 
   asio::io_context& mContext;
   const std::chrono::milliseconds mStopGrace;
+  std::shared_ptr<memory::account> mAccount;
   control_tables mTables;
   front_end mFrontEnd;
   std::vector<domain_row> mDomains;
@@ -510,6 +544,7 @@
     return kBadSettings;
   }
   SetLogLevel(*level);
+  ReturnFreedMemory();
   LogToStandardOutput();
   control_process process(context, *options);
   if (!process.Start(*options, std::move(*frontEnd), reason)) {
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -15,7 +15,9 @@
 class raw_connection
 {
 public:
-  explicit raw_connection(const std::string& aAddress)
+  /// @param aFrom own IP address; empty for any.
+  explicit raw_connection(const std::string& aAddress,
+                          const std::string& aFrom = "")
     : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
   {
     const std::size_t colon = aAddress.find(':');
@@ -24,6 +26,12 @@
     address.sin_port =
       htons(static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1))));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (!aFrom.empty()) {
+      sockaddr_in own{};
+      own.sin_family = AF_INET;
+      ::inet_pton(AF_INET, aFrom.c_str(), &own.sin_addr);
+      ::bind(mSocket, reinterpret_cast<const sockaddr*>(&own), sizeof(own));
+    }
     const timeval timeout{ kTestTimeout.count(), 0 };
     ::setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
     mIsConnected = ::connect(mSocket,
@@ -96,6 +104,12 @@
     return bytes;
   }
 
+  bool HasInput() const
+  {
+    char next = 0;
+    return ::recv(mSocket, &next, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+  }
+
   /// Whether the peer has closed or reset the connection, with nothing left to
   /// read.
   bool IsClosedByPeer() const
