Return the small blocks of large texts to the system

They lie between blocks that live on, so they stayed with the process after the text was gone. A control process now returns them after each call whose body is larger than 256 KB.

The peak itself is not bounded by the account.

--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -21,6 +21,8 @@
 constexpr log_component kLog{ "control" };
 /// Exit code after a failed write of the log or an unreadable snapshot.
 constexpr int kExitBrokenLog = 3;
+/// A parsed text of small values takes up to 40 times its size in small blocks.
+constexpr std::size_t kLargeBodyBytes = 262'144;
 /// Seconds, in which calls that were complete have been answered.
 constexpr const char* kRetryAfterNoMemory = "1";
 
@@ -324,6 +326,9 @@
     last_reason reason;
     const steady_time now = net::Now();
     auto call = mFrontEnd.readCall(aRequest, { mDomains, now }, reason);
+    if (aRequest.body.size() > kLargeBodyBytes) {
+      ReturnFreedBlocks();
+    }
     if (!call) {
       LogWarning(kLog, "Refused an HTTP call: {}", Describe(reason));
       mFrontEnd.sendAnswer(
--- a/src/program/held_memory.cpp
+++ b/src/program/held_memory.cpp
@@ -1,4 +1,5 @@
-/// The memory bounds of a program: its allocator, its account and their metrics.
+/// The memory bounds of a program: its allocator, its account and their
+/// metrics.
 
 #include "program/program.hpp"
 
@@ -55,6 +56,12 @@
   mallopt(M_TRIM_THRESHOLD, kKeptFreeBytes);
 }
 
+void
+ReturnFreedBlocks()
+{
+  malloc_trim(kKeptFreeBytes);
+}
+
 std::shared_ptr<memory::account>
 MakeAccount(const option_values& aOptions)
 {
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -19,6 +19,10 @@
 /// before other threads start.
 void ReturnFreedMemory();
 
+/// Returns freed small blocks to the system, which takes milliseconds. To be
+/// called after work that made very many of them.
+void ReturnFreedBlocks();
+
 /// The account of a process that may use option "memory-limit".
 std::shared_ptr<memory::account> MakeAccount(const option_values& aOptions);
 
--- a/tests/process/control_memory_test.cpp
+++ b/tests/process/control_memory_test.cpp
@@ -190,5 +190,28 @@
   RequireSoundHeartbeats(std::chrono::seconds(1));
 }
 
+// Its text is far smaller than what a parser makes of it.
+TEST_CASE_METHOD(control_memory_fixture,
+                 "Control_WhenAHeartbeatHoldsManySmallValues_StaysWithinMemory",
+                 "[process][memory]")
+{
+  const auto fill = [](const std::string& aValue) {
+    std::string list = "[" + aValue;
+    while (list.size() + aValue.size() + 1 < kMaxBodyBytes - 1'024) {
+      list += "," + aValue;
+    }
+    return list + "]";
+  };
+  for (const char* value : { "0", "[]", "{}", R"({"":0})", R"("")" }) {
+    INFO(value);
+    ResetPeak(control->Pid());
+    for (const char* field : { "models", "other" }) {
+      Heartbeat("i-9", sound + ",\"" + field + "\":" + fill(value) + "}");
+    }
+    RequireMemory();
+    CHECK(Heartbeat("i-0", sound + "}") == 200);
+  }
+}
+
 } // namespace
 } // namespace bulrush::test
