Drop configuration changes that no update would carry

A control process kept the last 512 configuration changes for updates to hosts, each with its whole text of up to 4 MB, and sent them only when those that a host lacks are no larger than the manifest in force. Older ones are now dropped, so that together they are no larger than one manifest. What hosts get is the same.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -12,7 +12,6 @@
 constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
 constexpr std::chrono::seconds kHostCountInterval{ 1 };
 constexpr std::chrono::minutes kHostCountDecreaseDelay{ 5 };
-constexpr std::size_t kMaxRecentCommands = 512;
 constexpr std::uint32_t kMaxHops = 2;
 
 // A report renews the host's lease and confirms the revision that it runs.
@@ -372,9 +371,7 @@
     if (aTables.fleet.revision != before) {
       aTables.recent.push_back(
         { aTables.fleet.revision, WithoutSource(*command) });
-      if (aTables.recent.size() > kMaxRecentCommands) {
-        aTables.recent.pop_front();
-      }
+      DropOldCommands(aTables);
     }
     AnswerPosition(aTables, entry.position, result, aOutbox);
   }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -453,6 +453,9 @@
                         std::uint64_t aIncarnation,
                         const wire::host_report& aReport);
 
+/// Drops the recent commands that no update would carry.
+void DropOldCommands(control_tables& aTables);
+
 /// Systems: send updates to hosts, and endpoints to other control processes.
 void RunUpdates(control_tables& aTables,
                 steady_time aNow,
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -10,6 +10,7 @@
 constexpr log_component kLog{ "control" };
 
 constexpr std::chrono::milliseconds kGossipInterval{ 1'000 };
+constexpr std::size_t kMaxRecentCommands = 512;
 
 void
 SendAllAgain(host_row& aHost)
@@ -138,6 +139,24 @@
 
 } // namespace
 
+// Those before more than one whole manifest are never sent (AddConfiguration),
+// and several hundred large ones would be the memory of the process.
+void
+DropOldCommands(control_tables& aTables)
+{
+  std::deque<wire::numbered_command>& recent = aTables.recent;
+  const std::size_t limit = aTables.fleet.manifestText.size();
+  std::size_t bytes = 0;
+  std::size_t kept = 0;
+  while (kept < std::min(recent.size(), kMaxRecentCommands) &&
+         bytes + SizeOf(recent[recent.size() - kept - 1].command) <= limit) {
+    bytes += SizeOf(recent[recent.size() - kept - 1].command);
+    ++kept;
+  }
+  recent.erase(recent.begin(),
+               recent.end() - static_cast<std::ptrdiff_t>(kept));
+}
+
 void
 HandleConfirmation(host_row& aHost,
                    std::uint64_t aIncarnation,
--- a/tests/control/updates_test.cpp
+++ b/tests/control/updates_test.cpp
@@ -189,6 +189,25 @@
   CHECK(BytesOf(snapshot) < 2 * change.text.size());
 }
 
+// A host that lacks more than one whole manifest gets a snapshot.
+TEST_CASE_METHOD(updates_fixture,
+                 "Configurations_ManyAndLarge_AreKeptOnlyAsFarAsHostsGetThem",
+                 "[control]")
+{
+  for (int number = 1; number <= kManifests; ++number) {
+    ApplyManifest(number);
+    std::size_t bytes = 0;
+    for (const wire::numbered_command& command : tables.recent) {
+      bytes += wire::EncodeCommand(command.command).size();
+    }
+    CHECK(bytes < 2 * ManifestText(number).size());
+  }
+  const wire::host_update all = Report(0);
+  CHECK(BytesOf(all) > ManifestText(kManifests).size() / 2);
+  CHECK(BytesOf(all) < 2 * ManifestText(kManifests).size());
+  CHECK(all.revision == tables.fleet.revision);
+}
+
 // On a slow link or processor each version would arrive later than the one
 // before.
 TEST_CASE_METHOD(updates_fixture,
