--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,6 +6,8 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 
+#include <tuple>
+
 namespace bulrush::net {
 namespace {
 
@@ -291,6 +293,15 @@
   return false;
 }
 
+// Also of a request that is refused, whose fields may not have been parsed.
+void
+http_connection::DescribeRequest()
+{
+  mRequest.peer = mPeer;
+  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
+  std::tie(mRequest.path, mRequest.query) = SplitTarget(mRequest.target);
+}
+
 void
 http_connection::Dispatch()
 {
@@ -304,7 +315,7 @@
   mIsAnswered = false;
   mIsStarted = false;
   mIsHeadRequest = mParser.method == HTTP_HEAD;
-  SplitTarget();
+  DescribeRequest();
   mRequest.held = TakeRequestHolder();
   ++mState->unsentAnswers;
   const auto reply =
@@ -313,19 +324,6 @@
   mState->onRequest(std::move(mRequest), reply);
 }
 
-void
-http_connection::SplitTarget()
-{
-  mRequest.method = http_method_str(static_cast<http_method>(mParser.method));
-  const std::size_t queryStart =
-    std::min(mRequest.target.find('?'), mRequest.target.size());
-  mRequest.path = mRequest.target.substr(0, queryStart);
-  mRequest.query = queryStart < mRequest.target.size()
-                     ? mRequest.target.substr(queryStart + 1)
-                     : std::string();
-  mRequest.peer = mPeer;
-}
-
 // After an invalid request the start of the next one is unknown, so the
 // connection is closed after the answer.
 void
@@ -351,7 +349,7 @@
   ++mState->unsentAnswers;
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
-  SplitTarget();
+  DescribeRequest();
   mRequest.body = {};
   const http_request head = std::exchange(mRequest, {});
   if (mState->settings.onReadError) {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -73,8 +73,8 @@
   void Process();
   bool ProcessHead();
   bool ProcessBody();
+  void DescribeRequest();
   void Dispatch();
-  void SplitTarget();
   void Refuse(int aStatus, const std::string& aText);
   void Refuse(read_refusal aReason, int aStatus, const std::string& aText);
   void NotifyDisconnected();
--- a/src/program/held_memory.cpp
+++ b/src/program/held_memory.cpp
@@ -54,6 +54,12 @@
   mallopt(M_TRIM_THRESHOLD, kKeptFreeBytes);
 }
 
+void
+ReturnFreedBlocks()
+{
+  malloc_trim(kKeptFreeBytes);
+}
+
 std::shared_ptr<memory::account>
 MakeAccount(const option_values& aOptions)
 {
