--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -382,6 +382,18 @@
   }
 }
 
+void
+RecordFailure(tables& aTables,
+              const attempt_row& aAttempt,
+              const request_row& aRequest,
+              attempt_failure aFailure,
+              steady_time aNow)
+{
+  AddResult(aTables, aAttempt, aRequest, aFailure, aNow);
+  RecordUnanswered(aTables, aAttempt, aFailure, aNow);
+  RecordBroken(aTables, aAttempt, aRequest, aFailure, aNow);
+}
+
 // Without proof that the attempt did not run, the request may have run; later
 // attempts cannot revoke that.
 void
@@ -393,10 +405,8 @@
             steady_time aNow,
             outbox& aOutbox)
 {
-  AddResult(aTables, aAttempt, aRequest, aFailure, aNow);
   CancelAttempt(aAttempt, aOutbox);
-  RecordUnanswered(aTables, aAttempt, aFailure, aNow);
-  RecordBroken(aTables, aAttempt, aRequest, aFailure, aNow);
+  RecordFailure(aTables, aAttempt, aRequest, aFailure, aNow);
   aRequest.attemptsUnsent += aFailure == attempt_failure::eNotSent ? 1U : 0U;
   aRequest.mayHaveRun |= !aIsKnownNotRun;
   aRequest.lastFailure = aFailure;
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -65,6 +65,13 @@
                  endpoint_row& aEndpoint,
                  steady_time aNow);
 
+/// Records against the endpoint that the attempt failed.
+void RecordFailure(tables& aTables,
+                   const attempt_row& aAttempt,
+                   const request_row& aRequest,
+                   attempt_failure aFailure,
+                   steady_time aNow);
+
 /// Counts a broken answer and calls AvoidBroken.
 void MarkBroken(const options& aOptions,
                 endpoint_row& aEndpoint,
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -96,6 +96,7 @@
                 aOutbox);
     return;
   }
+  RecordFailure(aTables, aAttempt, aRequest, attempt_failure::eTimeout, aNow);
   EndRunningRequest(
     aTables, aRequest, request_outcome::eDeadline, aNow, aOutbox);
 }
--- a/tests/routing/faulty_answers_test.cpp
+++ b/tests/routing/faulty_answers_test.cpp
@@ -132,6 +132,30 @@
   CHECK(faultyAttempts == 1);
 }
 
+// The answer has a head and no end; the host cancels it at the deadline.
+TEST_CASE_METHOD(faulty_answers_fixture,
+                 "Endpoint_WhoseAnswersOutlastTheDeadline_GetsFewerRequests",
+                 "[routing]")
+{
+  constexpr seconds kDeadline{ 1 };
+  for (int i = 0; i < kRequests; ++i) {
+    const start_attempt sent = Send(NonIdempotentRequest());
+    if (sent.endpoint == kSound) {
+      Answer(sent, true);
+      continue;
+    }
+    ++faultyAttempts;
+    Head(sent.attempt, 200);
+    RunOnce();
+    RunOnce(kDeadline);
+    CheckEnd(request_outcome::eDeadline, ran_state::eMayHaveRun);
+    End(sent.attempt, attempt_end::eCancelled);
+    RunOnce();
+  }
+  INFO(faultyAttempts << " and " << soundAttempts);
+  CHECK(faultyAttempts <= kMaxFaultyAttempts);
+}
+
 TEST_CASE_METHOD(faulty_answers_fixture,
                  "Endpoint_AfterOneTruncatedAnswer_GetsRequestsAgain",
                  "[routing]")
