--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -97,6 +97,7 @@
     FailAttempt(aTables, aAttempt, aRequest, failure, false, aNow, aOutbox);
     return;
   }
+  RecordFailure(aTables, aAttempt, aRequest, attempt_failure::eTimeout, aNow);
   EndRunningRequest(
     aTables, aRequest, request_outcome::eDeadline, aNow, aOutbox);
 }
