Log what a caller had of an answer when its request ends

Cause: request_ended outcome=caller_gone status=0 was the same line for a sound stream that outlasted its caller's time and for a request without any byte.

Change: request_ended has three more fields at its end, for every outcome: sent_bytes, the body as passed to the caller's connection while it was open, errors included; first_byte_ms, from arrival to the first of them; and events of a stream. The reply counts the bytes, so that both front ends have them. The line is written after the answer was passed to the connection; took_ms is measured before, as it was.

--- a/src/entry/caller_answers.cpp
+++ b/src/entry/caller_answers.cpp
@@ -47,6 +47,7 @@
   if (!row.answer->LastEvent().empty()) {
     waiting.lastEvent = row.answer->LastEvent();
   }
+  waiting.events += aForward.count;
   reply.Write(std::move(bytes));
   if (reply.UnsentBytes() > kPauseAtBytes) {
     row.awaitsCaller = true;
@@ -71,7 +72,8 @@
 {
   waiting_row& row = *mWaiting.Find(aEnd.request);
   mAnswered.push_back(aEnd.request);
-  LogRequestEnd(row.request, aEnd, StatusOf(aEnd, row), Now());
+  const bool isStream = row.request.facts.isStreamed;
+  const int status = StatusOf(aEnd, row);
   if (aEnd.part) {
     mOnRefusedPart(aEnd.part);
   }
@@ -81,20 +83,35 @@
   if (row.request.onEnded) {
     row.request.onEnded(UsedTokens(aEnd, row));
   }
+  const steady_time now = Now();
+  SendEnd(aEnd, row);
+  LogRequestEnd(row.request,
+                aEnd,
+                { status,
+                  reply.Passed(),
+                  isStream ? std::optional(row.events) : std::nullopt },
+                now);
+}
+
+void
+request_runner::implementation::SendEnd(const routing::end_request& aEnd,
+                                        waiting_row& aRow)
+{
+  net::http_reply& reply = *aRow.request.reply;
   if (aEnd.outcome == request_outcome::eCallerGone) {
     return;
   }
   if (aEnd.outcome == request_outcome::eAnswered) {
-    FinishAnswer(row);
+    FinishAnswer(aRow);
   } else if (aEnd.outcome == request_outcome::eStoredAnswer) {
-    reply.Send(row.status,
-               { { "Content-Type", ContentTypeOf(row.answerFields) },
+    reply.Send(aRow.status,
+               { { "Content-Type", ContentTypeOf(aRow.answerFields) },
                  { "Idempotent-Replay", "true" } },
-               std::move(row.body));
-  } else if (row.isStarted) {
-    mFront.breakStream(reply, ErrorOf(aEnd), FormatId(row.id.value));
+               std::move(aRow.body));
+  } else if (aRow.isStarted) {
+    mFront.breakStream(reply, ErrorOf(aEnd), FormatId(aRow.id.value));
   } else {
-    mFront.sendError(reply, ErrorOf(aEnd), FormatId(row.id.value));
+    mFront.sendError(reply, ErrorOf(aEnd), FormatId(aRow.id.value));
   }
 }
 
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -236,6 +236,7 @@
   }
 
   std::size_t UnsentBytes() const override { return mReply->UnsentBytes(); }
+  net::passed_body Passed() const override { return mReply->Passed(); }
 
 private:
   std::vector<net::http_field> WithTrace(
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -154,9 +154,10 @@
 void
 LogRequestEnd(const routed_request& aRequest,
               const routing::end_request& aEnd,
-              int aStatus,
+              const sent_answer& aSent,
               steady_time aNow)
 {
+  const std::optional<steady_time> firstAt = aSent.body.firstAt;
   LogEvent(kLog,
            log_level::eInfo,
            "request_ended",
@@ -165,10 +166,14 @@
              { "path", aRequest.path },
              { "outcome", routing::Name(aEnd.outcome) },
              { "ran", routing::Name(aEnd.ran) },
-             { "status", std::to_string(aStatus) },
+             { "status", std::to_string(aSent.status) },
              { "step", aEnd.reason.step },
              { "part", aEnd.part ? FormatId(aEnd.part.value) : "" },
-             { "took_ms", Milliseconds(aNow - aRequest.arrivedAt) } });
+             { "took_ms", Milliseconds(aNow - aRequest.arrivedAt) },
+             { "sent_bytes", std::to_string(aSent.body.bytes) },
+             { "first_byte_ms",
+               firstAt ? Milliseconds(*firstAt - aRequest.arrivedAt) : "" },
+             { "events", aSent.events ? std::to_string(*aSent.events) : "" } });
 }
 
 } // namespace bulrush::entry
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -50,9 +50,17 @@
 /// The host exits.
 void LogStopEnd(std::size_t aOpen, std::size_t aCommands);
 
+/// What was sent to the caller before its request ended.
+struct sent_answer
+{
+  int status = 0; ///< zero: the caller disconnected
+  net::passed_body body;
+  std::optional<std::uint64_t> events; ///< of a stream
+};
+
 void LogRequestEnd(const routed_request& aRequest,
                    const routing::end_request& aEnd,
-                   int aStatus,
+                   const sent_answer& aSent,
                    steady_time aNow);
 
 } // namespace bulrush::entry
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -23,8 +23,9 @@
   std::string body;                          ///< of a non-streamed answer
   memory::holder held;                       ///< of the body
   int status = 0;
-  bool isStarted = false; ///< the head of a stream was sent to the caller
-  std::string lastEvent;  ///< id of the last event sent to the caller
+  bool isStarted = false;   ///< the head of a stream was sent to the caller
+  std::string lastEvent;    ///< id of the last event sent to the caller
+  std::uint64_t events = 0; ///< of a stream, sent to the caller
 };
 
 /// A call to an endpoint.
@@ -39,9 +40,9 @@
   std::optional<routing::answer_head> head;
   std::vector<net::http_field> answerFields;
   bool isStreamed = false;
-  bool isPaused = false;      ///< its answer is not read
-  bool awaitsCaller = false;  ///< the caller has not read what was sent
-  memory::holder held;        ///< of the answer
+  bool isPaused = false;     ///< its answer is not read
+  bool awaitsCaller = false; ///< the caller has not read what was sent
+  memory::holder held;       ///< of the answer
   std::unique_ptr<answer_buffer> answer;
 };
 
@@ -108,6 +109,7 @@
   void Forward(const routing::forward_to_caller& aForward);
   void OnDrained(request_id aRequest);
   void EndCaller(const routing::end_request& aEnd);
+  void SendEnd(const routing::end_request& aEnd, waiting_row& aRow);
   static int StatusOf(const routing::end_request& aEnd,
                       const waiting_row& aRow);
   std::optional<std::int64_t> UsedTokens(const routing::end_request& aEnd,
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -43,7 +43,8 @@
             std::string aBody) override
   {
     if (const auto connection = mConnection.lock()) {
-      connection->SendAnswer(mRequest, aStatus, aFields, std::move(aBody));
+      Count(
+        connection->SendAnswer(mRequest, aStatus, aFields, std::move(aBody)));
     }
   }
   void Start(int aStatus, const std::vector<http_field>& aFields) override
@@ -55,7 +56,7 @@
   void Write(std::string aBytes) override
   {
     if (const auto connection = mConnection.lock()) {
-      connection->SendChunk(mRequest, aBytes);
+      Count(connection->SendChunk(mRequest, aBytes));
     }
   }
   void Finish() override
@@ -75,10 +76,20 @@
     const auto connection = mConnection.lock();
     return connection ? connection->UnsentBytes(mRequest) : 0;
   }
+  passed_body Passed() const override { return mPassed; }
 
 private:
+  void Count(std::size_t aBytes)
+  {
+    if (aBytes > 0 && !mPassed.firstAt) {
+      mPassed.firstAt = Now();
+    }
+    mPassed.bytes += aBytes;
+  }
+
   std::weak_ptr<http_connection> mConnection;
   std::uint64_t mRequest;
+  passed_body mPassed;
 };
 
 } // namespace
@@ -405,14 +416,14 @@
          !mIsAnswered;
 }
 
-void
+std::size_t
 http_connection::SendAnswer(std::uint64_t aRequest,
                             int aStatus,
                             const std::vector<http_field>& aFields,
                             std::string aBody)
 {
   if (!MayAnswer(aRequest) || mIsStarted) {
-    return;
+    return 0;
   }
   mIsAnswered = true;
   const bool hasBody = !HasNoBody(aStatus);
@@ -422,12 +433,16 @@
     hasBody ? fmt::format("Content-Length: {}\r\n", aBody.size()) : "");
   if (!hasBody || mIsHeadRequest) {
     Queue(std::move(bytes));
-  } else if (aBody.size() <= kMaxCopiedBytes) {
+    return 0;
+  }
+  const std::size_t count = aBody.size();
+  if (aBody.size() <= kMaxCopiedBytes) {
     Queue(std::move(bytes += aBody));
   } else {
     Queue(std::move(bytes));
     Queue(std::move(aBody));
   }
+  return count;
 }
 
 void
@@ -442,15 +457,16 @@
   mOutput += FormatHead(aStatus, aFields, "Transfer-Encoding: chunked\r\n");
 }
 
-void
+std::size_t
 http_connection::SendChunk(std::uint64_t aRequest, const std::string& aBytes)
 {
   if (!MayAnswer(aRequest) || !mIsStarted || aBytes.empty()) {
-    return;
+    return 0;
   }
   mOutput += fmt::format("{:x}\r\n", aBytes.size());
   mOutput += aBytes;
   Queue("\r\n");
+  return aBytes.size();
 }
 
 void
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -40,14 +40,15 @@
 
   // For the reply to request number aRequest; ignored if it is not the current
   // one.
-  void SendAnswer(std::uint64_t aRequest,
-                  int aStatus,
-                  const std::vector<http_field>& aFields,
-                  std::string aBody);
+  /// These two return the bytes of the body that were accepted.
+  std::size_t SendAnswer(std::uint64_t aRequest,
+                         int aStatus,
+                         const std::vector<http_field>& aFields,
+                         std::string aBody);
   void SendHead(std::uint64_t aRequest,
                 int aStatus,
                 const std::vector<http_field>& aFields);
-  void SendChunk(std::uint64_t aRequest, const std::string& aBytes);
+  std::size_t SendChunk(std::uint64_t aRequest, const std::string& aBytes);
   void SendEnd(std::uint64_t aRequest);
   void Abort(std::uint64_t aRequest);
   std::size_t UnsentBytes(std::uint64_t aRequest) const;
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -49,6 +49,13 @@
 std::optional<std::chrono::milliseconds> ReadRetryAfter(
   const std::vector<http_field>& aFields);
 
+/// The body of an answer as far as it was passed to the caller's connection.
+struct passed_body
+{
+  std::uint64_t bytes = 0;
+  std::optional<steady_time> firstAt; ///< of its first byte; none without one
+};
+
 /// The answer to one http_request. Methods are called on the server's thread.
 class http_reply
 {
@@ -74,6 +81,9 @@
   /// Bytes passed to Write and not yet accepted by the caller's connection.
   virtual std::size_t UnsentBytes() const = 0;
 
+  /// What was passed on while the connection was open.
+  virtual passed_body Passed() const = 0;
+
   /// Called when the caller disconnects before the answer is complete.
   std::function<void()> onDisconnected;
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -247,6 +247,7 @@
   void Finish() override {}
   void Abort() override {}
   std::size_t UnsentBytes() const override { return 0; }
+  net::passed_body Passed() const override { return {}; }
 };
 
 TEST_CASE_METHOD(codec_fixture,
