--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -21,6 +21,8 @@
 constexpr log_component kLog{ "control" };
 /// Exit code after a failed write of the log or an unreadable snapshot.
 constexpr int kExitBrokenLog = 3;
+/// Of the metrics page.
+constexpr std::size_t kMaxPageConnections = 256;
 /// A parsed text of small values takes up to 40 times its size in small blocks.
 constexpr std::size_t kLargeBodyBytes = 262'144;
 /// Seconds, in which calls that were complete have been answered.
@@ -302,9 +304,15 @@
     if (!listen) {
       return true;
     }
+    // Served while the account is full, so it has bounds of its own.
+    net::http_server_settings settings;
+    settings.address = listen->ip;
+    settings.port = listen->port;
+    settings.maxBodyBytes = 0;
+    settings.maxConnections = kMaxPageConnections;
     auto server = net::Listen(
       mContext,
-      HttpSettings(*listen),
+      settings,
       [this](const net::http_request&,
              const std::shared_ptr<net::http_reply>& aReply) {
         aReply->Send(
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,8 +19,8 @@
 /// A call that has received as much lets the other work of its thread run
 /// before it reads on. libcurl reads all that has arrived otherwise.
 constexpr std::size_t kTurnBytes = 131'072;
-/// libcurl passes each chunk of an answer by itself, and passing one on takes as
-/// long as copying this many bytes.
+/// libcurl passes each chunk of an answer by itself, and passing one on takes
+/// as long as copying this many bytes.
 constexpr std::size_t kBytesPerChunk = 512;
 /// Of a connection to an endpoint, for bytes that are not read yet.
 constexpr int kReceiveBufferBytes = 65'536;
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -89,15 +89,15 @@
   if (stays == stay_reason::eNone && aNow < last) {
     PayForRetry(aTables, aRequest);
   }
+  const attempt_failure failure = aAttempt.isPaused ? attempt_failure::eNotKept
+                                  : isStream && !isLate
+                                    ? attempt_failure::eTruncated
+                                    : attempt_failure::eTimeout;
   if (aRequest.facts.isIdempotent || isStream) {
-    const attempt_failure failure =
-      aAttempt.isPaused     ? attempt_failure::eNotKept
-      : isStream && !isLate ? attempt_failure::eTruncated
-                            : attempt_failure::eTimeout;
     FailAttempt(aTables, aAttempt, aRequest, failure, false, aNow, aOutbox);
     return;
   }
-  RecordFailure(aTables, aAttempt, aRequest, attempt_failure::eTimeout, aNow);
+  RecordFailure(aTables, aAttempt, aRequest, failure, aNow);
   EndRunningRequest(
     aTables, aRequest, request_outcome::eDeadline, aNow, aOutbox);
 }
