--- a/src/control/engine_calls.cpp
+++ b/src/control/engine_calls.cpp
@@ -31,7 +31,7 @@
 void
 engine_calls::Start(endpoint_id aEndpoint,
                     net::http_call aCall,
-                    end_hook aOnEnd)
+                    const end_hook& aOnEnd)
 {
   aCall.maxBodyBytes = kMaxAnswerBytes;
   const auto answer = std::make_shared<held_answer>();
--- a/src/control/engine_calls.hpp
+++ b/src/control/engine_calls.hpp
@@ -41,7 +41,9 @@
   using end_hook =
     std::function<void(const net::http_call_end&, std::string aBody)>;
 
-  void Start(endpoint_id aEndpoint, net::http_call aCall, end_hook aOnEnd);
+  void Start(endpoint_id aEndpoint,
+             net::http_call aCall,
+             const end_hook& aOnEnd);
 
   const front_end& mFrontEnd;
   std::shared_ptr<memory::account> mAccount;
--- a/src/memory/memory.hpp
+++ b/src/memory/memory.hpp
@@ -40,7 +40,7 @@
 /// that is. Sound servers may fall silent for a second.
 inline constexpr std::chrono::milliseconds kProgressInterval{ 1'500 };
 
-using holder_id = typed_id<struct holder_tag>;
+using holder_id = typed_id<struct account_holder_tag>;
 using owner_id = typed_id<struct owner_tag>; ///< endpoint or caller's address
 
 /// How an account acts on a holder. Called from Balance only.
--- a/tests/support/raw_connection.hpp
+++ b/tests/support/raw_connection.hpp
@@ -30,7 +30,11 @@
       sockaddr_in own{};
       own.sin_family = AF_INET;
       ::inet_pton(AF_INET, aFrom.c_str(), &own.sin_addr);
-      ::bind(mSocket, reinterpret_cast<const sockaddr*>(&own), sizeof(own));
+      if (::bind(mSocket,
+                 reinterpret_cast<const sockaddr*>(&own),
+                 sizeof(own)) != 0) {
+        return;
+      }
     }
     const timeval timeout{ kTestTimeout.count(), 0 };
     ::setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
