Pass an endpoint's own server error on when no attempt follows

Cause: a whole answer of 500 and above to an idempotent request was a failed attempt and nothing else, so that a request whose endpoints all answered 500 got the host's 502.

Change: whether such an attempt is followed by another is decided where its answer is still at hand, by the rule for retries, which is paid for there. If not, the answer is passed on, outcome=answered ran=ran; it counts as failed against its endpoint as before. Truncated and misdelivered answers, refusals and errors after events of a stream are as before. So is a retry that then finds no endpoint: the answer before it is not kept.

--- a/src/routing/answers.cpp
+++ b/src/routing/answers.cpp
@@ -267,6 +267,34 @@
   }
 }
 
+// The endpoint's own error is passed on if it is the last word on the request;
+// any other answer would hide what the endpoint stated. The attempt still
+// counts as failed against its endpoint. A retry is paid for with the decision:
+// the answer is dropped at the end of the tick, and other requests of the tick
+// may use up the budget.
+void
+DecideServerError(tables& aTables,
+                  const attempt_row& aAttempt,
+                  request_row& aRequest,
+                  steady_time aNow,
+                  outbox& aOutbox)
+{
+  if (aRequest.state != request_state::eFailed || aRequest.hasForwarded) {
+    return;
+  }
+  if (!ShouldRetry(aTables, aRequest, aNow)) {
+    ForwardUpTo(aAttempt.received, aAttempt, aRequest, aOutbox);
+    EndRequest(aTables.settings,
+               aRequest,
+               request_outcome::eAnswered,
+               ran_state::eRan,
+               aNow,
+               aOutbox);
+  } else if (!aRequest.hasPaidRetry) {
+    PayForRetry(aTables, aRequest);
+  }
+}
+
 void
 HandleAttemptEnd(tables& aTables,
                  attempt_row& aAttempt,
@@ -287,6 +315,9 @@
               failure == attempt_failure::eNotSent,
               aNow,
               aOutbox);
+  if (failure == attempt_failure::eServerError) {
+    DecideServerError(aTables, aAttempt, aRequest, aNow, aOutbox);
+  }
 }
 
 void
--- a/src/routing/parts.hpp
+++ b/src/routing/parts.hpp
@@ -139,6 +139,9 @@
                             const request_row& aRequest,
                             steady_time aNow);
 
+/// Whether the request, whose attempt failed, may have a further one.
+bool ShouldRetry(tables& aTables, request_row& aRequest, steady_time aNow);
+
 /// Takes a retry of the request from its budget, before it is decided.
 void PayForRetry(tables& aTables, request_row& aRequest);
 
--- a/src/routing/retry.cpp
+++ b/src/routing/retry.cpp
@@ -70,6 +70,8 @@
              std::max(aRequest.facts.deadline, aNow + aOptions.resumeTimeout));
 }
 
+} // namespace
+
 bool
 ShouldRetry(tables& aTables, request_row& aRequest, steady_time aNow)
 {
@@ -96,8 +98,6 @@
              maxAttempts });
 }
 
-} // namespace
-
 // A new service starts with a full budget.
 retry_row&
 FindOrAddRetryBudget(tables& aTables, service_id aService)
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -430,6 +430,32 @@
   CHECK(answer.body.ends_with("\n\n"));
 }
 
+// The endpoint's answer is the truth about the request; an error of the host
+// hides it.
+TEST_CASE_METHOD(requests_fixture,
+                 "ServerError_OfEachEndpoint_ReachesTheCallerUnchanged",
+                 "[process][requests]")
+{
+  const auto desk = AddRaw("desk");
+  const auto other = AddRaw("other");
+  WaitForDesk();
+  const std::string body = "desk is broken";
+  const endless_answer error{
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n"
+    "Bulrush-Attempt: {attempt}\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body,
+    ""
+  };
+  desk->SetEndlessAnswer(error);
+  other->SetEndlessAnswer(error);
+  const http_answer answer = Status(0);
+  INFO(answer.error << running.entries[0]->Log());
+  CHECK(answer.status == 500);
+  CHECK(answer.body == body);
+  CHECK(desk->EndlessBegun() > 0);
+  CHECK(other->EndlessBegun() > 0);
+}
+
 TEST_CASE_METHOD(requests_fixture,
                  "Endpoint_WhoseAnswersSayThatItLeaves_GetsNoFurtherRequest",
                  "[process][requests]")
