Report a stand-in that ends by itself in a soak, and what is left

A run of the soak beside a lint did not end: a stand-in that nothing starts again had ended, and the soak waited for its start. It is a fault of the run now, with its exit code.

--- a/tests/support/soak_troubles.cpp
+++ b/tests/support/soak_troubles.cpp
@@ -157,7 +157,7 @@
 soak_troubles::HandleExits(steady_time aNow)
 {
   for (soaked_process_row& row : mProcesses) {
-    if (row.startsAt || (*row.running)->IsRunning()) {
+    if (row.startsAt || row.isGone || (*row.running)->IsRunning()) {
       continue;
     }
     const int exit = (*row.running)->Wait();
@@ -168,7 +168,10 @@
     }
     row.isEnding = false;
     row.goesOnAt.reset();
-    row.startsAt = aNow + Draw(kDownTime);
+    row.isGone = !row.start;
+    if (!row.isGone) {
+      row.startsAt = aNow + Draw(kDownTime);
+    }
   }
 }
 
--- a/tests/support/soak_troubles.hpp
+++ b/tests/support/soak_troubles.hpp
@@ -33,6 +33,7 @@
   bool isEnding = false;        ///< its end is expected
   std::optional<steady_time> goesOnAt; ///< of a pause
   std::optional<steady_time> startsAt; ///< after its end
+  bool isGone = false;                 ///< ended, and nothing starts it again
   std::vector<steady_time> kills;
 };
 
