--- a/tests/net/refused_read_test.cpp
+++ b/tests/net/refused_read_test.cpp
@@ -34,7 +34,7 @@
     auto made = Listen(
       context,
       settings,
-      [](http_request, const std::shared_ptr<http_reply>&) {},
+      [](const http_request&, const std::shared_ptr<http_reply>&) {},
       reason);
     REQUIRE(made);
     server = std::move(*made);
