--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -124,6 +124,7 @@
     const int begun = desk->EndlessBegun();
     desk->SetEndlessAnswer(aAnswer);
     std::vector<std::future<http_answer>> calls;
+    calls.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       calls.push_back(std::async(std::launch::async, aSend));
     }
@@ -135,6 +136,7 @@
     desk->SetEndlessAnswer(std::nullopt);
     CHECK(desk->EndlessBegun() >= begun + kCallers / 2);
     std::vector<http_answer> answers;
+    answers.reserve(kCallers);
     for (auto& call : calls) {
       answers.push_back(call.get());
     }
@@ -160,17 +162,19 @@
                  "[process][memory]")
 {
   const std::string head = "HTTP/1.1 200 OK\r\n" + kFields;
+  const std::string untilClose = head + "\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string tooLong = head + "Content-Length: 40000000\r\n\r\n";
+  const std::string failed = "HTTP/1.1 500 Error\r\n" + kFields + "\r\n";
   const std::string part(31 * kMegabyte, '{');
-  const std::string chunk = "1f00000\r\n" + part;
+  const std::string longChunk = "1f00000\r\n" + part;
   for (const endless_answer& answer :
-       { endless_answer{ head + "\r\n", "{" },
-         endless_answer{ head + "Transfer-Encoding: chunked\r\n\r\n",
-                         "4\r\n{{{{\r\n" },
-         endless_answer{ head + "\r\n" + part, "" },
-         endless_answer{ head + "Transfer-Encoding: chunked\r\n\r\n" + chunk,
-                         "" },
-         endless_answer{ head + "Content-Length: 40000000\r\n\r\n" + part, "" },
-         endless_answer{ "HTTP/1.1 500 Error\r\n" + kFields + "\r\n", "{" } }) {
+       { endless_answer{ untilClose, "{" },
+         endless_answer{ chunked, "4\r\n{{{{\r\n" },
+         endless_answer{ untilClose + part, "" },
+         endless_answer{ chunked + longChunk, "" },
+         endless_answer{ tooLong + part, "" },
+         endless_answer{ failed, "{" } }) {
     INFO(answer.start.substr(0, 120) << '|' << answer.block);
     ResetPeak(EntryPid());
     for (const http_answer& each :
