Free the unread answer of a connection when it closes

A hundred callers that read nothing of a whole answer of 3 MB raised a host to 321 MB where it is given 256. The account ended two thirds of them, and their bytes stayed: an assignment of {} to a string keeps its block (it takes the overload for initializer lists), and a closed connection is kept for up to a second with what was queued on it. Both are freed now.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -30,6 +30,13 @@
     aIdleTimeout - std::chrono::milliseconds{ 1 });
 }
 
+// An assignment of {} would keep the block for the life of the connection.
+void
+FreeBlock(std::string& aText)
+{
+  std::string().swap(aText);
+}
+
 class connection_reply : public http_reply
 {
 public:
@@ -361,7 +368,7 @@
   const auto reply =
     std::make_shared<connection_reply>(weak_from_this(), ++mRequestNumber);
   DescribeRequest();
-  mRequest.body = {};
+  FreeBlock(mRequest.body);
   const http_request head = std::exchange(mRequest, {});
   if (mState->settings.onReadError) {
     mState->settings.onReadError(*reply, { aReason, aStatus, aText, &head });
@@ -553,7 +560,7 @@
                     [self = shared_from_this()](const std::error_code& aError,
                                                 std::size_t aCount) {
                       self->mIsWriting = false;
-                      self->mWriting = {};
+                      FreeBlock(self->mWriting);
                       self->CountOutput();
                       if (aError) {
                         self->NotifyDisconnected();
@@ -623,6 +630,10 @@
   mPhase = phase::eClosed;
   mHeldInput.reset();
   mHeldOutput = {};
+  // The server keeps a closed connection for a while; mWriting is freed when
+  // its write ends.
+  FreeBlock(mOutput);
+  FreeBlock(mInput);
   std::error_code ignored; // the socket is released in any case
   mSocket.close(ignored);
   if (hasUnsent && --mState->unsentAnswers == 0 && mState->onFlushed) {
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds kSoundInterval{ 100 };
 constexpr std::size_t kMaxBodyBytes = 4 * kMegabyte;
 constexpr std::size_t kSoundAnswerBytes = 8 * kMegabyte;
+constexpr std::size_t kUnreadAnswerBytes = 3 * kMegabyte;
 
 const std::string kFields =
   "Content-Type: application/json\r\nBulrush-Attempt: {attempt}\r\n"
@@ -245,6 +246,41 @@
   RequireMemory();
 }
 
+TEST_CASE_METHOD(patient_fixture,
+                 "Host_WhenManyCallersReadNoAnswer_StaysWithinItsMemory",
+                 "[process][memory]")
+{
+  constexpr int kUnread = 100;
+  desk->SetEndlessAnswer(
+    endless_answer{ "HTTP/1.1 200 OK\r\n" + kFields + "Content-Length: " +
+                      std::to_string(kUnreadAnswerBytes) + "\r\n\r\n" +
+                      std::string(kUnreadAnswerBytes, '7'),
+                    "" });
+  ResetPeak(EntryPid());
+  {
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < kUnread; ++i) {
+      callers.push_back(
+        std::make_unique<raw_connection>(running.EntryAddress(0)));
+      REQUIRE(callers.back()->IsConnected());
+      callers.back()->Send("POST /desk/releases HTTP/1.1\r\nHost: h\r\n"
+                           "Authorization: Bearer " +
+                           key + "\r\nContent-Length: 2\r\n\r\n{}");
+    }
+    // No other request meanwhile: accepting one would release closed ones.
+    REQUIRE(WaitUntil([&] { return desk->EndlessClosed() >= kUnread; }));
+    INFO(Held());
+    CHECK(MemoryBytes(EntryPid(), "VmHWM") < kLimit);
+    RequireSoundRequests([] { return false; });
+    // The endpoint's answers were sound: callers that read now get theirs.
+    const auto isWhole = [](const auto& aCaller) {
+      return aCaller->Read(kUnreadAnswerBytes).size() == kUnreadAnswerBytes;
+    };
+    CHECK(std::any_of(callers.begin(), callers.end(), isWhole));
+  }
+  RequireMemory();
+}
+
 TEST_CASE_METHOD(memory_fixture,
                  "Host_WhenManyBodiesLackTheirLastByte_StaysWithinItsMemory",
                  "[process][memory]")
