End withdrawn keys at hosts that are cut off

- A replica knows up to when it has all that was committed.
A leader has it from the send times that a majority answered, a follower from the answer to a question of its own: each reply to the leader carries a number, the next request echoes it with the age of the leader's confirmation.
No clock is compared with another, and a message that was held up proves nothing.
- A control process states that age in its updates; a host takes it off the time of the report that the update answers, once the update's revision is applied.
- With key-withdrawal-bound, requests with a key are refused as not run (503, key_unconfirmed) after nine tenths of it: when read, after admission, before each attempt, retry and resume.
Requests without a key go on.

Weighed: the admission's lease, which a delegate grants while it is cut off itself; the arrival of updates, which may be late by seconds.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -344,6 +344,9 @@
   hooks.isCaughtUp = [&aLog](steady_time aNow) {
     return IsCaughtUp(aLog.replica, aNow);
   };
+  hooks.confirmedAt = [&aLog](steady_time aNow) {
+    return ConfirmedAt(aLog.replica, aNow);
+  };
   hooks.term = [&aLog] { return aLog.replica.vote.term; };
   hooks.leaderName = [&aLog] {
     return aLog.replica.leader ? NameOf(aLog, aLog.replica.leader)
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -116,6 +116,23 @@
     "0",
     "",
     "Tokens that each workspace may use in addition in a window" },
+  { "descriptor-limit",
+    option_type::eInteger,
+    "descriptors",
+    "4100",
+    "100",
+    "1000000",
+    "File descriptors that the process may use; callers get five sixths of "
+    "them "
+    "for their connections" },
+  { "heartbeat-interval",
+    option_type::eDuration,
+    "",
+    "1200ms",
+    "100ms",
+    "1min",
+    "Interval at which endpoints report; one that is silent for two and a half "
+    "is removed" },
   { "order-hand-over",
     option_type::eDuration,
     "",
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -56,6 +56,7 @@
     return leaderTerm;
   };
   hooks.isCaughtUp = [](steady_time) { return true; };
+  hooks.confirmedAt = [](steady_time aNow) { return aNow; };
   hooks.leaderName = [&aTables] { return aTables.self.name; };
   hooks.term = [] { return std::uint64_t{ 1 }; };
   return hooks;
@@ -86,6 +87,7 @@
   control_process(asio::io_context& aContext, const option_values& aOptions)
     : mContext(aContext)
     , mStopGrace(aOptions.Duration("stop-grace"))
+    , mMaxConnections(MaxCallerConnections(aOptions))
     , mAccount(MakeAccount(aOptions))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
     , mCalls(aContext, mFrontEnd, mAccount, CallHooks())
@@ -100,6 +102,7 @@
     mTables.self.incarnation = static_cast<std::uint64_t>(
       mTables.wallClock().time_since_epoch().count());
     mTables.log = MakeLocalLog(mTables);
+    mTables.endpointTimeout = aOptions.Duration("heartbeat-interval") * 5 / 2;
     mTables.orders.placement.options.copyLifetime =
       aOptions.Duration("copy-lifetime");
   }
@@ -264,6 +267,7 @@
     net::http_server_settings settings;
     settings.address = aListen.ip;
     settings.port = aListen.port;
+    settings.maxConnections = mMaxConnections;
     settings.account = mAccount;
     settings.onReadError = RefuseRead;
     settings.onUnreadEnded = [](const std::string& aPeer,
@@ -494,6 +498,7 @@
 
   asio::io_context& mContext;
   const std::chrono::milliseconds mStopGrace;
+  const std::size_t mMaxConnections; ///< of callers
   std::shared_ptr<memory::account> mAccount;
   control_tables mTables;
   front_end mFrontEnd;
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -7,7 +7,6 @@
 
 constexpr log_component kLog{ "control" };
 
-constexpr std::chrono::milliseconds kEndpointTimeout{ 3'000 };
 constexpr std::chrono::milliseconds kHostTimeout{ 30'000 };
 constexpr std::chrono::milliseconds kCallTimeout{ 5'000 };
 constexpr std::chrono::seconds kHostCountInterval{ 1 };
@@ -386,7 +385,7 @@
 {
   std::vector<endpoint_id> silent;
   for (const known_endpoint& known : aTables.endpoints) {
-    const steady_time end = known.row.lastSeen + kEndpointTimeout;
+    const steady_time end = known.row.lastSeen + aTables.endpointTimeout;
     if (!known.isOwn) {
       continue; // the control host of its domain reports its loss
     }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -161,6 +161,9 @@
   /// True while the state applied here includes all that the leader had
   /// committed a moment ago.
   std::function<bool(steady_time aNow)> isCaughtUp;
+  /// A time up to which the state applied here includes all that was committed;
+  /// steady_time::min(): none. Not set: never one.
+  std::function<steady_time(steady_time aNow)> confirmedAt;
   /// Name of the leader; empty while none is known.
   std::function<std::string()> leaderName;
   /// Rises with each change of leader.
@@ -287,6 +290,8 @@
   table<call_id, pending_call> calls;
   table<key_hash, tombstone_row> tombstones;
   lease_tables leases;
+  /// An endpoint that has not reported for so long is removed.
+  std::chrono::milliseconds endpointTimeout{ 3'000 };
   pool_state pools;
   /// Newest configuration changes, oldest first.
   std::deque<wire::numbered_command> recent;
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -53,6 +53,17 @@
   }
 }
 
+std::optional<std::chrono::nanoseconds>
+ConfirmationAge(const control_tables& aTables, steady_time aNow)
+{
+  const steady_time confirmedAt = aTables.log.confirmedAt
+                                    ? aTables.log.confirmedAt(aNow)
+                                    : steady_time::min();
+  return confirmedAt == steady_time::min()
+           ? std::nullopt
+           : std::optional<std::chrono::nanoseconds>(aNow - confirmedAt);
+}
+
 std::vector<key_hash>
 TombstoneKeys(const control_tables& aTables)
 {
@@ -182,6 +193,7 @@
   const std::string leader = aTables.log.leaderName();
   // Hosts leave a process that is not caught up, as they should one that stops.
   const bool isCaughtUp = !aTables.stop && aTables.log.isCaughtUp(aNow);
+  const auto confirmationAge = ConfirmationAge(aTables, aNow);
   std::string snapshot;
   for (host_row& host : aTables.hosts) {
     const bool needsConfiguration =
@@ -203,6 +215,7 @@
         : std::chrono::milliseconds(0);
     update.revision = aTables.fleet.revision;
     update.isCaughtUp = isCaughtUp;
+    update.confirmationAge = confirmationAge;
     update.term = aTables.log.term();
     update.number = ++host.sentUpdates;
     if (needsConfiguration) {
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -52,7 +52,23 @@
     aTables.mayDenyUntil = {};
   } else if (aUpdate.isCaughtUp && aUpdate.renewal == aTables.lastReport) {
     aTables.mayDenyUntil = aTables.lastReportAt + kMaxDenialAge;
-    aTables.confirmedAt = aTables.lastReportAt;
+  }
+}
+
+// While an earlier confirmation waits for its revision, a later one is not
+// kept: under steady changes each would be replaced before it is applied.
+void
+UpdateConfirmation(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  std::optional<confirmation>& unapplied = aTables.unappliedConfirmation;
+  const bool isAnswer = aUpdate.renewal == aTables.lastReport;
+  if (isAnswer && aUpdate.confirmationAge && !unapplied) {
+    unapplied = { aTables.lastReportAt - *aUpdate.confirmationAge,
+                  aUpdate.revision };
+  }
+  if (unapplied && aTables.fleet->revision >= unapplied->revision) {
+    aTables.confirmedAt = std::max(aTables.confirmedAt, unapplied->at);
+    unapplied.reset();
   }
 }
 
@@ -159,6 +175,7 @@
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
+  UpdateConfirmation(aTables, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
     UpdateEndpoint(aTables, row);
   }
--- a/src/entry/options.hpp
+++ b/src/entry/options.hpp
@@ -76,6 +76,15 @@
     "",
     "",
     "Address that answers /metrics, for front ends without pages" },
+  { "descriptor-limit",
+    option_type::eInteger,
+    "descriptors",
+    "4100",
+    "100",
+    "1000000",
+    "File descriptors that the process may use; callers get five sixths of "
+    "them "
+    "for their connections" },
   { "serve-without-lease",
     option_type::eBool,
     "",
@@ -84,6 +93,15 @@
     "",
     "Serve known keys also while no control process can be reached; a key that "
     "is withdrawn meanwhile stays valid until one can" },
+  { "key-withdrawal-bound",
+    option_type::eDuration,
+    "",
+    "0s",
+    "0s",
+    "1h",
+    "A withdrawn key works at no host after this time, at one that is cut off "
+    "from control either, which then refuses requests with a key; 0: it may "
+    "work there until the host is back" },
   { "retry-share",
     option_type::eDecimal,
     "",
--- a/src/entry/outcomes.cpp
+++ b/src/entry/outcomes.cpp
@@ -10,6 +10,8 @@
 constexpr std::chrono::milliseconds kRetryAfter{ 250 };
 /// A model that no endpoint holds takes seconds to load.
 constexpr std::chrono::milliseconds kRetryAfterNotResident{ 2'000 };
+/// By then the load balancer sends callers to hosts that are in touch.
+constexpr std::chrono::milliseconds kRetryAfterKeyUnconfirmed{ 2'000 };
 
 /// The error for each outcome without an answer.
 struct outcome_text
@@ -23,7 +25,7 @@
 
 using routing::request_outcome;
 
-constexpr std::array<outcome_text, 17> kOutcomes{ {
+constexpr std::array<outcome_text, 18> kOutcomes{ {
   { request_outcome::eInProgress,
     409,
     "in_progress",
@@ -89,6 +91,11 @@
     "key_withdrawn",
     "the key was withdrawn",
     false },
+  { request_outcome::eKeyUnconfirmed,
+    503,
+    "key_unconfirmed",
+    "this host cannot tell whether the key was withdrawn",
+    true },
   { request_outcome::eHostStopped,
     504,
     "stopping",
@@ -108,6 +115,29 @@
   { request_outcome::eCallerGone, 499, "caller_gone", "", false },
 } };
 
+std::chrono::milliseconds
+MinRetryAfter(request_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case request_outcome::eNotResident:
+      return kRetryAfterNotResident;
+    case request_outcome::eKeyUnconfirmed:
+      return kRetryAfterKeyUnconfirmed;
+    default:
+      return kRetryAfter;
+  }
+}
+
+// Refusals that may also come between two attempts, when an earlier one may
+// have run.
+bool
+IsBeforeAnAttempt(request_outcome aOutcome)
+{
+  return aOutcome == request_outcome::eQuarantined ||
+         aOutcome == request_outcome::eSuspected ||
+         aOutcome == request_outcome::eKeyUnconfirmed;
+}
+
 } // namespace
 
 caller_error
@@ -125,15 +155,11 @@
   if (!error.mayHaveRun && error.status > kUnavailable) {
     error.status = kUnavailable; // safe to retry
   }
-  const bool isOfPrompt = aEnd.outcome == request_outcome::eQuarantined ||
-                          aEnd.outcome == request_outcome::eSuspected;
-  if (isOfPrompt && error.mayHaveRun) {
+  if (error.mayHaveRun && IsBeforeAnAttempt(aEnd.outcome)) {
     error.status = kBadGateway;
   }
   if (found->isWorthRetrying && error.status <= kUnavailable) {
-    error.retryAfter = aEnd.outcome == request_outcome::eNotResident
-                         ? kRetryAfterNotResident
-                         : std::max(kRetryAfter, aEnd.retryAfter);
+    error.retryAfter = std::max(MinRetryAfter(aEnd.outcome), aEnd.retryAfter);
   }
   return error;
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -40,6 +40,9 @@
     mTables.spreadsReports = aOptions.IsSet("seeds");
     mTables.self.incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
+    // No report has the number of one of an earlier process, whose answer may
+    // still arrive.
+    mTables.lastReport = mTables.self.incarnation;
   }
 
   entry_tables& Tables() { return mTables; }
@@ -381,11 +384,13 @@
                            aOptions.Decimal("rate-overage"),
                            aOptions.Decimal("rate-slack") };
     settings.servesWithoutLease = aOptions.Flag("serve-without-lease");
+    settings.keys = { aOptions.Duration("key-withdrawal-bound") };
     settings.ready = ListenAt(aOptions, "ready-listen");
     settings.metrics = ListenAt(aOptions, "metrics-listen");
     const host_address listen = *aOptions.Address("listen");
     settings.http.address = listen.ip;
     settings.http.port = listen.port;
+    settings.http.maxConnections = MaxCallerConnections(aOptions);
     settings.hostName = aOptions.Text("name");
     settings.incarnation = mControl.Tables().self.incarnation;
     settings.domain = aOptions.Text("domain");
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -40,6 +40,11 @@
   mEngine.policy.isTargetGone = [this](const routing::request_facts& aFacts) {
     return mGoneTargets.IsGone(aFacts);
   };
+  mEngine.policy.keyUsableUntil =
+    [this, rule = aSettings.keys](const routing::request_facts& aFacts) {
+      return aFacts.workspace ? KeysUsableUntil(rule, mView.confirmedAt)
+                              : steady_time::max();
+    };
 }
 
 std::size_t
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -6,6 +6,7 @@
 
 #include "entry/demand.hpp"
 #include "entry/entry.hpp"
+#include "entry/key_rule.hpp"
 #include "entry/recorder.hpp"
 #include "entry/stop.hpp"
 #include "entry/tables.hpp"
@@ -50,6 +51,7 @@
   routing::cold_gate coldGate;
   host_id host;
   std::shared_ptr<memory::account> account; ///< not set: unbounded
+  key_rule keys;
 };
 
 /// Has the control thread commit a command; the reply is handled on this
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -237,6 +237,16 @@
            std::chrono::seconds(1) };
 }
 
+caller_error
+KeysUnconfirmed(std::chrono::milliseconds aRetryAfter)
+{
+  return { 503,
+           "key_unconfirmed",
+           "this host cannot tell whether the key was withdrawn",
+           false,
+           aRetryAfter };
+}
+
 const workspace_row*
 Authorise(const resolve_context& aContext,
           const std::string& aKey,
@@ -250,8 +260,8 @@
     aError = { 401, "unauthorized", "expected a key", false, {} };
     return nullptr;
   }
-  if (!aContext.mayServeKeys) {
-    aError = NoLease();
+  if (aContext.keyRefusal) {
+    aError = *aContext.keyRefusal;
     return nullptr;
   }
   const key_hash hash = HashKey(aKey);
--- a/src/entry/resolve.hpp
+++ b/src/entry/resolve.hpp
@@ -15,8 +15,9 @@
 {
   const traffic_view& view;
   const front_end& front;
-  bool mayServeKeys = false; ///< this host may serve requests with a key now
-  random_engine& random;     ///< for weighted targets
+  /// Why this host serves no request with a key now; nullopt: it does.
+  std::optional<caller_error> keyRefusal;
+  random_engine& random; ///< for weighted targets
 };
 
 /// A request resolved by the manifest.
@@ -40,6 +41,9 @@
 /// The error of a host whose lease has lapsed.
 caller_error NoLease();
 
+/// The error of a host that may not know that a key was withdrawn.
+caller_error KeysUnconfirmed(std::chrono::milliseconds aRetryAfter);
+
 /// False with the error for a request that is refused. Leaves facts.id of
 /// aResolved unchanged.
 bool Resolve(const resolve_context& aContext,
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -14,6 +14,13 @@
 
 using call_id = typed_id<struct host_call_tag>;
 
+/// Up to a time, all that was committed is within a revision of the fleet.
+struct confirmation
+{
+  steady_time at;
+  std::uint64_t revision = 0;
+};
+
 /// Snapshot for the traffic threads. Immutable once published.
 struct traffic_view
 {
@@ -25,7 +32,7 @@
     std::make_shared<const std::unordered_set<key_hash, id_hash>>();
   /// Until then the configuration is recent enough to deny a request by it.
   steady_time mayDenyUntil{};
-  /// When the configuration was last known to be the newest; never: zero.
+  /// The configuration holds all that was committed before; never: zero.
   steady_time confirmedAt{};
   bool isStopping = false;
 };
@@ -113,8 +120,12 @@
   steady_time lastReportAt{};
   replica_id awaitedControl; ///< that has not answered the latest report
   steady_time mayDenyUntil{};
-  /// When the report was sent that confirmed the configuration as the newest.
+  /// Of the configuration here. Counts from when a report was sent, less the
+  /// age that the answer stated: an answer may have been held up on its way,
+  /// and its sender may be cut off from the leader.
   steady_time confirmedAt{};
+  /// Its revision has not arrived here yet.
+  std::optional<confirmation> unappliedConfirmation;
   bool isOutdated = false; ///< confirmedAt is too old; has been logged
   latest_update latestUpdate;
   std::uint64_t lastCall = 0;
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -57,7 +57,8 @@
                 mSettings.retries,
                 mAdmission.ColdGate(),
                 IdOf<host_id>(mSettings.hostName),
-                mSettings.account },
+                mSettings.account,
+                mSettings.keys },
               mRecorder.Record(net::MakeHttpClient(aContext)),
               mHooks.onCommand,
               mHooks.onDemand,
@@ -222,7 +223,8 @@
 
   void SendReadiness(net::http_reply& aReply) const
   {
-    const bool isReady = !mIsRefusing && !mView.isStopping && MayServeKeys() &&
+    const bool isReady = !mIsRefusing && !mView.isStopping &&
+                         !KeyRefusal(Now()) &&
                          mView.fleet->manifestRevision > 0 &&
                          (!mSettings.ready || !mView.endpoints->empty());
     aReply.Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
@@ -230,12 +232,19 @@
 
   resolve_context Context()
   {
-    return { mView, mSettings.front, MayServeKeys(), mRandom };
+    return { mView, mSettings.front, KeyRefusal(Now()), mRandom };
   }
 
-  bool MayServeKeys() const
+  std::optional<caller_error> KeyRefusal(steady_time aNow) const
   {
-    return mSettings.servesWithoutLease || HasLease();
+    if (!mSettings.servesWithoutLease && !mAdmission.HasLease(aNow)) {
+      return NoLease();
+    }
+    const steady_time until =
+      KeysUsableUntil(mSettings.keys, mView.confirmedAt);
+    return aNow < until ? std::nullopt
+                        : std::optional(KeysUnconfirmed(
+                            RetryAfterUnconfirmed(until, aNow)));
   }
 
   void SendError(net::http_reply& aReply,
@@ -432,6 +441,7 @@
                { "status", std::to_string(aError.status) },
                { "revision", std::to_string(fleet.revision) },
                { "number", std::to_string(fleet.declared.number) },
+               { "confirmed_age_ms", Milliseconds(Now() - mView.confirmedAt) },
                { "keys", std::to_string(fleet.keys.Size()) },
                { "routes", std::to_string(fleet.declared.routes.Size()) } });
   }
@@ -451,21 +461,20 @@
                        : UnknownKey(Context());
   }
 
-  // Lease and key are checked again: they may have ended while the request
+  // All that a key needs is checked again: it may have ended while the request
   // waited.
   void StartAdmitted(routed_request aRouted, steady_time aNow)
   {
     const key_hash& key = aRouted.facts.key;
     const bool isKeyGood =
       FindWorkspace(*mView.fleet, key) && !mView.tombstones->contains(key);
-    const bool hasLease =
-      mSettings.servesWithoutLease || mAdmission.HasLease(aNow);
-    if (isKeyGood && hasLease) {
+    const auto keyRefusal = KeyRefusal(aNow);
+    if (isKeyGood && !keyRefusal) {
       mRunner.Start(std::move(aRouted));
       return;
     }
     mAdmission.Release(aRouted.facts.id, 0);
-    const caller_error error = isKeyGood ? NoLease() : ErrorOfLostKey(key);
+    const caller_error error = isKeyGood ? *keyRefusal : ErrorOfLostKey(key);
     LogDenial(aRouted.callerId, aRouted.path, error);
     SendError(*aRouted.reply, error, aRouted.facts.id);
   }
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -45,6 +45,7 @@
   std::optional<net::http_server_settings> metrics; ///< separate address
   /// Known keys are served even if the lease has lapsed.
   bool servesWithoutLease = false;
+  key_rule keys;
   retry_budget retries;
   rates::rate_tolerance tolerance;
   std::shared_ptr<memory::account> account; ///< of the process
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -36,6 +36,15 @@
   return net::ParseLinkKeys(secret->Reveal(), aReason);
 }
 
+// The rest is for endpoints, links and files.
+std::size_t
+MaxCallerConnections(const option_values& aOptions)
+{
+  constexpr std::size_t kParts = 6;
+  return static_cast<std::size_t>(aOptions.Integer("descriptor-limit")) *
+         (kParts - 1) / kParts;
+}
+
 std::string
 DescribeParts(const std::vector<part_id>& aParts)
 {
--- a/src/program/program.hpp
+++ b/src/program/program.hpp
@@ -26,6 +26,9 @@
 /// The account of a process that may use option "memory-limit".
 std::shared_ptr<memory::account> MakeAccount(const option_values& aOptions);
 
+/// Connections of callers for a process with option "descriptor-limit".
+std::size_t MaxCallerConnections(const option_values& aOptions);
+
 /// Sets the gauges and counters of aUsage.
 void SetMemoryMetrics(metrics& aMetrics, const memory::usage& aUsage);
 
--- a/src/replication/append.cpp
+++ b/src/replication/append.cpp
@@ -6,12 +6,15 @@
 namespace {
 
 append_reply
-ReplyTo(const replica_tables& aTables, const append_request& aRequest)
+ReplyTo(replica_tables& aTables,
+        const append_request& aRequest,
+        steady_time aNow)
 {
   append_reply reply;
   reply.header = HeaderTo(aTables, aRequest.header.from);
   reply.previous = aRequest.previous.index;
   reply.sentAt = aRequest.sentAt;
+  reply.question = AskForConfirmation(aTables, aNow);
   return reply;
 }
 
@@ -116,6 +119,7 @@
   request.previous = { aPeer.next - 1, TermAt(aTables, aPeer.next - 1) };
   request.commit = aTables.commit;
   request.sentAt = aNow;
+  AnswerQuestion(aTables, aPeer, aNow, request);
   request.entries = std::move(aEntries);
   aPeer.lastSent = aNow;
   aPeer.sentCommit = aTables.commit;
@@ -212,13 +216,14 @@
                     append_request aRequest,
                     steady_time aNow)
 {
-  append_reply reply = ReplyTo(aTables, aRequest);
+  append_reply reply = ReplyTo(aTables, aRequest, aNow);
   if (aRequest.header.term < aTables.vote.term || !IsWellFormed(aRequest)) {
     reply.hint = LastPosition(aTables).index;
     aTables.unsentMessages.emplace_back(std::move(reply));
     return;
   }
   FollowLeader(aTables, aRequest.header.from, aNow);
+  HandleConfirmation(aTables, aRequest);
   aTables.leaderCommit = std::max(aTables.leaderCommit, aRequest.commit);
   const log_index previous = aRequest.previous.index;
   if (previous < aTables.base.index) {
@@ -259,6 +264,7 @@
     return;
   }
   RecordAnswer(*peer, aReply.sentAt, aNow);
+  HandleQuestion(*peer, aReply.question, aNow);
   if (peer->state == peer_state::eSnapshot) {
     return;
   }
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -121,7 +121,7 @@
 
 // The systems of a tick in their order. No message is sent before RunSync, and
 // no write that a message confirms is made after it.
-constexpr std::array<named_system<replica_tables, replica_outbox>, 12> kSystems{
+constexpr std::array<named_system<replica_tables, replica_outbox>, 13> kSystems{
   {
     { "inbox", RunInbox },
     { "election", RunElection },
@@ -132,6 +132,7 @@
     { "commit", RunCommit },
     { "send_entries", RunSendEntries },
     { "release", RunRelease },
+    { "confirmation", RunConfirmation },
     { "snapshot_due", RunSnapshotDue },
     { "send_out", RunSendOut },
     { "wake", RunWake },
@@ -171,6 +172,7 @@
     tables.pendingInstall = tables.snapshot;
   }
   RefreshMembers(tables);
+  tables.question.number = tables.random();
   tables.leaderLastSeen = aNow;
   ResetElectionDeadline(tables, aNow);
   return tables;
--- a/src/replication/replica_steps.hpp
+++ b/src/replication/replica_steps.hpp
@@ -78,6 +78,20 @@
                     steady_time aNow,
                     replica_outbox& aOutbox);
 
+// confirmation.cpp
+/// The number of the question that a reply to the leader carries.
+std::uint64_t AskForConfirmation(replica_tables& aTables, steady_time aNow);
+void HandleQuestion(peer_row& aPeer, std::uint64_t aQuestion, steady_time aNow);
+void AnswerQuestion(const replica_tables& aTables,
+                    const peer_row& aPeer,
+                    steady_time aNow,
+                    append_request& aRequest);
+void HandleConfirmation(replica_tables& aTables,
+                        const append_request& aRequest);
+void RunConfirmation(replica_tables& aTables,
+                     steady_time aNow,
+                     replica_outbox& aOutbox);
+
 // snapshot.cpp
 void HandleSnapshotChunk(replica_tables& aTables,
                          const snapshot_chunk& aChunk,
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -116,6 +116,11 @@
   log_position previous;
   log_index commit = 0;
   steady_time sentAt; ///< leader's clock; only echoed by the follower
+  /// Echo of the newest append_reply::question that arrived; zero: none.
+  std::uint64_t answers = 0;
+  /// Age of the leader's confirmation when that question arrived; nullopt: a
+  /// majority has not confirmed it as the leader.
+  std::optional<std::chrono::nanoseconds> confirmationAge;
   std::vector<log_entry> entries;
 };
 
@@ -127,6 +132,8 @@
   log_index match = 0;    ///< accepted: synced and equal to the leader's log
   log_index hint = 0;     ///< refused: last index to try next
   steady_time sentAt;
+  /// The follower asks when the leader was last confirmed; zero: it does not.
+  std::uint64_t question = 0;
 };
 
 struct snapshot_chunk
@@ -284,6 +291,22 @@
   eSnapshot, ///< needs removed entries; gets the snapshot
 };
 
+/// A follower's question for the leader's confirmation, on the follower. Its
+/// number stands for the time, so that no clock is compared with another and no
+/// answer to an earlier process or start of the machine is accepted.
+struct confirmation_question
+{
+  std::uint64_t number = 0;
+  steady_time askedAt = steady_time::min(); ///< min: not asked yet
+};
+
+/// Up to a time, all that was committed is within a commit index.
+struct confirmation
+{
+  steady_time at;
+  log_index commit = 0;
+};
+
 /// The leader's replication state of another member.
 struct peer_row
 {
@@ -299,6 +322,8 @@
   steady_time lastSent = steady_time::min();
   /// Send time of the latest request that the peer answered.
   steady_time lastAnsweredSendTime = steady_time::min();
+  std::uint64_t question = 0; ///< its newest one; zero: none
+  steady_time questionAt;     ///< when that arrived
 };
 
 struct vote_row
@@ -361,6 +386,9 @@
   log_index leaderCommit = 0; ///< highest that a leader has stated
   steady_time electionDeadline;
   steady_time leaderLastSeen;
+  confirmation_question question;
+  std::optional<confirmation> unreleased; ///< its entries are not released yet
+  steady_time confirmedAt = steady_time::min(); ///< as a follower
   table<replica_id, vote_row> votes;
 
   table<replica_id, peer_row> peers;
@@ -434,6 +462,11 @@
 /// within an election timeout and has released every entry committed by then.
 bool IsCaughtUp(const replica_tables& aTables, steady_time aNow);
 
+/// A time up to which every entry that was committed is released here. A leader
+/// has it from the answers of a majority, a follower from a leader that it
+/// asked later than that. steady_time::min(): none.
+steady_time ConfirmedAt(const replica_tables& aTables, steady_time aNow);
+
 /// Saves the program's state as of replica_tables::released and removes the
 /// entries before it, except for replica_settings::keptEntries.
 std::optional<stored> SaveSnapshot(replica_tables& aTables,
--- a/src/routing/policy.hpp
+++ b/src/routing/policy.hpp
@@ -74,6 +74,9 @@
   /// Whether the model of a request is no longer declared, so that it will not
   /// be loaded; not set: never.
   std::function<bool(const request_facts&)> isTargetGone;
+  /// Until when an attempt of a request may start by what is known of its key;
+  /// not set: always.
+  std::function<steady_time(const request_facts&)> keyUsableUntil;
 };
 
 double ScoreByLoadAndPrefix(const score_input& aInput);
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -147,6 +147,8 @@
     case request_outcome::eQuarantined:
     case request_outcome::eSuspected:
       return "check prompt";
+    case request_outcome::eKeyUnconfirmed:
+      return "check key";
     default:
       return "run attempt";
   }
--- a/src/routing/rows.hpp
+++ b/src/routing/rows.hpp
@@ -34,9 +34,10 @@
   eBrokenStream,   ///< part of a stream was forwarded, then an error event
   eCallerGone,
   eKeyWithdrawn,
-  eHostStopped, ///< this host stops; see options::finishBy
-  eQuarantined, ///< a part of the prompt crashes endpoints
-  eSuspected    ///< it may; whether it does was not known in time
+  eKeyUnconfirmed, ///< whether its key was withdrawn is not known here
+  eHostStopped,    ///< this host stops; see options::finishBy
+  eQuarantined,    ///< a part of the prompt crashes endpoints
+  eSuspected       ///< it may; whether it does was not known in time
 };
 
 /// Why an attempt that made no progress was not moved to another endpoint.
--- a/src/routing/start.cpp
+++ b/src/routing/start.cpp
@@ -167,6 +167,13 @@
   return aTables.policy.isTargetGone && aTables.policy.isTargetGone(aFacts);
 }
 
+steady_time
+KeyUsableUntil(const tables& aTables, const request_facts& aFacts)
+{
+  return aTables.policy.keyUsableUntil ? aTables.policy.keyUsableUntil(aFacts)
+                                       : steady_time::max();
+}
+
 // Waiting requests are tried again when the backoff of an endpoint ends.
 void
 WakeForAvoided(const tables& aTables, steady_time aNow, wake_time& aWake)
@@ -207,16 +214,26 @@
            : std::min(start, aRequest.facts.placementDeadline);
 }
 
-// The deadline is checked right before sending, so that a thread that was
-// suspended sends no expired request. A request that no endpoint accepts before
-// its deadline is refused at once, as is one whose model neither is held nor
-// will be loaded.
+// The deadline and the key are checked right before sending, so that a thread
+// that was suspended sends no expired request. A request that no endpoint
+// accepts before its deadline is refused at once, as is one whose model neither
+// is held nor will be loaded.
 void
 RunChoose(tables& aTables, steady_time aNow, outbox& aOutbox)
 {
   CollectWaiting(aTables);
   for (const waiting_request& each : aTables.waiting) {
     request_row& request = *aTables.requests.Find(each.id);
+    const steady_time keyUsableUntil = KeyUsableUntil(aTables, request.facts);
+    if (aNow >= keyUsableUntil) {
+      EndUnplaced(aTables.settings,
+                  request,
+                  request_outcome::eKeyUnconfirmed,
+                  aNow,
+                  aOutbox);
+      continue;
+    }
+    aOutbox.wake.NoLaterThan(keyUsableUntil);
     const quarantine::verdict judged = JudgePrompt(aTables, request, aNow);
     if (judged.kind == quarantine::verdict_kind::eRefuse ||
         (judged.kind == quarantine::verdict_kind::eWait &&
--- a/src/routing/tick.cpp
+++ b/src/routing/tick.cpp
@@ -116,6 +116,8 @@
       return "suspected";
     default:
       return "key_withdrawn";
+    case request_outcome::eKeyUnconfirmed:
+      return "key_unconfirmed";
   }
 }
 
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -11,6 +11,10 @@
 std::int64_t ToMicroseconds(wall_time aTime);
 wall_time FromMicroseconds(std::int64_t aMicroseconds);
 
+/// nullopt unless it is set and in the range of ages that are of use.
+std::optional<std::chrono::nanoseconds> GetAge(bool aIsSet,
+                                               std::int64_t aNanoseconds);
+
 std::string ToBytes(const key_hash& aHash);
 key_hash FromBytes(const std::string& aBytes);
 
--- a/src/wire/host_codec.cpp
+++ b/src/wire/host_codec.cpp
@@ -4,6 +4,21 @@
 
 namespace bulrush::wire {
 
+namespace {
+
+/// Far longer than anything known is relied on.
+constexpr std::chrono::hours kMaxAge{ 1 };
+
+} // namespace
+
+std::optional<std::chrono::nanoseconds>
+GetAge(bool aIsSet, std::int64_t aNanoseconds)
+{
+  const std::chrono::nanoseconds age{ aNanoseconds };
+  const bool isValid = aIsSet && age.count() >= 0 && age <= kMaxAge;
+  return isValid ? std::optional(age) : std::nullopt;
+}
+
 void
 PutBody(const host_report& aFrom, steady_time aNow, pb::Envelope& aTo)
 {
@@ -43,6 +58,9 @@
   to->set_is_caught_up(aFrom.isCaughtUp);
   to->set_term(aFrom.term);
   to->set_number(aFrom.number);
+  if (aFrom.confirmationAge) {
+    to->set_confirmation_age_ns(aFrom.confirmationAge->count());
+  }
   PutEvidence(aFrom.evidence, aNow, *to);
 }
 
@@ -111,6 +129,8 @@
   update.isCaughtUp = aFrom.is_caught_up();
   update.term = aFrom.term();
   update.number = aFrom.number();
+  update.confirmationAge =
+    GetAge(aFrom.has_confirmation_age_ns(), aFrom.confirmation_age_ns());
   update.evidence = Get(aFrom.evidence(), aNow);
   return update;
 }
--- a/src/wire/replica_codec.cpp
+++ b/src/wire/replica_codec.cpp
@@ -109,6 +109,10 @@
   PutPosition(aFrom.previous, *to->mutable_previous());
   to->set_commit(aFrom.commit);
   to->set_sent_at_ns(ToNanoseconds(aFrom.sentAt));
+  to->set_answers(aFrom.answers);
+  if (aFrom.confirmationAge) {
+    to->set_confirmation_age_ns(aFrom.confirmationAge->count());
+  }
   for (const log_entry& entry : aFrom.entries) {
     PutEntry(entry, *to->add_entries());
   }
@@ -123,6 +127,7 @@
   to->set_match(aFrom.match);
   to->set_hint(aFrom.hint);
   to->set_sent_at_ns(ToNanoseconds(aFrom.sentAt));
+  to->set_question(aFrom.question);
 }
 
 void
@@ -175,6 +180,9 @@
   request.previous = GetPosition(aFrom.previous());
   request.commit = aFrom.commit();
   request.sentAt = FromNanoseconds(aFrom.sent_at_ns());
+  request.answers = aFrom.answers();
+  request.confirmationAge =
+    GetAge(aFrom.has_confirmation_age_ns(), aFrom.confirmation_age_ns());
   for (const pb::LogEntry& from : aFrom.entries()) {
     auto entry = GetEntry(from);
     if (!entry) {
@@ -193,7 +201,8 @@
                        aFrom.previous(),
                        aFrom.match(),
                        aFrom.hint(),
-                       FromNanoseconds(aFrom.sent_at_ns()) };
+                       FromNanoseconds(aFrom.sent_at_ns()),
+                       aFrom.question() };
 }
 
 std::optional<replica_message>
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -115,6 +115,9 @@
   std::uint64_t term = 0; ///< of the log at the sender
   /// The sender had applied all that the leader had committed.
   bool isCaughtUp = false;
+  /// The sender knows all that was committed up to this long ago, when it sent
+  /// this; nullopt: it knows of no such time.
+  std::optional<std::chrono::nanoseconds> confirmationAge;
   /// Counts the updates to this host; the first holds all that the sender
   /// knows.
   std::uint64_t number = 0;
--- a/tests/entry/configuration_test.cpp
+++ b/tests/entry/configuration_test.cpp
@@ -75,7 +75,7 @@
     call.key = aKey;
     resolved_call resolved;
     caller_error error;
-    const resolve_context context{ view, front, true, random };
+    const resolve_context context{ view, front, std::nullopt, random };
     return Resolve(context, request, call, resolved, error) ? 0 : error.status;
   }
 };
--- a/tests/entry/deadline_test.cpp
+++ b/tests/entry/deadline_test.cpp
@@ -47,7 +47,7 @@
     call.timeLeft = aTimeLeft;
     resolved_call resolved;
     caller_error error;
-    const resolve_context context{ view, front, true, random };
+    const resolve_context context{ view, front, std::nullopt, random };
     before = net::Now();
     REQUIRE(Resolve(context, request, call, resolved, error));
     after = net::Now();
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -252,9 +252,9 @@
 {
   constexpr int kUnread = 100;
   desk->SetEndlessAnswer(
-    endless_answer{ "HTTP/1.1 200 OK\r\n" + kFields + "Content-Length: " +
-                      std::to_string(kUnreadAnswerBytes) + "\r\n\r\n" +
-                      std::string(kUnreadAnswerBytes, '7'),
+    endless_answer{ "HTTP/1.1 200 OK\r\n" + kFields +
+                      "Content-Length: " + std::to_string(kUnreadAnswerBytes) +
+                      "\r\n\r\n" + std::string(kUnreadAnswerBytes, '7'),
                     "" });
   ResetPeak(EntryPid());
   {
--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -59,10 +59,26 @@
 }
 
 void
-log_oracle::RecordAcknowledgement(const std::string& aPayload, log_index aIndex)
+log_oracle::RecordAcknowledgement(const std::string& aPayload,
+                                  log_index aIndex,
+                                  microseconds aNow)
 {
   mAcknowledged.insert(aPayload);
   mHighestAcknowledged = std::max(mHighestAcknowledged, aIndex);
+  mAcknowledgedAt[aNow] = mHighestAcknowledged;
+}
+
+void
+log_oracle::CheckConfirmation(microseconds aAt, log_index aIndex) const
+{
+  const auto after = mAcknowledgedAt.lower_bound(aAt);
+  if (after != mAcknowledgedAt.begin() && std::prev(after)->second > aIndex) {
+    throw guarantee_violation(
+      "a replica at index " + std::to_string(aIndex) +
+      " states that this was all " + std::to_string(aAt.count()) +
+      " us after the start, when " + std::to_string(std::prev(after)->second) +
+      " had been acknowledged");
+  }
 }
 
 void
@@ -359,7 +375,7 @@
         throw guarantee_violation(
           "another payload was committed at a proposal's position");
       }
-      oracle.RecordAcknowledgement(waiting.payload, aEntry.index);
+      oracle.RecordAcknowledgement(waiting.payload, aEntry.index, now);
     }
   }
   std::erase_if(aHost.waiting, [&](const proposal& aWaiting) {
@@ -402,6 +418,31 @@
   }
 }
 
+// A follower takes an age off that was measured by the leader's clock, which
+// stands for at most an election timeout.
+void
+simulated_cluster::CheckConfirmations() const
+{
+  constexpr double kMaxRateDifference = 0.05;
+  const auto tolerance = std::chrono::duration_cast<microseconds>(
+    settings.electionTimeout * kMaxRateDifference);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    const simulated_replica& host = hosts[i];
+    if (!host.tables) {
+      continue;
+    }
+    const steady_time confirmedAt = ConfirmedAt(*host.tables, ClockOf(i));
+    if (confirmedAt == steady_time::min()) {
+      continue;
+    }
+    const auto elapsed = std::chrono::duration_cast<microseconds>(
+      confirmedAt.time_since_epoch() - host.clockOffset);
+    const microseconds at{ static_cast<std::int64_t>(
+      static_cast<double>(elapsed.count()) / host.clockRate) };
+    oracle.CheckConfirmation(at - tolerance, host.tables->released);
+  }
+}
+
 void
 simulated_cluster::RunHost(std::size_t aHost)
 {
@@ -429,6 +470,7 @@
   host.wake = now + microseconds(std::max<std::int64_t>(
                       1, static_cast<std::int64_t>(wait / host.clockRate) + 2));
   CheckReads();
+  CheckConfirmations();
 }
 
 bool
--- a/tests/replication/simulated_cluster.hpp
+++ b/tests/replication/simulated_cluster.hpp
@@ -22,15 +22,20 @@
 };
 
 /// Checks the guarantees of a replicated log: one order of committed entries,
-/// no acknowledged entry lost, one leader for each term, and linearizable
-/// reads, which see every acknowledged write.
+/// no acknowledged entry lost, one leader for each term, linearizable reads,
+/// which see every acknowledged write, and confirmations that cover every write
+/// that was acknowledged before them.
 class log_oracle
 {
 public:
   void RecordCommit(const log_entry& aEntry);
   void RecordLeader(log_term aTerm, replica_id aLeader);
-  void RecordAcknowledgement(const std::string& aPayload, log_index aIndex);
+  void RecordAcknowledgement(const std::string& aPayload,
+                             log_index aIndex,
+                             std::chrono::microseconds aNow);
   void CheckRead(log_index aIndex) const;
+  /// A replica that has applied aIndex states that this is all until aAt.
+  void CheckConfirmation(std::chrono::microseconds aAt, log_index aIndex) const;
   /// aState is one replica's applied payloads, in order.
   void CheckState(const std::vector<std::string>& aState) const;
   std::size_t AcknowledgedCount() const { return mAcknowledged.size(); }
@@ -41,6 +46,8 @@
   std::map<log_term, replica_id> mLeaders;
   std::set<std::string> mAcknowledged;
   log_index mHighestAcknowledged = 0;
+  /// Highest index acknowledged until then.
+  std::map<std::chrono::microseconds, log_index> mAcknowledgedAt;
 };
 
 /// A disk that loses unsynced writes in a crash.
@@ -135,6 +142,7 @@
   void Apply(std::size_t aHost, replica_outbox& aOutbox);
   void Acknowledge(simulated_replica& aHost, const log_entry& aEntry);
   void CheckReads();
+  void CheckConfirmations() const;
   bool RandomlyTrue(double aRate);
   replica_id NewIdentity();
   std::optional<std::size_t> HostOf(replica_id aId) const;
