Take a host out of the rotation before it refuses keys

A host that is cut off refused its callers for up to two seconds before the load balancer sent them elsewhere, and for as long as the cut lasted on connections that were kept open. It is unready now from seven tenths of the bound on, and its answers close their connections meanwhile.

entry: Host_BeforeItRefusesKeys_LeavesTheRotation.

--- a/src/entry/key_rule.hpp
+++ b/src/entry/key_rule.hpp
@@ -20,8 +20,12 @@
 /// committed before aConfirmedAt; steady_time{} there: never confirmed.
 steady_time KeysUsableUntil(const key_rule& aRule, steady_time aConfirmedAt);
 
-/// For a caller that is refused after aUsableUntil.
-std::chrono::milliseconds RetryAfterUnconfirmed(steady_time aUsableUntil,
+/// From then on the host is not ready, and closes connections with its answers,
+/// so that callers have gone to other hosts before it refuses them.
+steady_time LeavesRotationAt(const key_rule& aRule, steady_time aConfirmedAt);
+
+/// For a caller that is refused by a host that left the rotation at aLeftAt.
+std::chrono::milliseconds RetryAfterUnconfirmed(steady_time aLeftAt,
                                                 steady_time aNow);
 
 } // namespace bulrush::entry
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -221,10 +221,25 @@
     return true;
   }
 
+  bool IsInRotation(steady_time aNow) const
+  {
+    return aNow < LeavesRotationAt(mSettings.keys, mView.confirmedAt);
+  }
+
+  // Kept connections stay with this host until an answer closes them.
+  void DrainOutOfRotation(steady_time aNow)
+  {
+    if (!IsInRotation(aNow)) {
+      mServer->BeginDrain();
+    } else if (!mView.isStopping) {
+      mServer->EndDrain();
+    }
+  }
+
   void SendReadiness(net::http_reply& aReply) const
   {
     const bool isReady = !mIsRefusing && !mView.isStopping &&
-                         !KeyRefusal(Now()) &&
+                         !KeyRefusal(Now()) && IsInRotation(Now()) &&
                          mView.fleet->manifestRevision > 0 &&
                          (!mSettings.ready || !mView.endpoints->empty());
     aReply.Send(isReady ? 200 : 503, {}, isReady ? "ready\n" : "unready\n");
@@ -240,11 +255,12 @@
     if (!mSettings.servesWithoutLease && !mAdmission.HasLease(aNow)) {
       return NoLease();
     }
-    const steady_time until =
-      KeysUsableUntil(mSettings.keys, mView.confirmedAt);
-    return aNow < until ? std::nullopt
-                        : std::optional(KeysUnconfirmed(
-                            RetryAfterUnconfirmed(until, aNow)));
+    if (aNow < KeysUsableUntil(mSettings.keys, mView.confirmedAt)) {
+      return std::nullopt;
+    }
+    const steady_time leftAt =
+      LeavesRotationAt(mSettings.keys, mView.confirmedAt);
+    return KeysUnconfirmed(RetryAfterUnconfirmed(leftAt, aNow));
   }
 
   void SendError(net::http_reply& aReply,
@@ -258,6 +274,7 @@
              std::shared_ptr<net::http_reply> aReply)
   {
     const request_id id{ ++mLastRequest };
+    DrainOutOfRotation(Now());
     if (mSettings.front.servesPages && ServePage(aRequest, *aReply, id)) {
       return;
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -72,6 +72,7 @@
   }
 
   void BeginDrain() override { mState->isDraining = true; }
+  void EndDrain() override { mState->isDraining = mState->isStopping; }
 
   void StopWhenFlushed(std::function<void()> aOnFlushed) override
   {
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -150,6 +150,8 @@
 
   /// From now on each answer that begins closes its connection.
   virtual void BeginDrain() = 0;
+  /// Answers no longer say so, unless the server stops.
+  virtual void EndDrain() = 0;
 
   /// Stops accepting connections, and refuses requests that have not arrived in
   /// full with 503. aOnFlushed is called once, when each open request is
--- a/tests/entry/key_rule_test.cpp
+++ b/tests/entry/key_rule_test.cpp
@@ -159,6 +159,16 @@
   CHECK(mayHaveRun.mayHaveRun);
 }
 
+TEST_CASE_METHOD(key_rule_fixture,
+                 "Host_BeforeItRefusesKeys_LeavesTheRotation",
+                 "[entry]")
+{
+  const steady_time leaves = LeavesRotationAt(rule, now);
+  CHECK(leaves == now + milliseconds(3'500));
+  CHECK(leaves + seconds(1) <= KeysUsableUntil(rule, now));
+  CHECK(LeavesRotationAt({}, now) == steady_time::max());
+}
+
 TEST_CASE_METHOD(key_rule_fixture,
                  "RetryAfter_OfAnUnconfirmedKey_CoversTheLoadBalancersTime",
                  "[entry]")
