Leave the order of elections as it was before confirmations

The first question's number was drawn from the engine of the election timeouts, so that other processes led than before on the same seed.

--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -172,7 +172,7 @@
     tables.pendingInstall = tables.snapshot;
   }
   RefreshMembers(tables);
-  tables.question.number = tables.random();
+  tables.question.number = random_engine(tables.random)();
   tables.leaderLastSeen = aNow;
   ResetElectionDeadline(tables, aNow);
   return tables;
