--- a/src/entry/admission_runner.cpp
+++ b/src/entry/admission_runner.cpp
@@ -1,6 +1,7 @@
 #include "entry/admission_runner.hpp"
 
 #include "entry/outcomes.hpp"
+#include "entry/request_log.hpp"
 #include "observe/observe.hpp"
 
 namespace bulrush::entry {
@@ -109,7 +110,11 @@
   row.arrivedAt = Now();
   row.deadline = aRequest.facts.deadline;
   row.onRefused = RefusalOf(aRequest, tokens);
-  aRequest.reply->onDisconnected = [this, id] { Release(id, 0); };
+  aRequest.reply->onDisconnected =
+    [this, id, callerId = aRequest.callerId, name = aRequest.workspaceName] {
+      LogCallerGone(id, callerId, name);
+      Release(id, 0);
+    };
   aRequest.onEnded = [this, id, tokens](std::optional<std::int64_t> aUsed) {
     Release(id, aUsed.value_or(tokens));
   };
@@ -138,6 +143,28 @@
   };
 }
 
+void
+admission_runner::LogCallerGone(request_id aRequest,
+                                const std::string& aCallerId,
+                                const std::string& aWorkspace) const
+{
+  const admitted_row* row = mTables.requests.Find(aRequest);
+  if (row == nullptr) {
+    return;
+  }
+  const bool isQueued = row->state == admission_state::eQueued;
+  LogEvent(kLog,
+           log_level::eInfo,
+           "request_ended",
+           { { "request", aCallerId },
+             { "workspace", aWorkspace },
+             { "outcome", "caller_gone" },
+             { "ran", "not_run" },
+             { "status", "0" },
+             { "step", isQueued ? "wait for turn" : "wait for tokens" },
+             { "took_ms", Milliseconds(Now() - row->arrivedAt) } });
+}
+
 void
 admission_runner::Release(request_id aRequest, std::int64_t aUsedTokens)
 {
--- a/src/entry/admission_runner.hpp
+++ b/src/entry/admission_runner.hpp
@@ -70,6 +70,10 @@
                   workspace_id aWorkspace,
                   std::int64_t aTokens,
                   const refusal& aRefusal);
+  /// The caller of a request that is not admitted yet has left.
+  void LogCallerGone(request_id aRequest,
+                     const std::string& aCallerId,
+                     const std::string& aWorkspace) const;
   void LogQuotaUse(steady_time aNow);
   wake_time Tick(steady_time aNow);
   void ReturnShares(steady_time aNow);
--- a/src/routing/requests.cpp
+++ b/src/routing/requests.cpp
@@ -139,7 +139,6 @@
     case request_outcome::eDigestMismatch:
     case request_outcome::eStoredAnswer:
       return "claim";
-    case request_outcome::eCallerGone:
     case request_outcome::eKeyWithdrawn:
       return "serve caller";
     case request_outcome::eHostStopped:
@@ -154,6 +153,23 @@
   }
 }
 
+// What a request waited for when its caller left.
+const char*
+WaitOf(const request_row& aRequest)
+{
+  switch (aRequest.state) {
+    case request_state::eNeedsClaim:
+    case request_state::eAwaitingClaim:
+      return "wait for claim";
+    case request_state::eReady:
+      return aRequest.wasNotResident ? "wait for model" : "wait for endpoint";
+    case request_state::eRunning:
+      return aRequest.hasForwarded ? "forward answer" : "wait for answer";
+    default:
+      return "serve caller";
+  }
+}
+
 // The peer of the reason is the endpoint of the last attempt.
 last_reason
 ReasonOf(const request_row& aRequest, request_outcome aOutcome)
@@ -166,7 +182,10 @@
     const auto last = (aRequest.attemptsMade - 1) % kTriedEndpoints;
     peer = "endpoint " + std::to_string(aRequest.tried[last].value);
   }
-  return { StepOf(aOutcome), std::move(peer), Name(aOutcome) };
+  const char* step = aOutcome == request_outcome::eCallerGone
+                       ? WaitOf(aRequest)
+                       : StepOf(aOutcome);
+  return { step, std::move(peer), Name(aOutcome) };
 }
 
 void
