--- a/src/entry/demand.cpp
+++ b/src/entry/demand.cpp
@@ -42,6 +42,7 @@
   });
 }
 
+// Without attempts one more report says so.
 void
 demand_reporter::Report(routing::tables& aEngine,
                         steady_time aNow,
@@ -49,23 +50,40 @@
 {
   const bool isUrgent = CountWaiting(aEngine, aNow);
   if (!isUrgent && aNow < mNextReport) {
-    if (!mModels.empty()) {
+    if (!mModels.empty() || mHadAttempts) {
       aWake.NoLaterThan(mNextReport);
     }
     return;
   }
-  std::vector<wire::model_demand> report;
+  wire::demand_report report;
   for (auto& [key, each] : mModels) {
-    report.push_back({ key.model, key.adapter, each.requests, each.waiting });
+    report.models.push_back(
+      { key.model, key.adapter, each.requests, each.waiting });
     each.requests = 0;
     each.waitingReportedAt = each.waiting > 0 ? aNow : steady_time{};
   }
   std::erase_if(mModels,
                 [](const auto& aEntry) { return aEntry.second.waiting == 0; });
+  for (const auto& [endpoint, running] : routing::ReportAttempts(aEngine)) {
+    report.attempts.push_back({ endpoint, running });
+  }
   mNextReport = aNow + kReportInterval;
-  if (!report.empty()) {
+  const bool hadAttempts =
+    std::exchange(mHadAttempts, !report.attempts.empty());
+  if (!report.models.empty() || mHadAttempts || hadAttempts) {
+    report.number = ++mNumber;
+    mReportedAt = aNow;
     mOnDemand(std::move(report));
   }
+  if (mHadAttempts) {
+    aWake.NoLaterThan(mNextReport);
+  }
+}
+
+std::optional<steady_time>
+demand_reporter::ReportedAt(std::uint64_t aNumber) const
+{
+  return aNumber == mNumber ? std::optional(mReportedAt) : std::nullopt;
 }
 
 } // namespace bulrush::entry
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -27,11 +27,13 @@
                  std::function<void(traffic_view)> aPublish,
                  std::function<void(admission::grant)> aOnGrant,
                  std::function<void(rates::quota_grant)> aOnQuotaGrant,
+                 std::function<void(wire::attempts_update)> aOnAttempts,
                  evidence_hook aOnEvidence)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
     , mOnGrant(std::move(aOnGrant))
     , mOnQuotaGrant(std::move(aOnQuotaGrant))
+    , mOnAttempts(std::move(aOnAttempts))
     , mOnEvidence(std::move(aOnEvidence))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
@@ -81,9 +83,11 @@
     mTimer.RunSoon();
   }
 
-  void SendDemand(std::vector<wire::model_demand> aDemand)
+  void SendDemand(wire::demand_report aReport)
   {
-    mTables.demand.insert(mTables.demand.end(), aDemand.begin(), aDemand.end());
+    auto& models = mTables.demand.models;
+    aReport.models.insert(aReport.models.end(), models.begin(), models.end());
+    mTables.demand = std::move(aReport);
     mTimer.RunSoon();
   }
 
@@ -180,6 +184,9 @@
     for (rates::quota_grant& next : outbox.quotaGrants) {
       mOnQuotaGrant(std::move(next));
     }
+    if (outbox.attempts) {
+      mOnAttempts(std::move(*outbox.attempts));
+    }
     for (quarantine::evidence& next : outbox.evidence) {
       mOnEvidence(std::move(next));
     }
@@ -195,6 +202,7 @@
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
+  std::function<void(wire::attempts_update)> mOnAttempts;
   evidence_hook mOnEvidence;
   std::function<void()> mOnSettled; ///< set while the process stops
   net::tick_timer mTimer;
@@ -231,6 +239,11 @@
                        mTraffic.HandleQuotaGrant(std::move(grant));
                      });
         },
+        [this](wire::attempts_update aUpdate) {
+          asio::post(mTrafficContext, [this, update = std::move(aUpdate)] {
+            mTraffic.HandleAttempts(update);
+          });
+        },
         [this](quarantine::evidence aEvidence) {
           asio::post(mTrafficContext, [this, evidence = std::move(aEvidence)] {
             mTraffic.HandleEvidence(evidence);
@@ -411,10 +424,10 @@
                    mControl.SendRenewal(std::move(renewal));
                  });
     };
-    hooks.onDemand = [this](std::vector<wire::model_demand> aDemand) {
+    hooks.onDemand = [this](wire::demand_report aReport) {
       asio::post(mControlContext,
-                 [this, demand = std::move(aDemand)]() mutable {
-                   mControl.SendDemand(std::move(demand));
+                 [this, report = std::move(aReport)]() mutable {
+                   mControl.SendDemand(std::move(report));
                  });
     };
     hooks.onQuotaRequest = [this](rates::quota_request aRequest) {
