--- a/tests/platform/settings_fields_test.cpp
+++ b/tests/platform/settings_fields_test.cpp
@@ -111,7 +111,7 @@
   // The list of zones is the only section with entries.
   std::string Section(const std::string& aName, const std::string& aBody)
   {
-    const std::string value = Value(aName);
+    std::string value = Value(aName);
     if (aName == "zones") {
       return value;
     }
