--- a/src/apps/programs.cmake
+++ b/src/apps/programs.cmake
@@ -26,7 +26,7 @@
 # purpose updates it here and states the new one in its message.
 add_test(NAME bench_signature COMMAND bulrush-bench)
 set_tests_properties(bench_signature PROPERTIES PASS_REGULAR_EXPRESSION
-  "signature: e63802214cfc1061")
+  "signature: 14460ec9a21f8133")
 bulrush_program(bulrush-swarm src/apps/swarm_main.cpp
   src/apps/swarm_systems.cpp)
 
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -302,7 +302,6 @@
       HandleQuotaRequest(aTables, input, *request, aNow, aOutbox);
     } else if (const auto* demand = std::get_if<wire::demand_report>(&body)) {
       HandleDemand(aTables, input, *demand, aNow);
-      HandleAttempts(aTables, input, *demand, aNow, aOutbox);
     } else if (const auto* part = std::get_if<wire::quarantine_call>(&body)) {
       HandleQuarantineCall(aTables, input, *part, aNow, aOutbox);
     } else {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -277,24 +277,6 @@
   std::chrono::milliseconds orderHandOver{ 3'000 };
 };
 
-/// Attempts of one host, as it reported them.
-struct host_attempts_row
-{
-  host_id id;
-  std::uint64_t incarnation = 0;
-  std::uint64_t number = 0; ///< of the report
-  std::vector<wire::endpoint_attempts> attempts;
-  steady_time receivedAt;
-};
-
-/// Attempts of all hosts that report to this process as the leader.
-struct attempts_tables
-{
-  table<host_id, host_attempts_row> hosts;
-  std::unordered_map<endpoint_id, std::uint32_t, id_hash> sums;
-  steady_time nextExpiry;
-};
-
 struct control_tables
 {
   self_row self;
@@ -308,7 +290,6 @@
   table<call_id, pending_call> calls;
   table<key_hash, tombstone_row> tombstones;
   lease_tables leases;
-  attempts_tables attempts;
   /// An endpoint that has not reported for so long is removed.
   std::chrono::milliseconds endpointTimeout{ 3'000 };
   pool_state pools;
@@ -400,13 +381,6 @@
                   const wire::demand_report& aReport,
                   steady_time aNow);
 
-/// Records where a host's attempts run, and sends it the sums of all hosts.
-void HandleAttempts(control_tables& aTables,
-                    const received_message& aInput,
-                    const wire::demand_report& aReport,
-                    steady_time aNow,
-                    control_outbox& aOutbox);
-
 /// System: orders models and adapters by demand, and publishes to hosts what
 /// engines hold, in rounds with a minimum interval.
 void RunResidents(control_tables& aTables,
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -290,9 +290,6 @@
     } else if (const auto* held =
                  std::get_if<wire::held_update>(&message.body)) {
       HandleMessage(aTables, *held, aNow);
-    } else if (const auto* attempts =
-                 std::get_if<wire::attempts_update>(&message.body)) {
-      aOutbox.attempts = *attempts;
     } else if (const auto* granted =
                  std::get_if<wire::share_grant>(&message.body)) {
       aOutbox.grants.push_back(granted->grant);
--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -82,12 +82,12 @@
 void
 RunDemand(entry_tables& aTables, steady_time, entry_outbox& aOutbox)
 {
-  if (aTables.demand.number == 0) {
+  if (aTables.demand.empty()) {
     return;
   }
   const control_row* leader =
     aTables.controls.Find(IdOf<replica_id>(aTables.leader));
-  wire::demand_report sent = std::exchange(aTables.demand, {});
+  wire::demand_report sent{ std::exchange(aTables.demand, {}) };
   if (leader != nullptr) {
     aOutbox.messages.push_back({ leader->address, std::move(sent) });
   }
--- a/src/entry/demand.cpp
+++ b/src/entry/demand.cpp
@@ -42,7 +42,6 @@
   });
 }
 
-// Without attempts one more report says so.
 void
 demand_reporter::Report(routing::tables& aEngine,
                         steady_time aNow,
@@ -50,40 +49,23 @@
 {
   const bool isUrgent = CountWaiting(aEngine, aNow);
   if (!isUrgent && aNow < mNextReport) {
-    if (!mModels.empty() || mHadAttempts) {
+    if (!mModels.empty()) {
       aWake.NoLaterThan(mNextReport);
     }
     return;
   }
-  wire::demand_report report;
+  std::vector<wire::model_demand> report;
   for (auto& [key, each] : mModels) {
-    report.models.push_back(
-      { key.model, key.adapter, each.requests, each.waiting });
+    report.push_back({ key.model, key.adapter, each.requests, each.waiting });
     each.requests = 0;
     each.waitingReportedAt = each.waiting > 0 ? aNow : steady_time{};
   }
   std::erase_if(mModels,
                 [](const auto& aEntry) { return aEntry.second.waiting == 0; });
-  for (const auto& [endpoint, running] : routing::ReportAttempts(aEngine)) {
-    report.attempts.push_back({ endpoint, running });
-  }
   mNextReport = aNow + kReportInterval;
-  const bool hadAttempts =
-    std::exchange(mHadAttempts, !report.attempts.empty());
-  if (!report.models.empty() || mHadAttempts || hadAttempts) {
-    report.number = ++mNumber;
-    mReportedAt = aNow;
+  if (!report.empty()) {
     mOnDemand(std::move(report));
   }
-  if (mHadAttempts) {
-    aWake.NoLaterThan(mNextReport);
-  }
-}
-
-std::optional<steady_time>
-demand_reporter::ReportedAt(std::uint64_t aNumber) const
-{
-  return aNumber == mNumber ? std::optional(mReportedAt) : std::nullopt;
 }
 
 } // namespace bulrush::entry
--- a/src/entry/demand.hpp
+++ b/src/entry/demand.hpp
@@ -1,16 +1,15 @@
 #ifndef BULRUSH_ENTRY_DEMAND_HPP
 #define BULRUSH_ENTRY_DEMAND_HPP
 
-/// Demand for models on one traffic thread and its attempts at endpoints, as
-/// they are reported to the leader.
+/// Demand for models on one traffic thread, as it is reported to the leader.
 
 #include "routing/routing.hpp"
 #include "wire/wire.hpp"
 
 namespace bulrush::entry {
 
-/// Passes the report to the control thread.
-using demand_hook = std::function<void(wire::demand_report)>;
+/// Passes the demand to the control thread.
+using demand_hook = std::function<void(std::vector<wire::model_demand>)>;
 
 class demand_reporter
 {
@@ -23,9 +22,6 @@
   /// Reports the demand if due; sets aWake to the next time to call.
   void Report(routing::tables& aEngine, steady_time aNow, wake_time& aWake);
 
-  /// When the newest report was made; nullopt if aNumber is of another one.
-  std::optional<steady_time> ReportedAt(std::uint64_t aNumber) const;
-
 private:
   /// Demand for one model since the last report.
   struct model_count
@@ -41,9 +37,6 @@
   std::unordered_map<routing::model_key, model_count, routing::model_key_hash>
     mModels;
   steady_time mNextReport;
-  steady_time mReportedAt;
-  std::uint64_t mNumber = 0; ///< of the newest report
-  bool mHadAttempts = false; ///< in the newest report
 };
 
 } // namespace bulrush::entry
--- a/src/entry/endpoint_facts.cpp
+++ b/src/entry/endpoint_facts.cpp
@@ -75,9 +75,7 @@
   facts.coldSlots = aRow.coldSlots;
   facts.allottedSlots = aRow.slots;
   facts.allottedIncarnation = aRow.incarnation;
-  if (aFront.endpointsReportLoad) {
-    facts.reportedInFlight = aRow.running + aRow.queued;
-  }
+  facts.reportedInFlight = aRow.running + aRow.queued;
   facts.reportedAt = aRow.lastSeen;
   return facts;
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -27,13 +27,11 @@
                  std::function<void(traffic_view)> aPublish,
                  std::function<void(admission::grant)> aOnGrant,
                  std::function<void(rates::quota_grant)> aOnQuotaGrant,
-                 std::function<void(wire::attempts_update)> aOnAttempts,
                  evidence_hook aOnEvidence)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
     , mOnGrant(std::move(aOnGrant))
     , mOnQuotaGrant(std::move(aOnQuotaGrant))
-    , mOnAttempts(std::move(aOnAttempts))
     , mOnEvidence(std::move(aOnEvidence))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
@@ -83,11 +81,9 @@
     mTimer.RunSoon();
   }
 
-  void SendDemand(wire::demand_report aReport)
+  void SendDemand(std::vector<wire::model_demand> aDemand)
   {
-    auto& models = mTables.demand.models;
-    aReport.models.insert(aReport.models.end(), models.begin(), models.end());
-    mTables.demand = std::move(aReport);
+    mTables.demand.insert(mTables.demand.end(), aDemand.begin(), aDemand.end());
     mTimer.RunSoon();
   }
 
@@ -184,9 +180,6 @@
     for (rates::quota_grant& next : outbox.quotaGrants) {
       mOnQuotaGrant(std::move(next));
     }
-    if (outbox.attempts) {
-      mOnAttempts(std::move(*outbox.attempts));
-    }
     for (quarantine::evidence& next : outbox.evidence) {
       mOnEvidence(std::move(next));
     }
@@ -202,7 +195,6 @@
   std::function<void(traffic_view)> mPublish;
   std::function<void(admission::grant)> mOnGrant;
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
-  std::function<void(wire::attempts_update)> mOnAttempts;
   evidence_hook mOnEvidence;
   std::function<void()> mOnSettled; ///< set while the process stops
   net::tick_timer mTimer;
@@ -239,11 +231,6 @@
                        mTraffic.HandleQuotaGrant(std::move(grant));
                      });
         },
-        [this](wire::attempts_update aUpdate) {
-          asio::post(mTrafficContext, [this, update = std::move(aUpdate)] {
-            mTraffic.HandleAttempts(update);
-          });
-        },
         [this](quarantine::evidence aEvidence) {
           asio::post(mTrafficContext, [this, evidence = std::move(aEvidence)] {
             mTraffic.HandleEvidence(evidence);
@@ -424,10 +411,10 @@
                    mControl.SendRenewal(std::move(renewal));
                  });
     };
-    hooks.onDemand = [this](wire::demand_report aReport) {
+    hooks.onDemand = [this](std::vector<wire::model_demand> aDemand) {
       asio::post(mControlContext,
-                 [this, report = std::move(aReport)]() mutable {
-                   mControl.SendDemand(std::move(report));
+                 [this, demand = std::move(aDemand)]() mutable {
+                   mControl.SendDemand(std::move(demand));
                  });
     };
     hooks.onQuotaRequest = [this](rates::quota_request aRequest) {
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -53,8 +53,6 @@
     *aEngine.endpoints.Find(aStart.endpoint);
   const routing::attempt_row& attempt = *aEngine.attempts.Find(aStart.attempt);
   const routing::request_row& request = *aEngine.requests.Find(aStart.request);
-  const auto told = endpoint.facts.reportedInFlight;
-  const auto others = routing::OthersLoad(endpoint);
   LogEvent(
     kLog,
     log_level::eInfo,
@@ -65,15 +63,9 @@
       { "waited_ms", Milliseconds(attempt.startedAt - aRequest.arrivedAt) },
       { "time_left_ms", std::to_string(aMetadata.timeLeft.count()) },
       { "own_running", std::to_string(endpoint.inFlight) },
-      { "reported_running",
-        told ? std::to_string(*told) : std::string("unknown") },
+      { "reported_running", std::to_string(endpoint.facts.reportedInFlight) },
       { "report_age_ms",
-        told ? Milliseconds(attempt.startedAt - endpoint.facts.reportedAt)
-             : "" },
-      { "others_running",
-        others ? std::to_string(others->inFlight) : std::string("unknown") },
-      { "others_age_ms",
-        others ? Milliseconds(attempt.startedAt - others->at) : "" },
+        Milliseconds(attempt.startedAt - endpoint.facts.reportedAt) },
       { "cold", endpoint.coldStart.isCold ? "yes" : "no" },
       { "resumed_at", std::to_string(aStart.resumeOffset) },
       { "revision", std::to_string(aConfiguration.revision) },
--- a/src/entry/request_runner.hpp
+++ b/src/entry/request_runner.hpp
@@ -61,7 +61,6 @@
   void SetStop(const stop_plan& aPlan);
   void WhenIdle(std::function<void()> aOnIdle);
   void SetView(const traffic_view& aView);
-  void HandleAttempts(const wire::attempts_update& aUpdate);
   void HandleEvidence(const quarantine::evidence& aEvidence);
   quarantine_counts Quarantine() const;
   void Start(routed_request aRequest);
--- a/src/entry/requests.cpp
+++ b/src/entry/requests.cpp
@@ -74,23 +74,6 @@
   mTimer.RunSoon();
 }
 
-// Only the answer to the newest report, for which the own part is known.
-void
-request_runner::implementation::HandleAttempts(
-  const wire::attempts_update& aUpdate)
-{
-  const auto reportedAt = mDemand.ReportedAt(aUpdate.report);
-  if (!reportedAt) {
-    return;
-  }
-  std::vector<routing::endpoint_attempts> sums;
-  sums.reserve(aUpdate.attempts.size());
-  for (const wire::endpoint_attempts& each : aUpdate.attempts) {
-    sums.push_back({ each.endpoint, each.running });
-  }
-  routing::OnAttemptsOfAllHosts(mEngine, sums, *reportedAt);
-}
-
 void
 request_runner::implementation::HandleEvidence(
   const quarantine::evidence& aEvidence)
@@ -247,12 +230,6 @@
   mImplementation->Start(std::move(aRequest));
 }
 
-void
-request_runner::HandleAttempts(const wire::attempts_update& aUpdate)
-{
-  mImplementation->HandleAttempts(aUpdate);
-}
-
 void
 request_runner::HandleEvidence(const quarantine::evidence& aEvidence)
 {
--- a/src/entry/requests.hpp
+++ b/src/entry/requests.hpp
@@ -80,8 +80,6 @@
   void SetView(const traffic_view& aView);
   void Start(routed_request aRequest);
   /// Adds what other hosts observed about parts of prompts.
-  /// The attempts of all hosts, in answer to a report of this thread.
-  void HandleAttempts(const wire::attempts_update& aUpdate);
   void HandleEvidence(const quarantine::evidence& aEvidence);
   quarantine_counts Quarantine() const;
   /// Runs a tick soon, since a condition that requests wait for has changed.
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -110,7 +110,7 @@
   std::vector<endpoint_row> unreportedEndpoints; ///< not yet sent to control
   std::vector<admission::renewal> renewals;      ///< from the traffic thread
   table<endpoint_id, held_row> held;
-  wire::demand_report demand;                      ///< from the traffic thread
+  std::vector<wire::model_demand> demand;          ///< from the traffic thread
   std::vector<rates::quota_request> quotaRequests; ///< from the traffic thread
   /// Of all hosts, from the traffic thread and from control.
   quarantine::tables quarantined;
@@ -151,11 +151,10 @@
   std::vector<wire::control_address> links; ///< control processes to connect
   std::vector<outgoing> messages;
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
-  std::optional<traffic_view> view;              ///< to be published
-  std::vector<admission::grant> grants;          ///< for the traffic thread
-  std::vector<rates::quota_grant> quotaGrants;   ///< for the traffic thread
-  std::optional<wire::attempts_update> attempts; ///< for the traffic thread
-  std::vector<quarantine::evidence> evidence;    ///< for the traffic thread
+  std::optional<traffic_view> view;            ///< to be published
+  std::vector<admission::grant> grants;        ///< for the traffic thread
+  std::vector<rates::quota_grant> quotaGrants; ///< for the traffic thread
+  std::vector<quarantine::evidence> evidence;  ///< for the traffic thread
   wake_time wake;
 };
 
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -122,10 +122,6 @@
   {
     mAdmission.HandleQuotaGrant(std::move(aGrant));
   }
-  void HandleAttempts(const wire::attempts_update& aUpdate)
-  {
-    mRunner.HandleAttempts(aUpdate);
-  }
   void HandleEvidence(const quarantine::evidence& aEvidence)
   {
     mRunner.HandleEvidence(aEvidence);
@@ -556,12 +552,6 @@
   mImplementation->HandleQuotaGrant(std::move(aGrant));
 }
 
-void
-traffic_thread::HandleAttempts(const wire::attempts_update& aUpdate)
-{
-  mImplementation->HandleAttempts(aUpdate);
-}
-
 void
 traffic_thread::HandleEvidence(const quarantine::evidence& aEvidence)
 {
--- a/src/entry/traffic.hpp
+++ b/src/entry/traffic.hpp
@@ -23,8 +23,9 @@
   std::function<void(endpoint_row)> onReport;
   std::function<void(fleet_command, steady_time aDeadline, command_hook)>
     onCommand;
-  std::function<void(admission::renewal)> onRenewal;        ///< to the delegate
-  demand_hook onDemand;                                     ///< to the leader
+  std::function<void(admission::renewal)> onRenewal; ///< to the delegate
+  std::function<void(std::vector<wire::model_demand>)> onDemand; ///< to the
+                                                                 ///< leader
   std::function<void(rates::quota_request)> onQuotaRequest; ///< to the leader
   evidence_hook onEvidence;
 };
@@ -67,7 +68,6 @@
   void SetView(traffic_view aView);
   void HandleShareGrant(admission::grant aGrant);
   void HandleQuotaGrant(rates::quota_grant aGrant);
-  void HandleAttempts(const wire::attempts_update& aUpdate);
   void HandleEvidence(const quarantine::evidence& aEvidence);
   std::size_t OpenRequests() const;
   /// The stop signal came: open requests end as planned, and a new one starts
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 constexpr double kPrefixBonus = 0.5;
-/// Of the load, in slots used / slots.
-constexpr double kBestMargin = 0.3;
+constexpr double kBestMargin = 0.05;
 constexpr int kMaxPriorityWeight = 4;
 constexpr double kPriorityStep = 0.25;
 /// A failed attempt costs a request about as much as a fully loaded endpoint.
@@ -45,23 +44,24 @@
   return aFacts.version == 0 || aHolder.version == aFacts.version;
 }
 
-// What is known of other hosts is old, so it loses weight with its age.
-// Requests of this thread are counted exactly.
+// Reports are stale: requests of other hosts lose weight with the age of the
+// report. Requests of this thread are counted exactly.
 double
 EstimateLoad(const endpoint_row& aEndpoint,
              steady_time aNow,
              std::chrono::milliseconds aMaxAge)
 {
-  double others = 0;
-  if (const auto known = OthersLoad(aEndpoint)) {
-    const std::chrono::duration<double> age = aNow - known->at;
-    const std::chrono::duration<double> maxAge = aMaxAge;
-    others = known->inFlight * std::clamp(1.0 - age / maxAge, 0.0, 1.0);
-  }
-  const std::uint32_t slots = aEndpoint.coldStart.isCold
-                                ? aEndpoint.coldStart.limit
-                                : aEndpoint.facts.slots;
-  return (aEndpoint.inFlight + others) / std::max(1U, slots);
+  const endpoint_facts& facts = aEndpoint.facts;
+  const std::chrono::duration<double> age = aNow - facts.reportedAt;
+  const std::chrono::duration<double> maxAge = aMaxAge;
+  const double weight = std::clamp(1.0 - age / maxAge, 0.0, 1.0);
+  const std::uint32_t others =
+    facts.reportedInFlight > aEndpoint.inFlightWhenReported
+      ? facts.reportedInFlight - aEndpoint.inFlightWhenReported
+      : 0;
+  const std::uint32_t slots =
+    aEndpoint.coldStart.isCold ? aEndpoint.coldStart.limit : facts.slots;
+  return (aEndpoint.inFlight + others * weight) / std::max(1U, slots);
 }
 
 bool
@@ -181,9 +181,8 @@
          kFailureWeight * aInput.failures;
 }
 
-// Power of two choices among all that are not clearly worse. Many hosts choose
-// from the same news, which is half a second old: if each took the best, all
-// would take the same one until the next news.
+// Power of two choices. Many hosts choose from the same stale reports; two
+// random draws among the best keep them from all picking the least loaded one.
 // The first draw wins a tie: otherwise the candidate listed first would be
 // chosen more often.
 std::size_t
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -71,21 +71,14 @@
     return;
   }
   const bool isRestarted = row->facts.incarnation != aFacts.incarnation;
-  if (aFacts.reportedInFlight && aFacts.reportedAt > row->facts.reportedAt) {
+  if (aFacts.reportedAt > row->facts.reportedAt) {
     row->inFlightWhenReported = row->inFlight;
   }
-  const auto toldInFlight = row->facts.reportedInFlight;
-  const steady_time toldAt = row->facts.reportedAt;
   row->facts = aFacts;
-  if (!aFacts.reportedInFlight && !isRestarted) {
-    row->facts.reportedInFlight = toldInFlight; // by an answer
-    row->facts.reportedAt = toldAt;
-  }
   row->isRemoved = false;
   row->isLeaving = IsKnownLeaving(aTables, aFacts);
   if (isRestarted) {
     row->avoidUntil = {}; // its former process requested the backoff
-    row->othersInFlight.reset();
     ClearBroken(*row);
   }
   if (aFacts.reportsColdState) {
@@ -110,54 +103,6 @@
   }
 }
 
-std::vector<endpoint_attempts>
-ReportAttempts(tables& aTables)
-{
-  std::vector<endpoint_attempts> attempts;
-  for (endpoint_row& row : aTables.endpoints) {
-    row.inFlightWhenShared = row.inFlight;
-    if (row.inFlight > 0) {
-      attempts.push_back({ row.id, row.inFlight });
-    }
-  }
-  return attempts;
-}
-
-void
-OnAttemptsOfAllHosts(tables& aTables,
-                     std::span<const endpoint_attempts> aSums,
-                     steady_time aAt)
-{
-  for (endpoint_row& row : aTables.endpoints) {
-    row.othersInFlight = 0;
-    row.othersAt = aAt;
-  }
-  for (const endpoint_attempts& sum : aSums) {
-    endpoint_row* row = aTables.endpoints.Find(sum.endpoint);
-    if (row != nullptr && sum.running > row->inFlightWhenShared) {
-      row->othersInFlight = sum.running - row->inFlightWhenShared;
-    }
-  }
-}
-
-std::optional<others_load>
-OthersLoad(const endpoint_row& aEndpoint)
-{
-  const endpoint_facts& facts = aEndpoint.facts;
-  const bool isToldNewer =
-    facts.reportedInFlight &&
-    (!aEndpoint.othersInFlight || facts.reportedAt >= aEndpoint.othersAt);
-  if (isToldNewer) {
-    const std::uint32_t all = *facts.reportedInFlight;
-    const std::uint32_t own = std::min(all, aEndpoint.inFlightWhenReported);
-    return others_load{ all - own, facts.reportedAt };
-  }
-  return aEndpoint.othersInFlight
-           ? std::optional(
-               others_load{ *aEndpoint.othersInFlight, aEndpoint.othersAt })
-           : std::nullopt;
-}
-
 bool
 IsColdGated(const tables& aTables, const endpoint_row& aEndpoint)
 {
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -114,20 +114,6 @@
                     endpoint_id aEndpoint,
                     std::uint32_t aInFlight,
                     steady_time aNow);
-struct endpoint_attempts
-{
-  endpoint_id endpoint;
-  std::uint32_t running = 0;
-};
-
-/// The attempts of this thread at each endpoint that has some, to be added to
-/// those of other hosts.
-std::vector<endpoint_attempts> ReportAttempts(tables& aTables);
-/// The attempts of all hosts as of aAt, in which the newest ReportAttempts is
-/// contained. An endpoint that is not listed has none.
-void OnAttemptsOfAllHosts(tables& aTables,
-                          std::span<const endpoint_attempts> aSums,
-                          steady_time aAt);
 /// Replaces the residents of an endpoint.
 void SetResidents(tables& aTables,
                   endpoint_id aEndpoint,
@@ -188,17 +174,6 @@
                       const request_row& aRequest,
                       steady_time aNow);
 
-/// What other hosts have in flight at an endpoint.
-struct others_load
-{
-  std::uint32_t inFlight = 0;
-  steady_time at;
-};
-
-/// From the newer of what the endpoint told and what the hosts reported to each
-/// other; nullopt: neither is known.
-std::optional<others_load> OthersLoad(const endpoint_row& aEndpoint);
-
 /// Limit of concurrent attempts from this thread.
 std::uint32_t ConcurrencyLimit(const endpoint_row& aEndpoint);
 
--- a/src/routing/rows.hpp
+++ b/src/routing/rows.hpp
@@ -77,8 +77,7 @@
   std::uint32_t coldSlots = 1;           ///< concurrent requests when cold
   std::uint32_t allottedSlots = 0;       ///< share of this traffic thread
   std::uint64_t allottedIncarnation = 0; ///< that the allotment is valid for
-  /// Requests from all hosts, as the endpoint counts them; nullopt: not told.
-  std::optional<std::uint32_t> reportedInFlight;
+  std::uint32_t reportedInFlight = 0;    ///< requests from all hosts
   steady_time reportedAt;
 };
 
@@ -101,11 +100,7 @@
   steady_time coldBudgetFilledAt;         ///< last refill of coldBudget
   std::uint32_t inFlight = 0;             ///< attempts of this thread
   std::uint32_t inFlightWhenReported = 0; ///< inFlight at reportedAt
-  /// Attempts of other hosts, as these reported them; nullopt: not known.
-  std::optional<std::uint32_t> othersInFlight;
-  steady_time othersAt;                 ///< time of othersInFlight
-  std::uint32_t inFlightWhenShared = 0; ///< in this host's newest report
-  bool isRemoved = false;               ///< erased once nothing is in flight
+  bool isRemoved = false;                 ///< erased once nothing is in flight
   bool isLeaving = false;   ///< an answer of this incarnation stated so
   steady_time avoidUntil;   ///< backoff after an overload refusal
   double failureShare = 0;  ///< moving average over its attempts at failedAt
--- a/src/wire/bodies.hpp
+++ b/src/wire/bodies.hpp
@@ -13,7 +13,6 @@
 void PutBody(const host_update& aFrom, steady_time aNow, pb::Envelope& aTo);
 void PutBody(const held_update& aFrom, steady_time aNow, pb::Envelope& aTo);
 void PutBody(const demand_report& aFrom, steady_time aNow, pb::Envelope& aTo);
-void PutBody(const attempts_update& aFrom, steady_time aNow, pb::Envelope& aTo);
 std::optional<message_body> GetBody(const pb::HostReport& aFrom,
                                     steady_time aNow);
 std::optional<message_body> GetBody(const pb::HostUpdate& aFrom,
@@ -22,8 +21,6 @@
                                     steady_time aNow);
 std::optional<message_body> GetBody(const pb::WantedModels& aFrom,
                                     steady_time aNow);
-std::optional<message_body> GetBody(const pb::AttemptsUpdate& aFrom,
-                                    steady_time aNow);
 
 // peer_codec.cpp
 void PutBody(const endpoint_gossip& aFrom, steady_time aNow, pb::Envelope& aTo);
--- a/src/wire/host_codec.cpp
+++ b/src/wire/host_codec.cpp
@@ -9,28 +9,6 @@
 /// Far longer than anything known is relied on.
 constexpr std::chrono::hours kMaxAge{ 1 };
 
-void
-PutAttempts(const std::vector<endpoint_attempts>& aFrom,
-            repeated<pb::EndpointAttempts>& aTo)
-{
-  for (const endpoint_attempts& from : aFrom) {
-    pb::EndpointAttempts* to = aTo.Add();
-    to->set_endpoint(from.endpoint.value);
-    to->set_running(from.running);
-  }
-}
-
-std::vector<endpoint_attempts>
-GetAttempts(const repeated<pb::EndpointAttempts>& aFrom)
-{
-  std::vector<endpoint_attempts> attempts;
-  attempts.reserve(static_cast<std::size_t>(aFrom.size()));
-  for (const pb::EndpointAttempts& from : aFrom) {
-    attempts.push_back({ endpoint_id{ from.endpoint() }, from.running() });
-  }
-  return attempts;
-}
-
 } // namespace
 
 std::optional<std::chrono::nanoseconds>
@@ -109,16 +87,6 @@
     demand->set_requests(from.requests);
     demand->set_waiting(from.waiting);
   }
-  to->set_number(aFrom.number);
-  PutAttempts(aFrom.attempts, *to->mutable_attempts());
-}
-
-void
-PutBody(const attempts_update& aFrom, steady_time, pb::Envelope& aTo)
-{
-  auto* to = aTo.mutable_attempts_update();
-  to->set_report(aFrom.report);
-  PutAttempts(aFrom.attempts, *to->mutable_attempts());
 }
 
 std::optional<message_body>
@@ -189,15 +157,7 @@
                               from.requests(),
                               from.waiting() });
   }
-  demand.number = aFrom.number();
-  demand.attempts = GetAttempts(aFrom.attempts());
   return demand;
 }
 
-std::optional<message_body>
-GetBody(const pb::AttemptsUpdate& aFrom, steady_time)
-{
-  return attempts_update{ aFrom.report(), GetAttempts(aFrom.attempts()) };
-}
-
 } // namespace bulrush::wire
--- a/src/wire/message_codec.cpp
+++ b/src/wire/message_codec.cpp
@@ -54,8 +54,6 @@
       return GetBody(aFrom.wanted_models(), aNow);
     case pb::Envelope::kHeldUpdate:
       return GetBody(aFrom.held_update(), aNow);
-    case pb::Envelope::kAttemptsUpdate:
-      return GetBody(aFrom.attempts_update(), aNow);
     case pb::Envelope::kTokenDraw:
       return GetBody(aFrom.token_draw(), aNow);
     case pb::Envelope::kTokenAnswer:
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -77,27 +77,10 @@
   std::uint32_t waiting = 0;  ///< waiting now, as no engine holds it
 };
 
-/// Attempts that run at an endpoint.
-struct endpoint_attempts
-{
-  endpoint_id endpoint;
-  std::uint32_t running = 0;
-};
-
-/// From a host to the leader: demand of its callers for models, and where its
-/// attempts run.
+/// From a host to the leader: demand of its callers for models.
 struct demand_report
 {
   std::vector<model_demand> models;
-  std::uint64_t number = 0; ///< rises with each report of the process
-  std::vector<endpoint_attempts> attempts; ///< endpoints without any left out
-};
-
-/// From the leader to a host, for each report: attempts of all hosts.
-struct attempts_update
-{
-  std::uint64_t report = 0; ///< number of the receiver's newest report in it
-  std::vector<endpoint_attempts> attempts; ///< endpoints without any left out
 };
 
 /// Models that an engine holds, as the leader knows from its orders.
@@ -310,7 +293,6 @@
                                   replace_call,
                                   demand_report,
                                   held_update,
-                                  attempts_update,
                                   rates::quota_request,
                                   rates::quota_grant,
                                   quarantine_call>;
