Keep a load that nobody told apart from zero

Not told is a value of its own in the tables and in the log now, and heartbeats of the platform leave the load of the last answer.

--- a/src/entry/endpoint_facts.cpp
+++ b/src/entry/endpoint_facts.cpp
@@ -75,7 +75,9 @@
   facts.coldSlots = aRow.coldSlots;
   facts.allottedSlots = aRow.slots;
   facts.allottedIncarnation = aRow.incarnation;
-  facts.reportedInFlight = aRow.running + aRow.queued;
+  if (aFront.endpointsReportLoad) {
+    facts.reportedInFlight = aRow.running + aRow.queued;
+  }
   facts.reportedAt = aRow.lastSeen;
   return facts;
 }
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -111,7 +111,8 @@
   bool streamsHaveEndMark = true; ///< else the end of the message ends a stream
   bool eventIdsRise = false;      ///< numeric ids of a stream's events
   bool endpointsReportCold = false;
-  bool trustsNotRun = false; ///< an endpoint's "not run" is relied upon
+  bool endpointsReportLoad = true; ///< their reports count all requests
+  bool trustsNotRun = false;       ///< an endpoint's "not run" is relied upon
   /// Endpoints refuse requests for another incarnation of theirs.
   bool endpointsCheckIncarnation = false;
 };
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -53,6 +53,7 @@
     *aEngine.endpoints.Find(aStart.endpoint);
   const routing::attempt_row& attempt = *aEngine.attempts.Find(aStart.attempt);
   const routing::request_row& request = *aEngine.requests.Find(aStart.request);
+  const auto told = endpoint.facts.reportedInFlight;
   LogEvent(
     kLog,
     log_level::eInfo,
@@ -63,9 +64,11 @@
       { "waited_ms", Milliseconds(attempt.startedAt - aRequest.arrivedAt) },
       { "time_left_ms", std::to_string(aMetadata.timeLeft.count()) },
       { "own_running", std::to_string(endpoint.inFlight) },
-      { "reported_running", std::to_string(endpoint.facts.reportedInFlight) },
+      { "reported_running",
+        told ? std::to_string(*told) : std::string("unknown") },
       { "report_age_ms",
-        Milliseconds(attempt.startedAt - endpoint.facts.reportedAt) },
+        told ? Milliseconds(attempt.startedAt - endpoint.facts.reportedAt)
+             : "" },
       { "cold", endpoint.coldStart.isCold ? "yes" : "no" },
       { "resumed_at", std::to_string(aStart.resumeOffset) },
       { "revision", std::to_string(aConfiguration.revision) },
--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -45,7 +45,8 @@
 }
 
 // Reports are stale: requests of other hosts lose weight with the age of the
-// report. Requests of this thread are counted exactly.
+// report. Requests of this thread are counted exactly, and are all that is
+// known of an endpoint that does not tell its load.
 double
 EstimateLoad(const endpoint_row& aEndpoint,
              steady_time aNow,
@@ -55,10 +56,10 @@
   const std::chrono::duration<double> age = aNow - facts.reportedAt;
   const std::chrono::duration<double> maxAge = aMaxAge;
   const double weight = std::clamp(1.0 - age / maxAge, 0.0, 1.0);
-  const std::uint32_t others =
-    facts.reportedInFlight > aEndpoint.inFlightWhenReported
-      ? facts.reportedInFlight - aEndpoint.inFlightWhenReported
-      : 0;
+  const std::uint32_t reported = facts.reportedInFlight.value_or(0);
+  const std::uint32_t others = reported > aEndpoint.inFlightWhenReported
+                                 ? reported - aEndpoint.inFlightWhenReported
+                                 : 0;
   const std::uint32_t slots =
     aEndpoint.coldStart.isCold ? aEndpoint.coldStart.limit : facts.slots;
   return (aEndpoint.inFlight + others * weight) / std::max(1U, slots);
--- a/src/routing/endpoints.cpp
+++ b/src/routing/endpoints.cpp
@@ -71,10 +71,16 @@
     return;
   }
   const bool isRestarted = row->facts.incarnation != aFacts.incarnation;
-  if (aFacts.reportedAt > row->facts.reportedAt) {
+  if (aFacts.reportedInFlight && aFacts.reportedAt > row->facts.reportedAt) {
     row->inFlightWhenReported = row->inFlight;
   }
+  const auto toldInFlight = row->facts.reportedInFlight;
+  const steady_time toldAt = row->facts.reportedAt;
   row->facts = aFacts;
+  if (!aFacts.reportedInFlight && !isRestarted) {
+    row->facts.reportedInFlight = toldInFlight; // by an answer
+    row->facts.reportedAt = toldAt;
+  }
   row->isRemoved = false;
   row->isLeaving = IsKnownLeaving(aTables, aFacts);
   if (isRestarted) {
--- a/src/routing/rows.hpp
+++ b/src/routing/rows.hpp
@@ -77,7 +77,8 @@
   std::uint32_t coldSlots = 1;           ///< concurrent requests when cold
   std::uint32_t allottedSlots = 0;       ///< share of this traffic thread
   std::uint64_t allottedIncarnation = 0; ///< that the allotment is valid for
-  std::uint32_t reportedInFlight = 0;    ///< requests from all hosts
+  /// Requests from all hosts, as the endpoint counts them; nullopt: not told.
+  std::optional<std::uint32_t> reportedInFlight;
   steady_time reportedAt;
 };
 
