--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -123,8 +123,7 @@
     "100",
     "1000000",
     "File descriptors that the process may use; callers get five sixths of "
-    "them "
-    "for their connections" },
+    "them for their connections" },
   { "heartbeat-interval",
     option_type::eDuration,
     "",
--- a/src/replication/confirmation.cpp
+++ b/src/replication/confirmation.cpp
@@ -20,15 +20,6 @@
                       : steady_time::min();
 }
 
-void
-Adopt(replica_tables& aTables)
-{
-  if (aTables.unreleased && aTables.released >= aTables.unreleased->commit) {
-    aTables.confirmedAt = std::max(aTables.confirmedAt, aTables.unreleased->at);
-    aTables.unreleased.reset();
-  }
-}
-
 } // namespace
 
 // One question at a time, repeated until it is answered, so that a lost reply
@@ -90,7 +81,10 @@
                 steady_time /*aNow*/,
                 replica_outbox& /*aOutbox*/)
 {
-  Adopt(aTables);
+  if (aTables.unreleased && aTables.released >= aTables.unreleased->commit) {
+    aTables.confirmedAt = std::max(aTables.confirmedAt, aTables.unreleased->at);
+    aTables.unreleased.reset();
+  }
 }
 
 steady_time
