review: Number check-ins of the stand-in in the order of their content

Two threads of a model server could pair older content with a newer number, which a sound server doesn't.

--- a/review/stand_in.cpp
+++ b/review/stand_in.cpp
@@ -646,10 +646,13 @@
 std::string
 server::NextCheckIn(const std::string& aState)
 {
+  // A higher number never has older content.
+  const std::lock_guard<std::mutex> lock(mNumbering);
+  const std::string description = Description();
   return R"({"service":")" + Service() + R"(","address":")" + mAddress.Text() +
          R"(","zone":")" + mZone + R"(","version":"v1","slots":6,"state":")" +
          aState + R"(","coldRemainingMs":0,"born":)" + std::to_string(mBorn) +
-         Description() + R"(,"sequence":)" + std::to_string(++mSequence) + "}";
+         description + R"(,"sequence":)" + std::to_string(++mSequence) + "}";
 }
 
 bool
--- a/review/stand_in.hpp
+++ b/review/stand_in.hpp
@@ -169,6 +169,7 @@
   std::string mZone;
   address mAddress;
   long long mBorn = 0;
+  std::mutex mNumbering;
   std::atomic<int> mSequence{ 0 };
   int mListener = -1;
   std::atomic<bool> mIsStopping{ false };
