--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -347,6 +347,14 @@
         *aReply, aRequest, { answer_kind::eInvalid, Describe(reason) });
       return;
     }
+    if (!std::holds_alternative<register_endpoint>(*call)) {
+      LogEvent(kLog,
+               log_level::eInfo,
+               "call",
+               { { "caller", aRequest.peer },
+                 { "method", aRequest.method },
+                 { "path", aRequest.path } });
+    }
     const http_call_id id{ ++mLastHttpCall };
     mTables.httpInbox.push_back({ id, std::move(*call) });
     aRequest.body.clear();
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -221,6 +221,14 @@
         std::get_if<withdraw_key>(&aCall.command.change)) {
     AddTombstones(aTables, { withdrawal->key });
   }
+  if (const auto* domain = std::get_if<set_domain>(&aCall.command.change)) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "domain_call",
+             { { "from", aInput.message.sender },
+               { "out", domain->isOut ? "yes" : "no" },
+               { "hops", std::to_string(aCall.hops) } });
+  }
   if (aTables.stop) {
     Answer(
       aInput, aCall.call, wire::call_outcome::eNoLeader, kStopsText, aOutbox);
@@ -340,6 +348,20 @@
   return aCommand;
 }
 
+void
+LogDomainChange(const control_tables& aTables, const set_domain& aChange)
+{
+  const domain_row* domain =
+    aTables.fleet.declared.domains.Find(aChange.domain);
+  LogEvent(kLog,
+           log_level::eInfo,
+           "domain",
+           { { "domain", domain == nullptr ? "" : domain->name },
+             { "out", aChange.isOut ? "yes" : "no" },
+             { "revision", std::to_string(aTables.fleet.revision) },
+             { "term", std::to_string(aTables.log.term()) } });
+}
+
 // Applies committed commands. Those that changed the configuration are kept for
 // updates to hosts.
 void
@@ -367,6 +389,10 @@
                  { "number", std::to_string(aTables.fleet.declared.number) },
                  { "term", std::to_string(aTables.log.term()) } });
     }
+    const auto* domain = std::get_if<set_domain>(&command->change);
+    if (domain != nullptr && aTables.fleet.revision != before) {
+      LogDomainChange(aTables, *domain);
+    }
     if (aTables.fleet.revision != before) {
       aTables.recent.push_back(
         { aTables.fleet.revision, WithoutSource(*command) });
