Carry out no call that its caller no longer waits for, nor a superseded order

Cause: a control process that was suspended reads, seconds later, a call that its caller gave up, and proposes or forwards it as new. The same happens to an order that was forwarded in time and lay unread at a suspended leader, or in a link. Configurations have a version, check-ins a sequence; orders on failure domains had nothing that orders them.

Change: a call whose caller has closed its connection, or whose last bytes lay in the kernel for 0.9 s or more, is dropped before the tick that would act on it. An order carries the revision of the domain's latest change that its first receiver knew (bulrushctl reads it from the status), and the leader refuses one that follows another state, with 503. The leader decides, not the state machine, so that replicas of two releases do not diverge.

--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -1,5 +1,6 @@
 #include "apps/ctl_commands.hpp"
 
+#include "net/net.hpp"
 #include "settings/settings.hpp"
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 #include <cstdio>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 namespace bulrush::ctl {
 namespace {
@@ -48,7 +50,8 @@
     return eExitUnknown;
   }
   const auto* reply = std::get_if<wire::command_reply>(&*aAnswer);
-  if (reply == nullptr || reply->outcome == wire::call_outcome::eRefused) {
+  if (reply == nullptr || reply->outcome == wire::call_outcome::eRefused ||
+      reply->outcome == wire::call_outcome::eSuperseded) {
     Fail(aReason,
          "call control",
          "",
@@ -100,6 +103,59 @@
     aSettings, Call(aSettings, std::move(call), aReason), aReason);
 }
 
+// Revision of the domain's latest change, as a control process knows it.
+// nullopt for a domain that it does not list.
+std::optional<std::uint64_t>
+FindDomainChange(const wire::message_body& aAnswer, const std::string& aDomain)
+{
+  if (const auto* status = std::get_if<wire::status_reply>(&aAnswer)) {
+    for (const wire::domain_status& row : status->domains) {
+      if (row.name == aDomain) {
+        return row.changedAt;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+bool
+IsSuperseded(const std::optional<wire::message_body>& aAnswer)
+{
+  const auto* reply =
+    aAnswer ? std::get_if<wire::command_reply>(&*aAnswer) : nullptr;
+  return reply != nullptr && reply->outcome == wire::call_outcome::eSuperseded;
+}
+
+// The order names the state that it follows, so that a copy of it that is read
+// late undoes no newer one. The control process that answers may lag behind.
+int
+ChangeDomain(const call_settings& aSettings,
+             const std::string& aName,
+             bool aIsOut,
+             last_reason& aReason)
+{
+  constexpr std::chrono::milliseconds kPause{ 50 };
+  const steady_time end = net::Now() + aSettings.timeout;
+  while (true) {
+    const auto status =
+      Call(aSettings, wire::status_call{ 1, aSettings.credential }, aReason);
+    if (!status) {
+      return ReportOutcome(aSettings, std::nullopt, aReason);
+    }
+    wire::command_call call;
+    call.call = 1;
+    call.command.change = set_domain{ IdOf<domain_id>(aName),
+                                      aIsOut,
+                                      FindDomainChange(*status, aName) };
+    call.credential = aSettings.credential;
+    const auto answer = Call(aSettings, std::move(call), aReason);
+    if (!IsSuperseded(answer) || net::Now() >= end) {
+      return ReportOutcome(aSettings, answer, aReason);
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
 // aNames is OLD=NEW, or a single name for a control process that has lost its
 // data folder and rejoins under the same name.
 int
@@ -545,15 +601,13 @@
       "take-out",
       1,
       [](settings aSettings, word aName, last_reason& aReason) {
-        return SendCommand(
-          aSettings, set_domain{ IdOf<domain_id>(aName), true }, aReason);
+        return ChangeDomain(aSettings, aName, true, aReason);
       } },
     { "domain",
       "bring-back",
       1,
       [](settings aSettings, word aName, last_reason& aReason) {
-        return SendCommand(
-          aSettings, set_domain{ IdOf<domain_id>(aName), false }, aReason);
+        return ChangeDomain(aSettings, aName, false, aReason);
       } },
     { "quarantine",
       "hold",
--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -78,9 +78,12 @@
     ForwardToLeader(aTables, aCall, std::move(call), aNow, aOutbox);
     return;
   }
+  if (IsSuperseded(aTables, command)) {
+    Answer(aOutbox, aCall, answer_kind::eUnknown, kSupersededText);
+    return;
+  }
   last_reason reason;
-  const auto position =
-    aTables.log.propose(wire::EncodeCommand(command), reason);
+  const auto position = ProposeCommand(aTables, command, reason);
   if (!position) {
     Answer(aOutbox, aCall, answer_kind::eUnknown, Describe(reason));
     return;
@@ -160,11 +163,13 @@
        steady_time aNow,
        control_outbox& aOutbox)
 {
-  Propose(aTables,
-          aId,
-          set_domain{ IdOf<domain_id>(aCall.domain), aCall.isOut },
-          aNow,
-          aOutbox);
+  const auto domain = IdOf<domain_id>(aCall.domain);
+  Propose(
+    aTables,
+    aId,
+    set_domain{ domain, aCall.isOut, LatestDomainChange(aTables, domain) },
+    aNow,
+    aOutbox);
 }
 
 answer_kind
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kMaxPageConnections = 256;
 /// A parsed text of small values takes up to 40 times its size in small blocks.
 constexpr std::size_t kLargeBodyBytes = 262'144;
+/// Callers send a call to another process after a second without an answer.
+constexpr std::chrono::milliseconds kMaxUnread{ 900 };
 /// Seconds, in which calls that were complete have been answered.
 constexpr const char* kRetryAfterNoMemory = "1";
 
@@ -412,8 +414,38 @@
     mTimer.RunSoon();
   }
 
+  // A call that lay unread, as in a process that was suspended, or whose caller
+  // has left, was sent elsewhere meanwhile, and an opposite one may have been
+  // confirmed since.
+  void DropLateCalls()
+  {
+    std::erase_if(mTables.httpInbox, [this](const received_call& aCall) {
+      const auto found = mHttpReplies.find(aCall.id);
+      const waiting_reply& waiting = found->second;
+      const bool hasCaller = waiting.reply->HasCaller();
+      if (hasCaller && waiting.request.unreadFor < kMaxUnread) {
+        return false;
+      }
+      LogEvent(
+        kLog,
+        log_level::eWarning,
+        "late_call_dropped",
+        { { "caller", waiting.request.peer },
+          { "path", waiting.request.path },
+          { "unread_ms", std::to_string(waiting.request.unreadFor.count()) },
+          { "caller_left", hasCaller ? "no" : "yes" } });
+      mFrontEnd.sendAnswer(
+        *waiting.reply,
+        waiting.request,
+        { answer_kind::eUnknown, "the call was read too late" });
+      mHttpReplies.erase(found);
+      return true;
+    });
+  }
+
   wake_time Tick(steady_time aNow)
   {
+    DropLateCalls();
     control_outbox outbox;
     const std::size_t inbox = mTables.inbox.size();
     RunControl(mTables, aNow, outbox);
--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -68,6 +68,7 @@
   }
   status.name = aDomain.name;
   status.isOut = IsOut(aTables.fleet, aDomain.id);
+  status.changedAt = LatestDomainChange(aTables, aDomain.id);
   status.delegate = DelegateName(aTables, aDomain.id);
   return status;
 }
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -165,9 +165,16 @@
     }
     *apply = EncodeAsPatch(aTables.fleet, std::move(*apply));
   }
+  if (IsSuperseded(aTables, command)) {
+    Answer(aInput,
+           aCall.call,
+           wire::call_outcome::eSuperseded,
+           kSupersededText,
+           aOutbox);
+    return;
+  }
   last_reason reason;
-  const auto position =
-    aTables.log.propose(wire::EncodeCommand(command), reason);
+  const auto position = ProposeCommand(aTables, command, reason);
   if (!position) {
     Answer(aInput,
            aCall.call,
@@ -398,6 +405,7 @@
         { aTables.fleet.revision, WithoutSource(*command) });
       DropOldCommands(aTables);
     }
+    aTables.proposedDomains.Erase(entry.position);
     AnswerPosition(aTables, entry.position, result, aOutbox);
   }
   aTables.tombstones.EraseIf([&](const tombstone_row& aRow) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -129,6 +129,15 @@
   steady_time deadline{};
 };
 
+/// A change of a failure domain that this process proposed as the leader and
+/// that is not applied yet.
+struct proposed_domain
+{
+  position_id id;
+  domain_id domain;
+  bool isOut = false;
+};
+
 /// A log entry committed since the last tick.
 struct committed_command
 {
@@ -288,6 +297,8 @@
   table<endpoint_id, known_endpoint> endpoints;
   table<endpoint_id, removed_row> removedEndpoints;
   table<call_id, pending_call> calls;
+  table<position_id, proposed_domain> proposedDomains;
+  std::uint64_t proposedTerm = 0; ///< of proposedDomains
   table<key_hash, tombstone_row> tombstones;
   lease_tables leases;
   /// An endpoint that has not reported for so long is removed.
@@ -413,6 +424,23 @@
                         steady_time aNow,
                         control_outbox& aOutbox);
 
+inline constexpr const char* kSupersededText =
+  "a newer order on the failure domain supersedes this one";
+
+/// Revision of the latest change of a failure domain that is applied here.
+std::uint64_t LatestDomainChange(const control_tables& aTables,
+                                 domain_id aDomain);
+
+/// Whether the command is an order on a failure domain that a newer one has
+/// superseded. Asked by the leader.
+bool IsSuperseded(const control_tables& aTables, const fleet_command& aCommand);
+
+/// Proposes a command at the leader. nullopt, with the reason, if the log does
+/// not take it.
+std::optional<position_id> ProposeCommand(control_tables& aTables,
+                                          const fleet_command& aCommand,
+                                          last_reason& aReason);
+
 /// Answers the HTTP call or peer that waits for a command's outcome.
 void AnswerCall(const pending_call& aCall,
                 const wire::command_reply& aReply,
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -236,6 +236,7 @@
   }
 
   std::size_t UnsentBytes() const override { return mReply->UnsentBytes(); }
+  bool HasCaller() const override { return mReply->HasCaller(); }
   net::passed_body Passed() const override { return mReply->Passed(); }
 
 private:
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -287,6 +287,9 @@
 {
   domain_id domain;
   bool isOut = false;
+  /// Revision of the domain's latest change that the operator's order follows.
+  /// The leader refuses an order that arrives after a newer one. nullopt: any.
+  std::optional<std::uint64_t> follows = std::nullopt;
 };
 
 /// Starts or ends the drain of an endpoint, which finishes its requests and
@@ -399,6 +402,8 @@
   bool isOut = false;
   replica_id delegate;
   std::uint64_t epoch = 0; ///< rises with each change of delegate
+  /// Of the latest change of isOut, or of the row's declaration.
+  std::uint64_t changedAt = 0;
 };
 
 struct drain_row
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -57,6 +57,7 @@
     if (aState.domains.Find(domain.id) == nullptr) {
       domain_state_row row;
       row.id = domain.id;
+      row.changedAt = aState.revision + 1; // that of the manifest
       aState.domains.Insert(row);
     }
   }
@@ -269,6 +270,7 @@
     return Done(aState, "was so before");
   }
   domain->isOut = aChange.isOut;
+  domain->changedAt = aState.revision + 1;
   return DoneWithNewRevision(aState, aChange.isOut ? "out" : "back");
 }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -8,6 +8,10 @@
 
 #include <tuple>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 namespace bulrush::net {
 namespace {
 
@@ -85,6 +89,11 @@
     const auto connection = mConnection.lock();
     return connection ? connection->UnsentBytes(mRequest) : 0;
   }
+  bool HasCaller() const override
+  {
+    const auto connection = mConnection.lock();
+    return connection && connection->HasCaller(mRequest);
+  }
   passed_body Passed() const override { return mPassed; }
 
 private:
@@ -320,6 +329,19 @@
   std::tie(mRequest.path, mRequest.query) = SplitTarget(mRequest.target);
 }
 
+// The kernel takes bytes while the process is suspended. Zero where it does not
+// tell.
+std::chrono::milliseconds
+http_connection::TimeSinceArrival()
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const bool isKnown =
+    ::getsockopt(
+      mSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+  return std::chrono::milliseconds{ isKnown ? info.tcpi_last_data_recv : 0 };
+}
+
 void
 http_connection::Dispatch()
 {
@@ -334,6 +356,7 @@
   mIsStarted = false;
   mIsHeadRequest = mParser.method == HTTP_HEAD;
   DescribeRequest();
+  mRequest.unreadFor = TimeSinceArrival();
   mRequest.held = TakeRequestHolder();
   ++mState->unsentAnswers;
   const auto reply =
@@ -534,6 +557,20 @@
   return aRequest == mRequestNumber ? mOutput.size() + mWriting.size() : 0;
 }
 
+// A pipelined request hides the end behind it; its caller has not left.
+bool
+http_connection::HasCaller(std::uint64_t aRequest)
+{
+  if (!MayAnswer(aRequest)) {
+    return false;
+  }
+  char byte = 0;
+  std::error_code error;
+  mSocket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return !error || error == asio::error::would_block;
+}
+
 void
 http_connection::Queue(std::string aBytes)
 {
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -54,6 +54,7 @@
   void SendEnd(std::uint64_t aRequest);
   void Abort(std::uint64_t aRequest);
   std::size_t UnsentBytes(std::uint64_t aRequest) const;
+  bool HasCaller(std::uint64_t aRequest);
 
 private:
   enum class phase : std::uint8_t
@@ -75,6 +76,7 @@
   bool ProcessHead();
   bool ProcessBody();
   void DescribeRequest();
+  std::chrono::milliseconds TimeSinceArrival();
   void Dispatch();
   void Refuse(int aStatus, const std::string& aText);
   void Refuse(read_refusal aReason, int aStatus, const std::string& aText);
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -36,6 +36,8 @@
   std::vector<http_field> fields;
   std::string body;
   std::string peer; ///< remote address and port
+  /// Time for which its last bytes lay in the kernel before they were read.
+  std::chrono::milliseconds unreadFor{ 0 };
   /// Its part of the server's account; released with the last copy.
   std::shared_ptr<memory::holder> held;
 };
@@ -81,6 +83,10 @@
   /// Bytes passed to Write and not yet accepted by the caller's connection.
   virtual std::size_t UnsentBytes() const = 0;
 
+  /// False once the caller has closed the connection, also if that has not been
+  /// read yet.
+  virtual bool HasCaller() const = 0;
+
   /// What was passed on while the connection was open.
   virtual passed_body Passed() const = 0;
 
--- a/src/wire/call_codec.cpp
+++ b/src/wire/call_codec.cpp
@@ -124,7 +124,7 @@
 std::optional<message_body>
 GetBody(const pb::CommandReply& aFrom, steady_time)
 {
-  if (aFrom.outcome() > static_cast<std::uint32_t>(call_outcome::eRefused) ||
+  if (aFrom.outcome() > static_cast<std::uint32_t>(call_outcome::eSuperseded) ||
       aFrom.result().claim() >
         static_cast<std::uint32_t>(claim_answer::eOtherBody)) {
     return std::nullopt;
--- a/src/wire/command_codec.cpp
+++ b/src/wire/command_codec.cpp
@@ -71,6 +71,9 @@
   auto* to = aTo.mutable_set_domain();
   to->set_domain(aFrom.domain.value);
   to->set_is_out(aFrom.isOut);
+  if (aFrom.follows) {
+    to->set_follows(*aFrom.follows);
+  }
 }
 
 void
@@ -149,7 +152,10 @@
 set_domain
 GetChange(const pb::SetDomain& aFrom)
 {
-  return { { aFrom.domain() }, aFrom.is_out() };
+  return { { aFrom.domain() },
+           aFrom.is_out(),
+           aFrom.has_follows() ? std::optional(aFrom.follows())
+                               : std::nullopt };
 }
 
 drain_endpoint
--- a/src/wire/state_codec.cpp
+++ b/src/wire/state_codec.cpp
@@ -45,8 +45,11 @@
                       row.is_declared() });
   }
   for (const auto& row : aFrom.domains()) {
-    aTo.domains.Insert(
-      { { row.domain() }, row.is_out(), { row.delegate() }, row.epoch() });
+    aTo.domains.Insert({ { row.domain() },
+                         row.is_out(),
+                         { row.delegate() },
+                         row.epoch(),
+                         row.changed_at() });
   }
   for (const auto endpoint : aFrom.drains()) {
     aTo.drains.Insert({ { endpoint } });
@@ -78,6 +81,7 @@
     to->set_is_out(row.isOut);
     to->set_delegate(row.delegate.value);
     to->set_epoch(row.epoch);
+    to->set_changed_at(row.changedAt);
   }
   for (const drain_row& row : aFrom.drains) {
     aTo.add_drains(row.id.value);
--- a/src/wire/status_codec.cpp
+++ b/src/wire/status_codec.cpp
@@ -72,6 +72,7 @@
     domain->set_confirmed_revision(row.confirmedRevision);
     domain->set_hosts(row.hosts);
     domain->set_age_ms(row.age.count());
+    domain->set_changed_at(row.changedAt);
   }
   PutEndpoints(aFrom.endpoints, aNow, *aTo.mutable_endpoints());
   aTo.set_keys(aFrom.keys);
@@ -102,7 +103,8 @@
                               row.epoch(),
                               row.confirmed_revision(),
                               row.hosts(),
-                              std::chrono::milliseconds(row.age_ms()) });
+                              std::chrono::milliseconds(row.age_ms()),
+                              row.changed_at() });
   }
   reply.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
   reply.keys = aFrom.keys();
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -21,6 +21,9 @@
   eNoLeader, ///< not committed and never will be: no leader accepted it
   eUnknown,  ///< it may still be committed; repeat the call to find out
   eRefused,  ///< the credential is not accepted
+  /// Not committed and never will be: the state that the call follows is not
+  /// the current one.
+  eSuperseded,
 };
 
 struct command_call
@@ -201,6 +204,7 @@
   std::uint64_t confirmedRevision = 0; ///< confirmed by every serving host
   std::uint32_t hosts = 0;             ///< number that hold a lease
   std::chrono::milliseconds age{ 0 };  ///< since its last message
+  std::uint64_t changedAt = 0;         ///< revision at which isOut changed last
 };
 
 struct status_reply
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -233,6 +233,7 @@
 
 struct recorded_reply : net::http_reply
 {
+  bool HasCaller() const override { return true; }
   int status = 0;
   std::vector<net::http_field> fields;
   void Send(int aStatus,
