--- a/src/apps/ctl_commands.cpp
+++ b/src/apps/ctl_commands.cpp
@@ -11,7 +11,6 @@
 #include <cstdio>
 #include <fstream>
 #include <sstream>
-#include <thread>
 
 namespace bulrush::ctl {
 namespace {
@@ -134,7 +133,6 @@
              bool aIsOut,
              last_reason& aReason)
 {
-  constexpr std::chrono::milliseconds kPause{ 50 };
   const steady_time end = net::Now() + aSettings.timeout;
   while (true) {
     const auto status =
@@ -152,7 +150,6 @@
     if (!IsSuperseded(answer) || net::Now() >= end) {
       return ReportOutcome(aSettings, answer, aReason);
     }
-    std::this_thread::sleep_for(kPause);
   }
 }
 
