Keep removals of endpoints where a restarted control process forgets them

Cause: that an endpoint left is in memory only, and only the process that confirmed it publishes it. Killed and started again it takes a late check-in for a new endpoint; hosts keep no trace of a removal, and nobody corrects the process.

Change: hosts get removals with the report that they cover and keep them for ten minutes, so no control process can restore what a host was told is gone, nor a late removal take a newer boot away. A control process tells one that has just started all that left or is leaving, and corrects one whose gossip has a state that is older than such a one.

Red before, with the lines taken out: RemovedEndpoint_WithALateReportAfterARestart_IsNeverUsed (both processes), RestartedEndpoint_WhenItsFormerRemovalArrivesLate_IsUsed without the check at hosts; RemovedEndpoint_AtARestartedProcessAndHost_* and LeavingEndpoint_WithALateReportAfterARestart_* without the corrections.

--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -55,25 +55,39 @@
   return false;
 }
 
-// Delayed reports must not restore an endpoint: one that left returns only as a
-// newer incarnation, one that was silent with a newer report.
+// Delayed reports must not restore an endpoint.
 bool
 MayReturn(const control_tables& aTables, const endpoint_row& aRow)
 {
   const removed_row* known = aTables.removedEndpoints.Find(aRow.id);
-  if (known == nullptr) {
-    return true;
+  return known == nullptr || IsAfter(aRow, known->removed);
+}
+
+// Another control process took a delayed report for a new one. It may have been
+// started since the endpoint left.
+void
+CorrectSender(control_tables& aTables, const endpoint_row& aOutdated)
+{
+  const known_endpoint* known = aTables.endpoints.Find(aOutdated.id);
+  const bool isWrong = known == nullptr
+                         ? HasLeft(aTables, aOutdated.id)
+                         : IsNewer(known->row, aOutdated) &&
+                             known->row.isLeaving && !aOutdated.isLeaving;
+  if (isWrong) {
+    LogEvent(kLog,
+             log_level::eInfo,
+             "outdated_endpoint_corrected",
+             { { "endpoint", aOutdated.name },
+               { "incarnation", std::to_string(aOutdated.incarnation) },
+               { "sequence", std::to_string(aOutdated.sequence) } });
+    aTables.corrections.insert(aOutdated.id);
   }
-  const wire::removed_endpoint& removed = known->removed;
-  return aRow.incarnation > removed.incarnation ||
-         (!removed.hasLeft && aRow.incarnation == removed.incarnation &&
-          aRow.sequence > removed.sequence);
 }
 
 void
 Remove(control_tables& aTables,
        const known_endpoint& aKnown,
-       wire::removed_endpoint aRemoved,
+       removed_endpoint aRemoved,
        bool aIsOwn)
 {
   LogEndpoint(aRemoved.hasLeft ? "endpoint_left" : "endpoint_silent",
@@ -95,7 +109,13 @@
   }
   known_endpoint* known = aTables.endpoints.Find(aRow.id);
   if (known == nullptr) {
-    if (!MayReturn(aTables, aRow) || IsSupersededAtAddress(aTables, aRow)) {
+    if (!MayReturn(aTables, aRow)) {
+      if (!aIsOwn) {
+        CorrectSender(aTables, aRow);
+      }
+      return;
+    }
+    if (IsSupersededAtAddress(aTables, aRow)) {
       return;
     }
     aTables.removedEndpoints.Erase(aRow.id);
@@ -104,6 +124,9 @@
     return;
   }
   if (!IsNewer(aRow, known->row)) {
+    if (!aIsOwn) {
+      CorrectSender(aTables, aRow);
+    }
     return;
   }
   if (aIsOwn) {
@@ -144,7 +167,7 @@
 // Without the newest report of the endpoint, the one that is known here is
 // taken for it.
 void
-HandleRemoval(control_tables& aTables, const wire::removed_endpoint& aRemoved)
+HandleRemoval(control_tables& aTables, const removed_endpoint& aRemoved)
 {
   if (aRemoved.incarnation > kMaxIncarnation ||
       aRemoved.sequence > kMaxSequence) {
@@ -172,11 +195,7 @@
            false);
     return;
   }
-  const bool isCovered =
-    row.incarnation < aRemoved.incarnation ||
-    (row.incarnation == aRemoved.incarnation &&
-     (aRemoved.hasLeft || row.sequence <= aRemoved.sequence));
-  if (isCovered) {
+  if (!IsAfter(row, aRemoved)) {
     Remove(aTables, *known, aRemoved, false);
   }
 }
@@ -188,4 +207,20 @@
   return known != nullptr && known->removed.hasLeft;
 }
 
+// A control process that has just started knows of no endpoint that left.
+void
+TellNewProcess(control_tables& aTables)
+{
+  for (const removed_row& removed : aTables.removedEndpoints) {
+    if (removed.removed.hasLeft) {
+      aTables.corrections.insert(removed.id);
+    }
+  }
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (known.row.isLeaving) {
+      aTables.corrections.insert(known.id);
+    }
+  }
+}
+
 } // namespace bulrush::control
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -80,11 +80,15 @@
     control->hosts = aGossip.hosts;
     control->httpAddress = aGossip.httpAddress;
     control->reporting = aGossip.reporting;
+    if (control->incarnation != aInput.message.incarnation) {
+      control->incarnation = aInput.message.incarnation;
+      TellNewProcess(aTables);
+    }
   }
   for (const endpoint_row& row : aGossip.endpoints) {
     UpdateEndpoint(aTables, row, false);
   }
-  for (const wire::removed_endpoint& removed : aGossip.removedEndpoints) {
+  for (const removed_endpoint& removed : aGossip.removedEndpoints) {
     HandleRemoval(aTables, removed);
   }
 }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -44,6 +44,7 @@
   std::uint64_t confirmedRevision = 0; ///< by all hosts of its domain
   std::uint32_t hosts = 0;
   std::vector<host_id> reporting; ///< hosts that report to it
+  std::uint64_t incarnation = 0;  ///< of its latest gossip
   steady_time lastSeen{};
 };
 
@@ -92,7 +93,7 @@
   endpoint_id id;
   std::uint64_t serial = 0;
   bool isOwn = false; ///< removed by this process, which publishes it
-  wire::removed_endpoint removed;
+  removed_endpoint removed;
 };
 
 /// A message received since the last tick.
@@ -296,6 +297,8 @@
   table<host_id, host_row> hosts;
   table<endpoint_id, known_endpoint> endpoints;
   table<endpoint_id, removed_row> removedEndpoints;
+  /// Endpoints whose state other control processes lack, to be gossiped.
+  std::unordered_set<endpoint_id, id_hash> corrections;
   table<call_id, pending_call> calls;
   table<position_id, proposed_domain> proposedDomains;
   std::uint64_t proposedTerm = 0; ///< of proposedDomains
@@ -456,8 +459,9 @@
                     endpoint_id aEndpoint,
                     bool aHasLeft);
 /// Applies a removal by another control process.
-void HandleRemoval(control_tables& aTables,
-                   const wire::removed_endpoint& aRemoved);
+void HandleRemoval(control_tables& aTables, const removed_endpoint& aRemoved);
+/// Gossips all removals again, to a control process that has just started.
+void TellNewProcess(control_tables& aTables);
 /// Whether the endpoint is known to have left.
 bool HasLeft(const control_tables& aTables, endpoint_id aEndpoint);
 
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -123,19 +123,41 @@
 }
 
 std::vector<endpoint_row>
-EndpointsSince(const control_tables& aTables,
-               std::uint64_t aSerial,
-               bool aOwnOnly)
+EndpointsSince(const control_tables& aTables, std::uint64_t aSerial)
 {
   std::vector<endpoint_row> rows;
   for (const known_endpoint& known : aTables.endpoints) {
-    if (known.serial > aSerial && (known.isOwn || !aOwnOnly)) {
+    if (known.serial > aSerial) {
       rows.push_back(known.row);
     }
   }
   return rows;
 }
 
+// This process publishes its own endpoints and removals, and those that others
+// lack.
+void
+AddOwnEndpoints(const control_tables& aTables,
+                std::uint64_t aSerial,
+                wire::endpoint_gossip& aGossip)
+{
+  const auto isPublished =
+    [&](bool aIsOwn, std::uint64_t aRowSerial, endpoint_id aId) {
+      return (aIsOwn && aRowSerial > aSerial) ||
+             aTables.corrections.contains(aId);
+    };
+  for (const known_endpoint& known : aTables.endpoints) {
+    if (isPublished(known.isOwn, known.serial, known.id)) {
+      aGossip.endpoints.push_back(known.row);
+    }
+  }
+  for (const removed_row& removed : aTables.removedEndpoints) {
+    if (isPublished(removed.isOwn, removed.serial, removed.id)) {
+      aGossip.removedEndpoints.push_back(removed.removed);
+    }
+  }
+}
+
 void
 AddControls(const control_tables& aTables,
             const std::string& aLeader,
@@ -223,10 +245,10 @@
       host.sentRevision = aTables.fleet.revision;
       host.sentWithUpdate = update.number;
     }
-    update.endpoints = EndpointsSince(aTables, host.sentEndpoints, false);
+    update.endpoints = EndpointsSince(aTables, host.sentEndpoints);
     for (const removed_row& removed : aTables.removedEndpoints) {
       if (removed.serial > host.sentEndpoints) {
-        update.removedEndpoints.push_back(removed.id);
+        update.removedEndpoints.push_back(removed.removed);
       }
     }
     update.evidence =
@@ -248,7 +270,8 @@
 {
   const bool isPeriodic = aNow >= aTables.nextGossip;
   const wire::domain_status own = OwnDomainStatus(aTables, aNow);
-  if (!isPeriodic && aTables.gossipedSerial == aTables.serial &&
+  if (!isPeriodic && aTables.corrections.empty() &&
+      aTables.gossipedSerial == aTables.serial &&
       aTables.gossipedEvidence == aTables.quarantined.serial &&
       aTables.gossipedConfirmed == own.confirmedRevision) {
     aOutbox.wake.NoLaterThan(aTables.nextGossip);
@@ -257,12 +280,8 @@
   wire::endpoint_gossip gossip;
   gossip.domain = aTables.self.domain;
   const std::uint64_t since = isPeriodic ? 0 : aTables.gossipedSerial;
-  gossip.endpoints = EndpointsSince(aTables, since, true);
-  for (const removed_row& removed : aTables.removedEndpoints) {
-    if (removed.serial > since && removed.isOwn) {
-      gossip.removedEndpoints.push_back(removed.removed);
-    }
-  }
+  AddOwnEndpoints(aTables, since, gossip);
+  aTables.corrections.clear();
   gossip.evidence = quarantine::ChangesSince(
     aTables.quarantined, isPeriodic ? 0 : aTables.gossipedEvidence);
   aTables.gossipedEvidence = aTables.quarantined.serial;
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -10,6 +10,8 @@
 constexpr log_component kLog{ "entry" };
 /// Delay before reporting to another control process when one lags behind.
 constexpr std::chrono::milliseconds kLaggingReportDelay{ 250 };
+/// Far longer than a report is under way.
+constexpr std::chrono::minutes kRemovalLifetime{ 10 };
 
 // A host applies the committed commands of the replicated log, so that it has
 // the same configuration as the control processes. Commands out of order are
@@ -84,6 +86,11 @@
   if (known != nullptr && !IsNewer(aRow, *known)) {
     return false;
   }
+  const removed_row* removed = aTables.removedEndpoints.Find(aRow.id);
+  if (removed != nullptr && !IsAfter(aRow, removed->removed)) {
+    return false;
+  }
+  aTables.removedEndpoints.Erase(aRow.id);
   const bool wasLeaving = known != nullptr && known->isLeaving;
   if (aRow.isLeaving && !wasLeaving) {
     LogEvent(kLog,
@@ -97,6 +104,44 @@
   return true;
 }
 
+// Several control processes publish a removal, each at its own time.
+bool
+IsKnownRemoval(const entry_tables& aTables, const removed_endpoint& aRemoved)
+{
+  const removed_row* before = aTables.removedEndpoints.Find(aRemoved.id);
+  return before != nullptr &&
+         (before->removed.incarnation > aRemoved.incarnation ||
+          (before->removed.incarnation == aRemoved.incarnation &&
+           (before->removed.hasLeft || !aRemoved.hasLeft)));
+}
+
+// Without an incarnation (of an earlier release) it concerns what is known
+// here.
+void
+RemoveEndpoint(entry_tables& aTables,
+               const std::string& aSender,
+               const removed_endpoint& aRemoved,
+               steady_time aNow)
+{
+  const bool isNumbered = aRemoved.incarnation > 0;
+  const endpoint_row* known = aTables.endpoints.Find(aRemoved.id);
+  if (known != nullptr && isNumbered && IsAfter(*known, aRemoved)) {
+    return;
+  }
+  if (isNumbered && !IsKnownRemoval(aTables, aRemoved)) {
+    aTables.removedEndpoints.Insert({ aRemoved.id, aRemoved, aNow });
+  }
+  if (known == nullptr) {
+    return;
+  }
+  LogEvent(kLog,
+           log_level::eInfo,
+           "endpoint_removed",
+           { { "endpoint", known->name }, { "from", aSender } });
+  aTables.endpoints.Erase(aRemoved.id);
+  aTables.hasNewEndpoints = true;
+}
+
 void
 AddTombstones(entry_tables& aTables, const std::vector<key_hash>& aKeys)
 {
@@ -179,18 +224,12 @@
   for (const endpoint_row& row : aUpdate.endpoints) {
     UpdateEndpoint(aTables, row);
   }
-  for (const endpoint_id& id : aUpdate.removedEndpoints) {
-    const endpoint_row* known = aTables.endpoints.Find(id);
-    if (known == nullptr) {
-      continue;
-    }
-    LogEvent(kLog,
-             log_level::eInfo,
-             "endpoint_removed",
-             { { "endpoint", known->name }, { "from", aSender } });
-    aTables.endpoints.Erase(id);
-    aTables.hasNewEndpoints = true;
+  for (const removed_endpoint& removed : aUpdate.removedEndpoints) {
+    RemoveEndpoint(aTables, aSender, removed, aNow);
   }
+  aTables.removedEndpoints.EraseIf([aNow](const removed_row& aRow) {
+    return aRow.receivedAt + kRemovalLifetime <= aNow;
+  });
 }
 
 void
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -60,6 +60,14 @@
   steady_time receivedAt;
 };
 
+/// Kept so that a control process that lags behind restores no endpoint.
+struct removed_row
+{
+  endpoint_id id;
+  removed_endpoint removed;
+  steady_time receivedAt;
+};
+
 struct tombstone_row
 {
   key_hash id;
@@ -103,6 +111,7 @@
   std::shared_ptr<fleet_state> fleet = std::make_shared<fleet_state>();
   table<replica_id, control_row> controls;
   table<endpoint_id, endpoint_row> endpoints;
+  table<endpoint_id, removed_row> removedEndpoints;
   table<key_hash, tombstone_row> tombstones;
   table<call_id, pending_command> commands;
   std::vector<endpoint_row> reports; ///< from endpoints, since the last tick
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -254,6 +254,19 @@
 /// True if aNew has a later incarnation, or the same and a later sequence.
 bool IsNewer(const endpoint_row& aNew, const endpoint_row& aOld);
 
+/// An endpoint that left or became silent, with its newest report.
+struct removed_endpoint
+{
+  endpoint_id id;
+  std::uint64_t incarnation = 0; ///< zero: unknown
+  std::uint64_t sequence = 0;
+  bool hasLeft = false; ///< only a newer incarnation may return
+};
+
+/// Whether a report was made after the removal: one that left returns only as a
+/// newer incarnation, one that was silent with a newer report.
+bool IsAfter(const endpoint_row& aReport, const removed_endpoint& aRemoved);
+
 // ---------------------------------------------------------------- commands
 
 /// Replaces the manifest if the current one has the expected revision.
--- a/src/fleet/state.cpp
+++ b/src/fleet/state.cpp
@@ -431,6 +431,14 @@
           aNew.sequence > aOld.sequence);
 }
 
+bool
+IsAfter(const endpoint_row& aReport, const removed_endpoint& aRemoved)
+{
+  return aReport.incarnation > aRemoved.incarnation ||
+         (!aRemoved.hasLeft && aReport.incarnation == aRemoved.incarnation &&
+          aReport.sequence > aRemoved.sequence);
+}
+
 bool
 IsConfiguration(const fleet_change& aChange)
 {
--- a/src/wire/convert.hpp
+++ b/src/wire/convert.hpp
@@ -31,6 +31,13 @@
                   repeated<pb::Endpoint>& aTo);
 std::vector<endpoint_row> GetEndpoints(const repeated<pb::Endpoint>& aFrom,
                                        steady_time aNow);
+/// Processes of earlier releases send and read the ids only.
+void PutRemoved(const std::vector<removed_endpoint>& aFrom,
+                google::protobuf::RepeatedField<std::uint64_t>& aIds,
+                repeated<pb::RemovedEndpoint>& aTo);
+std::vector<removed_endpoint> GetRemoved(
+  const google::protobuf::RepeatedField<std::uint64_t>& aIds,
+  const repeated<pb::RemovedEndpoint>& aFrom);
 void PutResidents(const std::vector<resident>& aFrom,
                   repeated<pb::Resident>& aTo);
 std::vector<resident> GetResidents(const repeated<pb::Resident>& aFrom);
--- a/src/wire/endpoint_codec.cpp
+++ b/src/wire/endpoint_codec.cpp
@@ -123,4 +123,38 @@
   return rows;
 }
 
+void
+PutRemoved(const std::vector<removed_endpoint>& aFrom,
+           google::protobuf::RepeatedField<std::uint64_t>& aIds,
+           repeated<pb::RemovedEndpoint>& aTo)
+{
+  for (const removed_endpoint& removed : aFrom) {
+    aIds.Add(removed.id.value);
+    auto* to = aTo.Add();
+    to->set_endpoint(removed.id.value);
+    to->set_incarnation(removed.incarnation);
+    to->set_sequence(removed.sequence);
+    to->set_has_left(removed.hasLeft);
+  }
+}
+
+std::vector<removed_endpoint>
+GetRemoved(const google::protobuf::RepeatedField<std::uint64_t>& aIds,
+           const repeated<pb::RemovedEndpoint>& aFrom)
+{
+  std::vector<removed_endpoint> removed;
+  for (const auto& from : aFrom) {
+    removed.push_back({ { from.endpoint() },
+                        from.incarnation(),
+                        from.sequence(),
+                        from.has_left() });
+  }
+  if (aFrom.empty()) {
+    for (const std::uint64_t id : aIds) {
+      removed.push_back({ { id } });
+    }
+  }
+  return removed;
+}
+
 } // namespace bulrush::wire
--- a/src/wire/host_codec.cpp
+++ b/src/wire/host_codec.cpp
@@ -49,9 +49,9 @@
   }
   to->set_snapshot(aFrom.snapshot);
   PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
-  for (const endpoint_id& removed : aFrom.removedEndpoints) {
-    to->add_gone_endpoints(removed.value);
-  }
+  PutRemoved(aFrom.removedEndpoints,
+             *to->mutable_gone_endpoints(),
+             *to->mutable_removed());
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   PutControls(aFrom.controls, *to->mutable_controls());
   to->set_leader(aFrom.leader);
@@ -120,9 +120,7 @@
   }
   update.snapshot = aFrom.snapshot();
   update.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
-  for (const auto removed : aFrom.gone_endpoints()) {
-    update.removedEndpoints.push_back({ removed });
-  }
+  update.removedEndpoints = GetRemoved(aFrom.gone_endpoints(), aFrom.removed());
   update.tombstones = GetKeys(aFrom.tombstones());
   update.controls = GetControls(aFrom.controls());
   update.leader = aFrom.leader();
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -49,15 +49,8 @@
   auto* to = aTo.mutable_endpoint_gossip();
   to->set_domain(aFrom.domain);
   PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
-  // Processes of earlier releases read the ids only.
-  for (const removed_endpoint& removed : aFrom.removedEndpoints) {
-    to->add_gone(removed.id.value);
-    auto* more = to->add_removed();
-    more->set_endpoint(removed.id.value);
-    more->set_incarnation(removed.incarnation);
-    more->set_sequence(removed.sequence);
-    more->set_has_left(removed.hasLeft);
-  }
+  PutRemoved(
+    aFrom.removedEndpoints, *to->mutable_gone(), *to->mutable_removed());
   PutKeys(aFrom.tombstones, *to->mutable_tombstones());
   to->set_confirmed_revision(aFrom.confirmedRevision);
   to->set_hosts(aFrom.hosts);
@@ -102,17 +95,7 @@
   endpoint_gossip gossip;
   gossip.domain = aFrom.domain();
   gossip.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
-  for (const auto& removed : aFrom.removed()) {
-    gossip.removedEndpoints.push_back({ { removed.endpoint() },
-                                        removed.incarnation(),
-                                        removed.sequence(),
-                                        removed.has_left() });
-  }
-  if (aFrom.removed().empty()) { // an earlier release sends ids only
-    for (const auto removed : aFrom.gone()) {
-      gossip.removedEndpoints.push_back({ { removed } });
-    }
-  }
+  gossip.removedEndpoints = GetRemoved(aFrom.gone(), aFrom.removed());
   gossip.tombstones = GetKeys(aFrom.tombstones());
   gossip.confirmedRevision = aFrom.confirmed_revision();
   gossip.hosts = aFrom.hosts();
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -111,7 +111,7 @@
   std::vector<numbered_command> commands;
   std::string snapshot; ///< encoded fleet_state; empty for none
   std::vector<endpoint_row> endpoints;
-  std::vector<endpoint_id> removedEndpoints;
+  std::vector<removed_endpoint> removedEndpoints;
   std::vector<key_hash> tombstones;      ///< withdrawn, not yet committed
   std::vector<control_address> controls; ///< all that the sender knows
   std::string leader;     ///< name of the leader; empty while none is known
@@ -127,15 +127,6 @@
   quarantine::evidence evidence;
 };
 
-/// An endpoint that left or became silent, with its newest report.
-struct removed_endpoint
-{
-  endpoint_id id;
-  std::uint64_t incarnation = 0; ///< zero: unknown
-  std::uint64_t sequence = 0;
-  bool hasLeft = false; ///< only a newer incarnation may return
-};
-
 /// From the control host of a failure domain to other control processes: its
 /// endpoints and status.
 struct endpoint_gossip
--- a/tests/control/delivery_test.cpp
+++ b/tests/control/delivery_test.cpp
@@ -127,6 +127,92 @@
   CHECK_FALSE(fleet.IsUsed("host-1"));
 }
 
+// Guards against a process that was started since an endpoint left, takes its
+// late report for a new endpoint, and has hosts use it.
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_WithALateReportAfterARestart_IsNeverUsed",
+                 "[control]")
+{
+  const std::string confirming = GENERATE("control-0", "control-1");
+  CHECK(fleet.Deregister(confirming));
+  fleet.Run(milliseconds{ 500 });
+  REQUIRE_FALSE(fleet.IsUsed("host-0"));
+  fleet.RestartControl(confirming);
+  fleet.Report(confirming, 1); // sent before, arrives late
+  for (int step = 0; step < 300; ++step) {
+    fleet.Run(simulated_fleet::kStep);
+    REQUIRE_FALSE(fleet.IsUsed("host-0"));
+    REQUIRE_FALSE(fleet.IsUsed("host-1"));
+  }
+}
+
+// The host was started since, too, so only the control processes know.
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_AtARestartedProcessAndHost_IsCorrectedAtOnce",
+                 "[control]")
+{
+  constexpr milliseconds kSeveralMessages{ 60 };
+  CHECK(fleet.Deregister("control-1"));
+  fleet.Run(milliseconds{ 500 });
+  fleet.RestartControl("control-1");
+  fleet.RestartHost("host-1", 1);
+  fleet.Report("control-1", 1);
+  fleet.Run(kSeveralMessages);
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+  fleet.Run(kBound);
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "LeavingEndpoint_WithALateReportAfterARestart_IsNotUsed",
+                 "[control]")
+{
+  constexpr milliseconds kSeveralMessages{ 60 };
+  fleet.Report("control-1", 3, true);
+  fleet.Run(milliseconds{ 500 });
+  fleet.RestartControl("control-1");
+  fleet.RestartHost("host-1", 1);
+  fleet.Report("control-1", 2);
+  fleet.Run(kSeveralMessages);
+  CHECK_FALSE(fleet.IsUsed("host-0"));
+  CHECK_FALSE(fleet.IsUsed("host-1"));
+}
+
+TEST_CASE_METHOD(delivery_fixture,
+                 "RemovedEndpoint_InANewIncarnation_IsUsed",
+                 "[control]")
+{
+  CHECK(fleet.Deregister("control-0"));
+  fleet.Run(milliseconds{ 500 });
+  endpoint_row row = simulated_fleet::Endpoint("engine", 1, false);
+  row.incarnation = 2;
+  row.lastSeen = fleet.now;
+  fleet.controls["control-1"].tables.httpInbox.push_back(
+    { http_call_id{ ++fleet.lastCall }, register_endpoint{ std::move(row) } });
+  fleet.Run(milliseconds{ 200 });
+  CHECK(fleet.IsUsed("host-0"));
+  CHECK(fleet.IsUsed("host-1"));
+}
+
+// Guards against a removal that arrives late and takes the newer boot away.
+TEST_CASE_METHOD(delivery_fixture,
+                 "RestartedEndpoint_WhenItsFormerRemovalArrivesLate_IsUsed",
+                 "[control]")
+{
+  endpoint_row row = simulated_fleet::Endpoint("engine", 1, false);
+  row.incarnation = 2;
+  row.lastSeen = fleet.now;
+  fleet.controls["control-0"].tables.httpInbox.push_back(
+    { http_call_id{ ++fleet.lastCall }, register_endpoint{ std::move(row) } });
+  fleet.Run(milliseconds{ 200 });
+  wire::host_update update;
+  update.removedEndpoints = { { IdOf<endpoint_id>("engine"), 1, 9, true } };
+  fleet.messages.push_back({ "control-1", "host-0", std::move(update) });
+  fleet.Run(milliseconds{ 50 });
+  CHECK(fleet.IsUsed("host-0"));
+}
+
 TEST_CASE_METHOD(delivery_fixture,
                  "RemovedEndpoint_WithALateReportElsewhere_IsNotRestored",
                  "[control]")
--- a/tests/control/simulated_fleet.hpp
+++ b/tests/control/simulated_fleet.hpp
@@ -211,11 +211,11 @@
     control.tables.self.incarnation = incarnation + 1;
   }
 
-  void RestartHost(const std::string& aName)
+  void RestartHost(const std::string& aName, int aPlace = 0)
   {
     const entry::entry_tables before = std::move(hosts[aName].tables);
     hosts[aName] = {};
-    SetUp(aName, 0);
+    SetUp(aName, aPlace);
     entry::entry_tables& tables = hosts[aName].tables;
     tables.self.incarnation = before.self.incarnation + 1;
   }
