Send a request once: libcurl's own resends pass no budget

Change: a call is sent once. The repeat is told to open a new connection, so that it takes no other kept one, and the socket for it is refused; the end is reported as a connection that the peer closed, and routing decides and pays. The same client sends orders and state queries to engines.

Red before: Request_WhoseKeptConnectionCloses_IsSentOnce (3 arrivals for 2).

--- a/src/control/engine_calls.cpp
+++ b/src/control/engine_calls.cpp
@@ -71,8 +71,6 @@
   answer->call = mClient->Start(std::move(aCall), std::move(hooks));
 }
 
-// Kept connections may resend a request; the order's condition makes that
-// harmless.
 void
 engine_calls::SendEngineOrder(endpoint_id aEngine, const engine_order& aOrder)
 {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -57,7 +57,8 @@
   http_answer_head head;
   std::size_t headBytes = 0;
   std::size_t bodyBytes = 0;
-  std::string failure; ///< reason for which a callback ended the call
+  std::string failure;    ///< reason for which a callback ended the call
+  bool isSending = false; ///< the request is being sent or has been
   bool isHeadComplete = false;
   bool isHeadReported = false;
   bool isCancelled = false;
@@ -161,6 +162,34 @@
   return call.isCancelled ? 0 : bytes.size();
 }
 
+// libcurl sends a request again by itself when a kept connection closes before
+// a byte of the answer. Whether to send again, and to whom, is decided and
+// counted by the caller of this library. The repeat is told to open a new
+// connection, so that it takes no other kept one, and OpenSocket refuses that.
+int
+OnSend(void* aCall, char*, char*, int, int)
+{
+  auto& call = *static_cast<running_call*>(aCall);
+  if (call.isSending) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  call.isSending = true;
+  curl_easy_setopt(call.easy, CURLOPT_FRESH_CONNECT, 1L);
+  return CURL_PREREQFUNC_OK;
+}
+
+curl_socket_t
+OpenSocket(void* aCall, curlsocktype, curl_sockaddr* aAddress)
+{
+  auto& call = *static_cast<running_call*>(aCall);
+  if (call.isSending) {
+    call.failure = "the kept connection was closed before the answer";
+    return CURL_SOCKET_BAD;
+  }
+  return ::socket(
+    aAddress->family, aAddress->socktype | SOCK_CLOEXEC, aAddress->protocol);
+}
+
 bool
 SetOption(curl_socket_t aFd, int aLevel, int aName, int aValue)
 {
@@ -376,6 +405,10 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &aCall);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetUpSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &OpenSocket);
+    curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &aCall);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aCall);
   }
 
   void Free(running_call& aCall)
@@ -540,8 +573,7 @@
     const bool failedBeforeSend =
       aResult == CURLE_COULDNT_CONNECT || aResult == CURLE_OPERATION_TIMEDOUT;
     end.requestSent = !failedBeforeSend || requestBytes > 0;
-    // libcurl sends once more over a new connection when a kept one was closed
-    // after it took the request.
+    // A repeat that OpenSocket refused.
     const bool isRefusedAfterSend =
       aResult == CURLE_COULDNT_CONNECT && requestBytes > 0;
     end.isClosedByPeer = IsClosedByPeer(aResult) || isRefusedAfterSend ||
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -204,7 +204,7 @@
   shared_text body;
   std::chrono::milliseconds timeout{ 0 }; ///< zero for none
   std::chrono::milliseconds connectTimeout{ 1'000 };
-  bool freshConnection = false; ///< so libcurl never resends the request
+  bool freshConnection = false; ///< never one that an earlier call used
   /// A longer body ends the call as incomplete; zero for no limit.
   std::size_t maxBodyBytes = 0;
 };
