End demand for what a configuration no longer declares

Cause: a demand whose adapter could not be placed outlived the declaration of the adapter for 30 s, and PlaceAdapter used the row of that declaration.

Change: the step that applies a configuration drops each demand whose model or adapter it does not declare; reports of demand are held to the same test.

--- a/src/residency/demand.cpp
+++ b/src/residency/demand.cpp
@@ -13,6 +13,14 @@
   return artifact_demand_id{ mixed == 0 ? 1 : mixed };
 }
 
+bool
+IsDeclared(const tables& aTables, const artifact& aArtifact)
+{
+  return aTables.models.Find(aArtifact.model) != nullptr &&
+         (!aArtifact.adapter ||
+          aTables.adapters.Find(aArtifact.adapter) != nullptr);
+}
+
 void
 OnDemand(tables& aTables,
          const artifact& aArtifact,
@@ -20,9 +28,7 @@
          std::uint32_t aWaiting,
          steady_time aNow)
 {
-  if (aTables.models.Find(aArtifact.model) == nullptr ||
-      (aArtifact.adapter &&
-       aTables.adapters.Find(aArtifact.adapter) == nullptr)) {
+  if (!IsDeclared(aTables, aArtifact)) {
     return;
   }
   const artifact_demand_id id = ArtifactDemandIdOf(aArtifact);
--- a/src/residency/internal.hpp
+++ b/src/residency/internal.hpp
@@ -11,6 +11,9 @@
 const held_model* FindHeld(const engine_row& aEngine, model_id aModel);
 bool Holds(const engine_row& aEngine, const artifact& aArtifact);
 
+/// Whether the configuration in force declares a model, or adapter and model.
+bool IsDeclared(const tables& aTables, const artifact& aArtifact);
+
 /// True when an order to the engine may be issued now.
 bool IsReady(const engine_row& aEngine);
 
--- a/src/residency/residency.cpp
+++ b/src/residency/residency.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+// Demand ends with the declaration of what it names, whether or not it could be
+// met before.
+static void
+DropUndeclaredDemand(tables& aTables)
+{
+  aTables.demands.EraseIf([&](const artifact_demand_row& aDemand) {
+    return !IsDeclared(aTables, aDemand.artifact);
+  });
+}
+
 void
 OnManifest(tables& aTables,
            std::span<const model_row> aModels,
@@ -32,6 +42,7 @@
     aTables.adapters.Insert(adapter);
   }
   aTables.options.storeLoadsPerSecond = aStoreLoadsPerSecond;
+  DropUndeclaredDemand(aTables);
 }
 
 void
--- a/tests/residency/residency_test.cpp
+++ b/tests/residency/residency_test.cpp
@@ -84,6 +84,32 @@
   }
 };
 
+// Guards against a row whose declaration is gone: it ended each leader in turn.
+TEST_CASE_METHOD(residency_fixture,
+                 "Demand_ForAnAdapterThatIsDeclaredNoLonger_Ends",
+                 "[residency]")
+{
+  BecomeLeader();
+  Announce(1, { { Model(1), {} } });
+  Run();
+  OnDemand(state, { Model(1), Adapter(2) }, 1, 1, now); // the engine is unknown
+  OnDemand(state, { Model(3), {} }, 1, 1, now);
+  const std::vector<model_row> models{ { Model(1), kPool, 60 } };
+  const std::vector<adapter_row> adapters{ { Adapter(1), Model(1), 1 } };
+  OnManifest(state, models, adapters, 2.0);
+  State(1, 7, { { Model(1), {} } });
+  Run();
+  CHECK(out.orders.empty());
+  CHECK(state.demands.Empty());
+  // Declared again, it is placed.
+  const std::vector<adapter_row> again{ { Adapter(2), Model(1), 1 } };
+  OnManifest(state, models, again, 2.0);
+  OnDemand(state, { Model(1), Adapter(2) }, 1, 1, now);
+  Run();
+  REQUIRE(out.orders.size() == 1);
+  CHECK(out.orders[0].artifact == artifact{ Model(1), Adapter(2) });
+}
+
 TEST_CASE_METHOD(residency_fixture,
                  "Leader_BeforeThePreviousLeadersOrdersExpire_SendsNothing",
                  "[residency]")
