Carry out a removal whose server has exited, when it is read in time

A server may say that it leaves and exit without reading the answer.

Also: RepublishRemovals instead of TellNewProcess, as the step sends them again to all.

--- a/src/control/endpoints.cpp
+++ b/src/control/endpoints.cpp
@@ -209,7 +209,7 @@
 
 // A control process that has just started knows of no endpoint that left.
 void
-TellNewProcess(control_tables& aTables)
+RepublishRemovals(control_tables& aTables)
 {
   for (const removed_row& removed : aTables.removedEndpoints) {
     if (removed.removed.hasLeft) {
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -414,16 +414,19 @@
     mTimer.RunSoon();
   }
 
-  // A call that lay unread, as in a process that was suspended, or whose caller
-  // has left, was sent elsewhere meanwhile, and an opposite one may have been
-  // confirmed since.
+  // A call that lay unread, as in a process that was suspended, was sent
+  // elsewhere meanwhile, and an opposite one may have been confirmed since. The
+  // same holds for an order whose caller has left. A server that says that it
+  // leaves may be gone by then.
   void DropLateCalls()
   {
     std::erase_if(mTables.httpInbox, [this](const received_call& aCall) {
       const auto found = mHttpReplies.find(aCall.id);
       const waiting_reply& waiting = found->second;
-      const bool hasCaller = waiting.reply->HasCaller();
-      if (hasCaller && waiting.request.unreadFor < kMaxUnread) {
+      const bool isAbandoned =
+        std::holds_alternative<change_domain_state>(aCall.call) &&
+        !waiting.reply->HasCaller();
+      if (!isAbandoned && waiting.request.unreadFor < kMaxUnread) {
         return false;
       }
       LogEvent(
@@ -433,7 +436,7 @@
         { { "caller", waiting.request.peer },
           { "path", waiting.request.path },
           { "unread_ms", std::to_string(waiting.request.unreadFor.count()) },
-          { "caller_left", hasCaller ? "no" : "yes" } });
+          { "caller_left", isAbandoned ? "yes" : "no" } });
       mFrontEnd.sendAnswer(
         *waiting.reply,
         waiting.request,
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -82,7 +82,7 @@
     control->reporting = aGossip.reporting;
     if (control->incarnation != aInput.message.incarnation) {
       control->incarnation = aInput.message.incarnation;
-      TellNewProcess(aTables);
+      RepublishRemovals(aTables);
     }
   }
   for (const endpoint_row& row : aGossip.endpoints) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -435,7 +435,7 @@
                                  domain_id aDomain);
 
 /// Whether the command is an order on a failure domain that a newer one has
-/// superseded. Asked by the leader.
+/// superseded. Checked by the leader.
 bool IsSuperseded(const control_tables& aTables, const fleet_command& aCommand);
 
 /// Proposes a command at the leader. nullopt, with the reason, if the log does
@@ -460,8 +460,8 @@
                     bool aHasLeft);
 /// Applies a removal by another control process.
 void HandleRemoval(control_tables& aTables, const removed_endpoint& aRemoved);
-/// Gossips all removals again, to a control process that has just started.
-void TellNewProcess(control_tables& aTables);
+/// Gossips all removals again, for a control process that has just started.
+void RepublishRemovals(control_tables& aTables);
 /// Whether the endpoint is known to have left.
 bool HasLeft(const control_tables& aTables, endpoint_id aEndpoint);
 
--- a/tests/process/late_calls_test.cpp
+++ b/tests/process/late_calls_test.cpp
@@ -30,14 +30,24 @@
     }));
   }
 
-  // Sends the call to a process that is suspended, and gives it up.
-  void OrderInVain(const std::string& aPath, std::size_t aControl) const
+  // Sends the call, and closes the connection without reading an answer.
+  void SendAndLeave(const std::string& aPath, std::size_t aControl) const
   {
     const raw_connection call(running.ControlHttpAddress(aControl));
     REQUIRE(call.IsConnected());
     call.Send("POST " + aPath + " HTTP/1.1\r\nHost: h\r\n" +
               "Content-Length: 0\r\n\r\n");
-    std::this_thread::sleep_for(std::chrono::milliseconds{ 200 });
+  }
+
+  bool IsListed(const std::string& aEndpoint) const
+  {
+    const json status = running.Status();
+    for (const json& row : status["endpoints"]) {
+      if (row["name"] == aEndpoint) {
+        return true;
+      }
+    }
+    return false;
   }
 
   bool IsOut() const
@@ -63,7 +73,8 @@
     INFO("control " << control);
     Order(kTakeOut, kNone);
     running.controls[control]->Signal(SIGSTOP);
-    OrderInVain(kBringBack, control);
+    SendAndLeave(kBringBack, control);
+    std::this_thread::sleep_for(std::chrono::milliseconds{ 200 });
     Order(kBringBack, control);
     Order(kTakeOut, control);
     running.controls[control]->Signal(SIGCONT);
@@ -75,5 +86,33 @@
   }
 }
 
+// A server may say that it leaves and exit without reading the answer.
+TEST_CASE_METHOD(late_calls_fixture,
+                 "Removal_WhoseServerExitsAtOnce_IsApplied",
+                 "[process][late]")
+{
+  const json report = { { "service", "desk" }, { "address", "127.0.0.1:9" },
+                        { "zone", "north" },   { "version", "v1" },
+                        { "slots", 4 },        { "state", "ready" },
+                        { "sequence", 1 },     { "born", 1 } };
+  REQUIRE(WaitUntil([&] {
+    return SendHttpRequest("POST",
+                           "http://" + running.ControlHttpAddress(0) +
+                             "/Instances.Heartbeat/i-1",
+                           { "Content-Type: application/json" },
+                           report.dump())
+             .status == 200;
+  }));
+  REQUIRE(WaitUntil([&] { return IsListed("i-1"); }));
+  // Suspended, the process reads the call with the end of its connection.
+  running.controls[0]->Signal(SIGSTOP);
+  SendAndLeave("/Instances.Deregister/i-1", 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds{ 100 });
+  running.controls[0]->Signal(SIGCONT);
+  // Well before the endpoint would be removed for its silence.
+  CHECK(WaitUntil([&] { return !IsListed("i-1"); },
+                  std::chrono::milliseconds{ 1'000 }));
+}
+
 } // namespace
 } // namespace bulrush::test
