Log whom a host reports to, who confirmed a revision, and the log's members

No line told the hypotheses on the exchanged core apart: a host that finds no control process that answers, one that is confirmed by a process outside of the log, and an order that is changed after its acknowledgement.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -416,6 +416,32 @@
              { "leader_commit", std::to_string(log.replica.leaderCommit) } });
 }
 
+// A list takes effect before it is committed, and may be replaced.
+void
+LogMembers(control_tables& aTables)
+{
+  log_tables& log = *aTables.replicated;
+  const replica_tables& replica = log.replica;
+  if (log.loggedMembers == replica.membersIndex) {
+    return;
+  }
+  log.loggedMembers = replica.membersIndex;
+  std::string voters;
+  std::string learners;
+  for (const log_member& member : replica.members) {
+    std::string& list = member.kind == member_kind::eVoter ? voters : learners;
+    list += (list.empty() ? "" : ",") + member.name;
+  }
+  LogEvent(kLog,
+           log_level::eInfo,
+           "members",
+           { { "index", std::to_string(replica.membersIndex) },
+             { "term", std::to_string(replica.vote.term) },
+             { "self", IsMember(log, replica.self) ? "yes" : "no" },
+             { "voters", voters },
+             { "learners", learners } });
+}
+
 } // namespace
 
 void
@@ -455,6 +481,7 @@
   }
   AnswerReplacements(aTables, aNow, aOutbox);
   LogLeaderChange(aTables);
+  LogMembers(aTables);
   aOutbox.wake.NoLaterThan(outbox.wake.at);
 }
 
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -45,7 +45,8 @@
   table<replica_id, known_replica> known;
   table<typed_id<struct replace_tag>, replace_row> replacements;
   std::uint64_t lastReplacement = 0;
-  replica_id loggedLeader; ///< in the latest "leader" line
+  replica_id loggedLeader;     ///< in the latest "leader" line
+  log_index loggedMembers = 0; ///< of the entry in the latest "members" line
   steady_time nextHello{};
   /// Of which members told this process while it was none. It does not follow
   /// the log then, but can forward calls.
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -60,16 +60,22 @@
 // While an earlier confirmation waits for its revision, a later one is not
 // kept: under steady changes each would be replaced before it is applied.
 void
-UpdateConfirmation(entry_tables& aTables, const wire::host_update& aUpdate)
+UpdateConfirmation(entry_tables& aTables,
+                   const std::string& aSender,
+                   const wire::host_update& aUpdate)
 {
   std::optional<confirmation>& unapplied = aTables.unappliedConfirmation;
   const bool isAnswer = aUpdate.renewal == aTables.lastReport;
   if (isAnswer && aUpdate.confirmationAge && !unapplied) {
     unapplied = { aTables.lastReportAt - *aUpdate.confirmationAge,
-                  aUpdate.revision };
+                  aUpdate.revision,
+                  aSender };
   }
   if (unapplied && aTables.fleet->revision >= unapplied->revision) {
-    aTables.confirmedAt = std::max(aTables.confirmedAt, unapplied->at);
+    if (unapplied->at > aTables.confirmedAt) {
+      aTables.confirmedAt = unapplied->at;
+      aTables.confirmedBy = std::move(unapplied->control);
+    }
     unapplied.reset();
   }
 }
@@ -220,7 +226,7 @@
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
-  UpdateConfirmation(aTables, aUpdate);
+  UpdateConfirmation(aTables, aSender, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
     UpdateEndpoint(aTables, row);
   }
--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -1,10 +1,13 @@
 /// What a host sends to control processes, and which of them it reports to.
 
 #include "entry/control_systems.hpp"
+#include "observe/observe.hpp"
 
 namespace bulrush::entry {
 namespace {
 
+constexpr log_component kLog{ "entry" };
+
 constexpr std::chrono::milliseconds kReportInterval{ 1'000 };
 constexpr std::chrono::milliseconds kControlTimeout{ 1'500 };
 /// An answer to a report takes a few milliseconds. Without one for this long,
@@ -128,6 +131,23 @@
   aTables.nextReport = aNow;
 }
 
+void
+LogReportTarget(entry_tables& aTables, const control_row& aControl)
+{
+  if (aControl.id == aTables.reportedTo) {
+    return;
+  }
+  const control_row* before = aTables.controls.Find(aTables.reportedTo);
+  aTables.reportedTo = aControl.id;
+  LogEvent(kLog,
+           log_level::eInfo,
+           "reports_to",
+           { { "control", aControl.address },
+             { "before", before == nullptr ? "" : before->address },
+             { "known_controls", std::to_string(aTables.controls.Size()) },
+             { "revision", std::to_string(aTables.fleet->revision) } });
+}
+
 // Reports periodically, and at once when endpoints have reported or a new
 // configuration is in force.
 void
@@ -145,6 +165,7 @@
   if (control == nullptr) {
     return;
   }
+  LogReportTarget(aTables, *control);
   if (control->id != aTables.evidenceControl) {
     aTables.evidenceControl = control->id;
     aTables.sentEvidence = 0;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -90,6 +90,7 @@
   view.isStopping = aTables.isStopping;
   view.mayDenyUntil = aTables.mayDenyUntil;
   view.confirmedAt = aTables.confirmedAt;
+  view.confirmedBy = aTables.confirmedBy;
   aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
--- a/src/entry/endpoint_calls.cpp
+++ b/src/entry/endpoint_calls.cpp
@@ -287,7 +287,7 @@
   call.freshConnection = aStart.freshConnection;
   call.connectTimeout = std::min(kConnectTimeout, aStart.timeout);
   const attempt_id attempt = aStart.attempt;
-  LogAttempt(mEngine, aStart, waiting.request, row.metadata, *mView.fleet);
+  LogAttempt(mEngine, aStart, waiting.request, row.metadata, mView);
   row.id = attempt;
   row.startedAt = Now();
   row.request = aStart.request;
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -44,7 +44,7 @@
            const routing::start_attempt& aStart,
            const routed_request& aRequest,
            const attempt_metadata& aMetadata,
-           const fleet_state& aConfiguration)
+           const traffic_view& aView)
 {
   if (!IsLogged(log_level::eInfo)) {
     return;
@@ -71,8 +71,11 @@
              : "" },
       { "cold", endpoint.coldStart.isCold ? "yes" : "no" },
       { "resumed_at", std::to_string(aStart.resumeOffset) },
-      { "revision", std::to_string(aConfiguration.revision) },
-      { "number", std::to_string(aConfiguration.declared.number) } });
+      { "revision", std::to_string(aView.fleet->revision) },
+      { "number", std::to_string(aView.fleet->declared.number) },
+      { "confirmed_by", aView.confirmedBy },
+      { "confirmed_age_ms",
+        Milliseconds(attempt.startedAt - aView.confirmedAt) } });
 }
 
 void
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -16,7 +16,7 @@
                 const routing::start_attempt& aStart,
                 const routed_request& aRequest,
                 const attempt_metadata& aMetadata,
-                const fleet_state& aConfiguration);
+                const traffic_view& aView);
 
 /// An attempt with an incomplete answer or an error status.
 struct failed_attempt
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -19,6 +19,7 @@
 {
   steady_time at;
   std::uint64_t revision = 0;
+  std::string control; ///< name of the control process that confirmed it
 };
 
 /// Snapshot for the traffic threads. Immutable once published.
@@ -34,6 +35,7 @@
   steady_time mayDenyUntil{};
   /// The configuration holds all that was committed before; never: zero.
   steady_time confirmedAt{};
+  std::string confirmedBy; ///< name of the control process that confirmed it
   bool isStopping = false;
 };
 
@@ -128,11 +130,13 @@
   std::uint64_t lastReport = 0;
   steady_time lastReportAt{};
   replica_id awaitedControl; ///< that has not answered the latest report
+  replica_id reportedTo;     ///< control process of the latest report
   steady_time mayDenyUntil{};
   /// Of the configuration here. Counts from when a report was sent, less the
   /// age that the answer stated: an answer may have been held up on its way,
   /// and its sender may be cut off from the leader.
   steady_time confirmedAt{};
+  std::string confirmedBy;
   /// Its revision has not arrived here yet.
   std::optional<confirmation> unappliedConfirmation;
   bool isOutdated = false; ///< confirmedAt is too old; has been logged
