Report only to control processes with a link, so that replaced ones cost no time

Cause: a host never forgets a control process. When the one that it reports to is lost it tried all in turn, 300 ms each; after twelve exchanges that is up to 4 s, and reports_to names twelve addresses that are gone.

Change: only processes whose link takes messages are tried. ZeroMQ says so, since nothing is queued without a connection. Without any link all are tried as before.

With the condition taken out Host_WhoseControlIsLost_ReportsOnlyWhereItHasALink fails.

--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -3,6 +3,8 @@
 #include "entry/control_systems.hpp"
 #include "observe/observe.hpp"
 
+#include <algorithm>
+
 namespace bulrush::entry {
 namespace {
 
@@ -34,23 +36,51 @@
            : aControl.preference;
 }
 
-std::uint64_t
-FirstTurnOf(const entry_tables& aTables)
+std::vector<const control_row*>
+ControlsWithLink(const entry_tables& aTables)
 {
-  return aTables.spreadsReports
-           ? StableHash(aTables.self.name) % aTables.controls.Size()
-           : 0;
+  std::vector<const control_row*> rows;
+  for (const control_row& row : aTables.controls) {
+    if (!aTables.canSend || aTables.canSend(row)) {
+      rows.push_back(&row);
+    }
+  }
+  return rows;
+}
+
+// Each in turn, one per report. Those without a link are left out: after the
+// control hosts were replaced, most addresses lead nowhere, and each would cost
+// kReportTimeout.
+const control_row*
+NextInTurn(const entry_tables& aTables)
+{
+  std::vector<const control_row*> rows = ControlsWithLink(aTables);
+  if (rows.empty()) {
+    for (const control_row& row : aTables.controls) {
+      rows.push_back(&row);
+    }
+  }
+  if (rows.empty()) {
+    return nullptr;
+  }
+  std::sort(rows.begin(),
+            rows.end(),
+            [](const control_row* aLeft, const control_row* aRight) {
+              return aLeft->preference < aRight->preference;
+            });
+  const std::uint64_t first =
+    aTables.spreadsReports ? StableHash(aTables.self.name) : 0;
+  return rows[(first + aTables.lastReport) % rows.size()];
 }
 
 } // namespace
 
 // The best control process that is reachable and does not lag behind; if there
-// is none, each in turn, one per report.
+// is none, the next in turn.
 const control_row*
 CurrentControl(const entry_tables& aTables, steady_time aNow)
 {
   const control_row* best = nullptr;
-  const control_row* roundRobin = nullptr;
   for (const control_row& row : aTables.controls) {
     const bool isUsable =
       row.isCaughtUp && row.lastSeen + kControlTimeout > aNow;
@@ -58,13 +88,8 @@
         (best == nullptr || RankOf(aTables, row) < RankOf(aTables, *best))) {
       best = &row;
     }
-    const std::uint64_t turn =
-      (FirstTurnOf(aTables) + aTables.lastReport) % aTables.controls.Size();
-    if (row.preference == turn) {
-      roundRobin = &row;
-    }
   }
-  return best != nullptr ? best : roundRobin;
+  return best != nullptr ? best : NextInTurn(aTables);
 }
 
 // Without a delegate renewals are dropped; later ones supersede them.
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -43,6 +43,10 @@
     // No report has the number of one of an earlier process, whose answer may
     // still arrive.
     mTables.lastReport = mTables.self.incarnation;
+    mTables.canSend = [this](const control_row& aControl) {
+      const auto link = mLinks.find(aControl.address);
+      return link != mLinks.end() && link->second->CanSend();
+    };
   }
 
   entry_tables& Tables() { return mTables; }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -112,6 +112,8 @@
   bool spreadsReports = false;
   std::shared_ptr<fleet_state> fleet = std::make_shared<fleet_state>();
   table<replica_id, control_row> controls;
+  /// Whether the link to a control process takes messages; not set: always.
+  std::function<bool(const control_row&)> canSend;
   table<endpoint_id, endpoint_row> endpoints;
   table<endpoint_id, removed_row> removedEndpoints;
   table<key_hash, tombstone_row> tombstones;
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -122,6 +122,14 @@
     return isSent;
   }
 
+  // To read the events may consume the edge that signalled input.
+  bool CanSend()
+  {
+    const bool canSend = (mSocket.get(zmq::sockopt::events) & ZMQ_POLLOUT) != 0;
+    DrainSoon();
+    return canSend;
+  }
+
   std::uint64_t Dropped() const { return mDropped; }
 
 private:
@@ -371,6 +379,7 @@
     }
     return isSent;
   }
+  bool CanSend() override { return mSocket->CanSend(); }
   std::uint64_t Dropped() const override { return mSocket->Dropped(); }
 
 private:
--- a/src/net/net.hpp
+++ b/src/net/net.hpp
@@ -310,6 +310,8 @@
 
   virtual ~link_client() = default;
   virtual bool Send(const std::string& aBytes) = 0;
+  /// False without a connection, or while its queue is full.
+  virtual bool CanSend() = 0;
   virtual std::uint64_t Dropped() const = 0;
 };
 
--- a/tests/entry/control_choice_test.cpp
+++ b/tests/entry/control_choice_test.cpp
@@ -13,14 +13,18 @@
 {
   static constexpr int kHosts = 80;
   static constexpr int kControls = 4;
+  static constexpr int kExchangedControls = 12;
+  static constexpr std::chrono::milliseconds kTick{ 100 };
   steady_time now = steady_time{} + std::chrono::hours{ 1 };
 
-  entry_tables HostNamed(const std::string& aName, steady_time aLastSeen) const
+  entry_tables HostNamed(const std::string& aName,
+                         steady_time aLastSeen,
+                         int aControls = kControls) const
   {
     entry_tables tables;
     tables.self.name = aName;
     tables.spreadsReports = true;
-    for (int i = 0; i < kControls; ++i) {
+    for (int i = 0; i < aControls; ++i) {
       control_row control;
       control.address = "10.0.0." + std::to_string(i + 1) + ":7100";
       control.id = IdOf<replica_id>(control.address);
@@ -31,6 +35,23 @@
     return tables;
   }
 
+  /// Addresses that are reported to within aTime, in order.
+  std::vector<std::string> ReportsOf(entry_tables& aTables,
+                                     std::chrono::milliseconds aTime)
+  {
+    std::vector<std::string> reportedTo;
+    for (const steady_time end = now + aTime; now < end; now += kTick) {
+      entry_outbox out;
+      RunEntryControl(aTables, now, out);
+      for (const outgoing& message : out.messages) {
+        if (std::holds_alternative<wire::host_report>(message.body)) {
+          reportedTo.push_back(message.controlAddress);
+        }
+      }
+    }
+    return reportedTo;
+  }
+
   /// No process gets more than twice its equal share.
   void CheckSpread(steady_time aLastSeen) const
   {
@@ -66,22 +87,42 @@
                  "[entry]")
 {
   entry_tables tables = HostNamed("host", now);
-  std::vector<std::string> reportedTo;
-  for (int i = 0; i < 10; ++i) {
-    entry_outbox out;
-    RunEntryControl(tables, now, out);
-    for (const outgoing& message : out.messages) {
-      if (std::holds_alternative<wire::host_report>(message.body)) {
-        reportedTo.push_back(message.controlAddress);
-      }
-    }
-    now += std::chrono::milliseconds{ 100 };
-  }
+  const std::vector<std::string> reportedTo =
+    ReportsOf(tables, std::chrono::seconds{ 1 });
   // Within a second each process that is left of four has been tried, so that a
   // change reaches the host in time even if three of them are cut off.
   const std::set<std::string> tried(reportedTo.begin(), reportedTo.end());
   CHECK(tried.size() >= 3);
 }
 
+// Guards against a search among control hosts that were replaced: it took
+// longer than a configuration may take to be in force.
+TEST_CASE_METHOD(control_choice_fixture,
+                 "Host_WhoseControlIsLost_ReportsOnlyWhereItHasALink",
+                 "[entry]")
+{
+  entry_tables tables =
+    HostNamed("host", steady_time{}, kExchangedControls + 2);
+  const std::set<std::string> linked{ "10.0.0.5:7100", "10.0.0.14:7100" };
+  tables.canSend = [&linked](const control_row& aControl) {
+    return linked.contains(aControl.address);
+  };
+  const std::vector<std::string> reportedTo =
+    ReportsOf(tables, std::chrono::milliseconds{ 700 });
+  CHECK(std::set<std::string>(reportedTo.begin(), reportedTo.end()) == linked);
+}
+
+TEST_CASE_METHOD(control_choice_fixture,
+                 "Host_WithoutAnyLink_StillReportsToAll",
+                 "[entry]")
+{
+  entry_tables tables = HostNamed("host", steady_time{});
+  tables.canSend = [](const control_row&) { return false; };
+  const std::vector<std::string> reportedTo =
+    ReportsOf(tables, std::chrono::seconds{ 2 });
+  const std::set<std::string> tried(reportedTo.begin(), reportedTo.end());
+  CHECK(tried.size() == kControls);
+}
+
 } // namespace
 } // namespace bulrush::entry
--- a/tests/net/link_test.cpp
+++ b/tests/net/link_test.cpp
@@ -353,6 +353,16 @@
   CHECK(client->Send("to server"));
 }
 
+TEST_CASE_METHOD(link_fixture,
+                 "LinkClient_WhoseServerIsGone_CannotSend",
+                 "[links]")
+{
+  CHECK_FALSE(client->CanSend());
+  REQUIRE(RunUntil(milliseconds(2'000), [this] { return client->CanSend(); }));
+  server.reset();
+  CHECK(RunUntil(milliseconds(2'000), [this] { return !client->CanSend(); }));
+}
+
 // Only the client sends: its messages alone are no sign that it receives.
 TEST_CASE_METHOD(link_fixture,
                  "LinkClient_WhenNothingIsSentToIt_KeepsItsConnection",
