Sync the folder that holds a new log, so that a loss of power keeps the log

A control process created the folder of its log below the data folder and never synced the latter. With the power the name could vanish, and with it all that had been synced inside and acknowledged; several machines at once lose more disks than the log bears.

RenamedJournal_AfterAFailedSyncOfItsFolder_IsSyncedOnceReopened counts one sync more, exactly.

--- a/src/replication/disk.cpp
+++ b/src/replication/disk.cpp
@@ -89,6 +89,33 @@
   return stored{};
 }
 
+std::filesystem::path
+FirstExisting(std::filesystem::path aFolder)
+{
+  std::error_code ignored; // what cannot be read is created or refused later
+  while (!std::filesystem::exists(aFolder, ignored)) {
+    aFolder = aFolder.parent_path();
+  }
+  return aFolder;
+}
+
+// Syncs aFolder and those above it up to aLast. Until then a new folder in one
+// of them can vanish with the power, with all that is synced inside.
+std::optional<stored>
+SyncFolders(const disk_hooks& aDisk,
+            std::filesystem::path aFolder,
+            const std::filesystem::path& aLast,
+            last_reason& aReason)
+{
+  while (aFolder != aLast) {
+    if (!SyncFolder(aDisk, aFolder, aReason)) {
+      return std::nullopt;
+    }
+    aFolder = aFolder.parent_path();
+  }
+  return SyncFolder(aDisk, aLast, aReason);
+}
+
 // Replaces a file atomically: after a crash, either the old or the new one
 // exists in full. Syncs the folder too, since the rename could be lost
 // otherwise.
@@ -451,6 +478,9 @@
                last_reason& aReason)
 {
   std::error_code error;
+  const std::filesystem::path holder =
+    std::filesystem::absolute(aFolder).parent_path();
+  const std::filesystem::path oldest = FirstExisting(holder);
   std::filesystem::create_directories(aFolder, error);
   if (error) {
     return Fail(aReason, "create data folder", aFolder, error.message());
@@ -460,7 +490,8 @@
   opened->seed = StableHash(aLog);
   opened->disk = std::move(aDisk);
   if (!opened->Lock(aReason) ||
-      !opened->Recover(aNewIdentity, aRecovered, aReason)) {
+      !opened->Recover(aNewIdentity, aRecovered, aReason) ||
+      !SyncFolders(opened->disk, holder, oldest, aReason)) {
     return std::nullopt;
   }
   return disk_log(std::move(opened));
--- a/tests/replication/reopen_test.cpp
+++ b/tests/replication/reopen_test.cpp
@@ -26,10 +26,12 @@
   reopen_fixture(const reopen_fixture&) = delete;
   reopen_fixture& operator=(const reopen_fixture&) = delete;
 
-  std::optional<disk_log> Open()
+  std::optional<disk_log> Open() { return OpenAt(folder); }
+
+  std::optional<disk_log> OpenAt(const fs::path& aFolder)
   {
     return disk_log::Open(
-      folder, "fleet", { 42 }, disk.Hooks(), recovered, reason);
+      aFolder, "fleet", { 42 }, disk.Hooks(), recovered, reason);
   }
 
   void Append(disk_log& aLog, log_index aIndex)
@@ -62,6 +64,27 @@
   }
 };
 
+// Guards against a log that is lost as a whole with the power, since the name
+// of its folder was never synced.
+TEST_CASE_METHOD(reopen_fixture,
+                 "Log_WhoseFolderIsNew_SurvivesALossOfPower",
+                 "[replication][disk]")
+{
+  const fs::path data = folder / "data";
+  {
+    auto log = OpenAt(data / "fleet");
+    REQUIRE(log);
+    Append(*log, 1);
+    REQUIRE(log->Hooks().sync(reason));
+  }
+  disk.LosePower(data / "fleet");
+  disk.LoseNames(data / "fleet");
+  disk.LoseNames(data);
+  disk.LoseNames(folder);
+  REQUIRE(OpenAt(data / "fleet"));
+  CHECK(recovered.entries.size() == 1);
+}
+
 TEST_CASE_METHOD(reopen_fixture,
                  "Records_UnsyncedWhenTheProcessEnds_AreDurableOnceReopened",
                  "[replication][disk]")
@@ -123,7 +146,7 @@
   REQUIRE(fs::exists(folder / "journal"));
   disk.isFull = false;
   REQUIRE(Open());
-  CHECK(disk.folderSyncs == 1);
+  CHECK(disk.folderSyncs == 2); // of its folder and of the one that holds it
 }
 
 TEST_CASE_METHOD(reopen_fixture,
--- a/tests/support/lossy_disk.hpp
+++ b/tests/support/lossy_disk.hpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <fstream>
 #include <map>
+#include <set>
 
 #include <sys/stat.h>
 #include <unistd.h>
@@ -30,6 +31,8 @@
   std::size_t refusals = 0;
   std::size_t folderSyncs = 0; ///< that succeeded
   std::map<ino_t, file> files;
+  /// By folder, as of its latest sync.
+  std::map<ino_t, std::set<std::filesystem::path>> durableNames;
 
   disk_hooks Hooks()
   {
@@ -56,7 +59,31 @@
     }
   }
 
+  /// Removes what was created in aFolder since its latest sync.
+  void LoseNames(const std::filesystem::path& aFolder)
+  {
+    struct stat status
+    {};
+    ::stat(aFolder.c_str(), &status);
+    for (const auto& entry : std::filesystem::directory_iterator(aFolder)) {
+      if (!durableNames[status.st_ino].contains(entry.path().filename())) {
+        std::filesystem::remove_all(entry.path());
+      }
+    }
+  }
+
 private:
+  // Of an open folder.
+  static std::set<std::filesystem::path> NamesIn(int aFolder)
+  {
+    std::set<std::filesystem::path> names;
+    const std::string path = "/proc/self/fd/" + std::to_string(aFolder);
+    for (const auto& entry : std::filesystem::directory_iterator(path)) {
+      names.insert(entry.path().filename());
+    }
+    return names;
+  }
+
   static struct stat StatusOf(int aFile)
   {
     struct stat status
@@ -77,6 +104,7 @@
     }
     if (S_ISDIR(status.st_mode)) {
       ++folderSyncs;
+      durableNames[status.st_ino] = NamesIn(aFile);
       return 0;
     }
     for (const auto& [offset, bytes] : unsynced) {
