Give a restarted replica of the simulation another seed, and end a stopped one

The simulation started each replica again with the same seed, so its first question had a number that the leader had answered to the process before. OpenLog draws the seed anew at each start, and the design rests on that; the simulation does now. Elections of first starts are as before.

With that two of 120 runs showed a replica with an old state: it had stopped for a failed write, and the end of the faults took it for running. Its process is ended there now.

--- a/tests/replication/simulated_cluster.cpp
+++ b/tests/replication/simulated_cluster.cpp
@@ -285,6 +285,7 @@
   host.disk->failsWrite = false;
   replica_settings hostSettings = settings;
   hostSettings.name = host.name;
+  hostSettings.seed += host.starts++; // another at each start, as from OpenLog
   host.tables = StartReplica(
     hostSettings, host.disk->Durable(), host.disk->Hooks(), ClockOf(aHost));
   host.wake = now;
@@ -625,6 +626,9 @@
     hosts[i].pausedUntil = microseconds(0);
     hosts[i].disk->failsSync = false;
     hosts[i].disk->failsWrite = false;
+    if (hosts[i].tables && hosts[i].tables->fatal) {
+      Crash(i); // its process ends at its next tick
+    }
     Start(i);
   }
   if (!ProposeAndAwait(1)) {
--- a/tests/replication/simulated_cluster.hpp
+++ b/tests/replication/simulated_cluster.hpp
@@ -89,6 +89,7 @@
   std::chrono::microseconds pausedUntil{ 0 }; ///< as by SIGSTOP
   std::chrono::microseconds clockOffset{ 0 };
   double clockRate = 1.0;
+  std::uint64_t starts = 0;
 
   replica_id Id() const { return disk->Durable().identity; }
 };
