Spread the voters over failure domains, and leave expendable machines out

With five control processes in each of three failure domains the first ones by name joined: one domain could hold five of nine voters. Its loss, which the deployment is to bear, ended the log for good, and with its disks all that was acknowledged since. docs/PLATFORM.md claimed otherwise.

A lost voter is replaced in its domain, a pair that would make a domain indispensable is not added, and an expendable voter, or one of a domain that holds too many, leaves for a better process.

Red before: Log_WhenAnyFailureDomainIsLost_StillCommits (no leader after the loss), Voters_WhenOneOfThemIsLost_AreReplacedInTheirDomain, Voters_WhereOnlyOneDomainHasMore_StayOneOfEach.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -457,7 +457,7 @@
   SendHellos(aTables, aNow, aOutbox);
   if (log.hasDynamicMembers) {
     ConnectMembers(aTables, aOutbox);
-    ReplaceLostMembers(aTables, aNow);
+    RunVoters(aTables, aNow);
   }
   replica_outbox outbox;
   RunReplica(log.replica, aNow, outbox);
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -102,10 +102,11 @@
                 steady_time aNow,
                 control_outbox& aOutbox);
 
-/// With dynamic members: connects to all members, and on the leader, replaces
-/// members that are lost.
+/// With dynamic members: connects to all members.
 void ConnectMembers(control_tables& aTables, control_outbox& aOutbox);
-void ReplaceLostMembers(control_tables& aTables, steady_time aNow);
+/// With dynamic members, on the leader: replaces members that are lost, and
+/// adds others.
+void RunVoters(control_tables& aTables, steady_time aNow);
 
 /// Systems, in their order around RunApply.
 void RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox);
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -1,117 +1,15 @@
-/// Membership of the log: discovery of control processes, and replacement of
-/// lost members by processes that wait to join.
+/// Discovery of control processes, and of who runs on which data folder.
 
 #include "control/tables.hpp"
-#include "observe/observe.hpp"
 
 #include <algorithm>
 
 namespace bulrush::control {
 namespace {
 
-constexpr log_component kLog{ "log" };
-
 constexpr std::chrono::milliseconds kHelloInterval{ 200 };
 constexpr std::chrono::milliseconds kToldLeaderMaxAge{ 2 * kHelloInterval };
 
-/// A member that was not seen for this long may be replaced by a process that
-/// waits to join. Allows for several heartbeats and reconnects of its link.
-constexpr std::chrono::milliseconds kMemberTimeout{ 1'500 };
-
-/// Up to so many control processes vote. With nearly all of them as voters,
-/// more than half of them can go on, and a change is kept when fewer disks are
-/// lost; each vote more makes a commit wait for more disks.
-constexpr std::size_t kMaxVoters = 9;
-
-bool
-IsSilent(const control_tables& aTables,
-         const log_member& aMember,
-         steady_time aNow)
-{
-  const control_row* control =
-    aTables.controls.Find(IdOf<replica_id>(aMember.name));
-  return control == nullptr || control->lastSeen + kMemberTimeout <= aNow;
-}
-
-// The member that aCandidate replaces: the one of the same name, whose data
-// folder was lost, else one that is silent.
-const log_member*
-FindReplaceable(const control_tables& aTables,
-                const known_replica& aCandidate,
-                steady_time aNow)
-{
-  const log_member* silent = nullptr;
-  for (const log_member& member : aTables.replicated->replica.members) {
-    if (member.name == aCandidate.name) {
-      return &member;
-    }
-    if (member.name != aTables.self.name && IsSilent(aTables, member, aNow)) {
-      silent = &member;
-    }
-  }
-  return silent;
-}
-
-bool
-IsWaiting(const log_tables& aLog, const known_replica& aKnown, steady_time aNow)
-{
-  return aKnown.identity && !IsMember(aLog, aKnown.identity) &&
-         aNow < aKnown.lastSeen + kHelloMaxAge;
-}
-
-// A replacement ends with its leader, also after its learner was added. The
-// next leader goes on with it while a member is silent or the voters are even
-// in number. Otherwise the learner leaves and waits to join like any other
-// process.
-bool
-SettleLearner(control_tables& aTables, steady_time aNow)
-{
-  replica_tables& replica = aTables.replicated->replica;
-  const membership& members = replica.members;
-  const auto isLearner = [](const log_member& aMember) {
-    return aMember.kind == member_kind::eLearner;
-  };
-  const auto found = std::ranges::find_if(members, isLearner);
-  if (found == members.end()) {
-    return false;
-  }
-  const log_member& learner = *found;
-  const auto silent =
-    std::ranges::find_if(members, [&](const log_member& aMember) {
-      return aMember.id != learner.id && aMember.id != replica.self &&
-             IsSilent(aTables, aMember, aNow);
-    });
-  const bool isEven =
-    (members.size() - std::ranges::count_if(members, isLearner)) % 2 == 0;
-  last_reason reason;
-  const bool isSettled =
-    silent != members.end() || isEven
-      ? ReplaceMember(replica,
-                      silent != members.end() ? silent->id : replica_id{},
-                      learner,
-                      reason)
-          .has_value()
-      : RemoveMember(replica, learner.id, aNow, reason).has_value();
-  if (!isSettled) {
-    LogWarning(kLog, "{} stays a learner: {}", learner.name, Describe(reason));
-  }
-  return true;
-}
-
-// Voters are added in pairs: with an odd number of them, one part of any split
-// in two has a quorum.
-bool
-HasRoomForVoter(const log_tables& aLog, steady_time aNow)
-{
-  const std::size_t members = aLog.replica.members.size();
-  const auto waiting = std::count_if(
-    aLog.known.begin(), aLog.known.end(), [&](const known_replica& aKnown) {
-      return IsWaiting(aLog, aKnown, aNow);
-    });
-  const bool isEven = members % 2 == 0;
-  return members < kMaxVoters && (isEven || waiting >= 2);
-}
-
 wire::replica_hello
 HelloOf(const control_tables& aTables)
 {
@@ -275,46 +173,4 @@
   }
 }
 
-// The leader replaces lost members by processes that wait to join, one at a
-// time, and adds others as voters.
-void
-ReplaceLostMembers(control_tables& aTables, steady_time aNow)
-{
-  log_tables& log = *aTables.replicated;
-  const replica_tables& replica = log.replica;
-  const bool isBusy =
-    replica.replacement || replica.membersIndex > replica.commit;
-  if (isBusy || !IsLeaseHeld(replica, aNow)) {
-    return;
-  }
-  if (SettleLearner(aTables, aNow)) {
-    return;
-  }
-  for (const known_replica& known : log.known) {
-    const bool isWaiting = IsWaiting(log, known, aNow);
-    const log_member* old =
-      isWaiting ? FindReplaceable(aTables, known, aNow) : nullptr;
-    const bool isAdded =
-      isWaiting && old == nullptr && HasRoomForVoter(log, aNow);
-    if (old == nullptr && !isAdded) {
-      continue;
-    }
-    last_reason reason;
-    const log_member candidate{ known.identity,
-                                member_kind::eLearner,
-                                known.name };
-    // A replacement of no member only adds the new one.
-    const replica_id oldId = isAdded ? replica_id{} : old->id;
-    if (!ReplaceMember(log.replica, oldId, candidate, reason)) {
-      LogWarning(
-        kLog, "{} cannot join the log: {}", known.name, Describe(reason));
-    } else if (isAdded) {
-      LogInfo(kLog, "{} joins the log", known.name);
-    } else {
-      LogInfo(kLog, "{} takes the place of {}", known.name, old->name);
-    }
-    return;
-  }
-}
-
 } // namespace bulrush::control
--- a/src/control/options.hpp
+++ b/src/control/options.hpp
@@ -62,6 +62,14 @@
     "",
     "Whether this may be the first start of the fleet; a new log is created "
     "only then" },
+  { "dependable",
+    option_type::eBool,
+    "",
+    "true",
+    "",
+    "",
+    "False if this process may be lost at any time together with any number of "
+    "others; it votes on the log only where no other can" },
   { "domains",
     option_type::eList,
     "",
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -99,6 +99,7 @@
                           ? FormatAddress(*aOptions.Address("listen"))
                           : aOptions.Text("name");
     mTables.self.domain = aOptions.Text("domain");
+    mTables.self.isExpendable = !aOptions.Flag("dependable");
     mTables.self.linkAddress = FormatAddress(*aOptions.Address("listen"));
     mTables.wallClock = [] { return std::chrono::system_clock::now(); };
     mTables.self.incarnation = static_cast<std::uint64_t>(
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -76,6 +76,7 @@
   if (control_row* control =
         aTables.controls.Find(IdOf<replica_id>(aInput.message.sender))) {
     control->domain = aGossip.domain;
+    control->isExpendable = aGossip.isExpendable;
     control->confirmedRevision = aGossip.confirmedRevision;
     control->hosts = aGossip.hosts;
     control->httpAddress = aGossip.httpAddress;
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -30,7 +30,8 @@
   std::string linkAddress;
   std::string httpAddress; ///< empty: none
   std::uint64_t incarnation = 0;
-  std::string credential; ///< that operators and hosts must present
+  std::string credential;    ///< that operators and hosts must present
+  bool isExpendable = false; ///< may be lost at any time
 };
 
 /// Another control process.
@@ -44,7 +45,8 @@
   std::uint64_t confirmedRevision = 0; ///< by all hosts of its domain
   std::uint32_t hosts = 0;
   std::vector<host_id> reporting; ///< hosts that report to it
-  std::uint64_t incarnation = 0;  ///< of its latest gossip
+  std::uint64_t incarnation = 0;  ///< of its latest gossip; zero before one
+  bool isExpendable = false;      ///< may be lost at any time
   steady_time lastSeen{};
 };
 
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -279,6 +279,7 @@
   }
   wire::endpoint_gossip gossip;
   gossip.domain = aTables.self.domain;
+  gossip.isExpendable = aTables.self.isExpendable;
   const std::uint64_t since = isPeriodic ? 0 : aTables.gossipedSerial;
   AddOwnEndpoints(aTables, since, gossip);
   aTables.corrections.clear();
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -48,6 +48,7 @@
 {
   auto* to = aTo.mutable_endpoint_gossip();
   to->set_domain(aFrom.domain);
+  to->set_is_expendable(aFrom.isExpendable);
   PutEndpoints(aFrom.endpoints, aNow, *to->mutable_endpoints());
   PutRemoved(
     aFrom.removedEndpoints, *to->mutable_gone(), *to->mutable_removed());
@@ -94,6 +95,7 @@
 {
   endpoint_gossip gossip;
   gossip.domain = aFrom.domain();
+  gossip.isExpendable = aFrom.is_expendable();
   gossip.endpoints = GetEndpoints(aFrom.endpoints(), aNow);
   gossip.removedEndpoints = GetRemoved(aFrom.gone(), aFrom.removed());
   gossip.tombstones = GetKeys(aFrom.tombstones());
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -132,6 +132,7 @@
 struct endpoint_gossip
 {
   std::string domain;
+  bool isExpendable = false; ///< the sender may be lost at any time
   std::vector<endpoint_row> endpoints;
   std::vector<removed_endpoint> removedEndpoints;
   std::vector<key_hash> tombstones;    ///< withdrawn, not yet committed
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <deque>
+#include <map>
 
 namespace bulrush::control {
 namespace {
@@ -12,15 +13,15 @@
 namespace fs = std::filesystem;
 using std::chrono::milliseconds;
 
-/// Six control processes that know three seeds, on links without loss.
+/// Control processes that know three seeds, on links without loss.
 struct voters_fixture
 {
-  static constexpr std::size_t kProcesses = 6;
   static constexpr std::size_t kSeeds = 3;
 
   struct process
   {
     std::string name;
+    std::string domain;
     fs::path folder;
     std::unique_ptr<control_tables> tables; ///< null while it is down
   };
@@ -31,12 +32,19 @@
   std::uint64_t starts = 0;
 
   voters_fixture()
+    : voters_fixture(std::vector<std::string>(6))
+  {
+  }
+  /// One process in each failure domain that is listed.
+  explicit voters_fixture(const std::vector<std::string>& aDomains)
   {
     std::string name = (fs::temp_directory_path() / "bulrush-XXXXXX").string();
     folder = ::mkdtemp(name.data());
-    for (std::size_t i = 0; i < kProcesses; ++i) {
+    for (const std::string& domain : aDomains) {
+      const std::size_t i = processes.size();
       const std::string address = "10.0.0." + std::to_string(i + 1) + ":7100";
-      processes.push_back({ address, folder / std::to_string(i), nullptr });
+      processes.push_back(
+        { address, domain, folder / std::to_string(i), nullptr });
       Start(i, true);
     }
   }
@@ -55,6 +63,7 @@
     each.tables = std::make_unique<control_tables>();
     control_tables& tables = *each.tables;
     tables.self.name = each.name;
+    tables.self.domain = each.domain;
     tables.self.linkAddress = each.name;
     tables.self.incarnation = ++starts;
     tables.wallClock = [] { return wall_time{}; };
@@ -125,6 +134,21 @@
     }
   }
 
+  /// Members by failure domain, as the leader lists them.
+  std::map<std::string, std::size_t> MembersByDomain() const
+  {
+    std::map<std::string, std::size_t> members;
+    REQUIRE(Leader());
+    for (const log_member& member :
+         processes[*Leader()].tables->replicated->replica.members) {
+      const auto found =
+        std::ranges::find(processes, member.name, &process::name);
+      REQUIRE(found != processes.end());
+      ++members[found->domain];
+    }
+    return members;
+  }
+
   std::optional<std::size_t> Leader() const
   {
     for (std::size_t i = 0; i < processes.size(); ++i) {
@@ -159,10 +183,10 @@
   const std::size_t second = *leader == 0 ? 1 : 0;
   Wipe(*leader);
   Wipe(second);
-  for (std::size_t i = 0; i < kProcesses; ++i) {
-    processes[i].tables.reset();
+  for (process& each : processes) {
+    each.tables.reset();
   }
-  for (std::size_t i = 0; i < kProcesses; ++i) {
+  for (std::size_t i = 0; i < processes.size(); ++i) {
     Start(i, false);
   }
   Run(milliseconds{ 10'000 });
@@ -211,5 +235,113 @@
         5);
 }
 
+/// A seed in each of three failure domains, and four more processes in each,
+/// which join domain by domain.
+struct domain_voters_fixture : voters_fixture
+{
+  domain_voters_fixture()
+    : voters_fixture({ "north",
+                       "south",
+                       "west",
+                       "north",
+                       "north",
+                       "north",
+                       "north",
+                       "south",
+                       "south",
+                       "south",
+                       "south",
+                       "west",
+                       "west",
+                       "west",
+                       "west" })
+  {
+  }
+
+  void StopDomain(const std::string& aDomain)
+  {
+    for (process& each : processes) {
+      if (each.domain == aDomain) {
+        each.tables.reset();
+      }
+    }
+  }
+};
+
+// Guards against a log that stops for good with the disks of one failure
+// domain, which held most voters.
+TEST_CASE_METHOD(domain_voters_fixture,
+                 "Log_WhenAnyFailureDomainIsLost_StillCommits",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  const auto members = MembersByDomain();
+  CHECK(members == std::map<std::string, std::size_t>{
+                     { "north", 3 }, { "south", 3 }, { "west", 3 } });
+  StopDomain("north");
+  Run(milliseconds{ 5'000 });
+  CHECK(Leader());
+}
+
+TEST_CASE_METHOD(domain_voters_fixture,
+                 "Voters_WhenOneOfThemIsLost_AreReplacedInTheirDomain",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  processes[1].tables.reset();
+  Run(milliseconds{ 5'000 });
+  CHECK(MembersByDomain() == std::map<std::string, std::size_t>{
+                               { "north", 3 }, { "south", 3 }, { "west", 3 } });
+}
+
+// Guards against changes that only machines hold which may be lost at any time.
+TEST_CASE_METHOD(domain_voters_fixture,
+                 "ExpendableProcesses_BesideOthers_DoNotVote",
+                 "[control]")
+{
+  for (std::size_t i = kSeeds; i < processes.size(); ++i) {
+    processes[i].tables->self.isExpendable = true;
+  }
+  Run(milliseconds{ 10'000 });
+  CHECK(MembersByDomain() == std::map<std::string, std::size_t>{
+                               { "north", 1 }, { "south", 1 }, { "west", 1 } });
+}
+
+TEST_CASE_METHOD(domain_voters_fixture,
+                 "ExpendableVoter_WhereAnotherProcessWaits_LeavesForIt",
+                 "[control]")
+{
+  for (std::size_t i = 0; i + 3 < processes.size(); ++i) {
+    processes[i].tables->self.isExpendable = i != 0;
+  }
+  Run(milliseconds{ 10'000 });
+  REQUIRE(Leader());
+  for (const log_member& member :
+       processes[*Leader()].tables->replicated->replica.members) {
+    const process* voter = Named(member.name);
+    REQUIRE(voter != nullptr);
+    INFO(member.name);
+    CHECK_FALSE(voter->tables->self.isExpendable);
+  }
+}
+
+/// As many processes in one failure domain as would make it the larger part.
+struct lopsided_voters_fixture : voters_fixture
+{
+  lopsided_voters_fixture()
+    : voters_fixture({ "north", "south", "west", "north", "north" })
+  {
+  }
+};
+
+TEST_CASE_METHOD(lopsided_voters_fixture,
+                 "Voters_WhereOnlyOneDomainHasMore_StayOneOfEach",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  CHECK(MembersByDomain() == std::map<std::string, std::size_t>{
+                               { "north", 1 }, { "south", 1 }, { "west", 1 } });
+}
+
 } // namespace
 } // namespace bulrush::control
