Show a failure domain by its newest gossip, not by a process that is gone

The status of a failure domain was that of the last process in the table, so an operator could wait for what a replaced process had confirmed.

DomainStatus_WithAControlProcessThatIsGone_IsTheNewest failed before: 3 in place of 7.

--- a/src/control/status.cpp
+++ b/src/control/status.cpp
@@ -46,7 +46,8 @@
 }
 
 // Status of a failure domain: from local state for this process's own, else as
-// last gossiped by a control process of that domain.
+// last gossiped by a control process of that domain. The newest gossip counts,
+// since processes that were replaced stay in the table.
 wire::domain_status
 DomainStatus(const control_tables& aTables,
              const domain_row& aDomain,
@@ -58,12 +59,15 @@
   if (aDomain.name == aTables.self.domain) {
     status = OwnDomainStatus(aTables, aNow);
   }
+  std::chrono::milliseconds newest = kNever;
   for (const control_row& control : aTables.controls) {
-    if (control.domain == aDomain.name) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - control.lastSeen);
+    if (control.domain == aDomain.name && age < newest) {
       status.confirmedRevision = control.confirmedRevision;
       status.hosts = control.hosts;
-      status.age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        aNow - control.lastSeen);
+      status.age = age;
+      newest = age;
     }
   }
   status.name = aDomain.name;
