--- a/tests/control/status_test.cpp
+++ b/tests/control/status_test.cpp
@@ -35,7 +35,7 @@
     tables.controls.Insert(row);
   }
 
-  wire::domain_status South()
+  wire::domain_status South() const
   {
     control_outbox out;
     HandleStatusCall(tables, {}, {}, now, out);
