--- a/tests/process/control_stop_test.cpp
+++ b/tests/process/control_stop_test.cpp
@@ -39,7 +39,8 @@
       Start(i);
     }
     REQUIRE(WaitUntil([this] {
-      return Call(0, "POST", "/Config.Replace", Configuration(1)).status == 200;
+      return Call(0, "POST", "/Config.Replace", EmptyConfiguration(1)).status ==
+             200;
     }));
     REQUIRE(WaitUntil([this] { return FindLeader(); }));
   }
@@ -93,20 +94,6 @@
       folder));
   }
 
-  static std::string Configuration(int aVersion)
-  {
-    return json{
-      { "version", aVersion },
-      { "routes", json::array() },
-      { "services", json::array() },
-      { "limits",
-        { { "maxHeaderBytes", 16'384 },
-          { "maxBodyBytes", 4'194'304 },
-          { "headerTimeoutMs", 3'000 },
-          { "idleTimeoutMs", 15'000 } } }
-    }.dump();
-  }
-
   static std::string Heartbeat(int aSequence)
   {
     return json{
@@ -163,7 +150,7 @@
   const std::size_t follower = Follower();
   controls[leader]->Signal(SIGSTOP);
   auto change = std::async(std::launch::async, [&] {
-    return Call(follower, "POST", "/Config.Replace", Configuration(2));
+    return Call(follower, "POST", "/Config.Replace", EmptyConfiguration(2));
   });
   CHECK(change.wait_for(kReadTime) == std::future_status::timeout);
   controls[follower]->Signal(SIGTERM);
@@ -187,7 +174,7 @@
   REQUIRE(first.starts_with("HTTP/1.1 200"));
   controls[leader]->Signal(SIGSTOP);
   auto change = std::async(std::launch::async, [&] {
-    return Call(follower, "POST", "/Config.Replace", Configuration(2));
+    return Call(follower, "POST", "/Config.Replace", EmptyConfiguration(2));
   });
   CHECK(change.wait_for(kReadTime) == std::future_status::timeout);
   controls[follower]->Signal(SIGTERM);
--- a/tests/process/exchanged_core_test.cpp
+++ b/tests/process/exchanged_core_test.cpp
@@ -9,7 +9,6 @@
 namespace bulrush::test {
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 /// Within this time after its acknowledgement a configuration is in force.
@@ -143,16 +142,7 @@
   // Repeated at each control process in turn, as an operator does.
   void Configure()
   {
-    const std::string configuration = json{
-      { "version", ++lastNumber },
-      { "routes", json::array() },
-      { "services", json::array() },
-      { "limits",
-        { { "maxHeaderBytes", 16'384 },
-          { "maxBodyBytes", 4'194'304 },
-          { "headerTimeoutMs", 3'000 },
-          { "idleTimeoutMs", 15'000 } } }
-    }.dump();
+    const std::string configuration = EmptyConfiguration(++lastNumber);
     std::size_t next = 0;
     REQUIRE(WaitUntil([&] {
       const machine& control = controls[next++ % controls.size()];
--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -479,6 +479,22 @@
     "POST", "http://" + EntryAddress(aEntry) + aPath, aFields, aBody.dump());
 }
 
+std::string
+EmptyConfiguration(int aVersion)
+{
+  using nlohmann::json;
+  return json{
+    { "version", aVersion },
+    { "routes", json::array() },
+    { "services", json::array() },
+    { "limits",
+      { { "maxHeaderBytes", 16'384 },
+        { "maxBodyBytes", 4'194'304 },
+        { "headerTimeoutMs", 3'000 },
+        { "idleTimeoutMs", 15'000 } } }
+  }.dump();
+}
+
 std::string
 DefaultManifest(const std::vector<std::string>& aDomains,
                 const std::string& aVersion)
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -149,6 +149,9 @@
   std::vector<std::uint16_t> mEntryPorts;
 };
 
+/// A configuration in the platform's protocol, without routes or services.
+std::string EmptyConfiguration(int aVersion);
+
 /// One model "draft", an adapter "school", workspaces "press" and "small",
 /// routes /desk/releases (not idempotent) and /desk/status (open).
 std::string DefaultManifest(const std::vector<std::string>& aDomains,
