--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -263,6 +263,25 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
+// After a loss of power: what the disk has kept.
+void
+LogOpened(const recovered_log& aLog)
+{
+  const log_position last =
+    aLog.entries.empty()
+      ? aLog.base
+      : log_position{ aLog.entries.back().index, aLog.entries.back().term };
+  LogEvent(kLog,
+           log_level::eInfo,
+           "log_opened",
+           { { "identity", std::to_string(aLog.identity.value) },
+             { "voted_term", std::to_string(aLog.vote.term) },
+             { "last_index", std::to_string(last.index) },
+             { "last_term", std::to_string(last.term) },
+             { "commit", std::to_string(aLog.commit) },
+             { "torn_bytes", std::to_string(aLog.tornTailBytes) } });
+}
+
 void
 InstallSnapshot(control_tables& aTables,
                 const log_snapshot& aSnapshot,
@@ -303,6 +322,7 @@
   if (!log->disk) {
     return std::nullopt;
   }
+  LogOpened(recovered);
   aSettings.seed = NewIdentity().value;
   log->replica = StartReplica(
     std::move(aSettings), std::move(recovered), log->disk->Hooks(), aNow);
