--- a/tests/support/processes.cpp
+++ b/tests/support/processes.cpp
@@ -36,7 +36,8 @@
 Spawn(const std::string& aProgram,
       const std::vector<std::string>& aArguments,
       const std::string& aOutput,
-      const std::string& aErrors)
+      const std::string& aErrors,
+      std::vector<std::string> aEnvironment = {})
 {
   std::vector<std::string> arguments = { ProgramPath(aProgram) };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
@@ -46,6 +47,14 @@
     argv.push_back(argument.data());
   }
   argv.push_back(nullptr);
+  std::vector<char*> variables;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    variables.push_back(*variable);
+  }
+  for (std::string& variable : aEnvironment) {
+    variables.push_back(variable.data());
+  }
+  variables.push_back(nullptr);
   const int pid = ::fork();
   if (pid != 0) {
     return pid;
@@ -53,7 +62,7 @@
   const int flags = O_WRONLY | O_CREAT | O_APPEND;
   ::dup2(::open(aOutput.c_str(), flags, 0600), STDOUT_FILENO);
   ::dup2(::open(aErrors.c_str(), flags, 0600), STDERR_FILENO);
-  ::execv(argv[0], argv.data());
+  ::execve(argv[0], argv.data(), variables.data());
   ::_exit(127);
 }
 
@@ -131,11 +140,13 @@
 
 process::process(const std::string& aProgram,
                  const std::vector<std::string>& aArguments,
-                 const std::filesystem::path& aFolder)
+                 const std::filesystem::path& aFolder,
+                 const std::vector<std::string>& aEnvironment)
 {
   static int sCount = 0;
   mLog = aFolder / (aProgram + "-" + std::to_string(++sCount) + ".log");
-  mPid = Spawn(aProgram, aArguments, mLog.string(), mLog.string());
+  mPid =
+    Spawn(aProgram, aArguments, mLog.string(), mLog.string(), aEnvironment);
 }
 
 process::~process()
--- a/tests/support/processes.hpp
+++ b/tests/support/processes.hpp
@@ -32,7 +32,8 @@
 public:
   process(const std::string& aProgram,
           const std::vector<std::string>& aArguments,
-          const std::filesystem::path& aFolder);
+          const std::filesystem::path& aFolder,
+          const std::vector<std::string>& aEnvironment = {}); ///< NAME=VALUE
   ~process(); ///< kills the program if it still runs
   process(const process&) = delete;
   process& operator=(const process&) = delete;
