--- a/tests/process/exchanged_core_test.cpp
+++ b/tests/process/exchanged_core_test.cpp
@@ -18,10 +18,10 @@
   {
     for (const machine& host : running.hosts) {
       const int number = running.NumberAt(host);
-      INFO("host " << host.ip << " at " << number << " of "
-                   << running.LastNumber() << '\n'
-                   << (number < running.LastNumber() ? host.program->Log()
-                                                     : ""));
+      INFO(
+        "host " << host.ip << " at " << number << " of " << running.LastNumber()
+                << '\n'
+                << (number < running.LastNumber() ? host.program->Log() : ""));
       CHECK(number == running.LastNumber());
     }
   }
--- a/tests/process/lost_controls_test.cpp
+++ b/tests/process/lost_controls_test.cpp
@@ -79,8 +79,7 @@
       const bool isInTime =
         WaitUntil([&] { return IsInForce(host); },
                   std::chrono::duration_cast<milliseconds>(left));
-      INFO("host " << host.ip << '\n'
-                   << (isInTime ? "" : host.program->Log()));
+      INFO("host " << host.ip << '\n' << (isInTime ? "" : host.program->Log()));
       CHECK(isInTime);
     }
   }
--- a/tests/support/core_fleet.cpp
+++ b/tests/support/core_fleet.cpp
@@ -179,9 +179,8 @@
   for (machine& host : hosts) {
     stopped.emplace_back(&host, false);
   }
-  std::erase_if(stopped, [](const auto& aEach) {
-    return aEach.first->program != nullptr;
-  });
+  std::erase_if(
+    stopped, [](const auto& aEach) { return aEach.first->program != nullptr; });
   std::ranges::shuffle(stopped, aRandom);
   for (const auto& [each, isControl] : stopped) {
     isControl ? StartControl(*each) : StartHost(*each);
--- a/tests/support/core_fleet.hpp
+++ b/tests/support/core_fleet.hpp
@@ -42,8 +42,8 @@
   void StartControl(machine& aControl, bool aIsFirstStart = false);
   void StartHost(machine& aHost);
 
-  /// Kills all processes. Control processes keep only what they have synced, and
-  /// those of aDomain lose their disks.
+  /// Kills all processes. Control processes keep only what they have synced,
+  /// and those of aDomain lose their disks.
   void LosePower(const std::string& aDomain);
   /// Starts all that do not run, in an order drawn by aRandom.
   void StartAll(std::mt19937& aRandom);
