Let other processes join the log when a learner is gone

Callers saw an older configuration, or none, after a loss of power: the log had four voters instead of nine, two of them in one domain, and was lost with it.

Cause: a replacement ends when its learner has caught up. One whose machine is exchanged, or whose disk is lost, never does. Nothing else changes the members meanwhile, and the next leader went on with the same learner. Class: a row stays after what it stands for is gone, and is waited for.

Change: a learner that is silent, or whose process has another data folder, is removed, and its replacement ends.

Learner_WhoseProcessIsGone_GivesItsPlaceToAnother failed before: 3 voters in place of 5 after 15 s, the learner still a member.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -44,17 +44,6 @@
   return nullptr;
 }
 
-bool
-IsVoter(const log_tables& aLog, replica_id aIdentity)
-{
-  return std::any_of(aLog.replica.members.begin(),
-                     aLog.replica.members.end(),
-                     [&](const log_member& aMember) {
-                       return aMember.id == aIdentity &&
-                              aMember.kind == member_kind::eVoter;
-                     });
-}
-
 void
 Answer(control_outbox& aOutbox,
        const std::string& aPeer,
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -87,6 +87,7 @@
                        control_outbox& aOutbox);
 
 bool IsMember(const log_tables& aLog, replica_id aIdentity);
+bool IsVoter(const log_tables& aLog, replica_id aIdentity);
 
 /// Empty if the identity is not known.
 std::string NameOf(const log_tables& aLog, replica_id aIdentity);
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -95,6 +95,15 @@
     [&](const log_member& aMember) { return aMember.id == aIdentity; });
 }
 
+bool
+IsVoter(const log_tables& aLog, replica_id aIdentity)
+{
+  return std::ranges::any_of(
+    aLog.replica.members, [&](const log_member& aMember) {
+      return aMember.id == aIdentity && aMember.kind == member_kind::eVoter;
+    });
+}
+
 // Records which process runs on which data folder. For bootstrap only an answer
 // to a hello of this incarnation counts, as delayed ones may be outdated.
 void
--- a/src/control/voters.cpp
+++ b/src/control/voters.cpp
@@ -93,10 +93,43 @@
   });
 }
 
+// A learner whose process is lost, or has lost its data folder, never catches
+// up.
+bool
+IsGone(const control_tables& aTables,
+       const log_member& aLearner,
+       steady_time aNow)
+{
+  const known_replica* known =
+    aTables.replicated->known.Find(IdOf<replica_id>(aLearner.name));
+  const bool hasNewFolder =
+    known != nullptr && known->identity && known->identity != aLearner.id;
+  return hasNewFolder || IsSilent(aTables, aLearner, aNow);
+}
+
+// Nothing else changes the members meanwhile, so that a replacement which
+// cannot end would keep all other processes out of the log.
+bool
+IsReplacing(control_tables& aTables, steady_time aNow)
+{
+  replica_tables& replica = aTables.replicated->replica;
+  if (!replica.replacement) {
+    return false;
+  }
+  const log_member& joining = replica.replacement->newMember;
+  if (IsVoter(*aTables.replicated, joining.id) ||
+      !IsGone(aTables, joining, aNow)) {
+    return true;
+  }
+  LogWarning(kLog, "{} is gone and does not join", joining.name);
+  CancelReplacement(replica);
+  return false;
+}
+
 // A replacement ends with its leader, also after its learner was added. The
 // next leader goes on with it while a member is silent or the voters are even
 // in number. Otherwise the learner leaves and waits to join like any other
-// process.
+// process, as does one that is gone.
 bool
 SettleLearner(control_tables& aTables, steady_time aNow)
 {
@@ -118,14 +151,15 @@
   const bool isEven =
     (members.size() - std::ranges::count_if(members, isLearner)) % 2 == 0;
   last_reason reason;
+  const bool goesOn =
+    (silent != members.end() || isEven) && !IsGone(aTables, learner, aNow);
   const bool isSettled =
-    silent != members.end() || isEven
-      ? ReplaceMember(replica,
-                      silent != members.end() ? silent->id : replica_id{},
-                      learner,
-                      reason)
-          .has_value()
-      : RemoveMember(replica, learner.id, aNow, reason).has_value();
+    goesOn ? ReplaceMember(replica,
+                           silent != members.end() ? silent->id : replica_id{},
+                           learner,
+                           reason)
+               .has_value()
+           : RemoveMember(replica, learner.id, aNow, reason).has_value();
   if (!isSettled) {
     LogWarning(kLog, "{} stays a learner: {}", learner.name, Describe(reason));
   }
@@ -289,9 +323,8 @@
 {
   log_tables& log = *aTables.replicated;
   const replica_tables& replica = log.replica;
-  const bool isBusy =
-    replica.replacement || replica.membersIndex > replica.commit;
-  if (isBusy || !IsLeaseHeld(replica, aNow) || SettleLearner(aTables, aNow)) {
+  if (replica.membersIndex > replica.commit || !IsLeaseHeld(replica, aNow) ||
+      IsReplacing(aTables, aNow) || SettleLearner(aTables, aNow)) {
     return;
   }
   const auto change = ChooseChange(aTables, aNow);
--- a/src/replication/membership.cpp
+++ b/src/replication/membership.cpp
@@ -253,6 +253,12 @@
   return stored{};
 }
 
+void
+CancelReplacement(replica_tables& aTables)
+{
+  aTables.replacement.reset();
+}
+
 // The new member becomes a voter before the old one is removed, so that the
 // number of voters never decreases.
 void
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -492,6 +492,9 @@
                                     log_member aNewMember,
                                     last_reason& aReason);
 
+/// Ends a replacement where it is. A learner that it has added stays.
+void CancelReplacement(replica_tables& aTables);
+
 /// Transfers leadership to the reachable voter with the longest log, for a
 /// graceful stop. The leader refuses proposals meanwhile.
 std::optional<replica_id> HandOver(replica_tables& aTables,
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -235,6 +235,42 @@
         5);
 }
 
+// Guards against a log that is never joined again: the learner's machine was
+// exchanged, and its replacement waited for it without end.
+TEST_CASE_METHOD(voters_fixture,
+                 "Learner_WhoseProcessIsGone_GivesItsPlaceToAnother",
+                 "[control]")
+{
+  const auto findLearner = [&]() -> process* {
+    const auto leader = Leader();
+    if (!leader) {
+      return nullptr;
+    }
+    for (const log_member& member :
+         processes[*leader].tables->replicated->replica.members) {
+      if (member.kind == member_kind::eLearner) {
+        return Named(member.name);
+      }
+    }
+    return nullptr;
+  };
+  for (int i = 0; i < 1'000 && findLearner() == nullptr; ++i) {
+    Run(milliseconds{ 10 });
+  }
+  process* learner = findLearner();
+  REQUIRE(learner != nullptr);
+  learner->tables.reset();
+  Run(milliseconds{ 15'000 });
+  REQUIRE(Leader());
+  const membership& members =
+    processes[*Leader()].tables->replicated->replica.members;
+  CHECK(members.size() == 5);
+  CHECK(std::ranges::count(members, member_kind::eVoter, &log_member::kind) ==
+        5);
+  CHECK(std::ranges::find(members, learner->name, &log_member::name) ==
+        members.end());
+}
+
 /// A seed in each of three failure domains, and four more processes in each,
 /// which join domain by domain.
 struct domain_voters_fixture : voters_fixture
