Answer a host whose clock stepped back between two starts

A host with a lower incarnation than a control process remembered was not answered by it for 30 s after the last report that it took, without a line. Incarnations come from the time of day, which may step ahead and back.

Change: another incarnation is another process, whichever is lower. Messages of a former process arrive under a generated identity once the host has reconnected, and are dropped by that.

Host_StartedAfterItsClockSteppedBack_GetsTheConfiguration failed before: no update answered the report. Elsewhere: gossip, demand and updates compare for equality already; renewals of shares refuse a lower incarnation until the lease of the former process ends, which is what the lease is for.

--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -28,9 +28,6 @@
     row.name = aInput.peer;
     host = &aTables.hosts.Insert(row);
   }
-  if (aInput.message.incarnation < host->incarnation) {
-    return; // delayed message of an earlier incarnation
-  }
   HandleConfirmation(*host, aInput.message.incarnation, aReport);
   host->domain = aReport.domain;
   host->httpAddress = aReport.httpAddress;
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -195,7 +195,7 @@
                    std::uint64_t aIncarnation,
                    const wire::host_report& aReport)
 {
-  if (aIncarnation > aHost.incarnation) {
+  if (aIncarnation != aHost.incarnation) {
     aHost.incarnation = aIncarnation;
     SendAllAgain(aHost);
   } else if (aReport.missesUpdates) {
