Drop control processes that are gone for good

Rows of exchanged control processes stayed in hosts and control processes, each with a link that tries to connect twice a second, and the hosts that had reported to them went on counting for the limits (class: a row stays after what it stands for is gone).

Change: a control process drops one that is neither a seed nor a member and was not seen for two hours, while it knows a leader; regions may lose each other for an hour, and hosts beyond the cut have to count. It lists only those that it has seen itself, so that none is learnt again and again. A host drops one that no control process has listed for 30 s.

Process_ThatIsGoneForGood_IsDroppedAndOthersStay and Control_ThatNoProcessListsAnyMore_IsDropped; the rows did not leave before, so there was nothing that could have been checked with the old interface.

--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -465,7 +465,8 @@
   }
   SendHellos(aTables, aNow, aOutbox);
   if (log.hasDynamicMembers) {
-    ConnectMembers(aTables, aOutbox);
+    ConnectMembers(aTables, aNow, aOutbox);
+    DropLostPeers(aTables, aNow, aOutbox);
     RunVoters(aTables, aNow);
   }
   replica_outbox outbox;
--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -84,6 +84,7 @@
 known_replica& AddPeer(control_tables& aTables,
                        const std::string& aName,
                        const std::string& aAddress,
+                       steady_time aNow,
                        control_outbox& aOutbox);
 
 bool IsMember(const log_tables& aLog, replica_id aIdentity);
@@ -104,7 +105,13 @@
                 control_outbox& aOutbox);
 
 /// With dynamic members: connects to all members.
-void ConnectMembers(control_tables& aTables, control_outbox& aOutbox);
+void ConnectMembers(control_tables& aTables,
+                    steady_time aNow,
+                    control_outbox& aOutbox);
+/// With dynamic members: drops control processes that are gone for good.
+void DropLostPeers(control_tables& aTables,
+                   steady_time aNow,
+                   control_outbox& aOutbox);
 /// With dynamic members, on the leader: replaces members that are lost, and
 /// adds others.
 void RunVoters(control_tables& aTables, steady_time aNow);
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -1,14 +1,20 @@
 /// Discovery of control processes, and of who runs on which data folder.
 
 #include "control/tables.hpp"
+#include "observe/observe.hpp"
 
 #include <algorithm>
 
 namespace bulrush::control {
 namespace {
 
+constexpr log_component kLog{ "log" };
+
 constexpr std::chrono::milliseconds kHelloInterval{ 200 };
 constexpr std::chrono::milliseconds kToldLeaderMaxAge{ 2 * kHelloInterval };
+/// A control process that was not seen for this long is gone. Regions may lose
+/// each other for an hour, and hosts that report beyond the cut have to count.
+constexpr std::chrono::hours kPeerLifetime{ 2 };
 
 wire::replica_hello
 HelloOf(const control_tables& aTables)
@@ -21,7 +27,9 @@
   hello.nonce = aTables.self.incarnation;
   hello.address = aTables.self.linkAddress;
   for (const control_row& control : aTables.controls) {
-    hello.controls.push_back({ control.name, control.address });
+    if (IsListed(aTables, control)) {
+      hello.controls.push_back({ control.name, control.address });
+    }
   }
   return hello;
 }
@@ -29,11 +37,12 @@
 void
 AddPeers(control_tables& aTables,
          const wire::replica_hello& aHello,
+         steady_time aNow,
          control_outbox& aOutbox)
 {
   for (const wire::control_address& other : aHello.controls) {
     if (other.name != aTables.self.name) {
-      AddPeer(aTables, other.name, other.address, aOutbox);
+      AddPeer(aTables, other.name, other.address, aNow, aOutbox);
     }
   }
 }
@@ -64,6 +73,7 @@
 AddPeer(control_tables& aTables,
         const std::string& aName,
         const std::string& aAddress,
+        steady_time aNow,
         control_outbox& aOutbox)
 {
   const auto id = IdOf<replica_id>(aName);
@@ -72,6 +82,7 @@
     row.id = id;
     row.name = aName;
     row.address = aAddress;
+    row.knownSince = aNow;
     aTables.controls.Insert(std::move(row));
     aOutbox.links.push_back({ aName, aAddress });
   }
@@ -119,8 +130,8 @@
     return;
   }
   if (log.hasDynamicMembers) {
-    AddPeer(aTables, name, aHello.address, aOutbox);
-    AddPeers(aTables, aHello, aOutbox);
+    AddPeer(aTables, name, aHello.address, aNow, aOutbox);
+    AddPeers(aTables, aHello, aNow, aOutbox);
   }
   known_replica* known = log.known.Find(IdOf<replica_id>(name));
   if (known == nullptr) {
@@ -171,15 +182,55 @@
 // Connects to every member recorded in the log, also to those that the settings
 // do not list.
 void
-ConnectMembers(control_tables& aTables, control_outbox& aOutbox)
+ConnectMembers(control_tables& aTables,
+               steady_time aNow,
+               control_outbox& aOutbox)
 {
   for (const log_member& member : aTables.replicated->replica.members) {
     const bool isSelf = member.name == aTables.self.name;
     if (!isSelf &&
         aTables.controls.Find(IdOf<replica_id>(member.name)) == nullptr) {
-      AddPeer(aTables, member.name, member.name, aOutbox);
+      AddPeer(aTables, member.name, member.name, aNow, aOutbox);
     }
   }
 }
 
+// Whom this process has not seen itself is not passed on: each would learn it
+// from the others again and again.
+bool
+IsListed(const control_tables& aTables, const control_row& aControl)
+{
+  const bool isFound =
+    aTables.replicated && aTables.replicated->hasDynamicMembers;
+  return !isFound || aControl.lastSeen != steady_time{};
+}
+
+// A process that is cut off keeps its rows, without which it would find nobody.
+void
+DropLostPeers(control_tables& aTables,
+              steady_time aNow,
+              control_outbox& aOutbox)
+{
+  log_tables& log = *aTables.replicated;
+  if (aTables.log.leaderName().empty()) {
+    return;
+  }
+  aTables.controls.EraseIf([&](const control_row& aRow) {
+    const known_replica* known = log.known.Find(aRow.id);
+    const bool isNeeded =
+      (known != nullptr && known->isConfigured) ||
+      std::ranges::find(log.replica.members, aRow.name, &log_member::name) !=
+        log.replica.members.end();
+    const steady_time lastSeen = std::max(aRow.lastSeen, aRow.knownSince);
+    if (isNeeded || aNow < lastSeen + kPeerLifetime) {
+      return false;
+    }
+    LogEvent(
+      kLog, log_level::eInfo, "control_dropped", { { "control", aRow.name } });
+    log.known.Erase(aRow.id);
+    aOutbox.lostLinks.push_back(aRow.name);
+    return true;
+  });
+}
+
 } // namespace bulrush::control
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -462,6 +462,9 @@
       mContext.stop();
       return {};
     }
+    for (const std::string& name : outbox.lostLinks) {
+      mLinks.erase(name);
+    }
     for (const wire::control_address& peer : outbox.links) {
       last_reason reason;
       if (!Link(peer, reason)) {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -47,7 +47,8 @@
   std::vector<host_id> reporting; ///< hosts that report to it
   std::uint64_t incarnation = 0;  ///< of its latest gossip; zero before one
   bool isExpendable = false;      ///< may be lost at any time
-  steady_time lastSeen{};
+  steady_time knownSince{};
+  steady_time lastSeen{}; ///< zero: never
 };
 
 /// A withdrawn key whose withdrawal is not yet committed to the log.
@@ -346,6 +347,7 @@
   std::vector<std::pair<endpoint_id, engine_order>> engineOrders;
   std::vector<std::pair<endpoint_id, engine_query>> stateQueries;
   std::vector<wire::control_address> links; ///< control processes to connect to
+  std::vector<std::string> lostLinks;       ///< names of those that are gone
   wake_time wake;
   std::optional<last_reason> fatal; ///< the process must exit
 };
@@ -492,6 +494,9 @@
                         std::uint64_t aIncarnation,
                         const wire::host_report& aReport);
 
+/// Whether other processes are told of a control process.
+bool IsListed(const control_tables& aTables, const control_row& aControl);
+
 /// Drops the recent commands that no update would carry.
 void DropOldCommands(control_tables& aTables);
 
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -165,7 +165,9 @@
 {
   aUpdate.controls.push_back({ aTables.self.name, aTables.self.linkAddress });
   for (const control_row& control : aTables.controls) {
-    aUpdate.controls.push_back({ control.name, control.address });
+    if (IsListed(aTables, control)) {
+      aUpdate.controls.push_back({ control.name, control.address });
+    }
   }
   aUpdate.leader = aLeader;
 }
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -10,6 +10,9 @@
 constexpr log_component kLog{ "entry" };
 /// Delay before reporting to another control process when one lags behind.
 constexpr std::chrono::milliseconds kLaggingReportDelay{ 250 };
+/// A control process that has been listed by none for this long is gone. One
+/// that has just started learns of all others within seconds.
+constexpr std::chrono::seconds kUnlistedLifetime{ 30 };
 /// Far longer than a report is under way.
 constexpr std::chrono::minutes kRemovalLifetime{ 10 };
 
@@ -181,17 +184,36 @@
   }
 }
 
-// The set of control processes changes; each update lists the current ones.
+// The set of control processes changes; each update lists those that its sender
+// knows. A sender that has just started may not know all of them yet.
 void
 UpdateControls(entry_tables& aTables,
                const wire::host_update& aUpdate,
+               steady_time aNow,
                entry_outbox& aOutbox)
 {
   for (const wire::control_address& control : aUpdate.controls) {
-    if (aTables.controls.Find(IdOf<replica_id>(control.name)) == nullptr) {
+    control_row* known = aTables.controls.Find(IdOf<replica_id>(control.name));
+    if (known == nullptr) {
       aOutbox.links.push_back(control);
+    } else {
+      known->listedAt = aNow;
     }
   }
+  if (!aUpdate.isCaughtUp) {
+    return;
+  }
+  aTables.controls.EraseIf([&](const control_row& aRow) {
+    if (!aRow.isFound || aNow < aRow.listedAt + kUnlistedLifetime) {
+      return false;
+    }
+    LogEvent(kLog,
+             log_level::eInfo,
+             "control_dropped",
+             { { "control", aRow.address } });
+    aOutbox.lostLinks.push_back(aRow.address);
+    return true;
+  });
 }
 
 // What comes from control is not reported to it again.
@@ -221,7 +243,7 @@
 {
   MergeFromControl(aTables, aUpdate.evidence, aNow, aOutbox);
   aTables.latestUpdate = { aSender, aUpdate.revision, aUpdate.isCaughtUp };
-  UpdateControls(aTables, aUpdate, aOutbox);
+  UpdateControls(aTables, aUpdate, aNow, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -53,7 +53,9 @@
 
   void SetLinkKeys(net::link_keys aKeys) { mLinkKeys = std::move(aKeys); }
 
-  bool Connect(const wire::control_address& aControl, last_reason& aReason)
+  bool Connect(const wire::control_address& aControl,
+               bool aIsFound,
+               last_reason& aReason)
   {
     if (mLinks.contains(aControl.address)) {
       return true;
@@ -62,6 +64,8 @@
     row.id = IdOf<replica_id>(aControl.name);
     row.address = aControl.address;
     row.preference = mTables.controls.Size();
+    row.isFound = aIsFound;
+    row.listedAt = net::Now();
     auto link = net::ConnectLink(
       mContext,
       row.address,
@@ -156,9 +160,12 @@
   {
     entry_outbox outbox;
     RunEntryControl(mTables, aNow, outbox);
+    for (const std::string& address : outbox.lostLinks) {
+      mLinks.erase(address);
+    }
     for (const wire::control_address& control : outbox.links) {
       last_reason reason;
-      if (!Connect(control, reason)) {
+      if (!Connect(control, true, reason)) {
         LogWarning(kLog,
                    "Cannot connect to control process {} at {}: {}",
                    control.name,
@@ -267,7 +274,7 @@
       return false;
     }
     for (const wire::control_address& control : *controls) {
-      if (!mControl.Connect(control, aReason)) {
+      if (!mControl.Connect(control, false, aReason)) {
         return false;
       }
     }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -45,6 +45,8 @@
   replica_id id;
   std::string address;
   std::size_t preference = 0;
+  bool isFound = false;   ///< listed by control processes, not configured
+  steady_time listedAt{}; ///< by a control process, last
   steady_time lastSeen{};
   bool isCaughtUp = true; ///< in its latest update; else it may be stale
   std::uint64_t incarnation = 0;
@@ -164,6 +166,7 @@
 struct entry_outbox
 {
   std::vector<wire::control_address> links; ///< control processes to connect
+  std::vector<std::string> lostLinks; ///< addresses of those that are gone
   std::vector<outgoing> messages;
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
   std::optional<traffic_view> view;            ///< to be published
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -271,6 +271,29 @@
         members.end());
 }
 
+// Guards against rows, links and counted hosts of control processes that were
+// exchanged long ago.
+TEST_CASE_METHOD(voters_fixture,
+                 "Process_ThatIsGoneForGood_IsDroppedAndOthersStay",
+                 "[control]")
+{
+  Run(milliseconds{ 10'000 });
+  const std::string gone = processes.back().name;
+  processes.back().tables.reset();
+  Run(milliseconds{ 5'000 });
+  now += std::chrono::hours{ 2 };
+  Run(milliseconds{ 5'000 });
+  for (const process& each : processes) {
+    for (const process& other : processes) {
+      const bool isKnown =
+        each.tables &&
+        each.tables->controls.Find(IdOf<replica_id>(other.name)) != nullptr;
+      INFO(each.name << " and " << other.name);
+      CHECK(isKnown == (each.tables && other.tables && &each != &other));
+    }
+  }
+}
+
 /// A seed in each of three failure domains, and four more processes in each,
 /// which join domain by domain.
 struct domain_voters_fixture : voters_fixture
--- a/tests/entry/control_choice_test.cpp
+++ b/tests/entry/control_choice_test.cpp
@@ -124,5 +124,36 @@
   CHECK(tried.size() == kControls);
 }
 
+// Guards against rows and links of control processes that were exchanged.
+TEST_CASE_METHOD(control_choice_fixture,
+                 "Control_ThatNoProcessListsAnyMore_IsDropped",
+                 "[entry]")
+{
+  entry_tables tables = HostNamed("host", now);
+  for (control_row& control : tables.controls) {
+    control.isFound = true;
+    control.listedAt = now;
+  }
+  const std::string sender = tables.controls.begin()->address;
+  const std::string gone = (tables.controls.end() - 1)->address;
+  entry_outbox out;
+  for (int i = 0; i < 2; ++i) {
+    wire::host_update update;
+    update.isCaughtUp = true;
+    update.leader = sender;
+    for (const control_row& control : tables.controls) {
+      if (control.address != gone) {
+        update.controls.push_back({ control.address, control.address });
+      }
+    }
+    tables.inbox.push_back({ sender, 1, std::move(update) });
+    RunEntryControl(tables, now, out);
+    CHECK(out.lostLinks.size() == static_cast<std::size_t>(i));
+    now += std::chrono::seconds{ 30 };
+  }
+  CHECK(tables.controls.Size() == kControls - 1);
+  CHECK(out.lostLinks == std::vector{ gone });
+}
+
 } // namespace
 } // namespace bulrush::entry
