Report twice a second, so that a lost control process is noticed sooner

With fifteen control processes hosts have to follow a change within two seconds also while some of them are lost, and six of the fifteen are no members of the log, so that the search for another one may take several tries.

--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -10,7 +10,8 @@
 
 constexpr log_component kLog{ "entry" };
 
-constexpr std::chrono::milliseconds kReportInterval{ 1'000 };
+/// A control process that is lost is noticed after this and kReportTimeout.
+constexpr std::chrono::milliseconds kReportInterval{ 500 };
 constexpr std::chrono::milliseconds kControlTimeout{ 1'500 };
 /// An answer to a report takes a few milliseconds. Without one for this long,
 /// another control process gets the next report at once.
