--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -252,7 +252,7 @@
   BootstrapLog(log.replica, std::move(members), reason);
 }
 
-// After a loss of power: what the disk has kept.
+// Tells a log that lost entries with the power from a process that lags behind.
 void
 LogOpened(const recovered_log& aLog)
 {
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -195,8 +195,8 @@
   }
 }
 
-// Whom this process has not seen itself is not passed on: each would learn it
-// from the others again and again.
+// A process that was not seen here is not passed on: after it is gone, each
+// would learn it from the others again and again.
 bool
 IsListed(const control_tables& aTables, const control_row& aControl)
 {
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -494,7 +494,7 @@
                         std::uint64_t aIncarnation,
                         const wire::host_report& aReport);
 
-/// Whether other processes are told of a control process.
+/// Whether a control process is named to hosts and other control processes.
 bool IsListed(const control_tables& aTables, const control_row& aControl);
 
 /// Drops the recent commands that no update would carry.
--- a/tests/process/lost_controls_test.cpp
+++ b/tests/process/lost_controls_test.cpp
@@ -22,8 +22,8 @@
 {
   core_fleet running{ { "north", "south", "west" }, 5, 8 };
 
-  /// Control processes of the failure domains aDomain and after it, in turn,
-  /// that the leader is not in.
+  /// All control processes of the first failure domain from aDomain on that the
+  /// leader is not in.
   std::vector<const machine*> DomainWithoutLeader(std::size_t aDomain) const
   {
     const std::string leader = running.LeaderIp(running.controls.front());
--- a/tests/process/lost_power_test.cpp
+++ b/tests/process/lost_power_test.cpp
@@ -24,7 +24,6 @@
   const unsigned seed = std::random_device{}();
   std::mt19937 random{ seed };
 
-  // One after another, as the newest three are the seeds of those that follow.
   void ExchangeControls()
   {
     for (std::size_t i = 0; i < kExchanges; ++i) {
--- a/tests/support/durable_disk_hook.cpp
+++ b/tests/support/durable_disk_hook.cpp
@@ -1,7 +1,7 @@
 /// Preloaded into a program under test. Records what its syncs have made
-/// durable, so that durable_disk can take away the rest, as a loss of power
-/// does. Files become durable with their own sync, with the name that they have
-/// then; renamed and removed names and new folders with that of their folder.
+/// durable, so that LosePower can take away the rest. Files become durable with
+/// their own sync, with the name that they have then; renamed and removed names
+/// and new folders with that of their folder.
 
 #include "support/durable_disk.hpp"
 
