--- a/tests/support/durable_disk.hpp
+++ b/tests/support/durable_disk.hpp
@@ -72,11 +72,11 @@
            const std::string& aInode,
            const durable_names& aNames)
 {
-  std::string text;
+  std::ostringstream text;
   for (const auto& [name, inode] : aNames) {
-    text += name + ' ' + inode + '\n';
+    text << name << ' ' << inode << '\n';
   }
-  WriteBytes(NamesRecord(aRecord, aInode), text);
+  WriteBytes(NamesRecord(aRecord, aInode), text.str());
 }
 
 inline void
--- a/tests/support/durable_disk_hook.cpp
+++ b/tests/support/durable_disk_hook.cpp
@@ -40,9 +40,9 @@
 fsync(int aFile)
 {
   using sync_function = int (*)(int);
-  static const auto sNext =
+  static const auto kNext =
     reinterpret_cast<sync_function>(::dlsym(RTLD_NEXT, "fsync"));
-  const int result = sNext(aFile);
+  const int result = kNext(aFile);
   if (result == 0) {
     Record(aFile);
   }
