--- a/src/control/voters.cpp
+++ b/src/control/voters.cpp
@@ -109,21 +109,19 @@
 
 // Nothing else changes the members meanwhile, so that a replacement which
 // cannot end would keep all other processes out of the log.
-bool
-IsReplacing(control_tables& aTables, steady_time aNow)
+void
+CancelIfGone(control_tables& aTables, steady_time aNow)
 {
   replica_tables& replica = aTables.replicated->replica;
   if (!replica.replacement) {
-    return false;
+    return;
   }
   const log_member& joining = replica.replacement->newMember;
-  if (IsVoter(*aTables.replicated, joining.id) ||
-      !IsGone(aTables, joining, aNow)) {
-    return true;
+  if (!IsVoter(*aTables.replicated, joining.id) &&
+      IsGone(aTables, joining, aNow)) {
+    LogWarning(kLog, "{} is gone and does not join", joining.name);
+    CancelReplacement(replica);
   }
-  LogWarning(kLog, "{} is gone and does not join", joining.name);
-  CancelReplacement(replica);
-  return false;
 }
 
 // A replacement ends with its leader, also after its learner was added. The
@@ -323,8 +321,11 @@
 {
   log_tables& log = *aTables.replicated;
   const replica_tables& replica = log.replica;
-  if (replica.membersIndex > replica.commit || !IsLeaseHeld(replica, aNow) ||
-      IsReplacing(aTables, aNow) || SettleLearner(aTables, aNow)) {
+  if (replica.membersIndex > replica.commit || !IsLeaseHeld(replica, aNow)) {
+    return;
+  }
+  CancelIfGone(aTables, aNow);
+  if (replica.replacement || SettleLearner(aTables, aNow)) {
     return;
   }
   const auto change = ChooseChange(aTables, aNow);
