Log what operators' calls were answered, and who gave a host its configuration

A host's configuration line did not say whether the control process that sent it knew the newest one, and an acknowledgement left no line at the process that gave it. confirmed_age_ms was the age of the machine where a configuration had never been confirmed; it is empty then.

--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -71,6 +71,9 @@
 /// Hooks through which the other systems use the log.
 log_hooks MakeReplicatedLog(log_tables& aLog);
 
+/// The log of a single process without a data folder.
+log_hooks MakeLocalLog(control_tables& aTables);
+
 /// Handles messages of the log; false for all others.
 bool HandleLogMessage(control_tables& aTables,
                       const received_message& aInput,
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -30,38 +30,18 @@
 /// Seconds, in which calls that were complete have been answered.
 constexpr const char* kRetryAfterNoMemory = "1";
 
-// Log of a single process without a data folder: proposals commit at once.
-log_hooks
-MakeLocalLog(control_tables& aTables)
+const char*
+NameOf(answer_kind aKind)
 {
-  log_hooks hooks;
-  hooks.propose = [&aTables, last = std::uint64_t{ 0 }](
-                    std::string aPayload,
-                    last_reason&) mutable -> std::optional<position_id> {
-    const position_id position{ ++last };
-    aTables.committed.push_back({ position, std::move(aPayload), false });
-    return position;
-  };
-  hooks.isLeader = [](steady_time) { return true; };
-  hooks.leaderTerm = [&aTables](steady_time) -> std::optional<leader_term> {
-    if (!aTables.controls.Empty()) {
-      return std::nullopt; // without a common log none of them may lead
-    }
-    // A restarted process does not know the orders that it sent before. A term
-    // from its start time rises with each start, so that engines and placement
-    // see it as a new leader.
-    constexpr std::uint64_t kNanosecondsInSecond = 1'000'000'000;
-    leader_term leaderTerm;
-    leaderTerm.term = static_cast<std::uint32_t>(aTables.self.incarnation /
-                                                 kNanosecondsInSecond);
-    leaderTerm.holdsLease = true;
-    return leaderTerm;
-  };
-  hooks.isCaughtUp = [](steady_time) { return true; };
-  hooks.confirmedAt = [](steady_time aNow) { return aNow; };
-  hooks.leaderName = [&aTables] { return aTables.self.name; };
-  hooks.term = [] { return std::uint64_t{ 1 }; };
-  return hooks;
+  switch (aKind) {
+    case answer_kind::eDone:
+      return "done";
+    case answer_kind::eInvalid:
+      return "invalid";
+    case answer_kind::eUnknown:
+      break;
+  }
+  return "unknown";
 }
 
 // Answers a call that did not arrive in full.
@@ -350,7 +330,8 @@
         *aReply, aRequest, { answer_kind::eInvalid, Describe(reason) });
       return;
     }
-    if (!std::holds_alternative<register_endpoint>(*call)) {
+    const bool isLogged = !std::holds_alternative<register_endpoint>(*call);
+    if (isLogged) {
       LogEvent(kLog,
                log_level::eInfo,
                "call",
@@ -362,15 +343,25 @@
     mTables.httpInbox.push_back({ id, std::move(*call) });
     aRequest.body.clear();
     mHttpReplies.emplace(
-      id, waiting_reply{ std::move(aRequest), std::move(aReply) });
+      id, waiting_reply{ std::move(aRequest), std::move(aReply), isLogged });
     mTimer.RunSoon();
   }
 
   void AnswerHttp(const answered_call& aAnswer)
   {
     const auto found = mHttpReplies.find(aAnswer.id);
-    mFrontEnd.sendAnswer(
-      *found->second.reply, found->second.request, aAnswer.answer);
+    const waiting_reply& waiting = found->second;
+    if (waiting.isLogged) {
+      LogEvent(kLog,
+               log_level::eInfo,
+               "call_answered",
+               { { "caller", waiting.request.peer },
+                 { "path", waiting.request.path },
+                 { "outcome", NameOf(aAnswer.answer.kind) },
+                 { "revision", std::to_string(mTables.fleet.revision) },
+                 { "number", std::to_string(mTables.fleet.declared.number) } });
+    }
+    mFrontEnd.sendAnswer(*waiting.reply, waiting.request, aAnswer.answer);
     mHttpReplies.erase(found);
   }
 
@@ -541,6 +532,7 @@
   {
     net::http_request request;
     std::shared_ptr<net::http_reply> reply;
+    bool isLogged = false;
   };
 
   asio::io_context& mContext;
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -72,7 +72,10 @@
              "configuration",
              { { "revision", std::to_string(aTables.fleet->revision) },
                { "number", std::to_string(aTables.fleet->declared.number) },
-               { "newest", std::to_string(aTables.newestRevision) } });
+               { "newest", std::to_string(aTables.newestRevision) },
+               { "control", aTables.latestUpdate.sender },
+               { "control_caught_up",
+                 aTables.latestUpdate.isCaughtUp ? "yes" : "no" } });
   }
   if (aTables.hasNewEndpoints) {
     view.endpoints = std::make_shared<const std::vector<endpoint_row>>(
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -39,6 +39,12 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
 }
 
+std::string
+AgeOrNever(steady_time aNow, steady_time aSince)
+{
+  return aSince == steady_time{} ? "" : Milliseconds(aNow - aSince);
+}
+
 void
 LogAttempt(const routing::tables& aEngine,
            const routing::start_attempt& aStart,
@@ -75,7 +81,7 @@
       { "number", std::to_string(aView.fleet->declared.number) },
       { "confirmed_by", aView.confirmedBy },
       { "confirmed_age_ms",
-        Milliseconds(attempt.startedAt - aView.confirmedAt) } });
+        AgeOrNever(attempt.startedAt, aView.confirmedAt) } });
 }
 
 void
--- a/src/entry/request_log.hpp
+++ b/src/entry/request_log.hpp
@@ -10,6 +10,8 @@
 
 /// Whole milliseconds, as log lines have them.
 std::string Milliseconds(std::chrono::nanoseconds aTime);
+/// Milliseconds since aSince; empty if that is not set.
+std::string AgeOrNever(steady_time aNow, steady_time aSince);
 
 /// aEngine holds the rows of the attempt and its endpoint.
 void LogAttempt(const routing::tables& aEngine,
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -458,7 +458,7 @@
                { "status", std::to_string(aError.status) },
                { "revision", std::to_string(fleet.revision) },
                { "number", std::to_string(fleet.declared.number) },
-               { "confirmed_age_ms", Milliseconds(Now() - mView.confirmedAt) },
+               { "confirmed_age_ms", AgeOrNever(Now(), mView.confirmedAt) },
                { "keys", std::to_string(fleet.keys.Size()) },
                { "routes", std::to_string(fleet.declared.routes.Size()) } });
   }
