Show hosts that serve an older configuration after a loss of power of all

Real processes, fifteen control processes and eight hosts: a configuration that moves a route is acknowledged, all lose power at once and one failure domain its disks. Requests that are sent to all hosts all the time show by which configuration each handles them.

--- a/tests/support/core_fleet.cpp
+++ b/tests/support/core_fleet.cpp
@@ -190,7 +190,7 @@
 void
 core_fleet::Configure(const std::vector<const machine*>& aControls)
 {
-  const std::string configuration = EmptyConfiguration(++mLastNumber);
+  const std::string text = configuration(++mLastNumber);
   std::size_t next = 0;
   const bool isAcknowledged = WaitUntil([&] {
     const machine& control = *aControls[next++ % aControls.size()];
@@ -198,12 +198,13 @@
                            "http://" + At(control, mHttpPort) +
                              "/Config.Replace",
                            { "Content-Type: application/json" },
-                           configuration)
+                           text)
              .status == 200;
   });
   if (!isAcknowledged) {
     throw std::runtime_error("no control process acknowledged configuration " +
-                             std::to_string(mLastNumber));
+                             std::to_string(mLastNumber) + '\n' +
+                             ControlLogs());
   }
 }
 
@@ -242,6 +243,39 @@
   return line == std::string::npos ? 0 : std::atoi(page.c_str() + value);
 }
 
+std::vector<std::string>
+core_fleet::ControlAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const machine& control : controls) {
+    addresses.push_back(At(control, mHttpPort));
+  }
+  return addresses;
+}
+
+std::vector<std::string>
+core_fleet::HostAddresses() const
+{
+  std::vector<std::string> addresses;
+  for (const machine& host : hosts) {
+    addresses.push_back(At(host, mListenPort));
+  }
+  return addresses;
+}
+
+std::string
+core_fleet::ControlLogs() const
+{
+  std::string logs;
+  for (const machine& control : controls) {
+    if (control.program) {
+      logs += control.ip + " of " + control.domain + '\n' +
+              control.program->Log() + '\n';
+    }
+  }
+  return logs;
+}
+
 std::string
 core_fleet::LeaderIp(const machine& aControl) const
 {
--- a/tests/support/core_fleet.hpp
+++ b/tests/support/core_fleet.hpp
@@ -60,11 +60,19 @@
   std::optional<int> ReadNumber(const machine& aControl) const;
   /// Number of the configuration in force at a host; zero: none.
   int NumberAt(const machine& aHost) const;
+  /// Logs of all running control processes since their latest start.
+  std::string ControlLogs() const;
   /// Of the control process that leads, as aControl logged it last.
   std::string LeaderIp(const machine& aControl) const;
 
+  /// Addresses for calls of servers and operators, and for callers.
+  std::vector<std::string> ControlAddresses() const;
+  std::vector<std::string> HostAddresses() const;
+
   std::vector<machine> controls; ///< the first of each domain come first
   std::vector<machine> hosts;
+  /// Text of the configuration with a number.
+  std::function<std::string(int aNumber)> configuration = EmptyConfiguration;
 
 private:
   std::string At(const machine& aMachine, std::uint16_t aPort) const;
