Let a host that has just started serve only by the newest configuration

Callers were served by a configuration that an acknowledged one had replaced, by hosts that had just started.

Cause: a host took the first configuration that it got. After a loss of power of all, the control processes have the last entries on their disks and do not know whether they were committed; until one of them leads they give the configuration before them. They said so (isCaughtUp), and the host used that only to choose whom to report to next.

Now a host refuses (503, not run) until an update of a control process that is caught up, and whose revision it has applied, has arrived once. If none comes within confirmation-wait (the platform's recoverS), it serves by what it has, so that a failure domain that is cut off goes on.

--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -48,6 +48,17 @@
   aTables.newestRevision = std::max(aTables.newestRevision, aUpdate.revision);
 }
 
+// After a loss of power of all machines, control processes do not know whether
+// the last entries of their logs were committed until one of them leads. What
+// they have applied meanwhile may be older than an acknowledged change.
+void
+UpdateMayServe(entry_tables& aTables, const wire::host_update& aUpdate)
+{
+  aTables.mayServe =
+    aTables.mayServe ||
+    (aUpdate.isCaughtUp && aTables.fleet->revision >= aUpdate.revision);
+}
+
 // Counts from when the report was sent that the update answers, since the
 // configuration may have changed after that.
 void
@@ -247,6 +258,7 @@
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate);
+  UpdateMayServe(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
   UpdateConfirmation(aTables, aSender, aUpdate);
   for (const endpoint_row& row : aUpdate.endpoints) {
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -37,6 +37,36 @@
              { "control_caught_up", latest.isCaughtUp ? "yes" : "no" } });
 }
 
+// A host whose control processes are cut off or lost serves what it can in the
+// end.
+void
+RunConfirmationWait(entry_tables& aTables,
+                    steady_time aNow,
+                    entry_outbox& aOutbox)
+{
+  if (aTables.mayServe || aTables.fleet->manifestRevision == 0) {
+    return;
+  }
+  if (!aTables.waitsSince) {
+    aTables.waitsSince = aNow;
+  }
+  const steady_time end = *aTables.waitsSince + aTables.confirmationWait;
+  if (aNow < end) {
+    aOutbox.wake.NoLaterThan(end);
+    return;
+  }
+  aTables.mayServe = true;
+  if (aTables.confirmationWait.count() > 0) {
+    LogEvent(kLog,
+             log_level::eWarning,
+             "configuration_not_confirmed",
+             { { "waited_ms", Milliseconds(aNow - *aTables.waitsSince) },
+               { "number", std::to_string(aTables.fleet->declared.number) },
+               { "revision", std::to_string(aTables.fleet->revision) },
+               { "control", aTables.latestUpdate.sender } });
+  }
+}
+
 // Endpoints as they reported themselves, with the leader's newer residents.
 std::vector<endpoint_row>
 EffectiveEndpoints(const entry_tables& aTables, steady_time aNow)
@@ -57,7 +87,9 @@
 RunPublish(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
 {
   traffic_view& view = aTables.published;
-  const bool isSame = !aTables.hasNewFleet && !aTables.hasNewEndpoints &&
+  const bool hasNewFleet = aTables.mayServe && view.fleet != aTables.fleet;
+  aTables.hasNewFleet = false;
+  const bool isSame = !hasNewFleet && !aTables.hasNewEndpoints &&
                       !aTables.hasNewTombstones &&
                       view.mayDenyUntil == aTables.mayDenyUntil &&
                       view.confirmedAt == aTables.confirmedAt &&
@@ -65,7 +97,7 @@
   if (isSame) {
     return;
   }
-  if (aTables.hasNewFleet) {
+  if (hasNewFleet) {
     view.fleet = aTables.fleet;
     LogEvent(kLog,
              log_level::eInfo,
@@ -94,15 +126,15 @@
   view.mayDenyUntil = aTables.mayDenyUntil;
   view.confirmedAt = aTables.confirmedAt;
   view.confirmedBy = aTables.confirmedBy;
-  aTables.hasNewFleet = false;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 9> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 10> kSystems{
   { { "ingest", RunIngest },
     { "configuration_age", RunConfigurationAge },
+    { "confirmation_wait", RunConfirmationWait },
     { "demand", RunDemand },
     { "draws", RunQuotaRequests },
     { "renewals", RunRenewals },
--- a/src/entry/options.hpp
+++ b/src/entry/options.hpp
@@ -92,6 +92,15 @@
     "",
     "Serve known keys also while no control process can be reached; a key that "
     "is withdrawn meanwhile stays valid until one can" },
+  { "confirmation-wait",
+    option_type::eDuration,
+    "",
+    "12s",
+    "0s",
+    "10min",
+    "Longest time after its start for which this host refuses requests while "
+    "no "
+    "control process knows that its configuration is the newest" },
   { "key-withdrawal-bound",
     option_type::eDuration,
     "",
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -38,6 +38,7 @@
     mTables.self.name = aOptions.Text("name");
     mTables.self.domain = aOptions.Text("domain");
     mTables.spreadsReports = aOptions.IsSet("seeds");
+    mTables.confirmationWait = aOptions.Duration("confirmation-wait");
     mTables.self.incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
     // No report has the number of one of an earlier process, whose answer may
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -38,7 +38,7 @@
 {
   return { 503,
            "no_configuration",
-           "this host has not been told the configuration yet",
+           "this host does not know the newest configuration yet",
            false,
            std::chrono::seconds(1) };
 }
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -144,6 +144,11 @@
   /// Its revision has not arrived here yet.
   std::optional<confirmation> unappliedConfirmation;
   bool isOutdated = false; ///< confirmedAt is too old; has been logged
+  /// After its start a host serves by no configuration that it does not know to
+  /// be the newest, for at most this time. Zero: it does not wait.
+  std::chrono::milliseconds confirmationWait{ 0 };
+  std::optional<steady_time> waitsSince; ///< has one that it does not serve by
+  bool mayServe = false;
   latest_update latestUpdate;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
--- a/tests/entry/configuration_test.cpp
+++ b/tests/entry/configuration_test.cpp
@@ -48,14 +48,14 @@
 
   /// Reports, and delivers the answer of a control process that has applied
   /// aNewest and of which the host has every command up to revision 1.
-  void Update(std::uint64_t aNewest)
+  void Update(std::uint64_t aNewest, bool aIsCaughtUp = true)
   {
     Tick();
     wire::host_update update;
     update.renewal = tables.lastReport;
     update.revision = aNewest;
     update.leader = "control";
-    update.isCaughtUp = true;
+    update.isCaughtUp = aIsCaughtUp;
     update.commands = { { 1, Manifest() } };
     wire::message message;
     message.sender = "control";
@@ -109,5 +109,61 @@
   CHECK(StatusFor("added later", "/a/1") == 503);
 }
 
+// Guards against hosts that start beside control processes without a leader and
+// serve by a configuration that another one has replaced.
+struct started_host_fixture : configuration_fixture
+{
+  static constexpr std::chrono::milliseconds kWait{ 12'000 };
+
+  started_host_fixture() { tables.confirmationWait = kWait; }
+};
+
+TEST_CASE_METHOD(started_host_fixture,
+                 "StartedHost_WithAnUnconfirmedConfiguration_ServesNothing",
+                 "[entry]")
+{
+  Update(1, false);
+  now += kWait - std::chrono::milliseconds{ 1 };
+  Tick();
+  CHECK(StatusFor("known", "/a/1") == 503);
+}
+
+TEST_CASE_METHOD(started_host_fixture,
+                 "StartedHost_ThatLacksARevision_ServesNothing",
+                 "[entry]")
+{
+  Update(2);
+  CHECK(StatusFor("known", "/a/1") == 503);
+}
+
+TEST_CASE_METHOD(started_host_fixture,
+                 "StartedHost_OnceItsConfigurationIsTheNewest_Serves",
+                 "[entry]")
+{
+  Update(1, false);
+  Update(1);
+  CHECK(StatusFor("known", "/a/1") == 0);
+}
+
+TEST_CASE_METHOD(started_host_fixture,
+                 "StartedHost_WithoutAConfirmationForTheWholeWait_Serves",
+                 "[entry]")
+{
+  Update(1, false);
+  now += kWait;
+  Tick();
+  CHECK(StatusFor("known", "/a/1") == 0);
+}
+
+TEST_CASE_METHOD(started_host_fixture,
+                 "Host_ThatServes_KeepsServingWithoutAConfirmation",
+                 "[entry]")
+{
+  Update(1);
+  now += kWait;
+  Update(2, false);
+  CHECK(StatusFor("known", "/a/1") == 0);
+}
+
 } // namespace
 } // namespace bulrush::entry
