Number calls apart from those of an earlier process

An operator could be told that a configuration is in force which no log holds, or be read back an older one.

Cause: the numbers of calls between processes began at one with each start. The leader's reply to a call of a process that has ended, delivered to its successor of the same name, passed for the reply to another call. Hosts numbered their commands alike, so that a claim of a request could be taken for granted.

The number now holds a hash of the start's incarnation, at hosts it counts from it. Not seen in a run of processes.

--- a/src/control/http_calls.cpp
+++ b/src/control/http_calls.cpp
@@ -35,7 +35,7 @@
 AddPendingCall(control_tables& aTables, http_call_id aCall, steady_time aNow)
 {
   pending_call row;
-  row.id = call_id{ ++aTables.lastCall };
+  row.id = NextCall(aTables);
   row.httpCall = aCall;
   row.deadline = aNow + kDecisionTimeout;
   return aTables.calls.Insert(std::move(row));
@@ -212,6 +212,18 @@
   aTables.calls.Erase(id);
 }
 
+// A reply to a call of an earlier process may arrive after the next start.
+// Under a number that counts from one again it would pass for the answer to
+// another call, and acknowledge what no log holds.
+call_id
+NextCall(control_tables& aTables)
+{
+  constexpr unsigned kCountBits = 32;
+  const std::uint64_t start =
+    StableHash(std::to_string(aTables.self.incarnation)) << kCountBits;
+  return call_id{ start | ++aTables.lastCall };
+}
+
 void
 RunHttpCalls(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -99,13 +99,13 @@
     return;
   }
   pending_call row;
-  row.id = call_id{ ++aTables.lastCall };
+  row.id = NextCall(aTables);
   row.peer = aInput.peer;
   row.call = aCall.call;
   row.deadline = aNow + kReplaceTimeout;
   aTables.calls.Insert(row);
   wire::replace_call forwarded = aCall;
-  forwarded.call = aTables.lastCall;
+  forwarded.call = row.id.value;
   ++forwarded.hops;
   aOutbox.messages.push_back({ "", leader, std::move(forwarded) });
 }
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -105,7 +105,7 @@
   aOutbox.messages.push_back({ aInput.peer, "", std::move(reply) });
 }
 
-void
+call_id
 AddPendingCall(control_tables& aTables,
                const received_message& aInput,
                std::uint64_t aCall,
@@ -113,12 +113,13 @@
                steady_time aNow)
 {
   pending_call row;
-  row.id = call_id{ ++aTables.lastCall };
+  row.id = NextCall(aTables);
   row.peer = aInput.peer;
   row.call = aCall;
   row.position = aPosition;
   row.deadline = aNow + kCallTimeout;
   aTables.calls.Insert(row);
+  return row.id;
 }
 
 // Refuses a manifest that exceeds the engines' memory before it enters the log.
@@ -204,9 +205,8 @@
            aOutbox);
     return;
   }
-  AddPendingCall(aTables, aInput, aCall.call, {}, aNow);
   wire::command_call forwarded = aCall;
-  forwarded.call = aTables.lastCall;
+  forwarded.call = AddPendingCall(aTables, aInput, aCall.call, {}, aNow).value;
   ++forwarded.hops;
   aOutbox.messages.push_back({ "", leader, std::move(forwarded) });
 }
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -325,7 +325,7 @@
   std::uint64_t gossipedSerial = 0;    ///< newest endpoint change gossiped
   std::uint64_t gossipedConfirmed = 0; ///< newest confirmed revision gossiped
   steady_time nextGossip{};
-  std::uint64_t lastCall = 0;
+  std::uint64_t lastCall = 0;   ///< counts the calls since the start
   std::optional<stop_row> stop; ///< set once a planned stop has begun
   std::function<wall_time()> wallClock;
 };
@@ -448,6 +448,9 @@
                                           const fleet_command& aCommand,
                                           last_reason& aReason);
 
+/// The number of a new call to another process.
+call_id NextCall(control_tables& aTables);
+
 /// Answers the HTTP call or peer that waits for a command's outcome.
 void AnswerCall(const pending_call& aCall,
                 const wire::command_reply& aReply,
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -41,9 +41,10 @@
     mTables.confirmationWait = aOptions.Duration("confirmation-wait");
     mTables.self.incarnation = static_cast<std::uint64_t>(
       std::chrono::system_clock::now().time_since_epoch().count());
-    // No report has the number of one of an earlier process, whose answer may
-    // still arrive.
+    // No report or command has the number of one of an earlier process, whose
+    // answer may still arrive.
     mTables.lastReport = mTables.self.incarnation;
+    mTables.lastCall = mTables.self.incarnation;
     mTables.canSend = [this](const control_row& aControl) {
       const auto link = mLinks.find(aControl.address);
       return link != mLinks.end() && link->second->CanSend();
