Let replicas that start again follow their former leader at once

After a loss of power of all there was no leader for 0.7 to 1.4 s: a start counts as a message of the leader, since the time of the last one is lost, and its lease must not be broken.

The leader of the latest term itself may have votes earlier: it asks for them only when it no longer leads. A follower records the leader of its term in its ballot before it answers it, so that after a restart it refuses all others as long as that leader's lease may last; the leader asks with each heartbeat until its links are up.

--- a/src/replication/election.cpp
+++ b/src/replication/election.cpp
@@ -28,6 +28,18 @@
   return aNow < aTables.leaderLastSeen + aTables.settings.electionTimeout;
 }
 
+// The leader of the latest term known here, that asks for a later one: it has
+// started again or stepped down. A leader of a term in between would have the
+// answers of a quorum, of which each has recorded it (FollowLeader) and refuses
+// others.
+bool
+IsFormerLeader(const replica_tables& aTables, const vote_request& aRequest)
+{
+  return aTables.role != replica_role::eLeader &&
+         aTables.vote.votedFor == aRequest.header.from &&
+         aTables.vote.term < aRequest.header.term;
+}
+
 void
 SendVoteRequests(replica_tables& aTables, bool aPreVote, bool aHandOver)
 {
@@ -117,10 +129,15 @@
   return { aTables.settings.log, aTables.self, aTo, aTables.vote.term };
 }
 
-// Random timeouts prevent repeated split votes.
+// Random timeouts prevent repeated split votes. A former leader that has just
+// started asks again with each heartbeat, until its links are up.
 void
 ResetElectionDeadline(replica_tables& aTables, steady_time aNow)
 {
+  if (aNow < aTables.formerLeaderUntil) {
+    aTables.electionDeadline = aNow + aTables.settings.heartbeat;
+    return;
+  }
   const auto timeout = aTables.settings.electionTimeout;
   std::uniform_int_distribution<std::int64_t> spread(0, timeout.count());
   aTables.electionDeadline =
@@ -155,8 +172,13 @@
   if (aTables.role != replica_role::eFollower) {
     StepDown(aTables, aNow);
   }
+  // After a restart it is known again, and no other gets a vote early.
+  if (aTables.vote.votedFor != aLeader) {
+    SaveBallot(aTables, { aTables.vote.term, aLeader });
+  }
   aTables.leader = aLeader;
   aTables.leaderLastSeen = aNow;
+  aTables.formerLeaderUntil = steady_time::min();
   ResetElectionDeadline(aTables, aNow);
 }
 
@@ -165,7 +187,8 @@
                   const vote_request& aRequest,
                   steady_time aNow)
 {
-  if (!aRequest.handOver && HasActiveLeader(aTables, aNow)) {
+  if (!aRequest.handOver && HasActiveLeader(aTables, aNow) &&
+      !IsFormerLeader(aTables, aRequest)) {
     return;
   }
   const log_term requestedTerm = aRequest.header.term;
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -174,6 +174,9 @@
   RefreshMembers(tables);
   tables.question.number = random_engine(tables.random)();
   tables.leaderLastSeen = aNow;
+  if (tables.vote.votedFor == tables.self) {
+    tables.formerLeaderUntil = aNow + tables.settings.electionTimeout;
+  }
   ResetElectionDeadline(tables, aNow);
   return tables;
 }
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -75,7 +75,8 @@
   std::string state;
 };
 
-/// The latest term of a replica and its vote in it.
+/// The latest term of a replica and its vote in it; once it has heard from the
+/// leader of the term, that leader.
 struct ballot
 {
   log_term term = 0;
@@ -385,6 +386,8 @@
   replica_id leader;
   log_index leaderCommit = 0; ///< highest that a leader has stated
   steady_time electionDeadline;
+  /// For an election timeout after the start of the leader of the latest term.
+  steady_time formerLeaderUntil = steady_time::min();
   steady_time leaderLastSeen;
   confirmation_question question;
   std::optional<confirmation> unreleased; ///< its entries are not released yet
