Tell hosts at once that their control process is caught up, and repeat lost first reports

A host that starts waits for the newest configuration, so each delay on the way counts. Its first report went out before any link was up and was waited for as long as for an answer, 0.3 s; and a control process that caught up without a new revision told its hosts with their next report, up to 0.25 s later. Both tests failed before.

--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -73,6 +73,7 @@
   std::uint64_t sentEndpoints = 0;  ///< serial of the newest change sent
   std::uint64_t sentEvidence = 0;   ///< serial of the newest change sent
   std::string sentLeader;           ///< name of the leader in the last update
+  bool sentCaughtUp = false;        ///< in the last update
   std::uint64_t sentUpdates = 0;    ///< since everything was sent
   steady_time lastSeen{};
   steady_time leaseEnd{};
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -222,10 +222,10 @@
   for (host_row& host : aTables.hosts) {
     const bool needsConfiguration =
       host.sentRevision == 0 && host.revision < aTables.fleet.revision;
-    const bool isBehind = needsConfiguration ||
-                          host.sentEndpoints < aTables.serial ||
-                          host.sentEvidence < aTables.quarantined.serial ||
-                          host.sentLeader != leader;
+    const bool isBehind =
+      needsConfiguration || host.sentEndpoints < aTables.serial ||
+      host.sentEvidence < aTables.quarantined.serial ||
+      host.sentLeader != leader || (isCaughtUp && !host.sentCaughtUp);
     // Without a lease the host reports elsewhere or is gone.
     const bool hasLease = aNow < host.leaseEnd;
     if (!host.isUpdateDue && (!isBehind || !hasLease)) {
@@ -260,6 +260,7 @@
     AddControls(aTables, leader, update);
     host.sentEndpoints = aTables.serial;
     host.sentLeader = update.leader;
+    host.sentCaughtUp = isCaughtUp;
     host.isUpdateDue = false;
     aOutbox.messages.push_back({ host.name, "", std::move(update) });
   }
--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -16,6 +16,9 @@
 /// An answer to a report takes a few milliseconds. Without one for this long,
 /// another control process gets the next report at once.
 constexpr std::chrono::milliseconds kReportTimeout{ 300 };
+/// A report without a link is repeated soon, as links come up within
+/// milliseconds.
+constexpr std::chrono::milliseconds kLinkTimeout{ 50 };
 constexpr std::chrono::milliseconds kCommandRetryInterval{ 700 };
 
 // The delegate of this host's failure domain in the current configuration.
@@ -37,12 +40,19 @@
            : aControl.preference;
 }
 
+// A report without a link is lost.
+bool
+HasLink(const entry_tables& aTables, const control_row& aControl)
+{
+  return !aTables.canSend || aTables.canSend(aControl);
+}
+
 std::vector<const control_row*>
 ControlsWithLink(const entry_tables& aTables)
 {
   std::vector<const control_row*> rows;
   for (const control_row& row : aTables.controls) {
-    if (!aTables.canSend || aTables.canSend(row)) {
+    if (HasLink(aTables, row)) {
       rows.push_back(&row);
     }
   }
@@ -146,7 +156,7 @@
   if (control == nullptr) {
     return;
   }
-  const steady_time timesOutAt = aTables.lastReportAt + kReportTimeout;
+  const steady_time timesOutAt = aTables.reportTimesOutAt;
   if (aNow < timesOutAt) {
     aOutbox.wake.NoLaterThan(timesOutAt);
     return;
@@ -204,7 +214,9 @@
   report.renewal = ++aTables.lastReport;
   aTables.lastReportAt = aNow;
   aTables.awaitedControl = control->id;
-  aOutbox.wake.NoLaterThan(aNow + kReportTimeout);
+  aTables.reportTimesOutAt =
+    aNow + (HasLink(aTables, *control) ? kReportTimeout : kLinkTimeout);
+  aOutbox.wake.NoLaterThan(aTables.reportTimesOutAt);
   report.revision = aTables.fleet->revision;
   report.endpoints = std::move(aTables.unreportedEndpoints);
   report.httpAddress = aTables.self.httpAddress;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -134,7 +134,8 @@
   std::uint64_t lastReport = 0;
   steady_time lastReportAt{};
   replica_id awaitedControl; ///< that has not answered the latest report
-  replica_id reportedTo;     ///< control process of the latest report
+  steady_time reportTimesOutAt{};
+  replica_id reportedTo; ///< control process of the latest report
   steady_time mayDenyUntil{};
   /// Of the configuration here. Counts from when a report was sent, less the
   /// age that the answer stated: an answer may have been held up on its way,
--- a/tests/control/updates_test.cpp
+++ b/tests/control/updates_test.cpp
@@ -222,6 +222,25 @@
   CHECK(all.revision == tables.fleet.revision);
 }
 
+// Guards against hosts that wait for their next report to learn that there is a
+// leader again.
+TEST_CASE_METHOD(updates_fixture,
+                 "Host_WhenItsControlIsCaughtUp_IsSentAnUpdateOnce",
+                 "[control]")
+{
+  bool isCaughtUp = false;
+  tables.log.isCaughtUp = [&isCaughtUp](steady_time) { return isCaughtUp; };
+  ApplyManifest(1);
+  Report(0);
+  REQUIRE_FALSE(Report(tables.fleet.revision).isCaughtUp);
+  CHECK(Tick().empty());
+  isCaughtUp = true;
+  const std::vector<wire::host_update> updates = Tick();
+  REQUIRE(updates.size() == 1);
+  CHECK(updates.front().isCaughtUp);
+  CHECK(Tick().empty());
+}
+
 // On a slow link or processor each version would arrive later than the one
 // before.
 TEST_CASE_METHOD(updates_fixture,
--- a/tests/entry/control_choice_test.cpp
+++ b/tests/entry/control_choice_test.cpp
@@ -124,6 +124,26 @@
   CHECK(tried.size() == kControls);
 }
 
+// Guards against a start that lasts for the time of a lost report, as no link
+// is up yet when the first one is sent.
+TEST_CASE_METHOD(control_choice_fixture,
+                 "Host_WhoseLinksComeUp_ReportsAtOnce",
+                 "[entry]")
+{
+  constexpr std::chrono::milliseconds kStep{ 10 };
+  constexpr std::chrono::milliseconds kLinkTime{ 60 };
+  entry_tables tables = HostNamed("host", steady_time{});
+  const steady_time upAt = now + kLinkTime;
+  tables.canSend = [&](const control_row&) { return now >= upAt; };
+  bool isReported = false;
+  for (; now < upAt + kLinkTime; now += kStep) {
+    entry_outbox out;
+    RunEntryControl(tables, now, out);
+    isReported = isReported || (now >= upAt && !out.messages.empty());
+  }
+  CHECK(isReported);
+}
+
 // Guards against rows and links of control processes that were exchanged.
 TEST_CASE_METHOD(control_choice_fixture,
                  "Control_ThatNoProcessListsAnyMore_IsDropped",
