--- a/tests/support/route_probes.cpp
+++ b/tests/support/route_probes.cpp
@@ -165,8 +165,11 @@
   for (const std::string& domain : aDomains) {
     for (const int number : { 0, 1 }) {
       const std::string service = ProbedService(number);
-      mServers.push_back(std::make_unique<server>(
-        *this, "i-" + domain + "-" + service, service, domain));
+      std::string id = service;
+      id += '-';
+      id += domain;
+      mServers.push_back(
+        std::make_unique<server>(*this, std::move(id), service, domain));
     }
   }
   Probe();
@@ -208,7 +211,8 @@
   probe->sentAt = net::Now();
   net::http_call call;
   call.method = "GET";
-  call.url = "http://" + mHosts[aHost] + kPath + "x";
+  call.url = "http://" + mHosts[aHost];
+  call.url += kPath;
   call.fields = { { "Host", kHost },
                   { "X-Attempt-Id", std::to_string(++mLastProbe) },
                   { "X-Deadline-Ms", std::to_string(kRouteTimeoutMs) } };
