--- a/src/entry/options.hpp
+++ b/src/entry/options.hpp
@@ -99,8 +99,7 @@
     "0s",
     "10min",
     "Longest time after its start for which this host refuses requests while "
-    "no "
-    "control process knows that its configuration is the newest" },
+    "no control process knows that its configuration is the newest" },
   { "key-withdrawal-bound",
     option_type::eDuration,
     "",
