--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -149,7 +149,7 @@
   /// be the newest, for at most this time. Zero: it does not wait.
   std::chrono::milliseconds confirmationWait{ 0 };
   std::optional<steady_time> waitsSince; ///< has one that it does not serve by
-  bool mayServe = false; ///< the wait is over
+  bool mayServe = false;                 ///< the wait is over
   latest_update latestUpdate;
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
