--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -360,6 +360,7 @@
   load_sharing loads;
   std::uint64_t gossipedEvidence = 0;  ///< newest change gossiped
   std::uint64_t loggedEvidence = 0;    ///< newest change logged
+  bool loggedCaughtUp = false;         ///< as last logged
   std::uint64_t serial = 0;            ///< of the newest endpoint change
   std::uint64_t gossipedSerial = 0;    ///< newest endpoint change gossiped
   std::uint64_t gossipedConfirmed = 0; ///< newest confirmed revision gossiped
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -12,6 +12,14 @@
 constexpr std::chrono::milliseconds kGossipInterval{ 1'000 };
 constexpr std::size_t kMaxRecentCommands = 512;
 
+std::size_t
+SizeOf(const fleet_command& aCommand)
+{
+  const auto* manifest = std::get_if<apply_manifest>(&aCommand.change);
+  return manifest == nullptr ? 0
+                             : manifest->text.size() + manifest->patch.size();
+}
+
 void
 SendAllAgain(host_row& aHost)
 {
@@ -35,6 +43,40 @@
              { "sent_revision", std::to_string(aHost.sentRevision) } });
 }
 
+void
+LogConfiguration(const host_row& aHost, const wire::host_update& aUpdate)
+{
+  std::size_t bytes = aUpdate.snapshot.size();
+  for (const wire::numbered_command& command : aUpdate.commands) {
+    bytes += SizeOf(command.command);
+  }
+  LogEvent(kLog,
+           log_level::eInfo,
+           "configuration_sent",
+           { { "host", aHost.name },
+             { "from_revision", std::to_string(aHost.revision) },
+             { "revision", std::to_string(aUpdate.revision) },
+             { "bytes", std::to_string(bytes) } });
+}
+
+// Hosts serve and deny requests by what a process that has caught up sends.
+void
+LogCaughtUp(control_tables& aTables, bool aIsCaughtUp)
+{
+  if (aIsCaughtUp == aTables.loggedCaughtUp) {
+    return;
+  }
+  aTables.loggedCaughtUp = aIsCaughtUp;
+  LogEvent(kLog,
+           log_level::eInfo,
+           "caught_up",
+           { { "is", aIsCaughtUp ? "yes" : "no" },
+             { "revision", std::to_string(aTables.fleet.revision) },
+             { "number", std::to_string(aTables.fleet.declared.number) },
+             { "term", std::to_string(aTables.log.term()) },
+             { "leader", aTables.log.leaderName() } });
+}
+
 // A host runs what an update carries before it reports the update.
 void
 CheckConfirmation(host_row& aHost, const wire::host_report& aReport)
@@ -75,14 +117,6 @@
   return keys;
 }
 
-std::size_t
-SizeOf(const fleet_command& aCommand)
-{
-  const auto* manifest = std::get_if<apply_manifest>(&aCommand.change);
-  return manifest == nullptr ? 0
-                             : manifest->text.size() + manifest->patch.size();
-}
-
 // Hosts use neither claims nor the source of the manifest.
 std::string
 EncodeForHosts(fleet_state aState)
@@ -218,6 +252,7 @@
   const std::string leader = aTables.log.leaderName();
   // Hosts leave a process that is not caught up, as they should one that stops.
   const bool isCaughtUp = !aTables.stop && aTables.log.isCaughtUp(aNow);
+  LogCaughtUp(aTables, isCaughtUp);
   const auto confirmationAge = ConfirmationAge(aTables, aNow);
   std::string snapshot;
   for (host_row& host : aTables.hosts) {
@@ -245,6 +280,7 @@
     update.number = ++host.sentUpdates;
     if (needsConfiguration) {
       AddConfiguration(aTables, host, snapshot, update);
+      LogConfiguration(host, update);
       host.sentRevision = aTables.fleet.revision;
       host.sentWithUpdate = update.number;
     }
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -255,6 +255,7 @@
   MergeFromControl(aTables, aUpdate.evidence, aNow, aOutbox);
   MergeLoads(aTables, aUpdate.loads, aNow, aOutbox);
   aTables.latestUpdate = { aSender, aUpdate.revision, aUpdate.isCaughtUp };
+  aTables.updatedAt = aNow;
   UpdateControls(aTables, aUpdate, aNow, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -127,6 +127,7 @@
   view.mayDenyUntil = aTables.mayDenyUntil;
   view.confirmedAt = aTables.confirmedAt;
   view.confirmedBy = aTables.confirmedBy;
+  view.updatedAt = aTables.updatedAt;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
   aOutbox.view = view;
--- a/src/entry/request_log.cpp
+++ b/src/entry/request_log.cpp
@@ -80,8 +80,8 @@
       { "revision", std::to_string(aView.fleet->revision) },
       { "number", std::to_string(aView.fleet->declared.number) },
       { "confirmed_by", aView.confirmedBy },
-      { "confirmed_age_ms",
-        AgeOrNever(attempt.startedAt, aView.confirmedAt) } });
+      { "confirmed_age_ms", AgeOrNever(attempt.startedAt, aView.confirmedAt) },
+      { "update_age_ms", AgeOrNever(attempt.startedAt, aView.updatedAt) } });
 }
 
 void
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -54,6 +54,7 @@
   /// The configuration holds all that was committed before; never: zero.
   steady_time confirmedAt{};
   std::string confirmedBy; ///< name of the control process that confirmed it
+  steady_time updatedAt{}; ///< arrival of the newest update; never: zero
   bool isStopping = false;
   usage_totals usage;
 };
@@ -178,6 +179,7 @@
   std::optional<steady_time> waitsSince; ///< has one that it does not serve by
   bool mayServe = false;                 ///< the wait is over
   latest_update latestUpdate;
+  steady_time updatedAt{}; ///< when that arrived
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
