--- a/tests/control/simulated_fleet.hpp
+++ b/tests/control/simulated_fleet.hpp
@@ -6,6 +6,7 @@
 #include "control/tables.hpp"
 #include "entry/tables.hpp"
 
+#include <deque>
 #include <map>
 
 namespace bulrush::control {
@@ -26,8 +27,17 @@
   bool lags = false;       ///< receives no entries of the log
 };
 
+/// A message on a link that takes time for each byte.
+struct delayed_message
+{
+  steady_time arrivesAt;
+  simulated_message message;
+};
+
 struct simulated_host
 {
+  std::deque<delayed_message> link; ///< to the host, from all senders
+  std::uint64_t linkBytes = 0;      ///< sent to the host
   entry::entry_tables tables;
   /// Newest view of the traffic threads.
   entry::traffic_view view;
@@ -43,12 +53,15 @@
 struct simulated_fleet
 {
   static constexpr std::chrono::milliseconds kStep{ 10 };
+  static constexpr std::size_t kNameBytes = 110; ///< in each route, twice
 
   steady_time now = steady_time{} + std::chrono::hours{ 1 };
   std::map<std::string, simulated_control> controls;
   std::map<std::string, simulated_host> hosts;
   std::vector<std::string> log;
   std::vector<simulated_message> messages;
+  /// Of the link to each host; zero: messages arrive in the next step.
+  std::uint64_t hostBytesPerSecond = 0;
   /// True for messages that get lost.
   std::function<bool(const simulated_message&)> isLost;
   std::uint64_t lastCall = 0;
@@ -125,12 +138,20 @@
   }
 
   /// Commits a manifest at the leader.
-  void ApplyManifest(int aNumber)
+  void ApplyManifest(int aNumber, int aRoutes = 0)
   {
     const std::string number = std::to_string(aNumber);
+    std::string routes;
+    for (int i = 0; i < aRoutes; ++i) {
+      routes += routes.empty() ? "" : ",";
+      routes += R"({"host":")" + std::string(kNameBytes, 'h') +
+                R"(","path":"/)" + std::to_string(i) + "/" +
+                std::string(kNameBytes, 'p') + R"(","service":"s"})";
+    }
     apply_manifest change;
-    change.text = R"({"name":"test","version":")" + number + R"(","number":)" +
-                  number + R"(,"failure_domains":[{"name":"north"}]})";
+    change.text =
+      R"({"name":"test","version":")" + number + R"(","number":)" + number +
+      R"(,"failure_domains":[{"name":"north"}],"routes":[)" + routes + "]}";
     fleet_command command;
     command.change = std::move(change);
     last_reason reason;
@@ -226,10 +247,16 @@
   void Step()
   {
     for (simulated_message& message : std::exchange(messages, {})) {
-      if (!isLost || !isLost(message)) {
+      if (isLost && isLost(message)) {
+        continue;
+      }
+      if (hostBytesPerSecond > 0 && hosts.contains(message.to)) {
+        SendOverLink(std::move(message));
+      } else {
         Deliver(message);
       }
     }
+    DeliverFromLinks();
     for (auto& [name, control] : controls) {
       if (!control.isStopped) {
         Run(name, control);
@@ -285,12 +312,43 @@
                                     : hosts[aName].tables.self.incarnation;
   }
 
-  void Deliver(simulated_message& aMessage)
+  wire::message ToWire(simulated_message& aMessage)
   {
     wire::message message;
     message.sender = aMessage.from;
     message.incarnation = IncarnationOf(aMessage.from);
     message.body = std::move(aMessage.body);
+    return message;
+  }
+
+  void SendOverLink(simulated_message aMessage)
+  {
+    simulated_host& host = hosts[aMessage.to];
+    wire::message message = ToWire(aMessage);
+    const std::size_t bytes = wire::Encode(message, now).size();
+    aMessage.body = std::move(message.body);
+    host.linkBytes += bytes;
+    const steady_time freeAt =
+      host.link.empty() ? now : host.link.back().arrivesAt;
+    const std::chrono::nanoseconds duration{ std::chrono::seconds{ 1 } };
+    host.link.push_back(
+      { std::max(now, freeAt) + duration * bytes / hostBytesPerSecond,
+        std::move(aMessage) });
+  }
+
+  void DeliverFromLinks()
+  {
+    for (auto& [name, host] : hosts) {
+      while (!host.link.empty() && host.link.front().arrivesAt <= now) {
+        Deliver(host.link.front().message);
+        host.link.pop_front();
+      }
+    }
+  }
+
+  void Deliver(simulated_message& aMessage)
+  {
+    wire::message message = ToWire(aMessage);
     const auto control = controls.find(aMessage.to);
     if (control == controls.end()) {
       hosts[aMessage.to].tables.inbox.push_back(std::move(message));
