Send large configurations to hosts in parts, each when the host asks for it

Cause: an update carried a configuration of any size in one message. A report waits 300 ms for its answer, and the link is busy for longer than that, so the host reports to the next control process, which sends the whole configuration once more. Copies fill the link, so the next report is not answered in time either; what endpoints say waits behind the copies. Class: a retry whose work is large and is not bounded by what is under way already.

Hosts of an earlier release get it whole, as before.

--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -60,6 +60,23 @@
 };
 
 /// An entry host that reports to this process.
+/// A configuration as hosts get it.
+struct encoded_configuration
+{
+  wire::configuration_id id;
+  std::string bytes;
+};
+
+/// Delivery of a configuration in parts.
+struct configuration_transfer
+{
+  /// Null: none is under way. The newest is sent when this has arrived.
+  std::shared_ptr<const encoded_configuration> configuration;
+  std::uint64_t sentBytes = 0;
+  std::uint64_t receivedBytes = 0; ///< reported by the host
+  std::uint64_t lastUpdate = 0;    ///< number of the update with the last part
+};
+
 struct host_row
 {
   host_id id;
@@ -72,12 +89,15 @@
   /// Of the configuration that is on its way; zero: none.
   std::uint64_t sentRevision = 0;
   std::uint64_t sentWithUpdate = 0; ///< number of the update that carries it
-  std::uint64_t sentEndpoints = 0;  ///< serial of the newest change sent
-  std::uint64_t sentEvidence = 0;   ///< serial of the newest change sent
-  std::uint64_t sentLoads = 0;      ///< serial of the newest change sent
-  std::string sentLeader;           ///< name of the leader in the last update
-  bool sentCaughtUp = false;        ///< in the last update
-  std::uint64_t sentUpdates = 0;    ///< since everything was sent
+  configuration_transfer transfer;  ///< in place of these two, if it is large
+  /// What the host has of a configuration; not set: it takes no parts.
+  std::optional<wire::configuration_progress> incoming;
+  std::uint64_t sentEndpoints = 0; ///< serial of the newest change sent
+  std::uint64_t sentEvidence = 0;  ///< serial of the newest change sent
+  std::uint64_t sentLoads = 0;     ///< serial of the newest change sent
+  std::string sentLeader;          ///< name of the leader in the last update
+  bool sentCaughtUp = false;       ///< in the last update
+  std::uint64_t sentUpdates = 0;   ///< since everything was sent
   steady_time lastSeen{};
   steady_time leaseEnd{};
   bool isUpdateDue = false;
@@ -349,6 +369,8 @@
   pool_state pools;
   /// Newest configuration changes, oldest first.
   std::deque<wire::numbered_command> recent;
+  /// The newest configuration that a host needed; null: none yet.
+  std::shared_ptr<const encoded_configuration> encoded;
   std::vector<received_message> inbox;
   std::vector<received_call> httpInbox;
   std::vector<committed_command> committed;
@@ -563,6 +585,21 @@
 /// Whether a control process is named to hosts and other control processes.
 bool IsListed(const control_tables& aTables, const control_row& aControl);
 
+/// Records how much of a configuration in parts the host reports.
+void HandleProgress(host_row& aHost, const wire::host_report& aReport);
+
+/// Whether the host can take another part now.
+bool HasPartToSend(const host_row& aHost);
+
+/// Adds the next part of the configuration that is under way to the host.
+void AddPart(host_row& aHost, wire::host_update& aUpdate);
+
+/// Adds what the host lacks of the newest configuration, or begins to send it
+/// in parts.
+void AddConfiguration(control_tables& aTables,
+                      host_row& aHost,
+                      wire::host_update& aUpdate);
+
 /// Drops the recent commands that no update would carry.
 void DropOldCommands(control_tables& aTables);
 
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -10,21 +10,13 @@
 constexpr log_component kLog{ "control" };
 
 constexpr std::chrono::milliseconds kGossipInterval{ 1'000 };
-constexpr std::size_t kMaxRecentCommands = 512;
-
-std::size_t
-SizeOf(const fleet_command& aCommand)
-{
-  const auto* manifest = std::get_if<apply_manifest>(&aCommand.change);
-  return manifest == nullptr ? 0
-                             : manifest->text.size() + manifest->patch.size();
-}
 
 void
 SendAllAgain(host_row& aHost)
 {
   aHost.sentRevision = 0;
   aHost.sentWithUpdate = 0;
+  aHost.transfer = {};
   aHost.sentEndpoints = 0;
   aHost.sentEvidence = 0;
   aHost.sentLoads = 0;
@@ -43,22 +35,6 @@
              { "sent_revision", std::to_string(aHost.sentRevision) } });
 }
 
-void
-LogConfiguration(const host_row& aHost, const wire::host_update& aUpdate)
-{
-  std::size_t bytes = aUpdate.snapshot.size();
-  for (const wire::numbered_command& command : aUpdate.commands) {
-    bytes += SizeOf(command.command);
-  }
-  LogEvent(kLog,
-           log_level::eInfo,
-           "configuration_sent",
-           { { "host", aHost.name },
-             { "from_revision", std::to_string(aHost.revision) },
-             { "revision", std::to_string(aUpdate.revision) },
-             { "bytes", std::to_string(bytes) } });
-}
-
 // Hosts serve and deny requests by what a process that has caught up sends.
 void
 LogCaughtUp(control_tables& aTables, bool aIsCaughtUp)
@@ -117,46 +93,6 @@
   return keys;
 }
 
-// Hosts use neither claims nor the source of the manifest.
-std::string
-EncodeForHosts(fleet_state aState)
-{
-  aState.claims.Clear();
-  aState.declared.source.clear();
-  return wire::EncodeState(aState);
-}
-
-// Adds the commands that the host lacks, or a snapshot if they are not kept or
-// contain more than one whole manifest: a host with a slow link or processor
-// would take seconds for the history. aSnapshot is encoded once for all hosts.
-void
-AddConfiguration(const control_tables& aTables,
-                 const host_row& aHost,
-                 std::string& aSnapshot,
-                 wire::host_update& aUpdate)
-{
-  const std::uint64_t from = aHost.revision;
-  bool hasCommands =
-    !aTables.recent.empty() && aTables.recent.front().revision <= from + 1;
-  std::size_t bytes = 0;
-  for (const wire::numbered_command& command : aTables.recent) {
-    bytes += command.revision > from ? SizeOf(command.command) : 0;
-  }
-  hasCommands = hasCommands && bytes <= aTables.fleet.manifestText.size();
-  if (!hasCommands) {
-    if (aSnapshot.empty()) {
-      aSnapshot = EncodeForHosts(aTables.fleet);
-    }
-    aUpdate.snapshot = aSnapshot;
-    return;
-  }
-  for (const wire::numbered_command& command : aTables.recent) {
-    if (command.revision > from) {
-      aUpdate.commands.push_back(command);
-    }
-  }
-}
-
 std::vector<endpoint_row>
 EndpointsSince(const control_tables& aTables, std::uint64_t aSerial)
 {
@@ -209,29 +145,12 @@
 
 } // namespace
 
-// Those before more than one whole manifest are never sent (AddConfiguration),
-// and several hundred large ones would be the memory of the process.
-void
-DropOldCommands(control_tables& aTables)
-{
-  std::deque<wire::numbered_command>& recent = aTables.recent;
-  const std::size_t limit = aTables.fleet.manifestText.size();
-  std::size_t bytes = 0;
-  std::size_t kept = 0;
-  while (kept < std::min(recent.size(), kMaxRecentCommands) &&
-         bytes + SizeOf(recent[recent.size() - kept - 1].command) <= limit) {
-    bytes += SizeOf(recent[recent.size() - kept - 1].command);
-    ++kept;
-  }
-  recent.erase(recent.begin(),
-               recent.end() - static_cast<std::ptrdiff_t>(kept));
-}
-
 void
 HandleConfirmation(host_row& aHost,
                    std::uint64_t aIncarnation,
                    const wire::host_report& aReport)
 {
+  aHost.incoming = aReport.incoming;
   if (aIncarnation != aHost.incarnation) {
     aHost.incarnation = aIncarnation;
     SendAllAgain(aHost);
@@ -240,67 +159,105 @@
     SendAllAgain(aHost);
   } else {
     CheckConfirmation(aHost, aReport);
+    HandleProgress(aHost, aReport);
   }
 }
 
+namespace {
+
+// What is the same in the updates of a tick.
+struct update_facts
+{
+  std::string leader;
+  bool isCaughtUp = false;
+  std::optional<std::chrono::nanoseconds> confirmationAge;
+};
+
+bool
+NeedsConfiguration(const control_tables& aTables, const host_row& aHost)
+{
+  return aHost.sentRevision == 0 && !aHost.transfer.configuration &&
+         aHost.revision < aTables.fleet.revision;
+}
+
+bool
+IsBehind(const control_tables& aTables,
+         const host_row& aHost,
+         const update_facts& aFacts)
+{
+  return NeedsConfiguration(aTables, aHost) || HasPartToSend(aHost) ||
+         aHost.sentEndpoints < aTables.serial ||
+         aHost.sentEvidence < aTables.quarantined.serial ||
+         aHost.sentLeader != aFacts.leader ||
+         (aFacts.isCaughtUp && !aHost.sentCaughtUp);
+}
+
+wire::host_update
+UpdateFor(control_tables& aTables,
+          host_row& aHost,
+          const update_facts& aFacts,
+          steady_time aNow)
+{
+  wire::host_update update;
+  update.renewal = aHost.renewal;
+  update.lease =
+    aHost.leaseEnd > aNow
+      ? std::chrono::duration_cast<std::chrono::milliseconds>(kHostLease)
+      : std::chrono::milliseconds(0);
+  update.revision = aTables.fleet.revision;
+  update.isCaughtUp = aFacts.isCaughtUp;
+  update.confirmationAge = aFacts.confirmationAge;
+  update.term = aTables.log.term();
+  update.number = ++aHost.sentUpdates;
+  if (NeedsConfiguration(aTables, aHost)) {
+    AddConfiguration(aTables, aHost, update);
+  }
+  if (HasPartToSend(aHost)) {
+    AddPart(aHost, update);
+  }
+  update.endpoints = EndpointsSince(aTables, aHost.sentEndpoints);
+  for (const removed_row& removed : aTables.removedEndpoints) {
+    if (removed.serial > aHost.sentEndpoints) {
+      update.removedEndpoints.push_back(removed.removed);
+    }
+  }
+  update.evidence =
+    quarantine::ChangesSince(aTables.quarantined, aHost.sentEvidence);
+  aHost.sentEvidence = aTables.quarantined.serial;
+  update.loads = LoadsFor(aTables, aHost);
+  update.tombstones = TombstoneKeys(aTables);
+  AddControls(aTables, aFacts.leader, update);
+  aHost.sentEndpoints = aTables.serial;
+  aHost.sentLeader = update.leader;
+  aHost.sentCaughtUp = aFacts.isCaughtUp;
+  aHost.isUpdateDue = false;
+  return update;
+}
+
+} // namespace
+
 // Sends an update to each host that sent a renewal, or that misses a change. A
 // host gets one configuration at a time, and then the newest: on a slow link or
 // processor several would queue up, each older than the next.
 void
 RunUpdates(control_tables& aTables, steady_time aNow, control_outbox& aOutbox)
 {
-  const std::string leader = aTables.log.leaderName();
+  update_facts facts;
+  facts.leader = aTables.log.leaderName();
   // Hosts leave a process that is not caught up, as they should one that stops.
-  const bool isCaughtUp = !aTables.stop && aTables.log.isCaughtUp(aNow);
-  LogCaughtUp(aTables, isCaughtUp);
-  const auto confirmationAge = ConfirmationAge(aTables, aNow);
-  std::string snapshot;
+  facts.isCaughtUp = !aTables.stop && aTables.log.isCaughtUp(aNow);
+  facts.confirmationAge = ConfirmationAge(aTables, aNow);
+  LogCaughtUp(aTables, facts.isCaughtUp);
   for (host_row& host : aTables.hosts) {
-    const bool needsConfiguration =
-      host.sentRevision == 0 && host.revision < aTables.fleet.revision;
-    const bool isBehind =
-      needsConfiguration || host.sentEndpoints < aTables.serial ||
-      host.sentEvidence < aTables.quarantined.serial ||
-      host.sentLeader != leader || (isCaughtUp && !host.sentCaughtUp);
     // Without a lease the host reports elsewhere or is gone.
     const bool hasLease = aNow < host.leaseEnd;
-    if (!host.isUpdateDue && (!isBehind || !hasLease)) {
+    if (!host.isUpdateDue && (!IsBehind(aTables, host, facts) || !hasLease)) {
       continue;
     }
-    wire::host_update update;
-    update.renewal = host.renewal;
-    update.lease =
-      host.leaseEnd > aNow
-        ? std::chrono::duration_cast<std::chrono::milliseconds>(kHostLease)
-        : std::chrono::milliseconds(0);
-    update.revision = aTables.fleet.revision;
-    update.isCaughtUp = isCaughtUp;
-    update.confirmationAge = confirmationAge;
-    update.term = aTables.log.term();
-    update.number = ++host.sentUpdates;
-    if (needsConfiguration) {
-      AddConfiguration(aTables, host, snapshot, update);
-      LogConfiguration(host, update);
-      host.sentRevision = aTables.fleet.revision;
-      host.sentWithUpdate = update.number;
-    }
-    update.endpoints = EndpointsSince(aTables, host.sentEndpoints);
-    for (const removed_row& removed : aTables.removedEndpoints) {
-      if (removed.serial > host.sentEndpoints) {
-        update.removedEndpoints.push_back(removed.removed);
-      }
-    }
-    update.evidence =
-      quarantine::ChangesSince(aTables.quarantined, host.sentEvidence);
-    host.sentEvidence = aTables.quarantined.serial;
-    update.loads = LoadsFor(aTables, host);
-    update.tombstones = TombstoneKeys(aTables);
-    AddControls(aTables, leader, update);
-    host.sentEndpoints = aTables.serial;
-    host.sentLeader = update.leader;
-    host.sentCaughtUp = isCaughtUp;
-    host.isUpdateDue = false;
-    aOutbox.messages.push_back({ host.name, "", std::move(update) });
+    do {
+      aOutbox.messages.push_back(
+        { host.name, "", UpdateFor(aTables, host, facts, aNow) });
+    } while (HasPartToSend(host));
   }
 }
 
--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -13,22 +13,71 @@
 /// A control process that has been listed by none for this long is gone. One
 /// that has just started learns of all others within seconds.
 constexpr std::chrono::seconds kUnlistedLifetime{ 30 };
+/// Far above any configuration; a sender could use up the memory otherwise.
+constexpr std::uint64_t kMaxConfigurationBytes = 32UL * 1024 * 1024;
 /// Far longer than a report is under way.
 constexpr std::chrono::minutes kRemovalLifetime{ 10 };
 
+void
+InstallState(entry_tables& aTables, const std::string& aBytes)
+{
+  last_reason reason;
+  auto state = wire::DecodeState(aBytes, reason);
+  if (!state) {
+    LogWarning(kLog, "Ignored a configuration: {}", Describe(reason));
+  } else if (state->revision > aTables.fleet->revision) {
+    aTables.fleet = std::make_shared<fleet_state>(std::move(*state));
+    aTables.hasNewFleet = true;
+  }
+}
+
+// The next report asks for what follows, so it does not wait for its time. A
+// part from the middle of another configuration is dropped: only the control
+// process that the host reports to sends what the host needs.
+void
+HandlePart(entry_tables& aTables,
+           const wire::configuration_part& aPart,
+           steady_time aNow)
+{
+  incoming_configuration& incoming = aTables.incoming;
+  if (aPart.of.revision <= aTables.fleet->revision ||
+      aPart.totalBytes > kMaxConfigurationBytes) {
+    return;
+  }
+  if (incoming.id != aPart.of && aPart.offset == 0) {
+    incoming = { aPart.of, {} };
+  }
+  if (incoming.id != aPart.of || incoming.bytes.size() != aPart.offset) {
+    return;
+  }
+  incoming.bytes += aPart.bytes;
+  aTables.nextReport = aNow;
+  if (incoming.bytes.size() < aPart.totalBytes) {
+    return;
+  }
+  const std::string bytes = std::exchange(incoming, {}).bytes;
+  if (StableHash(bytes) == aPart.of.checksum) {
+    InstallState(aTables, bytes);
+  } else {
+    LogWarning(kLog,
+               "Dropped configuration {}: its checksum does not match",
+               aPart.of.revision);
+  }
+}
+
 // A host applies the committed commands of the replicated log, so that it has
 // the same configuration as the control processes. Commands out of order are
 // skipped until the next update; older snapshots are ignored.
 void
-ApplyConfiguration(entry_tables& aTables, const wire::host_update& aUpdate)
+ApplyConfiguration(entry_tables& aTables,
+                   const wire::host_update& aUpdate,
+                   steady_time aNow)
 {
+  if (aUpdate.part) {
+    HandlePart(aTables, *aUpdate.part, aNow);
+  }
   if (!aUpdate.snapshot.empty()) {
-    last_reason reason;
-    auto state = wire::DecodeState(aUpdate.snapshot, reason);
-    if (state && state->revision > aTables.fleet->revision) {
-      aTables.fleet = std::make_shared<fleet_state>(std::move(*state));
-      aTables.hasNewFleet = true;
-    }
+    InstallState(aTables, aUpdate.snapshot);
   }
   std::shared_ptr<fleet_state> next;
   for (const wire::numbered_command& command : aUpdate.commands) {
@@ -259,7 +308,7 @@
   UpdateControls(aTables, aUpdate, aNow, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
-  ApplyConfiguration(aTables, aUpdate);
+  ApplyConfiguration(aTables, aUpdate, aNow);
   UpdateMayServe(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
   UpdateConfirmation(aTables, aSender, aUpdate);
--- a/src/entry/control_reports.cpp
+++ b/src/entry/control_reports.cpp
@@ -235,6 +235,9 @@
     aNow + (HasLink(aTables, *control) ? kReportTimeout : kLinkTimeout);
   aOutbox.wake.NoLaterThan(aTables.reportTimesOutAt);
   report.revision = aTables.fleet->revision;
+  report.incoming =
+    wire::configuration_progress{ aTables.incoming.id,
+                                  aTables.incoming.bytes.size() };
   report.endpoints = std::move(aTables.unreportedEndpoints);
   report.httpAddress = aTables.self.httpAddress;
   report.isLeaving = aTables.isStopping;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -105,6 +105,13 @@
   bool isCaughtUp = false;
 };
 
+/// A configuration that arrives in parts.
+struct incoming_configuration
+{
+  wire::configuration_id id;
+  std::string bytes; ///< received so far, without a gap
+};
+
 using command_hook = std::function<void(const wire::command_reply&)>;
 
 /// A command from a traffic thread that is not committed yet.
@@ -178,6 +185,7 @@
   std::chrono::milliseconds confirmationWait{ 0 };
   std::optional<steady_time> waitsSince; ///< has one that it does not serve by
   bool mayServe = false;                 ///< the wait is over
+  incoming_configuration incoming;
   latest_update latestUpdate;
   steady_time updatedAt{}; ///< when that arrived
   std::uint64_t lastCall = 0;
--- a/src/wire/host_codec.cpp
+++ b/src/wire/host_codec.cpp
@@ -9,6 +9,39 @@
 /// Far longer than anything known is relied on.
 constexpr std::chrono::hours kMaxAge{ 1 };
 
+void
+Put(const configuration_part& aFrom, pb::ConfigurationPart& aTo)
+{
+  aTo.set_revision(aFrom.of.revision);
+  aTo.set_checksum(aFrom.of.checksum);
+  aTo.set_total_bytes(aFrom.totalBytes);
+  aTo.set_offset(aFrom.offset);
+  aTo.set_bytes(aFrom.bytes);
+}
+
+configuration_part
+Get(const pb::ConfigurationPart& aFrom)
+{
+  return { { aFrom.revision(), aFrom.checksum() },
+           aFrom.total_bytes(),
+           aFrom.offset(),
+           aFrom.bytes() };
+}
+
+void
+Put(const configuration_progress& aFrom, pb::ConfigurationProgress& aTo)
+{
+  aTo.set_revision(aFrom.of.revision);
+  aTo.set_checksum(aFrom.of.checksum);
+  aTo.set_bytes(aFrom.bytes);
+}
+
+configuration_progress
+Get(const pb::ConfigurationProgress& aFrom)
+{
+  return { { aFrom.revision(), aFrom.checksum() }, aFrom.bytes() };
+}
+
 } // namespace
 
 std::optional<std::chrono::nanoseconds>
@@ -33,6 +66,9 @@
   to->set_received_update(aFrom.receivedUpdate);
   PutEvidence(aFrom.evidence, aNow, *to);
   PutLoads(aFrom.loads, aNow, *to->mutable_loads());
+  if (aFrom.incoming) {
+    Put(*aFrom.incoming, *to->mutable_incoming());
+  }
 }
 
 void
@@ -64,6 +100,9 @@
   }
   PutEvidence(aFrom.evidence, aNow, *to);
   PutLoads(aFrom.loads, aNow, *to->mutable_loads());
+  if (aFrom.part) {
+    Put(*aFrom.part, *to->mutable_part());
+  }
 }
 
 void
@@ -103,7 +142,10 @@
                       aFrom.misses_updates(),
                       aFrom.received_update(),
                       Get(aFrom.evidence(), aNow),
-                      GetLoads(aFrom.loads(), aNow) };
+                      GetLoads(aFrom.loads(), aNow),
+                      aFrom.has_incoming()
+                        ? std::optional(Get(aFrom.incoming()))
+                        : std::nullopt };
 }
 
 std::optional<message_body>
@@ -134,6 +176,9 @@
     GetAge(aFrom.has_confirmation_age_ns(), aFrom.confirmation_age_ns());
   update.evidence = Get(aFrom.evidence(), aNow);
   update.loads = GetLoads(aFrom.loads(), aNow);
+  if (aFrom.has_part()) {
+    update.part = Get(aFrom.part());
+  }
   return update;
 }
 
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -46,6 +46,31 @@
 
 /// From an entry host to its control processes: renews its lease and confirms
 /// its configuration revision.
+/// Identifies the bytes of an encoded configuration.
+struct configuration_id
+{
+  std::uint64_t revision = 0;
+  std::uint64_t checksum = 0; ///< StableHash of the bytes
+
+  bool operator==(const configuration_id&) const = default;
+};
+
+/// How much of a configuration a host has received in parts.
+struct configuration_progress
+{
+  configuration_id of;
+  std::uint64_t bytes = 0;
+};
+
+/// Some bytes of an encoded fleet_state.
+struct configuration_part
+{
+  configuration_id of;
+  std::uint64_t totalBytes = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+};
+
 struct host_report
 {
   std::string domain;
@@ -59,6 +84,8 @@
   std::uint64_t receivedUpdate = 0;
   quarantine::evidence evidence;
   std::vector<room::load_row> loads; ///< seen since the last report
+  /// Not set by hosts of an earlier release, which take no parts.
+  std::optional<configuration_progress> incoming;
 };
 
 struct numbered_command
@@ -129,6 +156,8 @@
   std::uint64_t number = 0;
   quarantine::evidence evidence;
   std::vector<room::load_row> loads; ///< changed since the last update
+  /// Of a configuration that is too large for one message.
+  std::optional<configuration_part> part;
 };
 
 /// From the control host of a failure domain to other control processes: its
--- a/tests/control/simulated_fleet.hpp
+++ b/tests/control/simulated_fleet.hpp
@@ -64,6 +64,8 @@
   std::uint64_t hostBytesPerSecond = 0;
   /// True for messages that get lost.
   std::function<bool(const simulated_message&)> isLost;
+  /// Alters messages on their way.
+  std::function<void(simulated_message&)> change;
   std::uint64_t lastCall = 0;
   std::map<std::uint64_t, answer_kind> answers; ///< to HTTP calls
 
@@ -250,6 +252,9 @@
       if (isLost && isLost(message)) {
         continue;
       }
+      if (change) {
+        change(message);
+      }
       if (hostBytesPerSecond > 0 && hosts.contains(message.to)) {
         SendOverLink(std::move(message));
       } else {
@@ -324,15 +329,15 @@
   void SendOverLink(simulated_message aMessage)
   {
     simulated_host& host = hosts[aMessage.to];
-    wire::message message = ToWire(aMessage);
-    const std::size_t bytes = wire::Encode(message, now).size();
-    aMessage.body = std::move(message.body);
-    host.linkBytes += bytes;
+    const std::string bytes = wire::Encode(ToWire(aMessage), now);
+    last_reason reason;
+    aMessage.body = std::move(wire::Decode(bytes, now, reason).value().body);
+    host.linkBytes += bytes.size();
     const steady_time freeAt =
       host.link.empty() ? now : host.link.back().arrivesAt;
     const std::chrono::nanoseconds duration{ std::chrono::seconds{ 1 } };
     host.link.push_back(
-      { std::max(now, freeAt) + duration * bytes / hostBytesPerSecond,
+      { std::max(now, freeAt) + duration * bytes.size() / hostBytesPerSecond,
         std::move(aMessage) });
   }
 
--- a/tests/control/slow_links_test.cpp
+++ b/tests/control/slow_links_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 namespace bulrush::control {
 namespace {
 
@@ -96,5 +98,89 @@
   CHECK(fleet.NumberAt("host-1") == 2);
 }
 
+TEST_CASE_METHOD(slow_link_fixture,
+                 "ConfigurationInParts_WithLostUpdates_IsInForceInTheEnd",
+                 "[control]")
+{
+  const auto seed = static_cast<unsigned>(GENERATE(range(1, 6)));
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  constexpr unsigned kLostOneIn = 15;
+  fleet.isLost = [&](const simulated_message& aMessage) {
+    return fleet.hosts.contains(aMessage.to) && random() % kLostOneIn == 0;
+  };
+  fleet.ApplyManifest(2, kRoutes);
+  Run(4 * kBound);
+  for (const auto& [name, host] : fleet.hosts) {
+    CHECK(fleet.NumberAt(name) == 2);
+  }
+}
+
+TEST_CASE_METHOD(slow_link_fixture,
+                 "ConfigurationInParts_AtAHostThatStartsAgain_BeginsAgain",
+                 "[control]")
+{
+  fleet.ApplyManifest(2, kRoutes);
+  fleet.Run(milliseconds{ 500 });
+  fleet.RestartHost("host-0");
+  Run(kBound);
+  CHECK(fleet.NumberAt("host-0") == 2);
+}
+
+TEST_CASE_METHOD(slow_link_fixture,
+                 "ConfigurationInParts_WithADamagedPart_IsSentAgain",
+                 "[control]")
+{
+  bool isDamaged = false;
+  fleet.change = [&](simulated_message& aMessage) {
+    auto* update = std::get_if<wire::host_update>(&aMessage.body);
+    if (update != nullptr && update->part && !isDamaged) {
+      update->part->bytes.front() ^= 1;
+      isDamaged = true;
+    }
+  };
+  fleet.ApplyManifest(2, kRoutes);
+  Run(2 * kBound);
+  CHECK(isDamaged);
+  for (const auto& [name, host] : fleet.hosts) {
+    CHECK(fleet.NumberAt(name) == 2);
+  }
+}
+
+// Guards against a sender that makes a host keep more than it has memory for.
+TEST_CASE_METHOD(slow_link_fixture,
+                 "ConfigurationInParts_AboveTheLimit_IsNotKept",
+                 "[control]")
+{
+  fleet.change = [](simulated_message& aMessage) {
+    auto* update = std::get_if<wire::host_update>(&aMessage.body);
+    if (update != nullptr && update->part) {
+      update->part->totalBytes = std::uint64_t{ 1 } << 40U;
+    }
+  };
+  fleet.ApplyManifest(2, kRoutes);
+  Run(kBound);
+  CHECK(fleet.hosts["host-0"].tables.incoming.bytes.empty());
+}
+
+// Hosts of an earlier release state no progress.
+TEST_CASE_METHOD(slow_link_fixture,
+                 "LargeConfiguration_ForAHostWithoutParts_IsSentWhole",
+                 "[control]")
+{
+  fleet.change = [](simulated_message& aMessage) {
+    if (auto* report = std::get_if<wire::host_report>(&aMessage.body)) {
+      report->incoming.reset();
+    }
+    if (auto* update = std::get_if<wire::host_update>(&aMessage.body)) {
+      update->part.reset();
+    }
+  };
+  fleet.hostBytesPerSecond *= 10;
+  fleet.ApplyManifest(2, kRoutes);
+  Run(kBound);
+  CHECK(fleet.NumberAt("host-0") == 2);
+}
+
 } // namespace
 } // namespace bulrush::control
