--- a/src/control/log.cpp
+++ b/src/control/log.cpp
@@ -506,8 +506,7 @@
     return;
   }
   replica_tables& replica = aTables.replicated->replica;
-  if (replica.released <
-      replica.snapshot.at.index + replica.settings.snapshotAfterEntries) {
+  if (!IsSnapshotDue(replica)) {
     return;
   }
   last_reason reason;
--- a/src/replication/commit.cpp
+++ b/src/replication/commit.cpp
@@ -81,7 +81,9 @@
   }
   while (aTables.released < aTables.commit) {
     ++aTables.released;
-    aOutbox.committed.push_back(EntryAt(aTables, aTables.released));
+    const log_entry& entry = EntryAt(aTables, aTables.released);
+    aTables.releasedBytes += entry.payload.size();
+    aOutbox.committed.push_back(entry);
   }
 }
 
--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -272,7 +272,12 @@
   std::size_t maxSnapshotBytes = 32UL * 1024 * 1024;
   log_index maxUncommittedEntries = 4096;
   log_index snapshotAfterEntries = 1000;
-  /// Entries kept before a snapshot for followers that lag slightly.
+  /// A snapshot is also taken after so many bytes, or four times its own size
+  /// if that is more: a replica that starts applies them all before it answers,
+  /// 2 MB of configurations in 0.08 s of a core.
+  std::size_t snapshotAfterBytes = 2UL * 1024 * 1024;
+  /// Entries kept before a snapshot for followers that lag slightly, at most
+  /// those of snapshotAfterBytes.
   log_index keptEntries = 200;
   std::uint64_t seed = 1; ///< for random election timeouts
 };
@@ -375,6 +380,7 @@
   log_index lastSynced = 0;
   log_index commit = 0;
   log_index released = 0; ///< last index delivered to the embedding program
+  std::size_t releasedBytes = 0; ///< since the snapshot
   std::optional<log_snapshot> pendingInstall;
   incoming_snapshot incoming;
 
@@ -470,6 +476,9 @@
 /// asked later than that. steady_time::min(): none.
 steady_time ConfirmedAt(const replica_tables& aTables, steady_time aNow);
 
+/// True once the entries since the last snapshot are many or large.
+bool IsSnapshotDue(const replica_tables& aTables);
+
 /// Saves the program's state as of replica_tables::released and removes the
 /// entries before it, except for replica_settings::keptEntries.
 std::optional<stored> SaveSnapshot(replica_tables& aTables,
--- a/src/replication/snapshot.cpp
+++ b/src/replication/snapshot.cpp
@@ -5,6 +5,9 @@
 namespace bulrush {
 namespace {
 
+/// A state that is large itself is written less often.
+constexpr std::size_t kMinBytesPerStateByte = 4;
+
 bool
 IsSameTransfer(const incoming_snapshot& aIncoming, const snapshot_chunk& aChunk)
 {
@@ -25,6 +28,7 @@
   aTables.base = at;
   aTables.commit = at.index;
   aTables.released = at.index;
+  aTables.releasedBytes = 0;
   aTables.lastSynced = at.index;
   aTables.snapshot = aSnapshot;
   aTables.pendingInstall = std::move(aSnapshot);
@@ -65,6 +69,26 @@
   return !aTables.fatal;
 }
 
+// Those that followers may still lack. Large ones would use up the memory, and
+// the snapshot takes their place.
+log_index
+FirstKept(const replica_tables& aTables, log_index aSnapshot)
+{
+  const log_index oldest =
+    std::max(aTables.base.index,
+             aSnapshot - std::min(aSnapshot, aTables.settings.keptEntries));
+  std::size_t bytes = 0;
+  log_index base = aSnapshot;
+  while (base > oldest) {
+    bytes += EntryAt(aTables, base).payload.size();
+    if (bytes > aTables.settings.snapshotAfterBytes) {
+      break;
+    }
+    --base;
+  }
+  return base;
+}
+
 } // namespace
 
 void
@@ -160,8 +184,7 @@
   snapshot.at = { index, TermAt(aTables, index) };
   snapshot.members = MembersAt(aTables, index).first;
   snapshot.state = std::move(aState);
-  const log_index kept = std::min(index, aTables.settings.keptEntries);
-  const log_index base = std::max(aTables.base.index, index - kept);
+  const log_index base = FirstKept(aTables, index);
   if (!aTables.storage.saveSnapshot(snapshot, base, aReason)) {
     Stop(aTables, aReason);
     return std::nullopt;
@@ -172,17 +195,27 @@
                                                     base - aTables.base.index));
   aTables.base = newBase;
   aTables.snapshot = std::move(snapshot);
+  aTables.releasedBytes = 0;
   return stored{};
 }
 
+bool
+IsSnapshotDue(const replica_tables& aTables)
+{
+  const replica_settings& settings = aTables.settings;
+  const std::size_t stateBytes = aTables.snapshot.state.size();
+  return aTables.released >=
+           aTables.snapshot.at.index + settings.snapshotAfterEntries ||
+         aTables.releasedBytes >= std::max(settings.snapshotAfterBytes,
+                                           kMinBytesPerStateByte * stateBytes);
+}
+
 void
 RunSnapshotDue(replica_tables& aTables,
                steady_time /*aNow*/,
                replica_outbox& aOutbox)
 {
-  aOutbox.snapshotDue =
-    aTables.released >=
-    aTables.snapshot.at.index + aTables.settings.snapshotAfterEntries;
+  aOutbox.snapshotDue = IsSnapshotDue(aTables);
 }
 
 } // namespace bulrush
