--- a/src/replication/replication.hpp
+++ b/src/replication/replication.hpp
@@ -147,6 +147,7 @@
   std::uint64_t offset = 0;
   std::string bytes;
   steady_time sentAt;
+  log_index commit = 0; ///< of the leader, at or after the snapshot
 };
 
 struct snapshot_reply
--- a/src/replication/snapshot.cpp
+++ b/src/replication/snapshot.cpp
@@ -101,7 +101,9 @@
   reply.index = aChunk.at.index;
   if (aChunk.header.term == aTables.vote.term) {
     FollowLeader(aTables, aChunk.header.from, aNow);
-    aTables.leaderCommit = std::max(aTables.leaderCommit, aChunk.at.index);
+    // Zero: of an earlier release.
+    aTables.leaderCommit =
+      std::max({ aTables.leaderCommit, aChunk.at.index, aChunk.commit });
     reply.installed = ReceiveChunk(aTables, aChunk);
     reply.nextOffset = aTables.incoming.bytes.size();
   }
@@ -165,6 +167,7 @@
   chunk.bytes =
     snapshot.state.substr(chunk.offset, aTables.settings.maxBatchBytes);
   chunk.sentAt = aNow;
+  chunk.commit = aTables.commit;
   aPeer.awaitsReply = true;
   aPeer.lastSent = aNow;
   aTables.unsentMessages.emplace_back(std::move(chunk));
--- a/src/wire/replica_codec.cpp
+++ b/src/wire/replica_codec.cpp
@@ -141,6 +141,7 @@
   to->set_offset(aFrom.offset);
   to->set_bytes(aFrom.bytes);
   to->set_sent_at_ns(ToNanoseconds(aFrom.sentAt));
+  to->set_commit(aFrom.commit);
 }
 
 void
@@ -219,7 +220,8 @@
                          aFrom.checksum(),
                          aFrom.offset(),
                          aFrom.bytes(),
-                         FromNanoseconds(aFrom.sent_at_ns()) };
+                         FromNanoseconds(aFrom.sent_at_ns()),
+                         aFrom.commit() };
 }
 
 std::optional<replica_message>
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -236,6 +236,31 @@
   CHECK(disk.Durable().snapshot.state == state);
 }
 
+// Guards against a process that has just got a snapshot, and lets hosts serve
+// and deny requests by it although the leader has committed more.
+TEST_CASE_METHOD(one_replica_fixture,
+                 "Replica_WithASnapshotOlderThanTheCommit_IsNotCaughtUp",
+                 "[replication]")
+{
+  Start();
+  const std::string state = "0123456789";
+  snapshot_chunk chunk;
+  chunk.at = { 50, 4 };
+  chunk.members = kThreeVoters;
+  chunk.totalBytes = state.size();
+  chunk.checksum = StableHash(state);
+  chunk.bytes = state;
+  chunk.commit = 51;
+  REQUIRE(Receive(chunk, kSecond, 4).install);
+  CHECK_FALSE(IsCaughtUp(tables, now));
+  append_request request;
+  request.previous = chunk.at;
+  request.commit = chunk.commit;
+  request.entries = { { 51, 4, entry_kind::ePayload, "x", {} } };
+  Receive(request, kSecond, 4);
+  CHECK(IsCaughtUp(tables, now));
+}
+
 TEST_CASE_METHOD(one_replica_fixture,
                  "Snapshot_LargerThanTheLimit_IsRefused",
                  "[replication]")
