Name the line of a process that catches up, and the bound of reported progress

Read again: a host that reported a whole configuration as received would have got nothing more; none does, as it then has it in force.

--- a/src/control/configurations.cpp
+++ b/src/control/configurations.cpp
@@ -64,15 +64,15 @@
   return aTables.encoded;
 }
 
-// What the host has received of aConfiguration, from any control process.
+// What the host has received of aConfiguration, from any control process. A
+// host with all of it has it in force and reports its revision.
 std::uint64_t
 ReceivedBytes(const std::optional<wire::configuration_progress>& aProgress,
               const encoded_configuration& aConfiguration)
 {
-  return aProgress && aProgress->of == aConfiguration.id
-           ? std::min<std::uint64_t>(aProgress->bytes,
-                                     aConfiguration.bytes.size())
-           : 0;
+  const bool isPart = aProgress && aProgress->of == aConfiguration.id &&
+                      aProgress->bytes < aConfiguration.bytes.size();
+  return isPart ? aProgress->bytes : 0;
 }
 
 // A host with a slow link or processor would take seconds for a history that
@@ -183,7 +183,7 @@
   }
 }
 
-// Those before more than one whole manifest are never sent (AddConfiguration),
+// Those before more than one whole manifest are never sent (AddCommands),
 // and several hundred large ones would be the memory of the process.
 void
 DropOldCommands(control_tables& aTables)
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -45,8 +45,8 @@
   aTables.loggedCaughtUp = aIsCaughtUp;
   LogEvent(kLog,
            log_level::eInfo,
-           "caught_up",
-           { { "is", aIsCaughtUp ? "yes" : "no" },
+           "caught_up_changed",
+           { { "caught_up", aIsCaughtUp ? "yes" : "no" },
              { "revision", std::to_string(aTables.fleet.revision) },
              { "number", std::to_string(aTables.fleet.declared.number) },
              { "term", std::to_string(aTables.log.term()) },
