--- a/tests/control/recovery_test.cpp
+++ b/tests/control/recovery_test.cpp
@@ -80,9 +80,10 @@
     for (int i = 1; i <= aCount; ++i) {
       const std::string number = std::to_string(i);
       apply_manifest change;
-      change.text =
-        R"({"name":"test","version":")" + number + R"(","number":)" + number +
-        R"(,"failure_domains":[{"name":"north"}],"routes":[)" + routes + "]}";
+      change.text = R"({"name":"test","version":")" + number;
+      change.text += R"(","number":)" + number;
+      change.text += R"(,"failure_domains":[{"name":"north"}],"routes":[)";
+      change.text += routes + "]}";
       fleet_command command;
       command.change = std::move(change);
       last_reason reason;
