Keep the ports of stand-in servers reserved while they are down

A stand-in that crashes closes its listener and binds the same ephemeral port again later; meanwhile another process, of the tests that run beside it, may get that port. The port is reserved now for the life of the test, as the ports of the other processes are. Traced in the source; the run that would show it needs another process to draw the same port.

--- a/tests/support/model_servers.cpp
+++ b/tests/support/model_servers.cpp
@@ -75,7 +75,6 @@
     mAcceptor.set_option(tcp::acceptor::reuse_address(true));
     mAcceptor.bind(endpoint);
     mAcceptor.listen();
-    mPort = mAcceptor.local_endpoint().port();
     mBorn = ++state.lastBoot;
     mSequence = 0;
     name = "i-" + std::to_string(mIndex) + "-" + std::to_string(mBorn);
@@ -140,7 +139,7 @@
   tcp::acceptor mAcceptor;
   asio::steady_timer mHeartbeat;
   asio::steady_timer mRestart;
-  std::uint16_t mPort = 0;
+  const std::uint16_t mPort = FreePort(); // kept while the server is down
   std::uint64_t mBorn = 0;
   std::uint64_t mSequence = 0;
   std::vector<std::weak_ptr<session>> mSessions;
