Give the delivery of configurations a header of its own, and one check of progress

The header of the control tables had grown over 600 lines, the comment of host_row stood over another struct, and the line configuration_repeated was written in two places with the same fields.

--- a/src/control/configurations.cpp
+++ b/src/control/configurations.cpp
@@ -41,6 +41,19 @@
              { "in_parts", aIsInParts ? "yes" : "no" } });
 }
 
+void
+LogRepeated(const host_row& aHost,
+            const wire::host_report& aReport,
+            std::uint64_t aSentRevision)
+{
+  LogEvent(kLog,
+           log_level::eInfo,
+           "configuration_repeated",
+           { { "host", aHost.name },
+             { "revision", std::to_string(aReport.revision) },
+             { "sent_revision", std::to_string(aSentRevision) } });
+}
+
 // Hosts use neither claims nor the source of the manifest.
 std::string
 EncodeForHosts(fleet_state aState)
@@ -103,6 +116,20 @@
   return true;
 }
 
+// A host runs what an update carries before it reports the update.
+void
+CheckWhole(host_row& aHost, const wire::host_report& aReport)
+{
+  const bool isReceived =
+    aHost.sentRevision > 0 && aReport.receivedUpdate >= aHost.sentWithUpdate;
+  if (aReport.revision >= aHost.sentRevision) {
+    aHost.sentRevision = 0;
+  } else if (isReceived) {
+    LogRepeated(aHost, aReport, aHost.sentRevision);
+    aHost.sentRevision = 0;
+  }
+}
+
 } // namespace
 
 // A message that takes longer on a host's link than its report waits for the
@@ -158,23 +185,19 @@
 void
 HandleProgress(host_row& aHost, const wire::host_report& aReport)
 {
+  CheckWhole(aHost, aReport);
   configuration_transfer& transfer = aHost.transfer;
   if (!transfer.configuration) {
     return;
   }
+  const std::uint64_t sentRevision = transfer.configuration->id.revision;
   const std::uint64_t received =
     ReceivedBytes(aReport.incoming, *transfer.configuration);
-  const bool isDone = aReport.revision >= transfer.configuration->id.revision;
+  const bool isDone = aReport.revision >= sentRevision;
   const bool isDropped = aReport.receivedUpdate >= transfer.lastUpdate &&
                          received < transfer.sentBytes;
   if (isDropped && !isDone) {
-    LogEvent(kLog,
-             log_level::eInfo,
-             "configuration_repeated",
-             { { "host", aHost.name },
-               { "revision", std::to_string(aReport.revision) },
-               { "sent_revision",
-                 std::to_string(transfer.configuration->id.revision) } });
+    LogRepeated(aHost, aReport, sentRevision);
   }
   if (isDone || isDropped) {
     transfer = {};
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -4,6 +4,7 @@
 /// Tables of bulrush-control. Its control thread owns all of them.
 
 #include "admission/admission.hpp"
+#include "control/configurations.hpp"
 #include "control/control.hpp"
 #include "control/log.hpp"
 #include "control/orders.hpp"
@@ -60,23 +61,6 @@
 };
 
 /// An entry host that reports to this process.
-/// A configuration as hosts get it.
-struct encoded_configuration
-{
-  wire::configuration_id id;
-  std::string bytes;
-};
-
-/// Delivery of a configuration in parts.
-struct configuration_transfer
-{
-  /// Null: none is under way. The newest is sent when this has arrived.
-  std::shared_ptr<const encoded_configuration> configuration;
-  std::uint64_t sentBytes = 0;
-  std::uint64_t receivedBytes = 0; ///< reported by the host
-  std::uint64_t lastUpdate = 0;    ///< number of the update with the last part
-};
-
 struct host_row
 {
   host_id id;
@@ -585,24 +569,6 @@
 /// Whether a control process is named to hosts and other control processes.
 bool IsListed(const control_tables& aTables, const control_row& aControl);
 
-/// Records how much of a configuration in parts the host reports.
-void HandleProgress(host_row& aHost, const wire::host_report& aReport);
-
-/// Whether the host can take another part now.
-bool HasPartToSend(const host_row& aHost);
-
-/// Adds the next part of the configuration that is under way to the host.
-void AddPart(host_row& aHost, wire::host_update& aUpdate);
-
-/// Adds what the host lacks of the newest configuration, or begins to send it
-/// in parts.
-void AddConfiguration(control_tables& aTables,
-                      host_row& aHost,
-                      wire::host_update& aUpdate);
-
-/// Drops the recent commands that no update would carry.
-void DropOldCommands(control_tables& aTables);
-
 /// Systems: send updates to hosts, and endpoints to other control processes.
 void RunUpdates(control_tables& aTables,
                 steady_time aNow,
--- a/src/control/updates.cpp
+++ b/src/control/updates.cpp
@@ -53,25 +53,6 @@
              { "leader", aTables.log.leaderName() } });
 }
 
-// A host runs what an update carries before it reports the update.
-void
-CheckConfirmation(host_row& aHost, const wire::host_report& aReport)
-{
-  const bool isReceived =
-    aHost.sentRevision > 0 && aReport.receivedUpdate >= aHost.sentWithUpdate;
-  if (aReport.revision >= aHost.sentRevision) {
-    aHost.sentRevision = 0;
-  } else if (isReceived) {
-    LogEvent(kLog,
-             log_level::eInfo,
-             "configuration_repeated",
-             { { "host", aHost.name },
-               { "revision", std::to_string(aReport.revision) },
-               { "sent_revision", std::to_string(aHost.sentRevision) } });
-    aHost.sentRevision = 0;
-  }
-}
-
 std::optional<std::chrono::nanoseconds>
 ConfirmationAge(const control_tables& aTables, steady_time aNow)
 {
@@ -158,7 +139,6 @@
     LogMissedUpdates(aHost);
     SendAllAgain(aHost);
   } else {
-    CheckConfirmation(aHost, aReport);
     HandleProgress(aHost, aReport);
   }
 }
