--- a/tests/support/core_fleet.cpp
+++ b/tests/support/core_fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <stdexcept>
 
 namespace bulrush::test {
@@ -92,15 +93,43 @@
   return mFolder / "durable" / aControl.ip;
 }
 
+std::filesystem::path
+core_fleet::SettingsOf(const machine& aMachine) const
+{
+  return mFolder / (aMachine.ip + ".ini");
+}
+
+void
+core_fleet::WriteSettings(const machine& aMachine) const
+{
+  std::ofstream(SettingsOf(aMachine)) << "seeds = " << Seeds() << '\n';
+}
+
+void
+core_fleet::Exchange(machine& aControl)
+{
+  aControl.program.reset();
+  aControl.ip = NextIp();
+  for (const std::vector<machine>* machines : { &controls, &hosts }) {
+    for (const machine& each : *machines) {
+      WriteSettings(each);
+    }
+  }
+  StartControl(aControl);
+}
+
 void
 core_fleet::StartControl(machine& aControl, bool aIsFirstStart)
 {
+  WriteSettings(aControl);
   const auto data = DataOf(aControl);
   std::filesystem::create_directories(data);
   std::filesystem::create_directories(RecordOf(aControl));
   aControl.program = std::make_unique<process>(
     "bulrush-control",
-    std::vector<std::string>{ "--domain",
+    std::vector<std::string>{ "--config",
+                              SettingsOf(aControl).string(),
+                              "--domain",
                               aControl.domain,
                               "--domains",
                               Join(mDomains),
@@ -110,8 +139,6 @@
                               At(aControl, mHttpPort),
                               "--front-end",
                               "platform",
-                              "--seeds",
-                              Seeds(),
                               aIsFirstStart ? "--first-start=true"
                                             : "--first-start=false",
                               "--data",
@@ -125,10 +152,13 @@
 void
 core_fleet::StartHost(machine& aHost)
 {
+  WriteSettings(aHost);
   const auto index = std::to_string(&aHost - hosts.data());
   aHost.program = std::make_unique<process>(
     "bulrush-entry",
-    std::vector<std::string>{ "--name",
+    std::vector<std::string>{ "--config",
+                              SettingsOf(aHost).string(),
+                              "--name",
                               "host-" + index,
                               "--domain",
                               aHost.domain,
@@ -139,8 +169,6 @@
                               "--front-end",
                               "platform",
                               "--serve-without-lease",
-                              "--seeds",
-                              Seeds(),
                               "--seed-port",
                               std::to_string(mLinkPort) },
     mFolder);
--- a/tests/support/core_fleet.hpp
+++ b/tests/support/core_fleet.hpp
@@ -41,6 +41,9 @@
   /// Starts a control process with its data folder; the seeds are those of now.
   void StartControl(machine& aControl, bool aIsFirstStart = false);
   void StartHost(machine& aHost);
+  /// Replaces a control machine by one with an empty disk at a new address, as
+  /// the platform does: all settings name the new seeds.
+  void Exchange(machine& aControl);
 
   /// Kills all processes. Control processes keep only what they have synced,
   /// and those of aDomain lose their disks.
@@ -77,6 +80,8 @@
 private:
   std::string At(const machine& aMachine, std::uint16_t aPort) const;
   std::string Seeds() const;
+  std::filesystem::path SettingsOf(const machine& aMachine) const;
+  void WriteSettings(const machine& aMachine) const;
   std::filesystem::path DataOf(const machine& aControl) const;
   std::filesystem::path RecordOf(const machine& aControl) const;
 
