Read the seeds again while nobody answers, and on SIGHUP

Callers were served by an older configuration for as long as a host ran (CONFIG): removed routes and withdrawn keys were still in force there. A host that was suspended or cut off while all three control machines were exchanged, one after the other, knew only addresses that were gone. The platform writes the new seeds into the settings and sends SIGHUP, which hosts and control processes logged and ignored.

Hosts read their seeds again on SIGHUP and each second while no control process has answered for a second; control processes while they have known no leader for a second. Former seeds are dropped like any other control process that none lists.

The fixture waits four seconds between exchanges now, as long as a machine counts as lost; it fell short of that by a second.

ReadControls moves to a file of its own.

--- a/src/control/log.hpp
+++ b/src/control/log.hpp
@@ -56,6 +56,9 @@
   /// Processes are named by their link addresses, join without an operator's
   /// call, and replace lost members.
   bool hasDynamicMembers = false;
+  bool hasNewSeeds = false;    ///< the settings have been written again
+  steady_time leaderKnownAt{}; ///< a leader was known, last
+  steady_time nextSeedRead{};
 };
 
 /// Opens the data folder. Fails when it is damaged or locked by another
@@ -119,6 +122,17 @@
 /// adds others.
 void RunVoters(control_tables& aTables, steady_time aNow);
 
+/// Has the seeds read again when they may have changed.
+void RunSeeds(control_tables& aTables,
+              steady_time aNow,
+              control_outbox& aOutbox);
+
+/// The settings name these control processes as seeds now.
+void HandleSeeds(control_tables& aTables,
+                 const std::vector<wire::control_address>& aSeeds,
+                 steady_time aNow,
+                 control_outbox& aOutbox);
+
 /// Systems, in their order around RunApply.
 void RunLog(control_tables& aTables, steady_time aNow, control_outbox& aOutbox);
 void RunLogSnapshot(control_tables& aTables,
--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -62,13 +62,20 @@
   aReply.Send(aRead.status, fields, aRead.text + "\n");
 }
 
+/// Reads the settings as they are now.
+using read_settings_hook =
+  std::function<std::optional<option_values>(last_reason& aReason)>;
+
 // Tables, connections and timers of the process. Members declared after mTables
 // refer to it.
 class control_process
 {
 public:
-  control_process(asio::io_context& aContext, const option_values& aOptions)
+  control_process(asio::io_context& aContext,
+                  const option_values& aOptions,
+                  read_settings_hook aReadSettings)
     : mContext(aContext)
+    , mReadSettings(std::move(aReadSettings))
     , mStopGrace(aOptions.Duration("stop-grace"))
     , mMaxConnections(MaxCallerConnections(aOptions))
     , mAccount(MakeAccount(aOptions))
@@ -145,6 +152,14 @@
     mTimer.RunSoon();
   }
 
+  void ReadSeedsSoon()
+  {
+    if (mTables.replicated) {
+      mTables.replicated->hasNewSeeds = true;
+    }
+    mTimer.RunSoon();
+  }
+
   int ExitCode() const { return mExitCode; }
 
 private:
@@ -214,15 +229,35 @@
 
   // Only the IP addresses of seeds are used: all control processes listen for
   // links on the same port as this one.
-  bool ReadPeers(const option_values& aOptions, last_reason& aReason)
+  static std::vector<wire::control_address> SeedsOf(
+    const option_values& aOptions)
   {
     const std::uint16_t port = aOptions.Address("listen")->port;
+    std::vector<wire::control_address> seeds;
     for (const host_address& seed : aOptions.Addresses("seeds")) {
       const std::string address = FormatAddress({ seed.ip, port });
-      if (address == mTables.self.name) {
+      seeds.push_back({ address, address });
+    }
+    return seeds;
+  }
+
+  void ReadSeeds(steady_time aNow, control_outbox& aOutbox)
+  {
+    last_reason reason;
+    if (const auto settings = mReadSettings(reason)) {
+      HandleSeeds(mTables, SeedsOf(*settings), aNow, aOutbox);
+    } else {
+      LogWarning(kLog, "Cannot read the seeds again: {}", Describe(reason));
+    }
+  }
+
+  bool ReadPeers(const option_values& aOptions, last_reason& aReason)
+  {
+    for (const wire::control_address& seed : SeedsOf(aOptions)) {
+      if (seed.address == mTables.self.name) {
         mMayBootstrap = true;
       } else {
-        mPeers.push_back({ address, address });
+        mPeers.push_back(seed);
       }
     }
     if (aOptions.IsSet("seeds")) {
@@ -486,6 +521,9 @@
     for (const std::string& name : outbox.lostLinks) {
       mLinks.erase(name);
     }
+    if (outbox.readsSeeds) {
+      ReadSeeds(aNow, outbox);
+    }
     for (const wire::control_address& peer : outbox.links) {
       last_reason reason;
       if (!Link(peer, reason)) {
@@ -586,6 +624,7 @@
   };
 
   asio::io_context& mContext;
+  read_settings_hook mReadSettings;
   const std::chrono::milliseconds mStopGrace;
   const std::size_t mMaxConnections; ///< of callers
   std::shared_ptr<memory::account> mAccount;
@@ -653,7 +692,13 @@
   SetLogLevel(*level);
   ReturnFreedMemory();
   LogToStandardOutput();
-  control_process process(context, *options);
+  const auto readSettings =
+    [aArgumentCount,
+     aArguments](last_reason& aReason) -> std::optional<option_values> {
+    auto loaded = LoadSettings(kProgram, aArgumentCount, aArguments, aReason);
+    return loaded ? std::optional(std::move(loaded->values)) : std::nullopt;
+  };
+  control_process process(context, *options, readSettings);
   if (!process.Start(*options, std::move(*frontEnd), reason)) {
     LogError(kLog, "Cannot start: {}", Describe(reason));
     return 1;
@@ -662,8 +707,9 @@
     context,
     [&process] { process.BeginStop(); },
     [] { LogInfo(kLog, "Stop signal ignored: already stopping"); });
-  net::OnReloadSignal(context, [] {
-    LogInfo(kLog, "SIGHUP ignored: settings are read at startup only");
+  net::OnReloadSignal(context, [&process] {
+    LogInfo(kLog, "SIGHUP: reads the seeds again, and no other setting");
+    process.ReadSeedsSoon();
   });
   context.run();
   return process.ExitCode();
--- a/src/control/systems.cpp
+++ b/src/control/systems.cpp
@@ -504,10 +504,11 @@
   aOutbox.wake.NoLaterThan(hostCount.nextChange);
 }
 
-constexpr std::array<named_system<control_tables, control_outbox>, 17> kSystems{
+constexpr std::array<named_system<control_tables, control_outbox>, 18> kSystems{
   { { "ingest", RunIngest },
     { "http_calls", RunHttpCalls },
     { "log", RunLog },
+    { "seeds", RunSeeds },
     { "apply", RunApply },
     { "log_snapshot", RunLogSnapshot },
     { "expiry", RunExpiry },
--- a/src/control/tables.hpp
+++ b/src/control/tables.hpp
@@ -395,6 +395,7 @@
   usage_outbox usage;
   std::vector<wire::control_address> links; ///< control processes to connect to
   std::vector<std::string> lostLinks;       ///< names of those that are gone
+  bool readsSeeds = false; ///< from the settings, for HandleSeeds
   wake_time wake;
   std::optional<last_reason> fatal; ///< the process must exit
 };
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -133,7 +133,7 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 12> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 13> kSystems{
   { { "ingest", RunIngest },
     { "configuration_age", RunConfigurationAge },
     { "confirmation_wait", RunConfirmationWait },
@@ -142,6 +142,7 @@
     { "draws", RunQuotaRequests },
     { "usage", RunUsage },
     { "renewals", RunRenewals },
+    { "seeds", RunSeeds },
     { "report_timeout", RunReportTimeout },
     { "report", RunReport },
     { "commands", RunCommands },
--- a/src/entry/control_systems.hpp
+++ b/src/entry/control_systems.hpp
@@ -42,6 +42,10 @@
                  steady_time aNow,
                  entry_outbox& aOutbox);
 
+// control_seeds.cpp
+/// Has the seeds read again when they may have changed.
+void RunSeeds(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox);
+
 // usage_reports.cpp
 void RunUsage(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox);
 void HandleUsageAck(entry_tables& aTables,
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -1,5 +1,6 @@
 #include "duties/duties.hpp"
 #include "entry/options.hpp"
+#include "entry/read_controls.hpp"
 #include "entry/request_log.hpp"
 #include "entry/traffic.hpp"
 #include "observe/observe.hpp"
@@ -32,13 +33,15 @@
                  std::function<void(admission::grant)> aOnGrant,
                  std::function<void(rates::quota_grant)> aOnQuotaGrant,
                  evidence_hook aOnEvidence,
-                 load_hook aOnLoads)
+                 load_hook aOnLoads,
+                 read_controls_hook aReadSeeds)
     : mContext(aContext)
     , mPublish(std::move(aPublish))
     , mOnGrant(std::move(aOnGrant))
     , mOnQuotaGrant(std::move(aOnQuotaGrant))
     , mOnEvidence(std::move(aOnEvidence))
     , mOnLoads(std::move(aOnLoads))
+    , mReadSeeds(std::move(aReadSeeds))
     , mTimer(aContext, [this](steady_time aNow) { return Tick(aNow); })
   {
     mTables.self.name = aOptions.Text("name");
@@ -134,6 +137,12 @@
     mTimer.RunSoon();
   }
 
+  void ReadSeedsSoon()
+  {
+    mTables.hasNewSeeds = true;
+    mTimer.RunSoon();
+  }
+
   void BeginStop()
   {
     mTables.isStopping = true;
@@ -186,16 +195,23 @@
     mTimer.RunSoon();
   }
 
-  wake_time Tick(steady_time aNow)
+  void ReadSeeds(steady_time aNow, entry_outbox& aOutbox)
   {
-    entry_outbox outbox;
-    RunEntryControl(mTables, aNow, outbox);
-    for (const std::string& address : outbox.lostLinks) {
-      mLinks.erase(address);
+    last_reason reason;
+    const auto seeds = mReadSeeds(reason);
+    if (seeds) {
+      HandleSeeds(mTables, *seeds, aNow, aOutbox);
+    } else {
+      LogWarning(kLog, "Cannot read the seeds again: {}", Describe(reason));
     }
-    for (const wire::control_address& control : outbox.links) {
+  }
+
+  void ConnectAll(const std::vector<wire::control_address>& aControls,
+                  bool aIsFound)
+  {
+    for (const wire::control_address& control : aControls) {
       last_reason reason;
-      if (!Connect(control, true, reason)) {
+      if (!Connect(control, aIsFound, reason)) {
         LogWarning(kLog,
                    "Cannot connect to control process {} at {}: {}",
                    control.name,
@@ -203,6 +219,20 @@
                    Describe(reason));
       }
     }
+  }
+
+  wake_time Tick(steady_time aNow)
+  {
+    entry_outbox outbox;
+    RunEntryControl(mTables, aNow, outbox);
+    for (const std::string& address : outbox.lostLinks) {
+      mLinks.erase(address);
+    }
+    if (outbox.readsSeeds) {
+      ReadSeeds(aNow, outbox);
+    }
+    ConnectAll(outbox.links, true);
+    ConnectAll(outbox.seedLinks, false);
     for (outgoing& out : outbox.messages) {
       const auto link = mLinks.find(out.controlAddress);
       link->second->Send(wire::Encode(
@@ -250,6 +280,7 @@
   std::function<void(rates::quota_grant)> mOnQuotaGrant;
   evidence_hook mOnEvidence;
   load_hook mOnLoads;
+  read_controls_hook mReadSeeds;
   std::function<void()> mOnSettled; ///< set while the process stops
   steady_time mUsageEndsBy;         ///< then a stop waits for it no longer
   net::tick_timer mTimer;
@@ -262,7 +293,8 @@
   entry_process(const option_values& aOptions,
                 span_writer aSpans,
                 const secret_text& aEndpointSecret,
-                front_end aFront)
+                front_end aFront,
+                read_controls_hook aReadSeeds)
     : mStopDelay(aOptions.Duration("stop-delay"))
     , mStopGrace(aOptions.Duration("stop-grace"))
     , mControl(
@@ -295,7 +327,8 @@
           asio::post(mTrafficContext, [this, loads = std::move(aLoads)] {
             mTraffic.HandleLoads(loads);
           });
-        })
+        },
+        std::move(aReadSeeds))
     , mTraffic(mTrafficContext,
                TrafficSettings(aOptions,
                                std::move(aSpans),
@@ -342,10 +375,9 @@
       mControlContext,
       [this] { BeginStop(); },
       [] { LogInfo(kLog, "Stop signal ignored: already stopping"); });
-    // Control processes are discovered from connected ones, so changed seeds
-    // only matter at the next start.
-    net::OnReloadSignal(mControlContext, [] {
-      LogInfo(kLog, "SIGHUP ignored: settings are read at startup only");
+    net::OnReloadSignal(mControlContext, [this] {
+      LogInfo(kLog, "SIGHUP: reads the seeds again, and no other setting");
+      mControl.ReadSeedsSoon();
     });
     mControl.RunSoon();
     mControlContext.run();
@@ -387,32 +419,6 @@
     });
   }
 
-  // With seeds, the names of control processes are not known yet, so their
-  // addresses stand in.
-  static std::optional<std::vector<wire::control_address>> ReadControls(
-    const option_values& aOptions,
-    last_reason& aReason)
-  {
-    std::vector<wire::control_address> controls;
-    const auto port = static_cast<std::uint16_t>(aOptions.Integer("seed-port"));
-    for (const host_address& seed : aOptions.Addresses("seeds")) {
-      const std::string address = FormatAddress({ seed.ip, port });
-      controls.push_back({ address, address });
-    }
-    if (!controls.empty()) {
-      return controls;
-    }
-    for (const std::string& control : aOptions.List("control")) {
-      const std::size_t equals = control.find('=');
-      if (equals == std::string::npos) {
-        return Fail(aReason, "read control", control, "expected NAME=IP:PORT");
-      }
-      controls.push_back(
-        { control.substr(0, equals), control.substr(equals + 1) });
-    }
-    return controls;
-  }
-
   // Of pages that are read without a body. They have to be served while the
   // account is full, so they are bounded by themselves.
   static std::optional<net::http_server_settings> ListenAt(
@@ -601,7 +607,12 @@
   SetLogLevel(*level);
   ReturnFreedMemory();
   LogToStandardOutput();
-  entry_process process(*options, *spans, *secret, std::move(*front));
+  const auto readSeeds = [aCount, aWords](last_reason& aReason) {
+    const auto loaded = LoadSettings(kProgram, aCount, aWords, aReason);
+    return loaded ? ReadControls(loaded->values, aReason) : std::nullopt;
+  };
+  entry_process process(
+    *options, *spans, *secret, std::move(*front), readSeeds);
   if (!process.Start(*options, reason)) {
     LogError(kLog, "Cannot start: {}", Describe(reason));
     return 1;
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -187,7 +187,9 @@
   bool mayServe = false;                 ///< the wait is over
   incoming_configuration incoming;
   latest_update latestUpdate;
-  steady_time updatedAt{}; ///< when that arrived
+  steady_time updatedAt{};  ///< when that arrived
+  bool hasNewSeeds = false; ///< the settings have been written again
+  steady_time nextSeedRead{};
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
@@ -211,7 +213,9 @@
 struct entry_outbox
 {
   std::vector<wire::control_address> links; ///< control processes to connect
+  std::vector<wire::control_address> seedLinks; ///< the same, named as seeds
   std::vector<std::string> lostLinks; ///< addresses of those that are gone
+  bool readsSeeds = false;            ///< from the settings, for HandleSeeds
   std::vector<outgoing> messages;
   std::vector<std::pair<command_hook, wire::command_reply>> replies;
   std::optional<traffic_view> view;            ///< to be published
@@ -232,6 +236,12 @@
                     const quarantine::evidence& aEvidence,
                     steady_time aNow);
 
+/// The settings name these control processes as seeds now.
+void HandleSeeds(entry_tables& aTables,
+                 const std::vector<wire::control_address>& aSeeds,
+                 steady_time aNow,
+                 entry_outbox& aOutbox);
+
 /// The traffic thread observed loads of endpoints.
 void HandleLoads(entry_tables& aTables,
                  const std::vector<room::load_row>& aLoads,
--- a/tests/process/changed_seeds_test.cpp
+++ b/tests/process/changed_seeds_test.cpp
@@ -8,6 +8,10 @@
 namespace bulrush::test {
 namespace {
 
+/// A machine counts as lost until its successor has run for this long, and one
+/// at a time may be lost.
+constexpr std::chrono::milliseconds kCatchUpTime{ 4'000 };
+
 /// Three control processes that are all exchanged while one host is suspended,
 /// so that each address that the host knows is gone when it runs on.
 struct changed_seeds_fixture
@@ -20,9 +24,9 @@
     running.Configure();
     suspended.program->Signal(SIGSTOP);
     for (machine& control : running.controls) {
-      std::this_thread::sleep_for(kContactTime);
       running.Exchange(control);
       running.Configure();
+      std::this_thread::sleep_for(kCatchUpTime);
     }
     suspended.program->Signal(SIGCONT);
   }
