Remove a lost voter whose replacement ended with its leader

Four voters of which one is lost stayed as they were, for as long as no process waited to join, and the next loss stopped the log for good (class: a row stays after what it stands for is gone).

Cause: a replacement ends with its leader. Between the vote of the new member and the removal of the lost one, which another voter's sync of over 0.7 s holds up, the next leader sees no learner to settle and no process that waits.

Change: while nobody waits, a voter that is silent is removed from an even number of voters, of which one fewer has to confirm an entry then.

LostVoter_WhoseReplacementEndedWithItsLeader_IsRemoved failed before:

voters_test.cpp: FAILED: REQUIRE( RunUntilVotersAreThoseThatRun(kCatchUpTime) ) with expansion: false the other follower stalls 0 ticks after the join; the leader is lost: 0

--- a/src/control/voters.cpp
+++ b/src/control/voters.cpp
@@ -313,6 +313,34 @@
   return move ? move : ChooseAddition(aTables, waiting, counts);
 }
 
+// A replacement ends with its leader, also between the vote of the new member
+// and the removal of the lost one. No process waits then to take its place, and
+// the next loss would stop the log. Of an even number of voters a lost one only
+// adds to those that have to confirm an entry.
+void
+RemoveLostVoter(control_tables& aTables, steady_time aNow)
+{
+  replica_tables& replica = aTables.replicated->replica;
+  const membership& members = replica.members;
+  if (members.size() % 2 != 0) {
+    return;
+  }
+  const auto lost =
+    std::ranges::find_if(members, [&](const log_member& aMember) {
+      return aMember.id != replica.self && IsSilent(aTables, aMember, aNow);
+    });
+  if (lost == members.end()) {
+    return;
+  }
+  const std::string name = lost->name;
+  last_reason reason;
+  if (RemoveMember(replica, lost->id, aNow, reason)) {
+    LogInfo(kLog, "{} is lost and leaves the log", name);
+  } else {
+    LogWarning(kLog, "{} stays in the log: {}", name, Describe(reason));
+  }
+}
+
 } // namespace
 
 // One change at a time.
@@ -330,6 +358,7 @@
   }
   const auto change = ChooseChange(aTables, aNow);
   if (!change) {
+    RemoveLostVoter(aTables, aNow);
     return;
   }
   const std::string joining = change->joining->name;
--- a/tests/control/voters_test.cpp
+++ b/tests/control/voters_test.cpp
@@ -24,6 +24,7 @@
     std::string domain;
     fs::path folder;
     std::unique_ptr<control_tables> tables; ///< null while it is down
+    bool isStalled = false; ///< its messages wait, as while a sync lasts
   };
 
   fs::path folder;
@@ -114,7 +115,7 @@
     for (const steady_time end = now + aTime; now < end;
          now += milliseconds{ 10 }) {
       for (process& each : processes) {
-        if (!each.tables) {
+        if (!each.tables || each.isStalled) {
           continue;
         }
         control_outbox out;
@@ -402,5 +403,134 @@
                                { "north", 1 }, { "south", 1 }, { "west", 1 } });
 }
 
+/// Three control processes, each in a failure domain of its own, that are
+/// exchanged for empty ones at new addresses.
+struct exchanged_voters_fixture : voters_fixture
+{
+  /// A machine counts as lost until so long after its successor has started.
+  static constexpr milliseconds kCatchUpTime{ 4'000 };
+  static constexpr milliseconds kTick{ 10 };
+  /// A join is complete after fewer ticks.
+  static constexpr int kJoinTicks = 12;
+
+  std::size_t exchanges = 0;
+
+  exchanged_voters_fixture()
+    : voters_fixture({ "north", "south", "west" })
+  {
+    Run(milliseconds{ 5'000 });
+  }
+
+  void Exchange(std::size_t aIndex)
+  {
+    const std::string number = std::to_string(++exchanges);
+    processes[aIndex] = { "10.0.1." + number + ":7100",
+                          processes[aIndex].domain,
+                          folder / ("exchanged-" + number),
+                          nullptr };
+    Start(aIndex, false);
+  }
+
+  const membership& MembersAt(std::size_t aIndex) const
+  {
+    return processes[aIndex].tables->replicated->replica.members;
+  }
+
+  std::size_t VotersAt(std::size_t aIndex) const
+  {
+    return static_cast<std::size_t>(std::ranges::count(
+      MembersAt(aIndex), member_kind::eVoter, &log_member::kind));
+  }
+
+  /// Voters of the list at a process that run no more.
+  std::size_t LostVotersAt(std::size_t aIndex)
+  {
+    return static_cast<std::size_t>(
+      std::ranges::count_if(MembersAt(aIndex), [&](const log_member& aMember) {
+        return aMember.kind == member_kind::eVoter &&
+               Named(aMember.name) == nullptr;
+      }));
+  }
+
+  /// Whether the voters are exactly the processes that run, at each of them.
+  bool AreVotersThoseThatRun()
+  {
+    for (std::size_t i = 0; i < processes.size(); ++i) {
+      if (VotersAt(i) != processes.size() ||
+          MembersAt(i).size() != processes.size() || LostVotersAt(i) != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// Exchanges a process. Some ticks after the new one is told of the log, the
+  /// other follower stalls, whose index is returned.
+  std::size_t ExchangeAndStall(std::size_t aIndex, int aTicks)
+  {
+    Exchange(aIndex);
+    for (int i = 0; i < 1'000 && MembersAt(aIndex).empty(); ++i) {
+      Run(kTick);
+    }
+    Run(aTicks * kTick);
+    REQUIRE(Leader());
+    const std::size_t stalled = 0 + 1 + 2 - aIndex - *Leader();
+    processes[stalled].isStalled = true;
+    return stalled;
+  }
+
+  bool RunUntilVotersAreThoseThatRun(milliseconds aLimit)
+  {
+    for (const steady_time end = now + aLimit; now < end;) {
+      if (Leader() && AreVotersThoseThatRun()) {
+        return true;
+      }
+      Run(kTick);
+    }
+    return false;
+  }
+};
+
+// Guards against a list of voters that can't commit: of four, two are lost.
+TEST_CASE_METHOD(exchanged_voters_fixture,
+                 "Voters_WhenExchangedOneAfterAnother_AreReplacedBeforeTheNext",
+                 "[control]")
+{
+  REQUIRE(AreVotersThoseThatRun());
+  for (std::size_t i = 0; i < 30; ++i) {
+    INFO("exchange " << i);
+    REQUIRE(Leader());
+    Exchange(i % 3 == 0 ? *Leader() : i % processes.size());
+    for (const steady_time end = now + kCatchUpTime; now < end;) {
+      Run(kTick);
+      for (std::size_t at = 0; at < processes.size(); ++at) {
+        CHECK(LostVotersAt(at) <= 1);
+      }
+    }
+    REQUIRE(AreVotersThoseThatRun());
+  }
+}
+
+// Guards against a lost voter among four, after which the next loss stops the
+// log for good: its replacement ended with its leader.
+TEST_CASE_METHOD(exchanged_voters_fixture,
+                 "LostVoter_WhoseReplacementEndedWithItsLeader_IsRemoved",
+                 "[control]")
+{
+  for (const bool isLeaderLost : { false, true }) {
+    for (int ticks = 0; ticks < kJoinTicks; ++ticks) {
+      INFO("the other follower stalls "
+           << ticks << " ticks after the join; "
+           << "the leader is lost: " << isLeaderLost);
+      REQUIRE(Leader());
+      const std::size_t lost = isLeaderLost ? *Leader() : (*Leader() + 1) % 3;
+      const std::size_t stalled = ExchangeAndStall(lost, ticks);
+      Run(milliseconds{ 2'000 });
+      processes[stalled].isStalled = false;
+      REQUIRE(RunUntilVotersAreThoseThatRun(kCatchUpTime));
+    }
+  }
+}
+
 } // namespace
 } // namespace bulrush::control
