Add a relay that cuts and heals links between real processes

A test could kill or suspend a process, but not cut the network between two of them, so hosts behind a cut link were only simulated.

A preloaded hook leads connections to link ports through a relay in the test, at the target's own address. Links are direct unless a fleet asks for the relay. Probes may tell more than two configurations apart, which restarted_hosts_test does not use.

--- a/tests/support/core_fleet.cpp
+++ b/tests/support/core_fleet.cpp
@@ -26,7 +26,8 @@
 
 core_fleet::core_fleet(std::vector<std::string> aDomains,
                        std::size_t aControlsPerDomain,
-                       std::size_t aHosts)
+                       std::size_t aHosts,
+                       core_links aLinks)
   : mDomains(std::move(aDomains))
 {
   std::string name =
@@ -35,6 +36,9 @@
     throw std::runtime_error("no temporary folder");
   }
   mFolder = name;
+  if (aLinks == core_links::eRelayed) {
+    relay = std::make_unique<link_relay>(mFolder / "relay", mLinkPort);
+  }
   std::random_device random;
   mNet = "127." + std::to_string(1 + random() % kSubnets) + "." +
          std::to_string(1 + random() % kSubnets) + ".";
@@ -64,6 +68,22 @@
   return mNet + std::to_string(++mLastAddress);
 }
 
+// aPreloaded: of the library that the machine's program needs in any case.
+std::vector<std::string>
+core_fleet::EnvironmentOf(const machine& aMachine, std::string aPreloaded) const
+{
+  std::vector<std::string> environment;
+  if (relay) {
+    environment = relay->EnvironmentOf(aMachine.ip);
+    aPreloaded += aPreloaded.empty() ? "" : ":";
+    aPreloaded += BULRUSH_RELAYED_LINKS;
+  }
+  if (!aPreloaded.empty()) {
+    environment.push_back("LD_PRELOAD=" + aPreloaded);
+  }
+  return environment;
+}
+
 std::string
 core_fleet::At(const machine& aMachine, std::uint16_t aPort) const
 {
@@ -98,6 +118,13 @@
   const auto data = DataOf(aControl);
   std::filesystem::create_directories(data);
   std::filesystem::create_directories(RecordOf(aControl));
+  std::vector<std::string> environment =
+    EnvironmentOf(aControl, BULRUSH_DURABLE_DISK);
+  environment.push_back(std::string(kDurableDiskVariable) + "=" +
+                        RecordOf(aControl).string());
+  if (relay) {
+    relay->AddTarget(aControl.ip);
+  }
   aControl.program = std::make_unique<process>(
     "bulrush-control",
     std::vector<std::string>{ "--domain",
@@ -117,9 +144,16 @@
                               "--data",
                               data.string() },
     mFolder,
-    std::vector<std::string>{ "LD_PRELOAD=" BULRUSH_DURABLE_DISK,
-                              std::string(kDurableDiskVariable) + "=" +
-                                RecordOf(aControl).string() });
+    environment);
+}
+
+void
+core_fleet::KillControl(machine& aControl) const
+{
+  if (relay) {
+    relay->HandleKill(aControl.ip);
+  }
+  aControl.program.reset();
 }
 
 void
@@ -143,7 +177,8 @@
                               Seeds(),
                               "--seed-port",
                               std::to_string(mLinkPort) },
-    mFolder);
+    mFolder,
+    EnvironmentOf(aHost, ""));
 }
 
 void
--- a/tests/support/core_fleet.hpp
+++ b/tests/support/core_fleet.hpp
@@ -5,6 +5,7 @@
 /// platform: each machine has an address of its own on loopback, and all have
 /// the same ports.
 
+#include "support/link_relay.hpp"
 #include "support/processes.hpp"
 
 #include <random>
@@ -24,6 +25,13 @@
   std::unique_ptr<process> program;
 };
 
+/// Whether links pass through a relay that can cut them.
+enum class core_links
+{
+  eDirect,
+  eRelayed
+};
+
 class core_fleet
 {
 public:
@@ -31,7 +39,8 @@
   /// domain is a seed.
   core_fleet(std::vector<std::string> aDomains,
              std::size_t aControlsPerDomain,
-             std::size_t aHosts);
+             std::size_t aHosts,
+             core_links aLinks = core_links::eDirect);
   ~core_fleet();
   core_fleet(const core_fleet&) = delete;
   core_fleet& operator=(const core_fleet&) = delete;
@@ -41,6 +50,7 @@
   /// Starts a control process with its data folder; the seeds are those of now.
   void StartControl(machine& aControl, bool aIsFirstStart = false);
   void StartHost(machine& aHost);
+  void KillControl(machine& aControl) const;
 
   /// Kills all processes. Control processes keep only what they have synced,
   /// and those of aDomain lose their disks.
@@ -71,10 +81,13 @@
 
   std::vector<machine> controls; ///< the first of each domain come first
   std::vector<machine> hosts;
+  std::unique_ptr<link_relay> relay; ///< null: links are direct
   /// Text of the configuration with a number.
   std::function<std::string(int aNumber)> configuration = EmptyConfiguration;
 
 private:
+  std::vector<std::string> EnvironmentOf(const machine& aMachine,
+                                         std::string aPreloaded) const;
   std::string At(const machine& aMachine, std::uint16_t aPort) const;
   std::string Seeds() const;
   std::filesystem::path DataOf(const machine& aControl) const;
--- a/tests/support/route_probes.cpp
+++ b/tests/support/route_probes.cpp
@@ -1,5 +1,6 @@
 #include "support/route_probes.hpp"
 
+#include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <stdexcept>
@@ -36,14 +37,24 @@
 } // namespace
 
 std::string
-ProbedService(int aNumber)
+ProbedService(int aNumber, int aServices)
 {
-  return aNumber % 2 == 0 ? "even" : "odd";
+  return "service-" + std::to_string(aNumber % aServices);
 }
 
 std::string
 ProbedConfiguration(int aNumber)
 {
+  return ProbedConfigurationAmong(2, aNumber);
+}
+
+std::string
+ProbedConfigurationAmong(int aServices, int aNumber)
+{
+  json services = json::array();
+  for (int i = 0; i < aServices; ++i) {
+    services.push_back(DescribeService(ProbedService(i, aServices)));
+  }
   const json route = { { "name", "probe" },
                        { "hostname", kHost },
                        { "pathPrefix", kPath },
@@ -51,12 +62,12 @@
                        { "timeoutMs", kRouteTimeoutMs },
                        { "targetLatencyMs", kTargetMs },
                        { "priority", 1 },
-                       { "service", ProbedService(aNumber) },
+                       { "service", ProbedService(aNumber, aServices) },
                        { "maxAttempts", 1 } };
   return json{
     { "version", aNumber },
     { "routes", json::array({ route }) },
-    { "services", { DescribeService("even"), DescribeService("odd") } },
+    { "services", services },
     { "limits",
       { { "maxHeaderBytes", 16'384 },
         { "maxBodyBytes", 4'194'304 },
@@ -156,15 +167,16 @@
 
 route_probes::route_probes(std::vector<std::string> aControls,
                            std::vector<std::string> aHosts,
-                           const std::vector<std::string>& aDomains)
+                           const std::vector<std::string>& aDomains,
+                           int aServices)
   : mControls(std::move(aControls))
   , mHosts(std::move(aHosts))
   , mClient(net::MakeHttpClient(mContext))
   , mTimer(mContext)
 {
   for (const std::string& domain : aDomains) {
-    for (const int number : { 0, 1 }) {
-      const std::string service = ProbedService(number);
+    for (int number = 0; number < aServices; ++number) {
+      const std::string service = ProbedService(number, aServices);
       std::string id = service;
       id += '-';
       id += domain;
@@ -182,6 +194,14 @@
   mThread.join();
 }
 
+void
+route_probes::SetControls(std::vector<std::string> aControls)
+{
+  asio::post(mContext, [this, controls = std::move(aControls)]() mutable {
+    mControls = std::move(controls);
+  });
+}
+
 std::vector<route_probe>
 route_probes::Answered() const
 {
--- a/tests/support/route_probes.hpp
+++ b/tests/support/route_probes.hpp
@@ -2,7 +2,7 @@
 #define BULRUSH_TESTS_SUPPORT_ROUTE_PROBES_HPP
 
 /// Shows by which configuration hosts handle requests: a route that each
-/// configuration moves to the other of two services, servers of both, and
+/// configuration moves to the next of some services, servers of all, and
 /// requests that are sent to every host all the time.
 
 #include "net/net.hpp"
@@ -17,7 +17,9 @@
 /// The configuration aNumber, in the platform's protocol. Its route leads to
 /// ProbedService(aNumber).
 std::string ProbedConfiguration(int aNumber);
-std::string ProbedService(int aNumber);
+std::string ProbedService(int aNumber, int aServices = 2);
+/// The same with more services in turn, which tell more configurations apart.
+std::string ProbedConfigurationAmong(int aServices, int aNumber);
 
 /// A request, and the service that ran it; empty: refused or lost.
 struct route_probe
@@ -34,11 +36,14 @@
   /// aDomains; requests go to aHosts.
   route_probes(std::vector<std::string> aControls,
                std::vector<std::string> aHosts,
-               const std::vector<std::string>& aDomains);
+               const std::vector<std::string>& aDomains,
+               int aServices = 2);
   ~route_probes();
   route_probes(const route_probes&) = delete;
   route_probes& operator=(const route_probes&) = delete;
 
+  /// Replaces the addresses of the control processes.
+  void SetControls(std::vector<std::string> aControls);
   /// Requests that have been answered, in the order of their ends.
   std::vector<route_probe> Answered() const;
 
