Move a stream that has begun only to an endpoint with a free slot

Callers' streams ended in the middle (LOST): a host gives up a stream that is silent for six of its gaps and sends it to another endpoint. If that one is full it rejects the stream, which has used its two attempts and is broken off, though the first endpoint worked on it.

Its test failed before: the stream was cancelled and sent to the full endpoint.

--- a/src/routing/choose.cpp
+++ b/src/routing/choose.cpp
@@ -317,6 +317,29 @@
   }
 }
 
+namespace {
+
+// Whether an endpoint has a free slot as far as is known: by its report, as
+// long as that counts, and by what this thread has sent there.
+bool
+HasFreeSlot(const tables& aTables,
+            const endpoint_row& aEndpoint,
+            steady_time aNow)
+{
+  const endpoint_facts& facts = aEndpoint.facts;
+  const bool isRecent = aNow < facts.reportedAt + aTables.settings.maxReportAge;
+  const std::uint32_t reported =
+    isRecent ? facts.reportedInFlight.value_or(0) : 0;
+  const std::uint32_t others =
+    reported - std::min(reported, aEndpoint.inFlightWhenReported);
+  return aEndpoint.inFlight + others < facts.slots;
+}
+
+} // namespace
+
+// A stream that has begun leaves its endpoint only for one with a free slot:
+// an endpoint that is full rejects it, and then it has ended for its caller
+// although the former endpoint worked on it.
 bool
 HasOtherEndpoint(tables& aTables, const request_row& aRequest, steady_time aNow)
 {
@@ -330,6 +353,7 @@
   return AnyHolder(aTables, aRequest.facts, [&](const endpoint_row& aEndpoint) {
     return CanResumeStream(aEndpoint, aRequest) &&
            !HasTried(aRequest, aEndpoint.id) && !IsSuspect(aEndpoint, aNow) &&
+           (!aRequest.hasForwarded || HasFreeSlot(aTables, aEndpoint, aNow)) &&
            (mayWait || accepts(aEndpoint));
   });
 }
--- a/tests/routing/silence_test.cpp
+++ b/tests/routing/silence_test.cpp
@@ -57,6 +57,15 @@
     row.inFlight = row.facts.slots;
   }
 
+  /// The endpoint reports this many requests, as of now.
+  void Report(std::uint64_t aEndpoint, std::uint32_t aInFlight)
+  {
+    endpoint_row& row = *engine.endpoints.Find(endpoint_id{ aEndpoint });
+    row.facts.reportedInFlight = aInFlight;
+    row.facts.reportedAt = now;
+    row.inFlightWhenReported = row.inFlight;
+  }
+
   start_attempt SendWithEvents(const request_facts& aFacts)
   {
     start_attempt sent = Send(aFacts);
@@ -271,5 +280,25 @@
   }
 }
 
+// Guards against streams that end because they were moved to an endpoint whose
+// queue is full, which rejects them.
+TEST_CASE_METHOD(
+  silence_fixture,
+  "Stream_WhenTheOtherEndpointReportsThatItIsFull_StaysUntilASlotIsFree",
+  "[routing][silence]")
+{
+  const start_attempt sent = SendWithEvents(Stream(true));
+  for (int i = 0; i < 4; ++i) {
+    Report(2, 9);
+    RunOnce(seconds{ 1 });
+    CHECK(out.cancels.empty());
+    CHECK(out.starts.empty());
+  }
+  Report(2, 7);
+  RunOnce(engine.settings.minIdleTimeout);
+  REQUIRE(out.starts.size() == 1);
+  CHECK(out.starts.front().endpoint == endpoint_id{ 2 });
+}
+
 } // namespace
 } // namespace bulrush::routing
