Refuse requests at a host that knows its configuration to be superseded

A host that has been told of a newer configuration and cannot take it served by the older one for as long as that lasted; only denials considered it (UpdateMayDeny). Class: state of which the host itself knows that it is out of date, with no bound at the point of use.

Cause: newestRevision was compared in UpdateMayDeny alone.

Change: the host keeps since when it knows each revision that it lacks. From kMaxSupersededAge (1 s) after the first of them, or after the latest part of a newer configuration, it refuses with 503 configuration_superseded, not run, Retry-After 250 ms (1 s by the OpenAI front end, whose field holds whole seconds), is not ready and closes kept connections, as one whose keys are unconfirmed. Both front ends resolve requests in the same place. The bound ends when no control process that has caught up has answered for kMaxSilence (3 s), so that a host in a failure domain that is cut off serves on. The traffic thread compares the time with its own clock. The log has a line at the beginning and at the end, and bulrush_entry_configuration_superseded is 1 meanwhile.

1 s: a lost update is noticed and sent again within a report interval and a report's time-out (0.8 s), and a host that was told 0.8 s after the acknowledgement still stops before the 2 s that callers are promised.

--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -185,6 +185,7 @@
       { mView.fleet->revision,
         mView.fleet->declared.number,
         Now() - mView.confirmedAt,
+        Now() >= mView.refusesFrom,
         mView.endpoints->size(),
         mRunner.OpenRequests(),
         mRunner.Quarantine(),
@@ -238,7 +239,7 @@
 
   bool IsInRotation(steady_time aNow) const
   {
-    return aNow < LeavesRotationAt(mSettings.keys, mView.confirmedAt);
+    return entry::IsInRotation(mView, mSettings.keys, aNow);
   }
 
   // Kept connections stay with this host until an answer closes them.
