--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -170,7 +170,7 @@
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 13> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 14> kSystems{
   { { "ingest", RunIngest },
     { "configuration_age", RunConfigurationAge },
     { "confirmation_wait", RunConfirmationWait },
