--- a/src/entry/control_ingest.cpp
+++ b/src/entry/control_ingest.cpp
@@ -15,8 +15,6 @@
 constexpr std::chrono::seconds kUnlistedLifetime{ 30 };
 /// Far above any configuration; a sender could use up the memory otherwise.
 constexpr std::uint64_t kMaxConfigurationBytes = 32UL * 1024 * 1024;
-/// Later ones count from their newest. A host may be unable to take any.
-constexpr std::size_t kMaxKnownRevisions = 256;
 /// Far longer than a report is under way.
 constexpr std::chrono::minutes kRemovalLifetime{ 10 };
 
@@ -53,7 +51,6 @@
     return;
   }
   incoming.bytes += aPart.bytes;
-  aTables.progressAt = aNow;
   aTables.nextReport = aNow;
   if (incoming.bytes.size() < aPart.totalBytes) {
     return;
@@ -97,32 +94,7 @@
     aTables.fleet = std::move(next);
     aTables.hasNewFleet = true;
   }
-}
-
-// Each revision keeps its time: under steady changes the newest is never old. A
-// host that was cut off has the time of one that has just learned of them.
-void
-UpdateSuperseded(entry_tables& aTables,
-                 const wire::host_update& aUpdate,
-                 steady_time aNow)
-{
-  if (aUpdate.isCaughtUp) {
-    if (aNow >= aTables.newestHeldAt + kMaxSilence) {
-      aTables.progressAt = aNow;
-    }
-    aTables.newestHeldAt = aNow;
-  }
-  std::deque<known_revision>& known = aTables.supersededBy;
-  if (aUpdate.revision > aTables.newestRevision) {
-    aTables.newestRevision = aUpdate.revision;
-    if (known.size() >= kMaxKnownRevisions) {
-      known.pop_back();
-    }
-    known.push_back({ aUpdate.revision, aNow });
-  }
-  while (!known.empty() && known.front().revision <= aTables.fleet->revision) {
-    known.pop_front();
-  }
+  aTables.newestRevision = std::max(aTables.newestRevision, aUpdate.revision);
 }
 
 // After a loss of power of all machines, control processes do not know whether
@@ -333,11 +305,13 @@
   MergeLoads(aTables, aUpdate.loads, aNow, aOutbox);
   aTables.latestUpdate = { aSender, aUpdate.revision, aUpdate.isCaughtUp };
   aTables.updatedAt = aNow;
+  if (aUpdate.isCaughtUp) {
+    aTables.caughtUpAt = aNow;
+  }
   UpdateControls(aTables, aUpdate, aNow, aOutbox);
   UpdateLeader(aTables, aSender, aUpdate);
   AddTombstones(aTables, aUpdate.tombstones);
   ApplyConfiguration(aTables, aUpdate, aNow);
-  UpdateSuperseded(aTables, aUpdate, aNow);
   UpdateMayServe(aTables, aUpdate);
   UpdateMayDeny(aTables, aUpdate);
   UpdateConfirmation(aTables, aSender, aUpdate);
--- a/src/entry/control_systems.cpp
+++ b/src/entry/control_systems.cpp
@@ -67,41 +67,6 @@
   }
 }
 
-// A host that is cut off cannot get the newer configuration, and serves what it
-// can. While parts of one arrive, the link or the processor is slow and nothing
-// is lost.
-void
-RunSuperseded(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox)
-{
-  const steady_time isCutOffAt = aTables.newestHeldAt + kMaxSilence;
-  aTables.refusesFrom = steady_time::max();
-  steady_time since = aNow;
-  if (aTables.mayServe && !aTables.supersededBy.empty() && aNow < isCutOffAt) {
-    since = std::max(aTables.supersededBy.front().at, aTables.progressAt);
-    aTables.refusesFrom = since + kMaxSupersededAge;
-    aOutbox.wake.NoLaterThan(aNow < aTables.refusesFrom ? aTables.refusesFrom
-                                                        : isCutOffAt);
-  }
-  const bool isRefusing = aNow >= aTables.refusesFrom;
-  if (isRefusing == aTables.isRefusing) {
-    return;
-  }
-  aTables.isRefusing = isRefusing;
-  LogEvent(
-    kLog,
-    log_level::eWarning,
-    "configuration_superseded",
-    { { "refuses", isRefusing ? "yes" : "no" },
-      { "known_ms", Milliseconds(aNow - since) },
-      { "number", std::to_string(aTables.fleet->declared.number) },
-      { "revision", std::to_string(aTables.fleet->revision) },
-      { "newest", std::to_string(aTables.newestRevision) },
-      { "received_bytes", std::to_string(aTables.incoming.bytes.size()) },
-      { "control", aTables.latestUpdate.sender },
-      { "control_caught_up",
-        aTables.latestUpdate.isCaughtUp ? "yes" : "no" } });
-}
-
 // Endpoints as they reported themselves, with the leader's newer residents.
 std::vector<endpoint_row>
 EffectiveEndpoints(const entry_tables& aTables, steady_time aNow)
@@ -128,7 +93,6 @@
     !hasNewFleet && !aTables.hasNewEndpoints && !aTables.hasNewTombstones &&
     view.mayDenyUntil == aTables.mayDenyUntil &&
     view.confirmedAt == aTables.confirmedAt &&
-    view.refusesFrom == aTables.refusesFrom &&
     view.isStopping == aTables.isStopping && view.usage == aTables.usageTotals;
   if (isSame) {
     return;
@@ -164,17 +128,15 @@
   view.confirmedAt = aTables.confirmedAt;
   view.confirmedBy = aTables.confirmedBy;
   view.updatedAt = aTables.updatedAt;
-  view.refusesFrom = aTables.refusesFrom;
   aTables.hasNewEndpoints = false;
   aTables.hasNewTombstones = false;
   aOutbox.view = view;
 }
 
-constexpr std::array<named_system<entry_tables, entry_outbox>, 14> kSystems{
+constexpr std::array<named_system<entry_tables, entry_outbox>, 13> kSystems{
   { { "ingest", RunIngest },
     { "configuration_age", RunConfigurationAge },
     { "confirmation_wait", RunConfirmationWait },
-    { "superseded", RunSuperseded },
     { "loads", RunLoads },
     { "demand", RunDemand },
     { "draws", RunQuotaRequests },
--- a/src/entry/control_systems.hpp
+++ b/src/entry/control_systems.hpp
@@ -12,14 +12,6 @@
 /// ago: two reports.
 inline constexpr std::chrono::milliseconds kMaxDenialAge{ 2'000 };
 
-/// A host serves for this long by a configuration that it knows to be
-/// superseded: a lost update is noticed and repeated by then, and callers are
-/// promised the newer one 2 s after its acknowledgement.
-inline constexpr std::chrono::milliseconds kMaxSupersededAge{ 1'000 };
-/// A host that no control process with the newest configuration has answered
-/// for this long, six reports, is cut off.
-inline constexpr std::chrono::milliseconds kMaxSilence{ 3'000 };
-
 // control_ingest.cpp
 void RunIngest(entry_tables& aTables, steady_time aNow, entry_outbox& aOutbox);
 
--- a/src/entry/recorder.cpp
+++ b/src/entry/recorder.cpp
@@ -48,11 +48,6 @@
   metric_kind::eGauge,
   "Time since the configuration was known to be the newest"
 };
-constexpr metric_definition kSuperseded{
-  "bulrush_entry_configuration_superseded",
-  metric_kind::eGauge,
-  "1 while requests are refused for lack of a newer configuration"
-};
 constexpr metric_definition kEndpoints{ "bulrush_entry_endpoints",
                                         metric_kind::eGauge,
                                         "Endpoints known to this host" };
@@ -455,7 +450,6 @@
   page.Set(kNumber, static_cast<double>(aGauges.number));
   page.Set(kConfigurationAge,
            std::chrono::duration<double>(aGauges.configurationAge).count());
-  page.Set(kSuperseded, aGauges.isSuperseded ? 1 : 0);
   page.Set(kEndpoints, static_cast<double>(aGauges.endpoints));
   page.Set(kOpenRequests, static_cast<double>(aGauges.openRequests));
   page.Set(kLease, aGauges.hasLease ? 1 : 0);
--- a/src/entry/recorder.hpp
+++ b/src/entry/recorder.hpp
@@ -35,7 +35,6 @@
   std::uint64_t number = 0; ///< of the manifest
   /// Time since the configuration was known to be the newest.
   std::chrono::nanoseconds configurationAge{ 0 };
-  bool isSuperseded = false; ///< for too long; requests are refused
   std::size_t endpoints = 0;
   std::size_t openRequests = 0;
   quarantine_counts quarantine;
--- a/src/entry/resolve.cpp
+++ b/src/entry/resolve.cpp
@@ -43,24 +43,6 @@
            std::chrono::seconds(1) };
 }
 
-// Whether a newer configuration treats the request alike is not known here, so
-// all are refused.
-std::optional<caller_error>
-ConfigurationRefusal(const resolve_context& aContext)
-{
-  if (aContext.view.fleet->manifestRevision == 0) {
-    return NoConfiguration();
-  }
-  if (net::Now() < aContext.view.refusesFrom) {
-    return std::nullopt;
-  }
-  return caller_error{ 503,
-                       "configuration_superseded",
-                       "this host lacks a newer configuration",
-                       false,
-                       kOutdatedRetryTime };
-}
-
 // An outdated configuration cannot tell whether a key or path exists. Another
 // host may know, so the caller is asked to come back soon.
 caller_error
@@ -316,20 +298,13 @@
            aRetryAfter };
 }
 
-bool
-IsInRotation(const traffic_view& aView, const key_rule& aKeys, steady_time aNow)
-{
-  return aNow < aView.refusesFrom &&
-         aNow < LeavesRotationAt(aKeys, aView.confirmedAt);
-}
-
 const workspace_row*
 Authorise(const resolve_context& aContext,
           const std::string& aKey,
           caller_error& aError)
 {
-  if (const auto refusal = ConfigurationRefusal(aContext)) {
-    aError = *refusal;
+  if (aContext.view.fleet->manifestRevision == 0) {
+    aError = NoConfiguration();
     return nullptr;
   }
   if (aKey.empty()) {
@@ -400,8 +375,8 @@
 {
   const route_row* route =
     FindRoute(aContext.view.fleet->declared, aCall.host, aRequest.path);
-  if (const auto refusal = ConfigurationRefusal(aContext)) {
-    aError = *refusal;
+  if (aContext.view.fleet->manifestRevision == 0) {
+    aError = NoConfiguration();
     return false;
   }
   if (route == nullptr) {
--- a/src/entry/resolve.hpp
+++ b/src/entry/resolve.hpp
@@ -6,7 +6,6 @@
 
 #include "entry/admission.hpp"
 #include "entry/entry.hpp"
-#include "entry/key_rule.hpp"
 #include "entry/tables.hpp"
 #include "fleet/target_spread.hpp"
 
@@ -48,12 +47,6 @@
 /// The error of a host that may not know that a key was withdrawn.
 caller_error KeysUnconfirmed(std::chrono::milliseconds aRetryAfter);
 
-/// False: the configuration or its confirmation is too old, so that the host is
-/// not ready and its answers close their connections.
-bool IsInRotation(const traffic_view& aView,
-                  const key_rule& aKeys,
-                  steady_time aNow);
-
 /// False with the error for a request that is refused. Leaves facts.id of
 /// aResolved unchanged.
 bool Resolve(const resolve_context& aContext,
--- a/src/entry/tables.hpp
+++ b/src/entry/tables.hpp
@@ -8,7 +8,6 @@
 #include "fleet/fleet.hpp"
 #include "wire/wire.hpp"
 
-#include <deque>
 #include <memory>
 #include <unordered_set>
 
@@ -24,13 +23,6 @@
   std::string control; ///< name of the control process that confirmed it
 };
 
-/// A control process has told that it has this revision of the fleet.
-struct known_revision
-{
-  std::uint64_t revision = 0;
-  steady_time at; ///< first told
-};
-
 /// A request of a workspace that began to run.
 struct request_start
 {
@@ -63,8 +55,6 @@
   steady_time confirmedAt{};
   std::string confirmedBy; ///< name of the control process that confirmed it
   steady_time updatedAt{}; ///< arrival of the newest update; never: zero
-  /// The configuration has been known to be superseded for too long.
-  steady_time refusesFrom = steady_time::max();
   bool isStopping = false;
   usage_totals usage;
 };
@@ -198,20 +188,15 @@
   incoming_configuration incoming;
   latest_update latestUpdate;
   steady_time updatedAt{};  ///< when that arrived
+  steady_time caughtUpAt{}; ///< update of a control process that has caught up
   bool hasNewSeeds = false; ///< the settings have been written again
   steady_time nextSeedRead{};
   std::uint64_t lastCall = 0;
   steady_time nextReport{};
   std::uint64_t newestRevision = 0; ///< of all control processes, as received
-  /// Rising; those that are not in force here.
-  std::deque<known_revision> supersededBy;
-  steady_time progressAt{};   ///< the newest configuration was on its way
-  steady_time newestHeldAt{}; ///< by a control process that answered
-  steady_time refusesFrom = steady_time::max();
-  bool isRefusing = false;      ///< by refusesFrom; has been logged
-  std::string leader;           ///< name of the leading control process
-  std::uint64_t leaderTerm = 0; ///< in which it was named
-  traffic_view published;       ///< latest published view
+  std::string leader;               ///< name of the leading control process
+  std::uint64_t leaderTerm = 0;     ///< in which it was named
+  traffic_view published;           ///< latest published view
   bool isStopping = false;
   bool closesUsage = false; ///< what was counted is to be reported at once
   bool hasUnreportedLoads = false; ///< from the traffic thread
--- a/src/entry/traffic.cpp
+++ b/src/entry/traffic.cpp
@@ -185,7 +185,6 @@
       { mView.fleet->revision,
         mView.fleet->declared.number,
         Now() - mView.confirmedAt,
-        Now() >= mView.refusesFrom,
         mView.endpoints->size(),
         mRunner.OpenRequests(),
         mRunner.Quarantine(),
@@ -239,7 +238,7 @@
 
   bool IsInRotation(steady_time aNow) const
   {
-    return entry::IsInRotation(mView, mSettings.keys, aNow);
+    return aNow < LeavesRotationAt(mSettings.keys, mView.confirmedAt);
   }
 
   // Kept connections stay with this host until an answer closes them.
