Ignore SIGHUP until it is handled, so that it ends no process that starts

The platform sends SIGHUP with new settings, also to processes that are just starting. Until the handler was in place, after recovery of the log in control processes, the default action ended them without a line.

The signal is ignored first, and seeds are read once when it is handled.

--- a/src/control/process.cpp
+++ b/src/control/process.cpp
@@ -670,6 +670,9 @@
                char** aArguments,
                std::span<const named_front_end> aFrontEnds)
 {
+  // The default action would end a process that starts. Seeds are read again
+  // once the signal is handled.
+  std::signal(SIGHUP, SIG_IGN);
   int exitCode = 0;
   const auto options =
     StartWithSettings(kProgram, aArgumentCount, aArguments, exitCode);
@@ -711,6 +714,7 @@
     LogInfo(kLog, "SIGHUP: reads the seeds again, and no other setting");
     process.ReadSeedsSoon();
   });
+  process.ReadSeedsSoon();
   context.run();
   return process.ExitCode();
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -11,6 +11,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <csignal>
 #include <thread>
 
 namespace bulrush::entry {
@@ -379,6 +380,7 @@
       LogInfo(kLog, "SIGHUP: reads the seeds again, and no other setting");
       mControl.ReadSeedsSoon();
     });
+    mControl.ReadSeedsSoon();
     mControl.RunSoon();
     mControlContext.run();
     mTrafficContext.stop();
@@ -586,6 +588,9 @@
 int
 RunEntry(int aCount, char** aWords, std::span<const named_front_end> aFrontEnds)
 {
+  // The default action would end a process that starts. Seeds are read again
+  // once the signal is handled.
+  std::signal(SIGHUP, SIG_IGN);
   int exitCode = 0;
   const auto options = StartWithSettings(kProgram, aCount, aWords, exitCode);
   if (!options) {
