Read seeds for want of a control process that has caught up, and only seeds

A host that was answered only by control processes that lag never read its seeds again.

Without seeds nothing changes and a warning is logged.

--- a/src/entry/control_seeds.cpp
+++ b/src/entry/control_seeds.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr log_component kLog{ "entry" };
-/// Without an update for this long the settings may name other seeds. Reports
-/// are answered within milliseconds, and each of three control processes gets
-/// one within this time.
+/// Without an update of a control process that has caught up for this long the
+/// settings may name other seeds. Reports are answered within milliseconds, and
+/// each of three control processes gets one within this time.
 constexpr std::chrono::milliseconds kSeedSilence{ 1'000 };
 constexpr std::chrono::milliseconds kSeedReadInterval{ 1'000 };
 
@@ -37,7 +37,7 @@
     return; // its control processes are configured by name
   }
   const steady_time due =
-    std::max(aTables.updatedAt + kSeedSilence, aTables.nextSeedRead);
+    std::max(aTables.caughtUpAt + kSeedSilence, aTables.nextSeedRead);
   aOutbox.readsSeeds = aTables.hasNewSeeds || aNow >= due;
   if (aOutbox.readsSeeds) {
     aTables.hasNewSeeds = false;
@@ -74,9 +74,9 @@
              { { "controls", added },
                { "known_controls", std::to_string(aTables.controls.Size()) },
                { "silent_ms",
-                 aTables.updatedAt == steady_time{}
+                 aTables.caughtUpAt == steady_time{}
                    ? std::string()
-                   : Milliseconds(aNow - aTables.updatedAt) },
+                   : Milliseconds(aNow - aTables.caughtUpAt) },
                { "revision", std::to_string(aTables.fleet->revision) } });
   }
 }
--- a/src/entry/process.cpp
+++ b/src/entry/process.cpp
@@ -612,9 +612,17 @@
   SetLogLevel(*level);
   ReturnFreedMemory();
   LogToStandardOutput();
-  const auto readSeeds = [aCount, aWords](last_reason& aReason) {
+  const auto readSeeds = [aCount, aWords](last_reason& aReason)
+    -> std::optional<std::vector<wire::control_address>> {
     const auto loaded = LoadSettings(kProgram, aCount, aWords, aReason);
-    return loaded ? ReadControls(loaded->values, aReason) : std::nullopt;
+    if (!loaded) {
+      return std::nullopt;
+    }
+    // As in a file that is being written: the default addresses are no seeds.
+    if (!loaded->values.IsSet("seeds")) {
+      return Fail(aReason, "read seeds", "", "the settings name none");
+    }
+    return ReadControls(loaded->values, aReason);
   };
   entry_process process(
     *options, *spans, *secret, std::move(*front), readSeeds);
