--- a/tests/process/early_signal_test.cpp
+++ b/tests/process/early_signal_test.cpp
@@ -22,7 +22,8 @@
   early_signal_fixture(const early_signal_fixture&) = delete;
   early_signal_fixture& operator=(const early_signal_fixture&) = delete;
 
-  void CheckStarts(const std::string& aProgram, const std::string& aSettings)
+  void CheckStarts(const std::string& aProgram,
+                   const std::string& aSettings) const
   {
     const std::filesystem::path pipe = folder / aProgram;
     REQUIRE(::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
